--- /dev/null
+++ b/crates/acacia-control/src/operator_api.rs
@@ -0,0 +1,310 @@
+//! The operators' interface: HTTP with JSON, behind a bearer token. `docs/OPERATING.md` shows it through the `acacia`
+//! command, which is its main user.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{BodyRefusal, ResponseBody, json_response, read_body};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
+use acaciabay::core::endpoint::EndpointState;
+use acaciabay::core::entry_config::ConfigVersion;
+use acaciabay::core::key::{KeyId, KeyRow};
+use acaciabay::core::name::HostName;
+use acaciabay::util::digest::ContentDigest;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::daemon::Control;
+use crate::group::NotLeading;
+use crate::operator_tables::{TableName, read_table, write_table};
+
+const LARGEST_BODY: usize = 64 * 1024 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers operators' requests.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorApi {
+    control: Arc<Control>,
+    token: ContentDigest,
+}
+
+/// A refusal with the status and the code that operators' tools rely on.
+#[derive(Debug)]
+pub(crate) struct OperatorRefusal {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) message: String,
+    pub(crate) detail: Value,
+}
+
+impl OperatorRefusal {
+    pub(crate) fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            detail: Value::Null,
+        }
+    }
+
+    pub(crate) fn with_detail(self, detail: Value) -> Self {
+        Self { detail, ..self }
+    }
+
+    fn into_response(self) -> Response<ResponseBody> {
+        let error = json!({"message": self.message, "code": self.code, "detail": self.detail});
+        json_response(self.status, &json!({"error": error}))
+    }
+}
+
+impl From<NotLeading> for OperatorRefusal {
+    fn from(other: NotLeading) -> Self {
+        let detail = json!({"leader": other.leader_address});
+        Self::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not_leader",
+            "this replica does not lead",
+        )
+        .with_detail(detail)
+    }
+}
+
+pub(crate) type OperatorAnswer = Result<Value, OperatorRefusal>;
+
+/// A request whose body has arrived.
+#[derive(Debug)]
+pub(crate) struct OperatorRequest {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) body: Bytes,
+}
+
+impl OperatorRequest {
+    /// Returns a parameter of the query.
+    pub(crate) fn parameter(&self, name: &str) -> Option<&str> {
+        let mut pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Returns a parameter of the query that must be a number.
+    pub(crate) fn number(&self, name: &str) -> Result<u64, OperatorRefusal> {
+        let value = self.parameter(name).and_then(|value| value.parse().ok());
+        value.ok_or_else(|| {
+            let message = format!("query parameter `{name}` must be a number");
+            OperatorRefusal::new(StatusCode::BAD_REQUEST, "bad_parameter", message)
+        })
+    }
+
+    pub(crate) fn json(&self) -> Result<Value, OperatorRefusal> {
+        serde_json::from_slice(&self.body).map_err(|error| {
+            OperatorRefusal::new(
+                StatusCode::BAD_REQUEST,
+                "bad_json",
+                format!("body is not JSON: {error}"),
+            )
+        })
+    }
+}
+
+impl OperatorApi {
+    pub(crate) const fn new(control: Arc<Control>, token: ContentDigest) -> Self {
+        Self { control, token }
+    }
+
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        match self.try_answer(request).await {
+            Ok(value) => json_response(StatusCode::OK, &value),
+            Err(refusal) => {
+                slog::info!(self.control.log, "operator's request refused"; "event" => event::OPERATOR_REFUSED,
+                    "code" => refusal.code, "message" => &refusal.message);
+                refusal.into_response()
+            }
+        }
+    }
+
+    async fn try_answer(&self, request: Request<Incoming>) -> OperatorAnswer {
+        self.authorize(&request)?;
+        let request = read_request(request).await?;
+        let segments: Vec<&str> = request.path.trim_matches('/').split('/').collect();
+        match (&request.method, segments.as_slice()) {
+            (&Method::GET, ["v1", "tables", name]) => read_table(&self.control, TableName::parse(name)?).await,
+            (&Method::PUT, ["v1", "tables", name]) => {
+                write_table(&self.control, TableName::parse(name)?, &request).await
+            }
+            (&Method::GET, ["v1", "keys"]) => self.list_keys().await,
+            (&Method::POST, ["v1", "keys"]) => self.issue_key(&request).await,
+            (&Method::DELETE, ["v1", "keys", id]) => self.withdraw_key(id).await,
+            (&Method::GET, ["v1", "status"]) => self.status().await,
+            (&Method::GET, ["v1", "usage"]) => self.usage().await,
+            (&Method::GET, ["v1", "in-force"]) => self.in_force(&request).await,
+            (&Method::DELETE, ["v1", "entries", host]) => self.remove_entry(host).await,
+            _ => Err(OperatorRefusal::new(
+                StatusCode::NOT_FOUND,
+                "no_such_path",
+                "no such path",
+            )),
+        }
+    }
+
+    fn authorize(&self, request: &Request<Incoming>) -> Result<(), OperatorRefusal> {
+        let header = request
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let token = header.and_then(|header| header.strip_prefix("Bearer "));
+        if token.is_some_and(|token| ContentDigest::of(token).matches(&self.token)) {
+            return Ok(());
+        }
+        Err(OperatorRefusal::new(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "operator token is missing or wrong",
+        ))
+    }
+
+    async fn list_keys(&self) -> OperatorAnswer {
+        self.control.group.confirm().await?;
+        let state = self.control.group.read();
+        let keys = state
+            .config
+            .keys
+            .rows()
+            .map(|(id, row)| json!({"key": id.as_str(), "customer": row.customer.as_str()}));
+        Ok(json!({"keys": keys.collect::<Vec<_>>()}))
+    }
+
+    async fn issue_key(&self, request: &OperatorRequest) -> OperatorAnswer {
+        let body = request.json()?;
+        let customer = body["customer"].as_str().filter(|customer| !customer.is_empty());
+        let digest = body["sha256"].as_str().and_then(ContentDigest::from_hex);
+        let (Some(customer), Some(digest)) = (customer, digest) else {
+            let message = "expected `customer` and `sha256` (64 hexadecimal digits)";
+            return Err(OperatorRefusal::new(StatusCode::BAD_REQUEST, "bad_key", message));
+        };
+        let row = KeyRow {
+            digest,
+            customer: customer.into(),
+        };
+        self.change_key(ControlCommand::IssueKey(row), &KeyId::of(&digest))
+            .await
+    }
+
+    async fn withdraw_key(&self, id: &str) -> OperatorAnswer {
+        let id = KeyId::new(id);
+        self.change_key(ControlCommand::WithdrawKey(id.clone()), &id).await
+    }
+
+    async fn change_key(&self, command: ControlCommand, id: &KeyId) -> OperatorAnswer {
+        match self.control.group.propose(command).await? {
+            CommandOutcome::Key { changed, version } => {
+                slog::info!(self.control.log, "key changed"; "event" => event::CHANGE_ACCEPTED,
+                    "key" => id.as_str(), "changed" => changed, "version" => version.0);
+                Ok(json!({"key": id.as_str(), "changed": changed, "version": version.0}))
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn remove_entry(&self, host: &str) -> OperatorAnswer {
+        self.control
+            .group
+            .propose(ControlCommand::RemoveEntry(HostName::new(host)))
+            .await?;
+        Ok(json!({"removed": host}))
+    }
+
+    async fn usage(&self) -> OperatorAnswer {
+        self.control.group.confirm().await?;
+        let state = self.control.group.read();
+        let rows = state.usage.totals().map(|(customer, figures)| {
+            json!({
+                "customer": customer.as_str(),
+                "prompt_tokens": figures.prompt_tokens,
+                "output_tokens": figures.output_tokens,
+                "calls": figures.calls,
+            })
+        });
+        Ok(json!({"usage": rows.collect::<Vec<_>>(), "last_window": state.usage.last_window()}))
+    }
+
+    async fn in_force(&self, request: &OperatorRequest) -> OperatorAnswer {
+        let version = ConfigVersion(request.number("version")?);
+        self.control.group.confirm().await?;
+        let state = self.control.group.read();
+        let behind = self.control.soft().presence.behind(version, boot_now(), &state.entries);
+        let hosts: Vec<_> = behind.iter().map(HostName::as_str).collect();
+        Ok(json!({"in_force": hosts.is_empty() && state.version() >= version, "behind": hosts}))
+    }
+
+    async fn status(&self) -> OperatorAnswer {
+        self.control.group.confirm().await?;
+        let state = self.control.group.read();
+        let now = boot_now();
+        let soft = self.control.soft();
+        let entries = state.entries.rows().map(|(host, row)| {
+            json!({
+                "host": host.as_str(),
+                "failure_domain": row.domain.as_str(),
+                "incarnation": row.incarnation.0,
+                "version": soft.presence.get(host).map(|present| present.version.0),
+                "may_serve": soft.presence.may_serve(host, now),
+            })
+        });
+        let endpoints = soft.endpoints.table().rows().map(|(name, row)| {
+            let state = match row.state {
+                EndpointState::Ready if !row.takes_work(now) => "silent",
+                EndpointState::Ready => "ready",
+                EndpointState::Draining => "draining",
+            };
+            json!({
+                "endpoint": name.as_str(),
+                "failure_domain": row.domain.as_str(),
+                "state": state,
+                "running": row.running,
+                "slots": row.slots,
+            })
+        });
+        let orders = state.orders.rows().filter(|(_, row)| !row.settled);
+        Ok(json!({
+            "version": state.version().0,
+            "routes": state.config.routes.number().0,
+            "pools": state.config.pools.number().0,
+            "entries": entries.collect::<Vec<_>>(),
+            "endpoints": endpoints.collect::<Vec<_>>(),
+            "unsettled_orders": orders.map(|(name, row)| json!({"endpoint": name.as_str(), "number": row.number.0})).collect::<Vec<_>>(),
+        }))
+    }
+}
+
+pub(crate) fn unexpected(outcome: &CommandOutcome) -> OperatorRefusal {
+    let message = format!("command came to an unexpected outcome: {outcome:?}");
+    OperatorRefusal::new(StatusCode::INTERNAL_SERVER_ERROR, "unexpected", message)
+}
+
+async fn read_request(request: Request<Incoming>) -> Result<OperatorRequest, OperatorRefusal> {
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, LARGEST_BODY, BODY_TIMEOUT)
+        .await
+        .map_err(|refusal| match refusal {
+            BodyRefusal::TooLarge => {
+                OperatorRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "body is too large")
+            }
+            BodyRefusal::TimedOut | BodyRefusal::Broken => OperatorRefusal::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_timeout",
+                "body did not arrive in time",
+            ),
+        })?;
+    Ok(OperatorRequest {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        body,
+    })
+}
--- /dev/null
+++ b/crates/acacia-entry/src/completion.rs
@@ -0,0 +1,469 @@
+//! Runs a completion: attempts at engines, resumed where one fails, streamed or collected for the caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{ConnectionChoice, FinishedConnection, ResponseBody, json_response};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_runtime::trace::TRACEPARENT;
+use acaciabay::core::attempt::{AttemptState, AttemptVerdict};
+use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::table::{PoolKind, RouteTarget};
+use acaciabay::core::usage::UsageFigures;
+use acaciabay::ops::place_request::{PlacementRequest, place_request};
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, Collected, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use crate::caller_http::CallerAnswer;
+use crate::caller_request::{CallerIdentity, CallerRoute, find_route, read_caller_body, time_left};
+use crate::completion_body::{CompletionBody, CompletionForm};
+use crate::endpoint_stream::{EndpointStream, StreamFault, StreamPiece, TokenPiece};
+use crate::refusal::CallerRefusal;
+use crate::shared::{Entry, SendGuard};
+
+/// Most attempts of one request, the first one included.
+const MOST_ATTEMPTS: u32 = 5;
+/// How long an engine may take to the first token. A long prompt takes seconds on a busy engine; silence beyond this
+/// is taken for a lost connection.
+const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long an engine may pause between tokens; the target is 30 ms, so this is silence, not slowness.
+const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How many chunks may wait for a slow caller. The engine is slowed down beyond it, so memory stays bounded.
+const WAITING_CHUNKS: usize = 32;
+
+pub(crate) async fn complete(
+    entry: &Arc<Entry>,
+    caller: CallerIdentity,
+    request: Request<Incoming>,
+    form: CompletionForm,
+) -> CallerAnswer {
+    let bytes = read_caller_body(entry, request.into_body()).await?;
+    let body = CompletionBody::parse(form, &bytes)?;
+    let route = find_route(entry, &caller, RouteTarget::Model(body.model.as_str().into()))?;
+    match route.pool.kind {
+        PoolKind::Engine => {}
+        PoolKind::Repeatable | PoolKind::AtMostOnce => return Err(CallerRefusal::no_route(&body.model)),
+    }
+    let mut run = CompletionRun::new(Arc::clone(entry), caller, route, body);
+    // The head of the answer goes out only when there is something to answer with, so that a failure before the first
+    // token still gets a status of its own.
+    let first = run.next().await?;
+    if run.body.stream {
+        Ok(stream_answer(run, first))
+    } else {
+        collect_answer(run, first).await
+    }
+}
+
+/// What a run yields.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RunPiece {
+    Token(TokenPiece),
+    Finished(UsageFigures),
+}
+
+/// One completion on its way through one or more attempts.
+#[derive(Debug)]
+struct CompletionRun {
+    entry: Arc<Entry>,
+    caller: CallerIdentity,
+    route: CallerRoute,
+    body: CompletionBody,
+    attempt: Option<OpenAttempt>,
+    attempts: u32,
+    text: String,
+    next_offset: u64,
+    finish: Option<String>,
+    usage: Option<UsageFigures>,
+    tried: Vec<EndpointName>,
+    /// The endpoint whose connection failed in mid-stream; a new connection to it is tried once before others.
+    again: Option<EndpointName>,
+    /// Whether an endpoint may have run the request.
+    maybe_run: bool,
+}
+
+#[derive(Debug)]
+struct OpenAttempt {
+    endpoint: EndpointName,
+    stream: EndpointStream,
+    connection: FinishedConnection,
+    was_again: bool,
+    guard: SendGuard,
+}
+
+/// Where the next attempt goes.
+#[derive(Debug)]
+struct AttemptPlace {
+    endpoint: EndpointName,
+    row: EndpointRow,
+    choice: ConnectionChoice,
+}
+
+impl CompletionRun {
+    const fn new(entry: Arc<Entry>, caller: CallerIdentity, route: CallerRoute, body: CompletionBody) -> Self {
+        Self {
+            entry,
+            caller,
+            route,
+            body,
+            attempt: None,
+            attempts: 0,
+            text: String::new(),
+            next_offset: 0,
+            finish: None,
+            usage: None,
+            tried: Vec::new(),
+            again: None,
+            maybe_run: false,
+        }
+    }
+
+    fn caller_id(&self) -> String {
+        format!("cmpl-{}", self.caller.id)
+    }
+
+    fn verdict(&self) -> AttemptVerdict {
+        let state = if self.next_offset > 0 {
+            AttemptState::Started
+        } else if self.maybe_run {
+            AttemptState::Written
+        } else {
+            AttemptState::Unsent
+        };
+        state.verdict()
+    }
+
+    /// Returns the next token, or the usage of the whole answer, through as many attempts as that takes.
+    async fn next(&mut self) -> Result<RunPiece, CallerRefusal> {
+        loop {
+            let left = time_left(boot_now(), self.route.deadline);
+            if left.is_zero() {
+                return Err(CallerRefusal::deadline_passed(self.verdict()));
+            }
+            let Some(mut attempt) = self.attempt.take() else {
+                self.attempt = Some(self.open_attempt(left).await?);
+                continue;
+            };
+            match self.read_piece(&mut attempt, left).await {
+                Ok(StreamPiece::Token(token)) if token.offset == self.next_offset => {
+                    self.attempt = Some(attempt);
+                    return Ok(RunPiece::Token(self.take_token(token)));
+                }
+                // A token that came before, on this attempt or on an earlier one, is never passed on twice.
+                Ok(StreamPiece::Token(token)) if token.offset < self.next_offset => self.attempt = Some(attempt),
+                Ok(StreamPiece::Token(_)) => self.abandon(attempt, "gap in the stream"),
+                Ok(StreamPiece::Usage(usage)) => {
+                    self.usage = Some(usage);
+                    self.attempt = Some(attempt);
+                }
+                Ok(StreamPiece::Done) => match (&self.finish, self.usage) {
+                    (Some(_), Some(usage)) => {
+                        self.end_attempt(attempt);
+                        return Ok(RunPiece::Finished(usage));
+                    }
+                    _ => self.abandon(attempt, "stream ended early"),
+                },
+                Err(reason) => self.abandon(attempt, &reason),
+            }
+        }
+    }
+
+    fn take_token(&mut self, token: TokenPiece) -> TokenPiece {
+        self.next_offset += 1;
+        self.text.push_str(&token.text);
+        self.finish.clone_from(&token.finish);
+        token
+    }
+
+    async fn read_piece(&self, attempt: &mut OpenAttempt, left: Duration) -> Result<StreamPiece, String> {
+        let bound = if self.next_offset == 0 {
+            FIRST_TOKEN_TIMEOUT
+        } else {
+            NEXT_TOKEN_TIMEOUT
+        };
+        match tokio::time::timeout(bound.min(left), attempt.stream.next()).await {
+            Ok(Ok(piece)) => Ok(piece),
+            Ok(Err(StreamFault::Crossed)) => {
+                slog::error!(self.entry.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
+                    "endpoint" => attempt.endpoint.as_str(), "request" => &self.caller.id);
+                Err("answer belongs to another request".to_owned())
+            }
+            Ok(Err(StreamFault::Malformed)) => Err("malformed chunk".to_owned()),
+            Ok(Err(StreamFault::Broken(reason))) => Err(reason),
+            Err(_elapsed) => Err("silence".to_owned()),
+        }
+    }
+
+    /// Gives up an attempt; its connection closes, which cancels the request at the engine.
+    fn abandon(&mut self, attempt: OpenAttempt, reason: &str) {
+        slog::info!(self.entry.log, "attempt failed"; "event" => event::ATTEMPT_FAILED,
+            "endpoint" => attempt.endpoint.as_str(), "request" => &self.caller.id,
+            "offset" => self.next_offset, "reason" => reason);
+        metrics::counter!("acacia_attempts_failed_total").increment(1);
+        if attempt.was_again {
+            self.tried.push(attempt.endpoint);
+        } else {
+            self.again = Some(attempt.endpoint);
+        }
+    }
+
+    fn end_attempt(&self, attempt: OpenAttempt) {
+        self.entry.retries.lock().earn();
+        let entry = Arc::clone(&self.entry);
+        tokio::spawn(async move {
+            let OpenAttempt {
+                stream,
+                connection,
+                guard,
+                ..
+            } = attempt;
+            drop(guard);
+            if stream.finish().await {
+                entry.client.give_back(boot_now(), connection).await;
+            }
+        });
+    }
+
+    async fn open_attempt(&mut self, left: Duration) -> Result<OpenAttempt, CallerRefusal> {
+        loop {
+            self.count_attempt()?;
+            let place = self.place()?;
+            let guard = self.entry.begin_send(&place.endpoint);
+            let id = format!("{}-{}", self.caller.id, self.attempts);
+            let request = self.endpoint_request(&place, &id);
+            let sent = self
+                .entry
+                .client
+                .send(boot_now(), place.row.address, place.choice, request);
+            let answer = match tokio::time::timeout(left.min(FIRST_TOKEN_TIMEOUT), sent).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(failure)) => {
+                    self.note_failed_send(place.endpoint, failure.state, &failure.to_string());
+                    continue;
+                }
+                Err(_elapsed) => {
+                    self.note_failed_send(place.endpoint, AttemptState::Written, "no answer in time");
+                    continue;
+                }
+            };
+            if answer.response.status() != StatusCode::OK {
+                self.note_refusal(place.endpoint, answer.response).await;
+                continue;
+            }
+            self.maybe_run = true;
+            if self.attempts > 1 && self.next_offset > 0 {
+                slog::info!(self.entry.log, "stream resumed"; "event" => event::STREAM_RESUMED,
+                    "endpoint" => place.endpoint.as_str(), "request" => &self.caller.id, "offset" => self.next_offset);
+                metrics::counter!("acacia_streams_resumed_total").increment(1);
+            }
+            let was_again = place.choice == ConnectionChoice::Fresh;
+            let stream = EndpointStream::new(answer.response.into_body(), &id);
+            let connection = answer.connection;
+            return Ok(OpenAttempt {
+                endpoint: place.endpoint,
+                stream,
+                connection,
+                was_again,
+                guard,
+            });
+        }
+    }
+
+    fn count_attempt(&mut self) -> Result<(), CallerRefusal> {
+        self.attempts += 1;
+        let is_retry = self.attempts > 1;
+        if self.attempts > MOST_ATTEMPTS || (is_retry && !self.entry.retries.lock().spend()) {
+            return Err(CallerRefusal::endpoints_failed(self.verdict()));
+        }
+        Ok(())
+    }
+
+    fn place(&mut self) -> Result<AttemptPlace, CallerRefusal> {
+        let now = boot_now();
+        let view = self.entry.endpoints.lock();
+        if let Some(endpoint) = self.again.take() {
+            if let Some(row) = view.table.get(&endpoint).filter(|row| row.takes_work(now)) {
+                return Ok(AttemptPlace {
+                    row: row.clone(),
+                    endpoint,
+                    choice: ConnectionChoice::Fresh,
+                });
+            }
+            self.tried.push(endpoint);
+        }
+        let request = PlacementRequest {
+            pool: &self.route.pool,
+            target: &self.route.target,
+            prefix: &self.body.prefix,
+            tried: &self.tried,
+        };
+        match place_request(now, &mut rand::rng(), &view.table, &view.sends, request) {
+            Some((endpoint, row)) => Ok(AttemptPlace {
+                endpoint: endpoint.clone(),
+                row: row.clone(),
+                choice: ConnectionChoice::Pooled,
+            }),
+            None if self.maybe_run => Err(CallerRefusal::endpoints_failed(self.verdict())),
+            None => Err(CallerRefusal::no_endpoint()),
+        }
+    }
+
+    fn endpoint_request(&self, place: &AttemptPlace, id: &str) -> Request<Full<Bytes>> {
+        let body = Full::new(self.body.endpoint_body(self.next_offset, &self.text));
+        let mut request = Request::new(body);
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = hyper::Uri::from_static(self.body.endpoint_path());
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        for (name, text) in [
+            (HOST.as_str(), place.row.address.to_string()),
+            ("x-request-id", id.to_owned()),
+            (TRACEPARENT, self.caller.trace.to_string()),
+        ] {
+            if let (Ok(name), Ok(value)) = (hyper::header::HeaderName::try_from(name), HeaderValue::from_str(&text)) {
+                headers.insert(name, value);
+            }
+        }
+        request
+    }
+
+    fn note_failed_send(&mut self, endpoint: EndpointName, state: AttemptState, reason: &str) {
+        slog::info!(self.entry.log, "attempt failed"; "event" => event::ATTEMPT_FAILED,
+            "endpoint" => endpoint.as_str(), "request" => &self.caller.id, "reason" => reason);
+        metrics::counter!("acacia_attempts_failed_total").increment(1);
+        if state != AttemptState::Unsent {
+            self.maybe_run = true;
+        }
+        self.tried.push(endpoint);
+    }
+
+    /// Takes an endpoint's refusal. Only one that says itself that the request was not run leaves that certain.
+    async fn note_refusal(&mut self, endpoint: EndpointName, response: Response<Incoming>) {
+        let status = response.status();
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map(Collected::to_bytes)
+            .unwrap_or_default();
+        let error: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let not_run = error["error"]["not_run"] == Value::Bool(true);
+        let state = if not_run {
+            AttemptState::Unsent
+        } else {
+            AttemptState::Written
+        };
+        self.note_failed_send(endpoint, state, &format!("endpoint answered {status}"));
+    }
+
+    /// Commits the usage before the caller learns that the answer is whole.
+    async fn bill(&self, usage: UsageFigures) {
+        self.entry
+            .usage
+            .record(self.entry.incarnation(), &self.caller.customer, usage)
+            .await;
+    }
+
+    /// Bills an answer that was cut or cancelled by the tokens that the caller was given.
+    async fn bill_partial(&self) {
+        if self.next_offset > 0 {
+            self.bill(UsageFigures {
+                output_tokens: self.next_offset,
+                ..UsageFigures::default()
+            })
+            .await;
+        }
+    }
+}
+
+async fn collect_answer(mut run: CompletionRun, first: RunPiece) -> CallerAnswer {
+    let mut piece = first;
+    let usage = loop {
+        match piece {
+            RunPiece::Token(_) => {}
+            RunPiece::Finished(usage) => break usage,
+        }
+        piece = match run.next().await {
+            Ok(piece) => piece,
+            Err(refusal) => return Err(refusal),
+        };
+    };
+    run.bill(usage).await;
+    let finish = run.finish.as_deref().unwrap_or("stop");
+    Ok(json_response(
+        StatusCode::OK,
+        &run.body.whole(&run.caller_id(), &run.text, finish, &usage),
+    ))
+}
+
+type ChunkSender = mpsc::Sender<std::io::Result<Bytes>>;
+
+fn stream_answer(run: CompletionRun, first: RunPiece) -> Response<ResponseBody> {
+    let (sender, mut receiver) = mpsc::channel::<std::io::Result<Bytes>>(WAITING_CHUNKS);
+    tokio::spawn(pump(run, first, sender));
+    let chunks = stream::poll_fn(move |context| receiver.poll_recv(context));
+    let frames = futures::StreamExt::map(chunks, |chunk| chunk.map(Frame::data));
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+/// Why the stream to the caller ended before the answer was whole.
+#[derive(Debug)]
+enum PumpEnd {
+    CallerGone,
+    Failed(CallerRefusal),
+}
+
+async fn pump(mut run: CompletionRun, first: RunPiece, sender: ChunkSender) {
+    match pump_pieces(&mut run, first, &sender).await {
+        Ok(()) => {}
+        Err(PumpEnd::CallerGone) => run.bill_partial().await,
+        Err(PumpEnd::Failed(refusal)) => {
+            run.bill_partial().await;
+            // The caller is told why, and the broken connection tells it that the answer is not whole.
+            let _gone = send(&sender, &refusal.to_json()).await;
+            let _gone = sender.send(Err(std::io::Error::other(refusal.message))).await;
+        }
+    }
+}
+
+async fn pump_pieces(run: &mut CompletionRun, first: RunPiece, sender: &ChunkSender) -> Result<(), PumpEnd> {
+    let id = run.caller_id();
+    let mut piece = first;
+    loop {
+        match &piece {
+            RunPiece::Token(token) => {
+                let chunk = run.body.chunk(&id, &token.text, token.finish.as_deref());
+                send(sender, &chunk).await?;
+            }
+            RunPiece::Finished(usage) => {
+                run.bill(*usage).await;
+                if run.body.wants_usage {
+                    send(sender, &run.body.usage_chunk(&id, usage)).await?;
+                }
+                let done = Bytes::from_static(b"data: [DONE]\n\n");
+                return sender.send(Ok(done)).await.map_err(|_gone| PumpEnd::CallerGone);
+            }
+        }
+        piece = tokio::select! {
+            next = run.next() => next.map_err(PumpEnd::Failed)?,
+            () = sender.closed() => return Err(PumpEnd::CallerGone),
+        };
+    }
+}
+
+async fn send(sender: &ChunkSender, chunk: &Value) -> Result<(), PumpEnd> {
+    let line = Bytes::from(format!("data: {chunk}\n\n"));
+    sender.send(Ok(line)).await.map_err(|_gone| PumpEnd::CallerGone)
+}
--- /dev/null
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -0,0 +1,120 @@
+//! Keeps the serving lease and the configuration up to date.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::{EntryAnswer, EntryCall, LeaseRenewal, LeaseRequest};
+use acaciabay::core::entry_config::EntryConfig;
+use acaciabay::core::member::JoinNonce;
+use acaciabay::core::serving_lease::RENEWAL_INTERVAL;
+use rand::Rng;
+
+use crate::control_link::LinkClosed;
+use crate::shared::Entry;
+
+/// How long an entry waits before it joins again after another process joined under its host's name.
+const REJOIN_PAUSE: Duration = Duration::from_secs(1);
+
+/// Joins the group and renews the lease until the link closes.
+pub(crate) async fn keep_lease(entry: Arc<Entry>) {
+    loop {
+        let ended = match join(&entry).await {
+            Ok(()) => renew_until_stale(&entry).await,
+            Err(closed) => Err(closed),
+        };
+        if ended.is_err() {
+            return;
+        }
+        tokio::time::sleep(REJOIN_PAUSE).await;
+    }
+}
+
+async fn join(entry: &Entry) -> Result<(), LinkClosed> {
+    let call = EntryCall::Join {
+        host: entry.settings.host.as_str().into(),
+        domain: entry.settings.failure_domain.as_str().into(),
+        nonce: JoinNonce(rand::rng().random()),
+    };
+    if let EntryAnswer::Joined(incarnation) = entry.link.call(call, "").await? {
+        entry.set_incarnation(incarnation);
+        slog::info!(entry.log, "entry joined"; "event" => event::ENTRY_JOINED, "incarnation" => incarnation.0);
+    }
+    Ok(())
+}
+
+/// Returns when the group no longer knows this incarnation.
+async fn renew_until_stale(entry: &Entry) -> Result<(), LinkClosed> {
+    let mut news = entry.link.news();
+    let mut mark = 0;
+    let mut connection = news.borrow().connection;
+    loop {
+        let latest = *news.borrow_and_update();
+        if latest.connection != connection {
+            // Another leader counts reports from its own zero.
+            mark = 0;
+            connection = latest.connection;
+        }
+        let asked_at = boot_now();
+        let call = EntryCall::Renew(lease_request(entry, mark));
+        let renewal = match entry.link.call(call, "").await? {
+            EntryAnswer::Renewed(renewal) => renewal,
+            EntryAnswer::StaleIncarnation => return Ok(()),
+            _ => continue,
+        };
+        mark = renewal.endpoint_mark;
+        let changed = take_renewal(entry, renewal);
+        let held = entry.may_serve(asked_at);
+        entry.lease.lock().confirm(asked_at);
+        if !held {
+            slog::info!(entry.log, "serving lease held"; "event" => event::LEASE_HELD);
+        }
+        if changed {
+            // Asking again at once tells the leader that this entry serves by the new version.
+            continue;
+        }
+        let _news = tokio::time::timeout(RENEWAL_INTERVAL, news.changed()).await;
+    }
+}
+
+fn lease_request(entry: &Entry, endpoint_mark: u64) -> LeaseRequest {
+    let mut view = entry.endpoints.lock();
+    let names = std::mem::take(&mut view.unsent);
+    let rows = names
+        .into_iter()
+        .filter_map(|name| view.table.get(&name).cloned().map(|row| (name, row)));
+    LeaseRequest {
+        incarnation: entry.incarnation(),
+        host: entry.settings.host.as_str().into(),
+        version: entry.config.read().version,
+        reports: rows.collect(),
+        endpoint_mark,
+    }
+}
+
+/// Takes over what the leader told, and tells whether the configuration has changed.
+fn take_renewal(entry: &Entry, renewal: LeaseRenewal) -> bool {
+    let now = boot_now();
+    {
+        let mut view = entry.endpoints.lock();
+        for (name, row) in renewal.endpoints {
+            view.table.report(&name, row);
+        }
+        view.table.forget_silent(now);
+    }
+    if renewal.changes.is_empty() && renewal.whole.is_none() {
+        return false;
+    }
+    let mut next = EntryConfig::clone(&entry.config());
+    let changed = match renewal.whole {
+        Some(whole) => next.replace(whole),
+        None => next.follow(renewal.from, &renewal.changes),
+    };
+    if changed {
+        let version = next.version;
+        *entry.config.write() = Arc::new(next);
+        slog::info!(entry.log, "configuration applied"; "event" => event::CONFIG_APPLIED, "version" => version.0);
+    }
+    changed
+}
--- /dev/null
+++ b/crates/acacia-entry/src/service_call.rs
@@ -0,0 +1,435 @@
+//! Runs a call of a plain service, at most once where the pool asks for that.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{BodyRefusal, ConnectionChoice, EndpointAnswer, ResponseBody, full_body, read_body};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_runtime::trace::TRACEPARENT;
+use acacia_wire::{ClaimRequest, EntryAnswer, EntryCall};
+use acaciabay::core::attempt::AttemptState;
+use acaciabay::core::claim::{ClaimHolder, ClaimKey, ClaimOutcome, LARGEST_STORED_ANSWER, StoredAnswer};
+use acaciabay::core::control_state::ClaimEnd;
+use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::table::{PoolKind, RouteTarget};
+use acaciabay::core::usage::UsageFigures;
+use acaciabay::ops::place_request::{PlacementRequest, place_request};
+use acaciabay::util::digest::ContentDigest;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use serde_json::Value;
+
+use crate::caller_http::CallerAnswer;
+use crate::caller_request::{CallerIdentity, CallerRoute, find_route, read_caller_body, time_left};
+use crate::refusal::CallerRefusal;
+use crate::shared::Entry;
+
+/// The header that makes a call safe to send again to us.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The longest idempotency key.
+const LONGEST_KEY: usize = 200;
+/// Most attempts of a call that may be repeated.
+const MOST_ATTEMPTS: u32 = 3;
+/// How long a claim may take before the call is refused as not run.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the end of a claim may hold up the answer. The link goes on sending it after that.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest answer of a service.
+const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
+
+/// A call as it goes to an endpoint.
+#[derive(Clone, Debug)]
+struct ServiceCall {
+    caller: CallerIdentity,
+    route: CallerRoute,
+    method: Method,
+    path: Uri,
+    content_type: Option<HeaderValue>,
+    idempotency_key: Option<HeaderValue>,
+    body: Bytes,
+}
+
+/// A whole answer of an endpoint.
+#[derive(Clone, Debug)]
+struct ServiceAnswer {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+}
+
+/// Why one attempt yielded no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptFailure {
+    /// The endpoint cannot have run the call.
+    NotRun,
+    /// The endpoint may have run the call.
+    Unknown,
+}
+
+pub(crate) async fn call_service(
+    entry: &Arc<Entry>,
+    caller: CallerIdentity,
+    request: Request<Incoming>,
+) -> CallerAnswer {
+    let (parts, incoming) = request.into_parts();
+    let (service, path) = split_path(&parts.uri)?;
+    let route = find_route(entry, &caller, RouteTarget::Service(service.as_str().into()))?;
+    let call = ServiceCall {
+        caller,
+        route,
+        method: parts.method,
+        path,
+        content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+        idempotency_key: parts.headers.get(IDEMPOTENCY_KEY).cloned(),
+        body: read_caller_body(entry, incoming).await?,
+    };
+    let answer = match call.route.pool.kind {
+        PoolKind::Engine => return Err(CallerRefusal::no_route(&service)),
+        PoolKind::Repeatable => run_repeatable(entry, &call).await?,
+        // The methods that HTTP calls safe change nothing, so they may be repeated wherever they go.
+        PoolKind::AtMostOnce if call.method.is_safe() => run_repeatable(entry, &call).await?,
+        PoolKind::AtMostOnce => run_once(entry, &call, &parts.headers).await?,
+    };
+    Ok(response_of(answer))
+}
+
+fn split_path(uri: &Uri) -> Result<(String, Uri), CallerRefusal> {
+    let whole = uri.path_and_query().map_or("", |path| path.as_str());
+    let rest = whole.strip_prefix("/v1/services/").unwrap_or_default();
+    let (service, path) = rest.split_once('/').ok_or_else(CallerRefusal::no_such_path)?;
+    let path = format!("/{path}")
+        .parse()
+        .map_err(|_source| CallerRefusal::no_such_path())?;
+    Ok((service.to_owned(), path))
+}
+
+async fn run_repeatable(entry: &Arc<Entry>, call: &ServiceCall) -> Result<ServiceAnswer, CallerRefusal> {
+    let mut tried = Vec::new();
+    let mut maybe_run = false;
+    for number in 1..=MOST_ATTEMPTS {
+        if number > 1 && !entry.retries.lock().spend() {
+            break;
+        }
+        let Some((endpoint, row)) = place(entry, call, &tried) else {
+            break;
+        };
+        match attempt(entry, call, &endpoint, &row, ConnectionChoice::Pooled).await {
+            Ok(answer) => {
+                entry.retries.lock().earn();
+                bill(entry, call).await;
+                return Ok(answer);
+            }
+            Err(AttemptFailure::NotRun) => {}
+            Err(AttemptFailure::Unknown) => maybe_run = true,
+        }
+        tried.push(endpoint);
+    }
+    let state = if maybe_run {
+        AttemptState::Written
+    } else {
+        AttemptState::Unsent
+    };
+    if time_left(boot_now(), call.route.deadline).is_zero() {
+        return Err(CallerRefusal::deadline_passed(state.verdict()));
+    }
+    Err(if maybe_run {
+        CallerRefusal::endpoints_failed(state.verdict())
+    } else {
+        CallerRefusal::no_endpoint()
+    })
+}
+
+/// Runs a call that may run at most once: claimed first, written once, its answer stored for resends.
+async fn run_once(entry: &Arc<Entry>, call: &ServiceCall, headers: &HeaderMap) -> Result<ServiceAnswer, CallerRefusal> {
+    let key = claim_key(call, headers)?;
+    let holder = ClaimHolder {
+        incarnation: entry.incarnation(),
+        attempt: entry.next_number(),
+    };
+    match take_claim(entry, call, &key, holder).await? {
+        ClaimOutcome::Granted => {}
+        ClaimOutcome::Answered(answer) => return Ok(stored(answer)),
+        ClaimOutcome::Running => return Err(CallerRefusal::already_running()),
+        ClaimOutcome::Unknown => return Err(CallerRefusal::outcome_unknown()),
+        ClaimOutcome::Mismatch => return Err(CallerRefusal::key_mismatch()),
+        ClaimOutcome::Expired => return Err(CallerRefusal::key_expired()),
+        ClaimOutcome::Full => return Err(CallerRefusal::claim_unavailable()),
+    }
+    let (result, end) = match write_once(entry, call).await {
+        Ok(answer) => {
+            bill(entry, call).await;
+            let end = ClaimEnd::Answered(to_stored(&answer));
+            (Ok(answer), end)
+        }
+        Err(OnceFailure::Refused(refusal)) => (Err(refusal), ClaimEnd::Released),
+        Err(OnceFailure::Unknown) => (Err(CallerRefusal::outcome_unknown()), ClaimEnd::Lost),
+    };
+    end_claim(entry, call, key, holder, end).await;
+    result
+}
+
+/// Why a claimed call yielded no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum OnceFailure {
+    /// Nothing was written.
+    Refused(CallerRefusal),
+    /// The call was written and no answer came.
+    Unknown,
+}
+
+/// Tries endpoints until one has been written to. All tries before that are unsent, so the claim still covers them.
+async fn write_once(entry: &Arc<Entry>, call: &ServiceCall) -> Result<ServiceAnswer, OnceFailure> {
+    let mut tried = Vec::new();
+    loop {
+        check_authority(entry, call).map_err(OnceFailure::Refused)?;
+        let Some((endpoint, row)) = place(entry, call, &tried) else {
+            return Err(OnceFailure::Refused(CallerRefusal::no_endpoint()));
+        };
+        match attempt(entry, call, &endpoint, &row, ConnectionChoice::Fresh).await {
+            Ok(answer) => return Ok(answer),
+            Err(AttemptFailure::NotRun) => tried.push(endpoint),
+            Err(AttemptFailure::Unknown) => return Err(OnceFailure::Unknown),
+        }
+    }
+}
+
+/// Checks key and lease once more just before the write: the process may have been paused since it admitted the call,
+/// and the key may have been withdrawn while the claim was being committed.
+fn check_authority(entry: &Entry, call: &ServiceCall) -> Result<(), CallerRefusal> {
+    if !entry.may_serve(boot_now()) {
+        return Err(CallerRefusal::no_lease());
+    }
+    match entry.config().keys.authenticate(&call.caller.key) {
+        Some(_) => Ok(()),
+        None => Err(CallerRefusal::unauthenticated()),
+    }
+}
+
+fn claim_key(call: &ServiceCall, headers: &HeaderMap) -> Result<ClaimKey, CallerRefusal> {
+    let key = headers.get(IDEMPOTENCY_KEY).and_then(|value| value.to_str().ok());
+    let key = key
+        .filter(|key| !key.is_empty() && key.len() <= LONGEST_KEY)
+        .ok_or_else(|| {
+            let message = format!("this call needs an Idempotency-Key header of 1 to {LONGEST_KEY} characters");
+            CallerRefusal::bad_request("idempotency_key_missing", message)
+        })?;
+    Ok(ClaimKey {
+        customer: call.caller.customer.clone(),
+        key: key.into(),
+    })
+}
+
+async fn take_claim(
+    entry: &Entry,
+    call: &ServiceCall,
+    key: &ClaimKey,
+    holder: ClaimHolder,
+) -> Result<ClaimOutcome, CallerRefusal> {
+    let mut content = format!("{} {}\n", call.method, call.path).into_bytes();
+    content.extend_from_slice(&call.body);
+    let request = ClaimRequest {
+        key: key.clone(),
+        holder,
+        digest: ContentDigest::of(content),
+    };
+    let traceparent = call.caller.trace.to_string();
+    let answer = entry.link.call(EntryCall::TakeClaim(request), &traceparent);
+    if let Ok(Ok(EntryAnswer::Claim(outcome))) = tokio::time::timeout(CLAIM_TIMEOUT, answer).await {
+        return Ok(outcome);
+    }
+    // The claim may have been committed. It is given back, since this attempt will never be written.
+    give_back(entry, key.clone(), holder);
+    Err(CallerRefusal::claim_unavailable())
+}
+
+fn give_back(entry: &Entry, key: ClaimKey, holder: ClaimHolder) {
+    let link = entry.link.clone();
+    tokio::spawn(async move {
+        let _closed = link
+            .call(
+                EntryCall::EndClaim {
+                    key,
+                    holder,
+                    end: ClaimEnd::Released,
+                },
+                "",
+            )
+            .await;
+    });
+}
+
+async fn end_claim(entry: &Entry, call: &ServiceCall, key: ClaimKey, holder: ClaimHolder, end: ClaimEnd) {
+    let link = entry.link.clone();
+    let traceparent = call.caller.trace.to_string();
+    let ended = tokio::spawn(async move {
+        let _closed = link.call(EntryCall::EndClaim { key, holder, end }, &traceparent).await;
+    });
+    // When this takes too long, the task goes on; until it is through, resends are told that the call is running.
+    let _late = tokio::time::timeout(END_TIMEOUT, ended).await;
+}
+
+fn place(entry: &Entry, call: &ServiceCall, tried: &[EndpointName]) -> Option<(EndpointName, EndpointRow)> {
+    let view = entry.endpoints.lock();
+    let request = PlacementRequest {
+        pool: &call.route.pool,
+        target: &call.route.target,
+        prefix: &[],
+        tried,
+    };
+    let placed = place_request(boot_now(), &mut rand::rng(), &view.table, &view.sends, request);
+    placed.map(|(endpoint, row)| (endpoint.clone(), row.clone()))
+}
+
+async fn attempt(
+    entry: &Arc<Entry>,
+    call: &ServiceCall,
+    endpoint: &EndpointName,
+    row: &EndpointRow,
+    choice: ConnectionChoice,
+) -> Result<ServiceAnswer, AttemptFailure> {
+    let guard = entry.begin_send(endpoint);
+    let left = time_left(boot_now(), call.route.deadline);
+    if left.is_zero() {
+        return Err(AttemptFailure::NotRun);
+    }
+    let request = endpoint_request(call, row);
+    let whole = async {
+        let sent = entry.client.send(boot_now(), row.address, choice, request).await;
+        let answer = sent.map_err(|failure| {
+            let unsent = failure.state == AttemptState::Unsent;
+            (
+                if unsent {
+                    AttemptFailure::NotRun
+                } else {
+                    AttemptFailure::Unknown
+                },
+                failure.to_string(),
+            )
+        })?;
+        read_answer(entry, call, answer, left).await
+    };
+    let result = match tokio::time::timeout(left, whole).await {
+        Ok(result) => result,
+        Err(_elapsed) => Err((AttemptFailure::Unknown, "no answer before the deadline".to_owned())),
+    };
+    drop(guard);
+    result.map_err(|(failure, reason)| {
+        slog::info!(entry.log, "attempt failed"; "event" => event::ATTEMPT_FAILED,
+            "endpoint" => endpoint.as_str(), "request" => &call.caller.id, "reason" => reason);
+        metrics::counter!("acacia_attempts_failed_total").increment(1);
+        failure
+    })
+}
+
+async fn read_answer(
+    entry: &Entry,
+    call: &ServiceCall,
+    answer: EndpointAnswer,
+    left: Duration,
+) -> Result<ServiceAnswer, (AttemptFailure, String)> {
+    let EndpointAnswer { response, connection } = answer;
+    let (parts, body) = response.into_parts();
+    if parts
+        .headers
+        .get("x-request-id")
+        .is_some_and(|id| id.as_bytes() != call.caller.id.as_bytes())
+    {
+        slog::error!(entry.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
+            "request" => &call.caller.id);
+        return Err((AttemptFailure::Unknown, "answer belongs to another request".to_owned()));
+    }
+    let body = read_body(body, LARGEST_ANSWER, left).await.map_err(|refusal| {
+        let reason = match refusal {
+            BodyRefusal::TooLarge => "answer is too large",
+            BodyRefusal::TimedOut => "answer was not whole before the deadline",
+            BodyRefusal::Broken => "connection broke within the answer",
+        };
+        (AttemptFailure::Unknown, reason.to_owned())
+    })?;
+    entry.client.give_back(boot_now(), connection).await;
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE && says_not_run(&body) {
+        return Err((
+            AttemptFailure::NotRun,
+            "endpoint says that it did not run the call".to_owned(),
+        ));
+    }
+    Ok(ServiceAnswer {
+        status: parts.status,
+        content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+        body,
+    })
+}
+
+fn says_not_run(body: &[u8]) -> bool {
+    let error: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    error["error"]["not_run"] == Value::Bool(true)
+}
+
+fn endpoint_request(call: &ServiceCall, row: &EndpointRow) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.path.clone();
+    let headers = request.headers_mut();
+    if let Some(kind) = &call.content_type {
+        headers.insert(CONTENT_TYPE, kind.clone());
+    }
+    if let Some(key) = &call.idempotency_key {
+        headers.insert(IDEMPOTENCY_KEY, key.clone());
+    }
+    let trace = call.caller.trace.to_string();
+    for (name, text) in [("x-request-id", call.caller.id.as_str()), (TRACEPARENT, trace.as_str())] {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    }
+    if let Ok(value) = HeaderValue::from_str(&row.address.to_string()) {
+        headers.insert(HOST, value);
+    }
+    request
+}
+
+async fn bill(entry: &Entry, call: &ServiceCall) {
+    let figures = UsageFigures {
+        calls: 1,
+        ..UsageFigures::default()
+    };
+    entry
+        .usage
+        .record(entry.incarnation(), &call.caller.customer, figures)
+        .await;
+}
+
+fn to_stored(answer: &ServiceAnswer) -> StoredAnswer {
+    let kind = answer
+        .content_type
+        .as_ref()
+        .and_then(|kind| kind.to_str().ok())
+        .unwrap_or_default();
+    StoredAnswer {
+        status: answer.status.as_u16(),
+        content_type: kind.to_owned(),
+        body: (answer.body.len() <= LARGEST_STORED_ANSWER).then(|| answer.body.clone()),
+    }
+}
+
+fn stored(answer: StoredAnswer) -> ServiceAnswer {
+    ServiceAnswer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        content_type: HeaderValue::from_str(&answer.content_type).ok(),
+        body: answer.body.unwrap_or_default(),
+    }
+}
+
+fn response_of(answer: ServiceAnswer) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(answer.body));
+    *response.status_mut() = answer.status;
+    if let Some(kind) = answer.content_type {
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    response
+}
--- /dev/null
+++ b/crates/acacia-entry/src/shared.rs
@@ -0,0 +1,124 @@
+//! What the tasks of one entry process share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use acacia_http::{ClientOptions, EndpointClient};
+use acacia_settings::EntrySettings;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::endpoint::EndpointTable;
+use acaciabay::core::entry_config::EntryConfig;
+use acaciabay::core::member::EntryIncarnation;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::retry_budget::RetryBudget;
+use acaciabay::core::serving_lease::ServingLease;
+use acaciabay::ops::place_request::OwnSends;
+use parking_lot::{Mutex, RwLock};
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use crate::control_link::ControlLink;
+use crate::usage_sender::UsageSender;
+
+/// The shared state of one entry process.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) settings: EntrySettings,
+    pub(crate) log: Logger,
+    pub(crate) stop: CancellationToken,
+    pub(crate) link: ControlLink,
+    pub(crate) usage: UsageSender,
+    pub(crate) client: EndpointClient,
+    pub(crate) config: RwLock<Arc<EntryConfig>>,
+    pub(crate) lease: Mutex<ServingLease>,
+    pub(crate) endpoints: Mutex<EndpointView>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    incarnation: AtomicU64,
+    requests: AtomicU64,
+}
+
+/// What this entry knows of the endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointView {
+    /// Their reports.
+    pub(crate) table: EndpointTable,
+    /// What this entry has under way at each.
+    pub(crate) sends: OwnSends,
+    /// Reports that this entry received itself and has not passed on yet.
+    pub(crate) unsent: Vec<EndpointName>,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        log: Logger,
+        stop: CancellationToken,
+        link: ControlLink,
+        usage: UsageSender,
+    ) -> Self {
+        Self {
+            settings,
+            log,
+            stop,
+            link,
+            usage,
+            client: EndpointClient::new(ClientOptions::default()),
+            config: RwLock::default(),
+            lease: Mutex::default(),
+            endpoints: Mutex::default(),
+            retries: Mutex::default(),
+            incarnation: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the configuration in force; a request uses the one that it was admitted under to its end.
+    pub(crate) fn config(&self) -> Arc<EntryConfig> {
+        Arc::clone(&self.config.read())
+    }
+
+    pub(crate) fn may_serve(&self, now: BootTime) -> bool {
+        self.lease.lock().is_valid(now)
+    }
+
+    pub(crate) fn incarnation(&self) -> EntryIncarnation {
+        EntryIncarnation(self.incarnation.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn set_incarnation(&self, incarnation: EntryIncarnation) {
+        self.incarnation.store(incarnation.0, Ordering::Release);
+    }
+
+    /// Numbers the requests and attempts of this process.
+    pub(crate) fn next_number(&self) -> u64 {
+        self.requests.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Counts a request as under way at an endpoint until the guard is dropped.
+    pub(crate) fn begin_send(self: &Arc<Self>, endpoint: &EndpointName) -> SendGuard {
+        *self.endpoints.lock().sends.entry(endpoint.clone()).or_default() += 1;
+        SendGuard {
+            entry: Arc::clone(self),
+            endpoint: endpoint.clone(),
+        }
+    }
+}
+
+/// A request under way at an endpoint.
+#[derive(Debug)]
+pub(crate) struct SendGuard {
+    entry: Arc<Entry>,
+    endpoint: EndpointName,
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        let mut view = self.entry.endpoints.lock();
+        if let Some(count) = view.sends.get_mut(&self.endpoint) {
+            *count -= 1;
+            if *count == 0 {
+                view.sends.remove(&self.endpoint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/acacia-http/src/fetch.rs
@@ -0,0 +1,113 @@
+//! One JSON request to one of our own interfaces, on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acaciabay::core::clock::BootTime;
+use anyhow::Context;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderMap};
+use hyper::{Method, Request, StatusCode};
+use serde_json::Value;
+
+use crate::body::read_body;
+use crate::client::{ClientOptions, ConnectionChoice, EndpointClient};
+
+/// The largest answer that is read.
+const LARGEST_ANSWER: usize = 64 * 1024 * 1024;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct FetchedAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body; null when it was empty or not JSON.
+    pub body: Value,
+}
+
+/// A request with a JSON body.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchRequest<'req> {
+    /// The method.
+    pub method: &'req Method,
+    /// The path with its query.
+    pub path: &'req str,
+    /// The bearer token.
+    pub token: Option<&'req str>,
+    /// Further headers.
+    pub headers: &'req [(&'req str, &'req str)],
+    /// The body.
+    pub body: Option<&'req Value>,
+}
+
+impl<'req> FetchRequest<'req> {
+    /// Creates a request without token, headers and body.
+    pub const fn new(method: &'req Method, path: &'req str) -> Self {
+        Self {
+            method,
+            path,
+            token: None,
+            headers: &[],
+            body: None,
+        }
+    }
+
+    /// Creates a `POST` request with a body.
+    pub const fn post(path: &'req str, body: &'req Value) -> Self {
+        Self {
+            body: Some(body),
+            ..Self::new(&Method::POST, path)
+        }
+    }
+}
+
+/// Sends a request and reads the whole answer.
+///
+/// # Errors
+///
+/// Fails when the address cannot be reached or the answer does not arrive within `timeout`.
+pub async fn fetch_json(
+    address: SocketAddr,
+    request: FetchRequest<'_>,
+    timeout: Duration,
+) -> anyhow::Result<FetchedAnswer> {
+    let mut head = Request::builder()
+        .method(request.method)
+        .uri(request.path)
+        .header(HOST, address.to_string());
+    if let Some(token) = request.token {
+        head = head.header(AUTHORIZATION, format!("Bearer {token}"));
+    }
+    for (name, value) in request.headers {
+        head = head.header(*name, *value);
+    }
+    let bytes = request
+        .body
+        .map(|body| Bytes::from(body.to_string()))
+        .unwrap_or_default();
+    let request = head.header(CONTENT_TYPE, "application/json").body(Full::new(bytes))?;
+    tokio::time::timeout(timeout, fetch(address, request, timeout))
+        .await
+        .with_context(|| format!("`{address}` did not answer within {timeout:?}"))?
+        .with_context(|| format!("failed to reach `{address}`"))
+}
+
+async fn fetch(address: SocketAddr, request: Request<Full<Bytes>>, timeout: Duration) -> anyhow::Result<FetchedAnswer> {
+    let client = EndpointClient::new(ClientOptions::default());
+    let answer = client
+        .send(BootTime::default(), address, ConnectionChoice::Fresh, request)
+        .await?;
+    let (parts, incoming) = answer.response.into_parts();
+    let bytes = read_body(incoming, LARGEST_ANSWER, timeout)
+        .await
+        .map_err(|refusal| anyhow::anyhow!("answer could not be read: {refusal:?}"))?;
+    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Ok(FetchedAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/acacia-http/src/watched_stream.rs
@@ -0,0 +1,119 @@
+//! A connection that counts what was written and can refuse to write.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Decides at each write of a connection whether it may still happen.
+///
+/// A process that was paused between deciding to send and sending would act on authority that it has lost meanwhile.
+/// Asking here, in the write itself, leaves only what the kernel already holds, and `TCP_USER_TIMEOUT` bounds that.
+#[derive(Clone)]
+pub struct WriteGuard {
+    permits: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl WriteGuard {
+    /// Wraps the question.
+    pub fn new(permits: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self {
+            permits: Arc::new(permits),
+        }
+    }
+}
+
+impl fmt::Debug for WriteGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WriteGuard").finish_non_exhaustive()
+    }
+}
+
+/// Counts the bytes that a connection has handed to the kernel.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WrittenBytes(Arc<AtomicU64>);
+
+impl WrittenBytes {
+    pub(crate) fn count(&self) -> u64 {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes as u64, Ordering::AcqRel);
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct WatchedStream {
+    inner: TcpStream,
+    written: WrittenBytes,
+    guard: Option<WriteGuard>,
+}
+
+impl WatchedStream {
+    pub(crate) const fn new(inner: TcpStream, written: WrittenBytes, guard: Option<WriteGuard>) -> Self {
+        Self { inner, written, guard }
+    }
+
+    fn check_guard(&self) -> io::Result<()> {
+        match &self.guard {
+            Some(guard) if !(guard.permits)() => {
+                Err(io::Error::new(io::ErrorKind::PermissionDenied, "lease has run out"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn count(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.written.add(*bytes);
+        }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.check_guard()?;
+        let result = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.count(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check_guard()?;
+        let result = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.count(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/acacia-runtime/src/admin.rs
@@ -0,0 +1,44 @@
+//! The listener for health checks and metrics.
+
+use acacia_http::{ResponseBody, ServerBounds, json_response, serve_http, text_response};
+use hyper::{Response, StatusCode};
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::metrics_page::MetricsPage;
+
+/// Serves `/healthz`, `/readyz`, `/metrics` and what `inspect` knows until `stop` is cancelled.
+///
+/// `is_ready` is asked at each check, so that a balancer stops sending to a process that drains or has lost its lease.
+pub async fn serve_admin(
+    listener: TcpListener,
+    stop: CancellationToken,
+    page: MetricsPage,
+    is_ready: impl Fn() -> bool + Clone + Send + Sync + 'static,
+    inspect: impl Fn(&str) -> Option<Value> + Clone + Send + Sync + 'static,
+) {
+    serve_http(listener, ServerBounds::default(), stop, move |request| {
+        let (page, is_ready, inspect) = (page.clone(), is_ready.clone(), inspect.clone());
+        async move { answer(request.uri().path(), &page, is_ready, inspect) }
+    })
+    .await;
+}
+
+fn answer(
+    path: &str,
+    page: &MetricsPage,
+    is_ready: impl Fn() -> bool,
+    inspect: impl Fn(&str) -> Option<Value>,
+) -> Response<ResponseBody> {
+    match path {
+        "/healthz" => text_response(StatusCode::OK, "ok\n"),
+        "/readyz" if is_ready() => text_response(StatusCode::OK, "ready\n"),
+        "/readyz" => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => text_response(StatusCode::OK, page.render()),
+        path => match inspect(path) {
+            Some(value) => json_response(StatusCode::OK, &value),
+            None => text_response(StatusCode::NOT_FOUND, "no such page\n"),
+        },
+    }
+}
--- /dev/null
+++ b/crates/acacia-runtime/src/event.rs
@@ -0,0 +1,80 @@
+//! The numbers of logged events.
+//!
+//! `docs/EVENTS.md` says for each what it means and what an operator does; a test holds both lists equal.
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal;)+) => {
+        $($(#[$doc])* pub const $name: &str = $code;)+
+
+        /// All numbers with the names of their constants.
+        pub const ALL: &[(&str, &str)] = &[$(($code, stringify!($name))),+];
+    };
+}
+
+events! {
+    /// A process listens and starts to work.
+    STARTED = "E0101";
+    /// A process was asked to stop and finishes what it has begun.
+    STOPPING = "E0102";
+    /// A process has finished all its work.
+    STOPPED = "E0103";
+    /// A process stops at once because it cannot go on.
+    FATAL = "E0104";
+    /// A connection failed in a way that concerns only that connection.
+    CONNECTION_FAILED = "E0110";
+    /// A message from another process was malformed and was dropped.
+    MESSAGE_REFUSED = "E0111";
+
+    /// An entry was granted an incarnation.
+    ENTRY_JOINED = "E0201";
+    /// An entry lost its connection to the control group.
+    CONTROL_LOST = "E0202";
+    /// An entry's serving lease has run out: it refuses requests.
+    LEASE_LOST = "E0203";
+    /// An entry holds a serving lease again.
+    LEASE_HELD = "E0204";
+    /// An entry took over a newer configuration.
+    CONFIG_APPLIED = "E0205";
+    /// An attempt at an endpoint failed.
+    ATTEMPT_FAILED = "E0211";
+    /// A stream went on at another connection or endpoint.
+    STREAM_RESUMED = "E0212";
+    /// An answer did not belong to the request it came for.
+    ANSWER_CROSSED = "E0213";
+    /// A usage report could not be delivered in time and is sent again.
+    USAGE_DELAYED = "E0214";
+    /// A stop began while work was still running and the time for finishing it has passed.
+    STOP_OVERDUE = "E0215";
+    /// Spans could not be written.
+    SPANS_LOST = "E0216";
+
+    /// A replica became leader.
+    LEADER_ELECTED = "E0301";
+    /// A replica is no longer leader.
+    LEADER_LOST = "E0302";
+    /// A configuration change was accepted.
+    CHANGE_ACCEPTED = "E0303";
+    /// An operator's request was refused.
+    OPERATOR_REFUSED = "E0304";
+    /// The log ended in a torn record, which was cut off.
+    TAIL_CUT = "E0305";
+    /// A snapshot was written and the log before it was dropped.
+    SNAPSHOT_WRITTEN = "E0306";
+    /// A host waits for the group to admit its data folder.
+    IDENTITY_AWAITED = "E0307";
+    /// A host was given its place in the group.
+    IDENTITY_GRANTED = "E0308";
+    /// The set of replicas changed.
+    MEMBERS_CHANGED = "E0309";
+    /// An order was sent to an endpoint.
+    ORDER_SENT = "E0310";
+    /// An order was not carried out and is kept as unsettled.
+    ORDER_UNSETTLED = "E0311";
+    /// A usage window was acknowledged by the platform.
+    WINDOW_BILLED = "E0312";
+    /// A usage window could not be delivered and is sent again.
+    WINDOW_DELAYED = "E0313";
+
+    /// A stand-in has carried out an order.
+    STANDIN_ORDERED = "E0401";
+}
--- /dev/null
+++ b/crates/acacia-settings/src/standin_settings.rs
@@ -0,0 +1,111 @@
+//! Settings of `acacia-standin`.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use crate::entry_settings::read_address;
+use crate::finding::Findings;
+use crate::object_reader::{ObjectReader, as_address, as_count, as_list, as_name, as_text};
+
+/// What one stand-in is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StandinSettings {
+    /// The endpoint's name.
+    pub endpoint: String,
+    /// The failure domain that it claims to be in.
+    pub failure_domain: String,
+    /// Where it takes requests; port 0 lets the system choose.
+    pub address: SocketAddr,
+    /// The entries' endpoint addresses, to which it reports in turn.
+    pub entry_addresses: Vec<SocketAddr>,
+    /// What it pretends to be.
+    pub kind: StandinKind,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Prompt tokens that it works off a second, over all requests.
+    pub prefill_rate: u32,
+    /// Tokens that it generates a second for each request.
+    pub decode_rate: u32,
+    /// Whether it checks fencing numbers of orders.
+    pub checks_fencing: bool,
+}
+
+/// What a stand-in pretends to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StandinKind {
+    /// A language-model engine with these models.
+    Engine {
+        /// The models that it serves.
+        models: Vec<String>,
+    },
+    /// A plain service.
+    Service {
+        /// The service's name.
+        service: String,
+    },
+}
+
+impl StandinSettings {
+    /// Checks a settings document.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every finding in the document.
+    pub fn from_json(document: &Value) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let settings = read(document, &mut findings);
+        findings.into_result(settings)
+    }
+}
+
+fn read(document: &Value, findings: &mut Findings) -> Option<StandinSettings> {
+    let mut reader = ObjectReader::new(document, "", findings);
+    let endpoint = reader.required("endpoint", findings, as_name);
+    let failure_domain = reader.required("failure_domain", findings, as_name);
+    let address = reader.required("address", findings, as_address);
+    let entry_addresses = reader.items("entry_addresses", findings, read_address);
+    let models = reader.optional("models", findings, as_names);
+    let service = reader.optional("service", findings, as_text);
+    let mut rate = |name, fallback| {
+        let count = reader
+            .optional(name, findings, as_count(1..=10_000_000))
+            .unwrap_or(fallback);
+        u32::try_from(count).unwrap_or(u32::MAX)
+    };
+    let slots = rate("slots", 16);
+    let prefill_rate = rate("prefill_rate", 20_000);
+    let decode_rate = rate("decode_rate", 200);
+    let checks_fencing = reader
+        .optional("checks_fencing", findings, crate::object_reader::as_flag)
+        .unwrap_or(true);
+    reader.finish(findings);
+    let kind = match (models, service) {
+        (Some(models), None) => StandinKind::Engine { models },
+        (None, Some(service)) => StandinKind::Service {
+            service: service.to_owned(),
+        },
+        _ => {
+            findings.add("/", "expected either `models` or `service`");
+            return None;
+        }
+    };
+    Some(StandinSettings {
+        endpoint: endpoint?.to_owned(),
+        failure_domain: failure_domain?.to_owned(),
+        address: address?,
+        entry_addresses: entry_addresses?,
+        kind,
+        slots,
+        prefill_rate,
+        decode_rate,
+        checks_fencing,
+    })
+}
+
+fn as_names(value: &Value) -> Result<Vec<String>, String> {
+    as_list(value)?
+        .iter()
+        .map(|item| as_name(item).map(ToOwned::to_owned))
+        .collect()
+}
--- /dev/null
+++ b/crates/acacia-standin/src/standin.rs
@@ -0,0 +1,128 @@
+//! A running stand-in: its state, its listener and its reports.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use acacia_http::{ServerBounds, serve_http};
+use acacia_runtime::event;
+use acacia_settings::StandinSettings;
+use anyhow::Context;
+use parking_lot::{Mutex, MutexGuard};
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::fault::FaultPlan;
+use crate::record::{RunRecord, RunState, StandinRecord};
+use crate::report::report_load;
+use crate::routes::answer;
+
+/// The state of a stand-in, shared by its requests.
+#[derive(Debug)]
+pub(crate) struct Standin {
+    pub(crate) settings: StandinSettings,
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: u64,
+    pub(crate) running: AtomicU32,
+    /// Held by the one prompt that is being worked off, so that prompts share the prefill rate.
+    pub(crate) prefill: tokio::sync::Mutex<()>,
+    state: Mutex<StandinState>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct StandinState {
+    pub(crate) record: StandinRecord,
+    pub(crate) faults: FaultPlan,
+    pub(crate) draining: bool,
+    pub(crate) last_order: u64,
+}
+
+impl Standin {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, StandinState> {
+        self.state.lock()
+    }
+
+    /// Takes one of the slots, or tells that none is free.
+    pub(crate) fn take_slot(self: &Arc<Self>) -> Option<SlotGuard> {
+        let slots = self.settings.slots;
+        let taken = self.running.fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
+            (used < slots).then_some(used + 1)
+        });
+        taken.is_ok().then(|| SlotGuard(Arc::clone(self)))
+    }
+
+    /// Notes the start of a run and returns its place in the record.
+    pub(crate) fn begin_run(&self, run: RunRecord) -> usize {
+        let mut state = self.lock();
+        state.record.runs.push(run);
+        state.record.runs.len() - 1
+    }
+
+    pub(crate) fn finish_run(&self, place: usize, tokens: u64) {
+        let mut state = self.lock();
+        let run = &mut state.record.runs[place];
+        run.tokens = tokens;
+        run.state = RunState::Finished;
+    }
+}
+
+/// A slot in use; dropping it frees the slot, also when the caller goes away.
+#[derive(Debug)]
+pub(crate) struct SlotGuard(Arc<Standin>);
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A stand-in that has started.
+#[derive(Debug)]
+pub struct RunningStandin {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    server: JoinHandle<()>,
+}
+
+impl RunningStandin {
+    /// Waits until the stand-in has stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of its tasks panicked.
+    pub async fn finished(self) -> anyhow::Result<()> {
+        self.server.await.context("stand-in failed")
+    }
+}
+
+/// Starts a stand-in that runs until `stop` is cancelled.
+///
+/// # Errors
+///
+/// Fails when its address is taken.
+pub async fn start(settings: StandinSettings, stop: CancellationToken, log: Logger) -> anyhow::Result<RunningStandin> {
+    let listener = TcpListener::bind(settings.address)
+        .await
+        .with_context(|| format!("failed to listen on `{}`", settings.address))?;
+    let address = listener.local_addr()?;
+    let incarnation = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_micros());
+    let standin = Arc::new(Standin {
+        settings,
+        address,
+        incarnation: u64::try_from(incarnation).unwrap_or(u64::MAX),
+        running: AtomicU32::new(0),
+        prefill: tokio::sync::Mutex::new(()),
+        state: Mutex::new(StandinState::default()),
+    });
+    slog::info!(log, "stand-in started"; "event" => event::STARTED, "address" => %address);
+    tokio::spawn(report_load(Arc::clone(&standin), stop.clone()));
+    let server = tokio::spawn(serve_http(listener, ServerBounds::default(), stop, move |request| {
+        answer(Arc::clone(&standin), log.clone(), request)
+    }));
+    Ok(RunningStandin { address, server })
+}
--- /dev/null
+++ b/crates/acacia-wire/src/frame.rs
@@ -0,0 +1,93 @@
+//! Frames on a connection between two of our processes: a length, then one `PeerFrame`.
+
+use futures::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::io::{AsyncRead, AsyncWrite, ReadHalf, WriteHalf};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::generated::replica::{PeerFrame, peer_frame::Frame};
+
+/// The largest frame that is read or written, in bytes.
+///
+/// A snapshot travels in one frame; the bound keeps a wrong length from taking all memory.
+pub const LARGEST_FRAME: usize = 256 * 1024 * 1024;
+
+/// Reads frames from a connection.
+#[derive(Debug)]
+pub struct FrameReader<S> {
+    frames: FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
+}
+
+/// Writes frames to a connection.
+#[derive(Debug)]
+pub struct FrameWriter<S> {
+    frames: FramedWrite<WriteHalf<S>, LengthDelimitedCodec>,
+}
+
+/// Splits a connection into its two directions.
+pub fn split_frames<S: AsyncRead + AsyncWrite>(stream: S) -> (FrameReader<S>, FrameWriter<S>) {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(LARGEST_FRAME)
+        .new_codec();
+    let (read, write) = tokio::io::split(stream);
+    let reader = FrameReader {
+        frames: FramedRead::new(read, codec.clone()),
+    };
+    (
+        reader,
+        FrameWriter {
+            frames: FramedWrite::new(write, codec),
+        },
+    )
+}
+
+impl<S: AsyncRead> FrameReader<S> {
+    /// Returns the next frame, or nothing at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks, or when what arrives is not a frame.
+    pub async fn next(&mut self) -> std::io::Result<Option<Frame>> {
+        let Some(bytes) = self.frames.next().await else {
+            return Ok(None);
+        };
+        let frame = PeerFrame::decode(bytes?.freeze()).map_err(std::io::Error::other)?;
+        match frame.frame {
+            Some(frame) => Ok(Some(frame)),
+            None => Err(std::io::Error::other("frame without a known content")),
+        }
+    }
+}
+
+impl<S: AsyncWrite> FrameWriter<S> {
+    /// Writes one frame and waits until the connection has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks.
+    pub async fn send(&mut self, frame: Frame) -> std::io::Result<()> {
+        self.frames.send(encode(frame)).await
+    }
+
+    /// Adds one frame to the connection's buffer, to be flushed with others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks.
+    pub async fn feed(&mut self, frame: Frame) -> std::io::Result<()> {
+        self.frames.feed(encode(frame)).await
+    }
+
+    /// Waits until the connection has taken all that was fed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks.
+    pub async fn flush(&mut self) -> std::io::Result<()> {
+        SinkExt::<bytes::Bytes>::flush(&mut self.frames).await
+    }
+}
+
+fn encode(frame: Frame) -> bytes::Bytes {
+    PeerFrame { frame: Some(frame) }.encode_to_vec().into()
+}
--- /dev/null
+++ b/crates/acacia-wire/src/lib.rs
@@ -0,0 +1,39 @@
+//! The messages between the system's own processes, and the form in which the control group stores its state.
+//!
+//! [`generated`] holds the types made from the `.proto` files by `cargo run -p xtask -- generate`. The other modules
+//! convert each of them to and from the library's own types, so that generated types stay at the border of a process.
+//! A message that lacks a field or holds an impossible value is refused with a [`WireError`] that names the field.
+
+mod control_command;
+mod control_state;
+mod entry_message;
+mod error;
+mod frame;
+mod table_row;
+
+pub use control_command::{command_from_bytes, command_to_bytes};
+pub use control_state::{state_from_bytes, state_to_bytes};
+pub use entry_message::{
+    ClaimRequest, EntryAnswer, EntryCall, LeaseRenewal, LeaseRequest, ReportRow, answer_from_wire, answer_to_wire,
+    call_from_wire, call_to_wire,
+};
+pub use error::WireError;
+pub use frame::{FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
+
+/// The types made from the `.proto` files.
+#[expect(missing_docs, reason = "the comments stand in the .proto files")]
+#[expect(clippy::pedantic, reason = "generated code")]
+pub mod generated {
+    /// Commands and snapshots.
+    pub mod state {
+        include!("generated/acacia.state.rs");
+    }
+    /// Entries and the control group.
+    pub mod entry {
+        include!("generated/acacia.entry.rs");
+    }
+    /// Replicas among each other.
+    pub mod replica {
+        include!("generated/acacia.replica.rs");
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/core/control_state.rs
@@ -0,0 +1,291 @@
+//! The state that the control group replicates, and the commands that change it.
+//!
+//! Every replica applies the same commands in the same order, so each must come to the same result: a command carries
+//! whatever time or number it needs, and [`ControlState::apply`] reads nothing else.
+
+use crate::core::claim::{ClaimHolder, ClaimKey, ClaimOutcome, ClaimTable, StoredAnswer};
+use crate::core::clock::WallTime;
+use crate::core::endpoint::EndpointIncarnation;
+use crate::core::entry_config::{ConfigChange, ConfigHistory, ConfigVersion, EntryConfig};
+use crate::core::key::{KeyId, KeyRow};
+use crate::core::member::{EntryIncarnation, EntryTable, JoinNonce};
+use crate::core::name::{DomainName, EndpointName, HostName};
+use crate::core::order::{OrderNumber, OrderRefusal, OrderTable, OrderTarget};
+use crate::core::table::{PoolRow, RouteRow, TableConflict, TableEdit, TableNumber};
+use crate::core::usage::{UsageReport, UsageTable};
+use crate::util::digest::ContentDigest;
+
+/// A change of the replicated state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlCommand {
+    /// Edits the routes.
+    EditRoutes(TableEdit<RouteRow>),
+    /// Edits the pools.
+    EditPools(TableEdit<PoolRow>),
+    /// Issues a key.
+    IssueKey(KeyRow),
+    /// Withdraws a key.
+    WithdrawKey(KeyId),
+    /// Grants an incarnation to an entry process.
+    JoinEntry {
+        /// The entry's host.
+        host: HostName,
+        /// The host's failure domain.
+        domain: DomainName,
+        /// Identifies this start of the process.
+        nonce: JoinNonce,
+    },
+    /// Removes an entry host that was taken out of service.
+    RemoveEntry(HostName),
+    /// Takes a claim for a call that may run at most once.
+    TakeClaim {
+        /// The leader's wall clock when it proposed the command.
+        now: WallTime,
+        /// Which call.
+        key: ClaimKey,
+        /// Which attempt.
+        holder: ClaimHolder,
+        /// The digest of the call.
+        digest: ContentDigest,
+    },
+    /// Ends a claim.
+    EndClaim {
+        /// Which call.
+        key: ClaimKey,
+        /// Which attempt.
+        holder: ClaimHolder,
+        /// How it ended.
+        end: ClaimEnd,
+    },
+    /// Counts a usage report.
+    CountUsage(UsageReport),
+    /// Fixes the figures of the next usage window.
+    SealWindow(u64),
+    /// Records that the platform has acknowledged a window.
+    AcknowledgeWindow(u64),
+    /// Records the intent to order an endpoint.
+    IntendOrder {
+        /// Which endpoint.
+        endpoint: EndpointName,
+        /// Which start of it.
+        incarnation: EndpointIncarnation,
+        /// What it shall be.
+        target: OrderTarget,
+    },
+    /// Records that an order is settled.
+    SettleOrder {
+        /// Which endpoint.
+        endpoint: EndpointName,
+        /// Which order.
+        number: OrderNumber,
+    },
+}
+
+/// How a claim ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimEnd {
+    /// The endpoint answered.
+    Answered(StoredAnswer),
+    /// The call was written, but no answer came.
+    Lost,
+    /// The call was never written.
+    Released,
+}
+
+/// What a command came to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CommandOutcome {
+    /// A table has this number now, and the configuration this version.
+    Table {
+        /// The table's number.
+        number: TableNumber,
+        /// The version of the whole configuration that contains the edit.
+        version: ConfigVersion,
+    },
+    /// A table edit was refused.
+    Conflict(TableConflict),
+    /// A key was issued or withdrawn; `changed` is false when nothing had to change.
+    Key {
+        /// Whether the command changed anything.
+        changed: bool,
+        /// The version of the whole configuration that contains it.
+        version: ConfigVersion,
+    },
+    /// An entry process was granted this incarnation.
+    Joined(EntryIncarnation),
+    /// A request for a claim came to this.
+    Claim(ClaimOutcome),
+    /// An order was given this number, or refused.
+    Order(Result<OrderNumber, OrderRefusal>),
+    /// The command was carried out and has nothing to tell.
+    Done,
+}
+
+/// The whole replicated state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    /// Routes, pools and keys.
+    pub config: EntryConfig,
+    /// The latest changes of `config`.
+    pub history: ConfigHistory,
+    /// Entry hosts and their incarnations.
+    pub entries: EntryTable,
+    /// Claims of calls that may run at most once.
+    pub claims: ClaimTable,
+    /// Usage counted and sealed.
+    pub usage: UsageTable,
+    /// Orders to endpoints.
+    pub orders: OrderTable,
+}
+
+impl ControlState {
+    /// Applies one committed command.
+    pub fn apply(&mut self, command: &ControlCommand) -> CommandOutcome {
+        match command {
+            ControlCommand::EditRoutes(edit) => self.edit_routes(edit),
+            ControlCommand::EditPools(edit) => self.edit_pools(edit),
+            ControlCommand::IssueKey(row) => self.issue_key(row),
+            ControlCommand::WithdrawKey(id) => self.withdraw_key(id),
+            ControlCommand::JoinEntry { host, domain, nonce } => self.join_entry(host, domain, *nonce),
+            ControlCommand::RemoveEntry(host) => self.remove_entry(host),
+            ControlCommand::TakeClaim {
+                now,
+                key,
+                holder,
+                digest,
+            } => CommandOutcome::Claim(self.claims.take(*now, key, *holder, *digest)),
+            ControlCommand::EndClaim { key, holder, end } => self.end_claim(key, *holder, end),
+            ControlCommand::CountUsage(report) => {
+                self.usage.count(report);
+                CommandOutcome::Done
+            }
+            ControlCommand::SealWindow(window) => {
+                self.usage.seal(*window);
+                CommandOutcome::Done
+            }
+            ControlCommand::AcknowledgeWindow(window) => {
+                self.usage.acknowledge(*window);
+                CommandOutcome::Done
+            }
+            ControlCommand::IntendOrder {
+                endpoint,
+                incarnation,
+                target,
+            } => CommandOutcome::Order(self.orders.intend(endpoint, *incarnation, target)),
+            ControlCommand::SettleOrder { endpoint, number } => {
+                self.orders.settle(endpoint, *number);
+                CommandOutcome::Done
+            }
+        }
+    }
+
+    /// Returns the version of the configuration that is committed.
+    pub const fn version(&self) -> ConfigVersion {
+        self.config.version
+    }
+
+    fn edit_routes(&mut self, edit: &TableEdit<RouteRow>) -> CommandOutcome {
+        let before = self.config.routes.number();
+        match self.config.routes.apply(edit) {
+            Err(conflict) => CommandOutcome::Conflict(conflict),
+            Ok(number) => {
+                if number > before {
+                    let TableEdit { upserts, removals, .. } = edit.clone();
+                    self.record(ConfigChange::Routes {
+                        number,
+                        upserts,
+                        removals,
+                    });
+                }
+                CommandOutcome::Table {
+                    number,
+                    version: self.version(),
+                }
+            }
+        }
+    }
+
+    fn edit_pools(&mut self, edit: &TableEdit<PoolRow>) -> CommandOutcome {
+        let before = self.config.pools.number();
+        match self.config.pools.apply(edit) {
+            Err(conflict) => CommandOutcome::Conflict(conflict),
+            Ok(number) => {
+                if number > before {
+                    let TableEdit { upserts, removals, .. } = edit.clone();
+                    self.record(ConfigChange::Pools {
+                        number,
+                        upserts,
+                        removals,
+                    });
+                }
+                CommandOutcome::Table {
+                    number,
+                    version: self.version(),
+                }
+            }
+        }
+    }
+
+    fn issue_key(&mut self, row: &KeyRow) -> CommandOutcome {
+        let known = self.config.keys.get(&KeyId::of(&row.digest)).is_some();
+        let issued = self.config.keys.issue(row);
+        if issued && !known {
+            self.record(ConfigChange::KeyIssued(row.clone()));
+        }
+        CommandOutcome::Key {
+            changed: issued && !known,
+            version: self.version(),
+        }
+    }
+
+    fn withdraw_key(&mut self, id: &KeyId) -> CommandOutcome {
+        let changed = self.config.keys.withdraw(id);
+        if changed {
+            self.record(ConfigChange::KeyWithdrawn(id.clone()));
+        }
+        CommandOutcome::Key {
+            changed,
+            version: self.version(),
+        }
+    }
+
+    fn join_entry(&mut self, host: &HostName, domain: &DomainName, nonce: JoinNonce) -> CommandOutcome {
+        let before = self
+            .entries
+            .rows()
+            .find(|(known, _)| *known == host)
+            .map(|(_, row)| row.incarnation);
+        let granted = self.entries.join(host, domain, nonce);
+        if let Some(lost) = before.filter(|incarnation| *incarnation != granted) {
+            self.claims.lose_holder(lost);
+        }
+        CommandOutcome::Joined(granted)
+    }
+
+    fn remove_entry(&mut self, host: &HostName) -> CommandOutcome {
+        let lost = self
+            .entries
+            .rows()
+            .find(|(known, _)| *known == host)
+            .map(|(_, row)| row.incarnation);
+        self.entries.remove(host);
+        if let Some(lost) = lost {
+            self.claims.lose_holder(lost);
+        }
+        CommandOutcome::Done
+    }
+
+    fn end_claim(&mut self, key: &ClaimKey, holder: ClaimHolder, end: &ClaimEnd) -> CommandOutcome {
+        match end {
+            ClaimEnd::Answered(answer) => self.claims.finish(key, holder, answer.clone()),
+            ClaimEnd::Lost => self.claims.lose(key, holder),
+            ClaimEnd::Released => self.claims.release(key, holder),
+        }
+        CommandOutcome::Done
+    }
+
+    fn record(&mut self, change: ConfigChange) {
+        self.history.push(change);
+        self.config.version = self.history.version();
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/core/mod.rs
@@ -0,0 +1,18 @@
+//! The nouns: tables, leases, claims, endpoints and the state that the control group replicates.
+
+pub mod attempt;
+pub mod claim;
+pub mod clock;
+pub mod control_state;
+pub mod endpoint;
+pub mod endpoint_news;
+pub mod entry_config;
+pub mod key;
+pub mod member;
+pub mod name;
+pub mod order;
+pub mod presence;
+pub mod retry_budget;
+pub mod serving_lease;
+pub mod table;
+pub mod usage;
--- /dev/null
+++ b/crates/acaciabay/src/core/usage.rs
@@ -0,0 +1,158 @@
+//! Usage: what each customer consumed, counted once however often it is reported.
+
+use std::collections::BTreeMap;
+
+use crate::core::member::EntryIncarnation;
+use crate::core::name::CustomerName;
+
+/// Tokens and calls that one customer consumed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UsageFigures {
+    /// Tokens of prompts.
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    pub output_tokens: u64,
+    /// Calls of plain services.
+    pub calls: u64,
+}
+
+impl UsageFigures {
+    /// Adds other figures to these.
+    pub const fn add(&mut self, other: &Self) {
+        self.prompt_tokens += other.prompt_tokens;
+        self.output_tokens += other.output_tokens;
+        self.calls += other.calls;
+    }
+}
+
+/// One report of one entry process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReport {
+    /// The entry process that reports.
+    pub incarnation: EntryIncarnation,
+    /// The process's own number for the report; numbers rise by one from 1.
+    pub sequence: u64,
+    /// The figures since the report before.
+    pub rows: Vec<(CustomerName, UsageFigures)>,
+}
+
+/// A window whose figures are fixed, in the form in which it goes to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageWindow {
+    /// The window's number; numbers rise by one from 1.
+    pub window: u64,
+    /// The figures of each customer.
+    pub rows: Vec<(CustomerName, UsageFigures)>,
+    /// Whether the platform has acknowledged the window.
+    pub acknowledged: bool,
+}
+
+/// The open window, and the sealed ones that the platform has not acknowledged yet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageTable {
+    counted: BTreeMap<EntryIncarnation, u64>,
+    open: BTreeMap<CustomerName, UsageFigures>,
+    total: BTreeMap<CustomerName, UsageFigures>,
+    sealed: Vec<UsageWindow>,
+    last_window: u64,
+}
+
+/// The parts of a [`UsageTable`], for snapshots.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageParts {
+    /// The highest report number counted for each entry process.
+    pub counted: BTreeMap<EntryIncarnation, u64>,
+    /// The figures that no window contains yet.
+    pub open: BTreeMap<CustomerName, UsageFigures>,
+    /// The figures of all time.
+    pub total: BTreeMap<CustomerName, UsageFigures>,
+    /// The windows that the platform has not acknowledged.
+    pub sealed: Vec<UsageWindow>,
+    /// The number of the window sealed last.
+    pub last_window: u64,
+}
+
+impl UsageTable {
+    /// Rebuilds the table from a snapshot.
+    pub fn restore(parts: UsageParts) -> Self {
+        let UsageParts {
+            counted,
+            open,
+            total,
+            sealed,
+            last_window,
+        } = parts;
+        Self {
+            counted,
+            open,
+            total,
+            sealed,
+            last_window,
+        }
+    }
+
+    /// Copies the table for a snapshot.
+    pub fn parts(&self) -> UsageParts {
+        UsageParts {
+            counted: self.counted.clone(),
+            open: self.open.clone(),
+            total: self.total.clone(),
+            sealed: self.sealed.clone(),
+            last_window: self.last_window,
+        }
+    }
+
+    /// Counts a report unless it was counted before, and tells whether it was new.
+    ///
+    /// Entries report in order and wait for each answer, so that the highest number counted tells all that were.
+    pub fn count(&mut self, report: &UsageReport) -> bool {
+        let counted = self.counted.entry(report.incarnation).or_default();
+        if report.sequence <= *counted {
+            return false;
+        }
+        *counted = report.sequence;
+        for (customer, figures) in &report.rows {
+            self.open.entry(customer.clone()).or_default().add(figures);
+            self.total.entry(customer.clone()).or_default().add(figures);
+        }
+        true
+    }
+
+    /// Fixes the open figures as the next window; the figures of later reports go into the one after.
+    ///
+    /// A window without figures is not sealed. Sealing names the expected number, so that a leader that sends the
+    /// same intent twice does not seal two windows.
+    pub fn seal(&mut self, window: u64) -> Option<&UsageWindow> {
+        if window != self.last_window + 1 || self.open.is_empty() {
+            return None;
+        }
+        self.last_window = window;
+        let rows = std::mem::take(&mut self.open).into_iter().collect();
+        self.sealed.push(UsageWindow {
+            window,
+            rows,
+            acknowledged: false,
+        });
+        self.sealed.last()
+    }
+
+    /// Drops a window that the platform has acknowledged.
+    pub fn acknowledge(&mut self, window: u64) {
+        self.sealed.retain(|sealed| sealed.window != window);
+    }
+
+    /// Returns the windows that the platform has not acknowledged, oldest first.
+    pub fn pending(&self) -> &[UsageWindow] {
+        &self.sealed
+    }
+
+    /// Returns the number of the window sealed last.
+    pub const fn last_window(&self) -> u64 {
+        self.last_window
+    }
+
+    /// Returns the figures of all time for each customer.
+    pub fn totals(&self) -> impl Iterator<Item = (&CustomerName, &UsageFigures)> {
+        self.total.iter()
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -0,0 +1,5 @@
+//! The operations, one function each, over the tables in [`crate::core`].
+
+pub mod check_tables;
+pub mod place_request;
+pub mod route_request;
--- /dev/null
+++ b/crates/acaciabay/src/util/digest.rs
@@ -0,0 +1,50 @@
+//! Content digests: equality of large values by 32 bytes.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The SHA-256 digest of some content.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ContentDigest(pub [u8; 32]);
+
+impl ContentDigest {
+    /// Digests the bytes.
+    pub fn of(bytes: impl AsRef<[u8]>) -> Self {
+        Self(Sha256::digest(bytes.as_ref()).into())
+    }
+
+    /// Compares in constant time, so that response times do not tell how much of a secret's digest was right.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// Returns the digest as lower-case hexadecimal text.
+    pub fn to_hex(&self) -> String {
+        let mut text = String::with_capacity(2 * self.0.len());
+        for byte in self.0 {
+            text.push(char::from_digit(u32::from(byte >> 4), 16).unwrap_or_default());
+            text.push(char::from_digit(u32::from(byte & 0x0f), 16).unwrap_or_default());
+        }
+        text
+    }
+
+    /// Reads a digest from 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl fmt::Debug for ContentDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.to_hex()[..12])
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/util/mod.rs
@@ -0,0 +1,4 @@
+//! Helpers without an opinion about serving.
+
+pub mod digest;
+pub mod rendezvous;
--- /dev/null
+++ b/crates/test-support/src/cluster.rs
@@ -0,0 +1,393 @@
+//! A whole system of real processes.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use acacia_http::{FetchRequest, fetch_json};
+use acacia_operator::{IssuedKey, OperatorClient};
+use acacia_standin::StandinRecord;
+use acaciabay::util::digest::ContentDigest;
+use hyper::Method;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::caller::Caller;
+use crate::program::Program;
+use crate::wait::wait_until;
+
+const OPERATOR_TOKEN: &str = "test-operator-token";
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Where the binaries are; only the crate that builds them knows.
+#[derive(Clone, Copy, Debug)]
+pub struct ProgramPaths {
+    /// `acacia-control`
+    pub control: &'static str,
+    /// `acacia-entry`
+    pub entry: &'static str,
+    /// `acacia-standin`
+    pub standin: &'static str,
+}
+
+/// How many processes of each kind a cluster has.
+#[derive(Clone, Copy, Debug)]
+pub struct ClusterShape {
+    /// Replicas of the control group.
+    pub controls: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Booking services.
+    pub bookings: usize,
+    /// Tokens that an engine generates a second for each request.
+    pub decode_rate: u32,
+    /// Whether endpoints check fencing numbers.
+    pub checks_fencing: bool,
+}
+
+impl Default for ClusterShape {
+    fn default() -> Self {
+        Self {
+            controls: 1,
+            entries: 2,
+            engines: 1,
+            bookings: 1,
+            decode_rate: 500,
+            checks_fencing: true,
+        }
+    }
+}
+
+/// Processes of one system, with the files that they were started from.
+#[derive(Debug)]
+pub struct TestCluster {
+    paths: ProgramPaths,
+    folder: TempDir,
+    ip: Ipv4Addr,
+    shape: ClusterShape,
+    /// The control replicas; nothing where one is not running.
+    pub controls: Vec<Option<Program>>,
+    /// The entries.
+    pub entries: Vec<Option<Program>>,
+    /// The engines, then the booking services.
+    pub endpoints: Vec<Option<Program>>,
+}
+
+impl TestCluster {
+    /// Starts all processes and waits until each listens.
+    ///
+    /// # Panics
+    ///
+    /// Panics when one does not start.
+    pub fn start(paths: ProgramPaths, shape: ClusterShape) -> Self {
+        let mut cluster = Self {
+            paths,
+            folder: TempDir::new().expect("the system has a temporary folder"),
+            ip: next_address(),
+            shape,
+            controls: Vec::new(),
+            entries: Vec::new(),
+            endpoints: Vec::new(),
+        };
+        for index in 0..shape.controls {
+            cluster.controls.push(None);
+            cluster.start_control(index);
+        }
+        for index in 0..shape.entries {
+            cluster.entries.push(None);
+            cluster.start_entry(index);
+        }
+        for index in 0..shape.engines + shape.bookings {
+            cluster.endpoints.push(None);
+            cluster.start_endpoint(index);
+        }
+        cluster
+    }
+
+    /// Starts a control replica (again).
+    pub fn start_control(&mut self, index: usize) {
+        let settings = self.write_settings(&format!("control-{}", index + 1), &self.control_settings(index));
+        let program = Program::start(
+            &format!("control-{}", index + 1),
+            Path::new(self.paths.control),
+            &settings,
+            &[],
+        );
+        program.wait_event("E0101");
+        self.controls[index] = Some(program);
+    }
+
+    /// Starts an entry (again).
+    pub fn start_entry(&mut self, index: usize) {
+        let settings = self.write_settings(&format!("entry-{}", index + 1), &self.entry_settings(index));
+        let program = Program::start(
+            &format!("entry-{}", index + 1),
+            Path::new(self.paths.entry),
+            &settings,
+            &[],
+        );
+        program.wait_event("E0101");
+        self.entries[index] = Some(program);
+    }
+
+    /// Starts an endpoint (again).
+    pub fn start_endpoint(&mut self, index: usize) {
+        let name = self.endpoint_name(index);
+        let settings = self.write_settings(&name, &self.endpoint_settings(index));
+        let program = Program::start(&name, Path::new(self.paths.standin), &settings, &[]);
+        program.wait_event("E0101");
+        self.endpoints[index] = Some(program);
+    }
+
+    /// Returns a client for the operators' interface of all replicas.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the cluster has no replica.
+    pub fn operator(&self) -> OperatorClient {
+        let addresses = (0..self.shape.controls)
+            .map(|index| self.control_address(index, 1))
+            .collect();
+        OperatorClient::new(addresses, OPERATOR_TOKEN).expect("the cluster has a replica")
+    }
+
+    /// Returns the operators' token.
+    pub const fn operator_token(&self) -> &'static str {
+        OPERATOR_TOKEN
+    }
+
+    /// Returns the operator addresses of all replicas as the `acacia` command takes them.
+    pub fn control_option(&self) -> String {
+        let addresses = (0..self.shape.controls).map(|index| self.control_address(index, 1).to_string());
+        addresses.collect::<Vec<_>>().join(",")
+    }
+
+    /// Applies the usual tables, issues a key to `bottega-amati` and waits until everything is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not succeed.
+    pub async fn configure(&self) -> IssuedKey {
+        self.apply("pools", &default_pools()).await;
+        self.apply("routes", &default_routes("bottega-amati")).await;
+        let key = self.issue_key("bottega-amati").await;
+        self.wait_endpoints().await;
+        key
+    }
+
+    /// Issues a key and waits until it is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not succeed.
+    pub async fn issue_key(&self, customer: &str) -> IssuedKey {
+        let operator = self.operator();
+        let key = operator.issue_key(customer).await.expect("a key can be issued");
+        operator
+            .wait_in_force(key.version, IN_FORCE_TIMEOUT)
+            .await
+            .expect("the key comes into force");
+        key
+    }
+
+    /// Replaces a table and waits until that is in force.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not succeed.
+    pub async fn apply(&self, table: &str, rows: &Value) {
+        let operator = self.operator();
+        let number = operator.read_table(table).await.expect("the table can be read")["number"]
+            .as_u64()
+            .unwrap_or(0);
+        let answer = operator
+            .write_table(table, number, rows, false)
+            .await
+            .expect("the table can be written");
+        let version = answer["version"].as_u64().unwrap_or(0);
+        operator
+            .wait_in_force(version, IN_FORCE_TIMEOUT)
+            .await
+            .expect("the table comes into force");
+    }
+
+    /// Waits until every entry knows every endpoint.
+    pub async fn wait_endpoints(&self) {
+        for index in 0..self.entries.len() {
+            for endpoint in 0..self.endpoints.len() {
+                let name = self.endpoint_name(endpoint);
+                let admin = self.entry_address(index, 2);
+                wait_until(&format!("entry-{} knows `{name}`", index + 1), || {
+                    knows(admin, name.clone())
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Returns a caller at one of the entries.
+    pub fn caller(&self, entry: usize, key: &IssuedKey) -> Caller {
+        Caller::new(self.entry_address(entry, 0), key.secret.clone())
+    }
+
+    /// Returns what an endpoint has done.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the endpoint cannot be asked.
+    pub async fn record(&self, endpoint: usize) -> StandinRecord {
+        let request = FetchRequest::new(&Method::GET, "/standin/record");
+        let answer = fetch_json(self.endpoint_address(endpoint), request, ANSWER_TIMEOUT).await;
+        serde_json::from_value(answer.expect("the stand-in answers").body).expect("the record is in its form")
+    }
+
+    /// Switches faults of an endpoint on.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the endpoint does not take them.
+    pub async fn set_faults(&self, endpoint: usize, faults: &Value) {
+        let request = FetchRequest {
+            body: Some(faults),
+            ..FetchRequest::new(&Method::PUT, "/standin/faults")
+        };
+        let answer = fetch_json(self.endpoint_address(endpoint), request, ANSWER_TIMEOUT).await;
+        assert!(
+            answer.expect("the stand-in answers").status.is_success(),
+            "faults were refused"
+        );
+    }
+
+    /// Returns one of an entry's addresses: 0 for callers, 1 for endpoints, 2 for health and metrics.
+    pub fn entry_address(&self, index: usize, which: u16) -> SocketAddr {
+        self.address(2_000, index, which)
+    }
+
+    /// Returns one of a replica's addresses: 0 for peers, 1 for operators, 2 for health and metrics.
+    pub fn control_address(&self, index: usize, which: u16) -> SocketAddr {
+        self.address(1_100, index, which)
+    }
+
+    /// Returns the address of an endpoint.
+    pub fn endpoint_address(&self, index: usize) -> SocketAddr {
+        self.address(3_000, index, 0)
+    }
+
+    /// Returns the data folder of a replica.
+    pub fn control_folder(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("control-{}-data", index + 1))
+    }
+
+    /// Returns the temporary folder of the cluster.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Returns the name of an endpoint.
+    pub fn endpoint_name(&self, index: usize) -> String {
+        if index < self.shape.engines {
+            format!("engine-{}", index + 1)
+        } else {
+            format!("booking-{}", index + 1 - self.shape.engines)
+        }
+    }
+
+    fn address(&self, base: u16, index: usize, which: u16) -> SocketAddr {
+        let index = u16::try_from(index).expect("clusters are small");
+        SocketAddr::new(IpAddr::V4(self.ip), base + index * 10 + which)
+    }
+
+    fn write_settings(&self, name: &str, settings: &Value) -> PathBuf {
+        let path = self.folder.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
+        path
+    }
+
+    fn control_settings(&self, index: usize) -> Value {
+        let others = (0..self.shape.controls).filter(|other| *other != index);
+        json!({
+            "host": format!("control-{}", index + 1),
+            "failure_domain": domain_of(index),
+            "data_folder": self.control_folder(index),
+            "peer_address": self.control_address(index, 0).to_string(),
+            "operator_address": self.control_address(index, 1).to_string(),
+            "admin_address": self.control_address(index, 2).to_string(),
+            "control_addresses": others.map(|other| self.control_address(other, 0).to_string()).collect::<Vec<_>>(),
+            "operator_token_sha256": ContentDigest::of(OPERATOR_TOKEN).to_hex(),
+        })
+    }
+
+    fn entry_settings(&self, index: usize) -> Value {
+        let controls = (0..self.shape.controls).map(|control| self.control_address(control, 0).to_string());
+        json!({
+            "host": format!("entry-{}", index + 1),
+            "failure_domain": domain_of(index),
+            "caller_address": self.entry_address(index, 0).to_string(),
+            "endpoint_address": self.entry_address(index, 1).to_string(),
+            "admin_address": self.entry_address(index, 2).to_string(),
+            "control_addresses": controls.collect::<Vec<_>>(),
+            "limits": {"body_bytes": 65_536, "head_timeout_ms": 1_000, "body_timeout_ms": 1_000},
+        })
+    }
+
+    fn endpoint_settings(&self, index: usize) -> Value {
+        let entries = (0..self.shape.entries).map(|entry| self.entry_address(entry, 1).to_string());
+        let mut settings = json!({
+            "endpoint": self.endpoint_name(index),
+            "failure_domain": domain_of(index),
+            "address": self.endpoint_address(index).to_string(),
+            "entry_addresses": entries.collect::<Vec<_>>(),
+            "decode_rate": self.shape.decode_rate,
+            "checks_fencing": self.shape.checks_fencing,
+        });
+        if index < self.shape.engines {
+            settings["models"] = json!(["liuto-7b"]);
+        } else {
+            settings["service"] = json!("booking");
+        }
+        settings
+    }
+}
+
+/// The pools that tests use.
+fn default_pools() -> Value {
+    json!([
+        {"name": "engines", "kind": "engine", "endpoints": ["engine-*"]},
+        {"name": "booking", "kind": "at_most_once", "endpoints": ["booking-*"]},
+    ])
+}
+
+/// The routes of one customer to the default pools.
+fn default_routes(customer: &str) -> Value {
+    json!([
+        {"customer": customer, "model": "liuto-7b", "pool": "engines", "deadline_ms": 30_000},
+        {"customer": customer, "service": "booking", "pool": "booking", "deadline_ms": 10_000},
+    ])
+}
+
+fn domain_of(index: usize) -> String {
+    format!("domain-{}", index % 3 + 1)
+}
+
+async fn knows(admin: SocketAddr, endpoint: String) -> Option<()> {
+    let request = FetchRequest::new(&Method::GET, "/endpoints");
+    let answer = fetch_json(admin, request, ANSWER_TIMEOUT).await.ok()?;
+    let rows = answer.body["endpoints"].as_array()?;
+    rows.iter()
+        .any(|row| row["endpoint"] == endpoint && row["takes_work"] == true)
+        .then_some(())
+}
+
+/// Draws a loopback address that no other cluster of this or another test process uses.
+fn next_address() -> Ipv4Addr {
+    static CLUSTERS: AtomicU16 = AtomicU16::new(0);
+    let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let [_, high, middle, low] = process.to_be_bytes();
+    let third = middle.wrapping_add(high.wrapping_mul(31));
+    Ipv4Addr::new(127, 1 + third % 250, low, u8::try_from(1 + number % 250).unwrap_or(1))
+}
--- /dev/null
+++ b/src/bin/acacia-control.rs
@@ -0,0 +1,35 @@
+//! Runs one replica of the control group.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use acacia_runtime::log::open_log;
+use acacia_runtime::metrics_page::MetricsPage;
+use acacia_runtime::program::{read_settings, run_program, stop_token};
+use acacia_settings::ControlSettings;
+use argh::FromArgs;
+
+/// Run one replica of the control group.
+#[derive(Debug, FromArgs)]
+struct ControlArgs {
+    /// the settings file, in JSON
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: ControlArgs = argh::from_env();
+    let settings = match read_settings(&args.settings, args.check, ControlSettings::from_json) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    run_program(|| async {
+        let log = open_log("acacia-control", &settings.host);
+        let running = acacia_control::start(settings, stop_token()?, MetricsPage::install()?, log).await?;
+        running.finished().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/bin/acacia-load.rs
@@ -0,0 +1,3 @@
+//! Sends load and reports what became of it.
+
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests over the real binaries, a file for each topic. See `CONTRIBUTING.md` for how to run one of them.
+
+mod bad_input;
+mod catalogue;
+mod command_line;
+mod support;
+mod thin_path;
