--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -1,7 +1,8 @@
 //! Starting and stopping the daemon.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::path::Path;
+use std::sync::{Arc, mpsc};
 
 use acacia_http::{ServerBounds, serve_http};
 use acacia_runtime::admin::serve_admin;
@@ -9,23 +10,33 @@
 use acacia_runtime::event;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_settings::ControlSettings;
+use acacia_wire::generated::replica::Hello;
+use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
 use acaciabay::core::endpoint_news::EndpointNews;
 use acaciabay::core::presence::PresenceTable;
 use acaciabay::util::digest::ContentDigest;
-use anyhow::Context;
+use anyhow::{Context, bail};
+use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::entry_session::serve_peers;
-use crate::group::GroupHandle;
+use crate::driver::{DriverParts, GroupDriver};
+use crate::group::{GroupHandle, GroupInput, GroupShared};
+use crate::joining::await_identity;
 use crate::operator_api::OperatorApi;
+use crate::peer_links::PeerLinks;
+use crate::peer_listener::serve_peers;
+use crate::storage::{DataFolder, FolderIdentity};
 
 /// What the tasks of one control process share.
 #[derive(Debug)]
 pub(crate) struct Control {
+    pub(crate) settings: ControlSettings,
     pub(crate) group: GroupHandle,
     pub(crate) log: Logger,
     soft: Mutex<SoftState>,
@@ -39,8 +50,14 @@
 }
 
 impl Control {
+    /// Returns the soft state of the present leadership.
     pub(crate) fn soft(&self) -> MutexGuard<'_, SoftState> {
-        self.soft.lock()
+        let since = self.group.status().borrow().leading_since.unwrap_or_else(boot_now);
+        let mut soft = self.soft.lock();
+        if soft.presence.leader_since() != since {
+            soft.presence = PresenceTable::starting_at(since);
+        }
+        soft
     }
 }
 
@@ -53,16 +70,81 @@
     pub operator_address: SocketAddr,
     /// Where health and metrics are read.
     pub admin_address: SocketAddr,
-    tasks: TaskTracker,
+    whole: JoinHandle<anyhow::Result<()>>,
 }
 
 impl RunningControl {
     /// Waits until the process has stopped.
-    pub async fn finished(self) {
-        self.tasks.wait().await;
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process had to stop because its disk failed.
+    pub async fn finished(self) -> anyhow::Result<()> {
+        self.whole.await.context("control failed")?
     }
 }
 
+/// The listeners of a control process.
+#[derive(Debug)]
+pub(crate) struct ControlListeners {
+    pub(crate) peers: TcpListener,
+    pub(crate) operators: TcpListener,
+    pub(crate) admin: TcpListener,
+}
+
+/// Makes an empty data folder the first replica of a new group.
+///
+/// This is a command of its own and never happens at a start: a host whose disk was emptied would otherwise found a
+/// second group with empty tables, and everything accepted would seem to have reverted.
+///
+/// # Errors
+///
+/// Fails when the folder belongs to a group already or cannot be written.
+pub fn form_group(settings: &ControlSettings, peer_address: SocketAddr) -> anyhow::Result<()> {
+    let mut folder = DataFolder::open(&settings.data_folder)?;
+    if folder.identity()?.is_some() {
+        bail!("folder `{}` belongs to a group already", settings.data_folder.display());
+    }
+    let (replica, disk) = (ReplicaId(1), DiskId(random_number()?));
+    let host = settings.host.as_str().into();
+    let row = MemberRow {
+        host,
+        address: peer_address.to_string(),
+        disk: Some(disk),
+        voter: true,
+    };
+    let members = MemberSet::new([(replica, row)], replica);
+    let snapshot = ReplicaSnapshot {
+        index: LogIndex(1),
+        term: Term(1),
+        members,
+        state: Bytes::new(),
+    };
+    folder.initialise(
+        HardState {
+            term: Term(1),
+            vote: None,
+        },
+        &snapshot,
+    )?;
+    folder.store_identity(&FolderIdentity {
+        group: random_number()?,
+        disk,
+        replica: Some(replica),
+    })
+}
+
+/// Tells whether a data folder belongs to a group.
+///
+/// # Errors
+///
+/// Fails when the folder cannot be used.
+pub fn is_formed(data_folder: &Path) -> anyhow::Result<bool> {
+    Ok(DataFolder::open(data_folder)?
+        .identity()?
+        .is_some_and(|identity| identity.replica.is_some()))
+}
+
 /// Starts a control process that runs until `stop` is cancelled.
 ///
 /// # Errors
@@ -74,48 +156,36 @@
     page: MetricsPage,
     log: Logger,
 ) -> anyhow::Result<RunningControl> {
-    let peers = listen(settings.peer_address).await?;
-    let operators = listen(settings.operator_address).await?;
-    let admin = listen(settings.admin_address).await?;
-    let running = RunningControl {
-        peer_address: peers.local_addr()?,
-        operator_address: operators.local_addr()?,
-        admin_address: admin.local_addr()?,
-        tasks: TaskTracker::new(),
-    };
-    let soft = SoftState {
-        presence: PresenceTable::starting_at(boot_now()),
-        ..SoftState::default()
-    };
-    let control = Arc::new(Control {
-        group: GroupHandle::in_memory(),
-        log,
-        soft: Mutex::new(soft),
-    });
+    let folder = DataFolder::open(&settings.data_folder)?;
+    let identity = open_identity(&folder)?;
     let token =
         ContentDigest::from_hex(&settings.operator_token_sha256).context("operator token digest is malformed")?;
-    let api = OperatorApi::new(Arc::clone(&control), token);
-    slog::info!(control.log, "control started"; "event" => event::STARTED,
-        "peers" => %running.peer_address, "operators" => %running.operator_address, "admin" => %running.admin_address);
-    running
-        .tasks
-        .spawn(serve_peers(peers, Arc::clone(&control), stop.clone()));
-    running.tasks.spawn(serve_http(
-        operators,
-        ServerBounds::default(),
-        stop.clone(),
-        move |request| {
-            let api = api.clone();
-            async move { api.answer(request).await }
-        },
-    ));
-    let ready = {
-        let stop = stop.clone();
-        move || !stop.is_cancelled()
+    let listeners = ControlListeners {
+        peers: listen(settings.peer_address).await?,
+        operators: listen(settings.operator_address).await?,
+        admin: listen(settings.admin_address).await?,
+    };
+    let peer_address = listeners.peers.local_addr()?;
+    let operator_address = listeners.operators.local_addr()?;
+    let admin_address = listeners.admin.local_addr()?;
+    slog::info!(log, "control started"; "event" => event::STARTED,
+        "peers" => %peer_address, "operators" => %operator_address, "admin" => %admin_address);
+    let starting = ControlStart {
+        settings,
+        folder,
+        identity,
+        token,
+        listeners,
+        stop,
+        page,
+        log,
     };
-    running.tasks.spawn(serve_admin(admin, stop, page, ready, |_path| None));
-    running.tasks.close();
-    Ok(running)
+    Ok(RunningControl {
+        peer_address,
+        operator_address,
+        admin_address,
+        whole: tokio::spawn(starting.run()),
+    })
 }
 
 async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
@@ -123,3 +193,156 @@
         .await
         .with_context(|| format!("failed to listen on `{address}`"))
 }
+
+/// Returns whom the folder belongs to; an empty one draws its number now and waits to be admitted.
+fn open_identity(folder: &DataFolder) -> anyhow::Result<FolderIdentity> {
+    if let Some(identity) = folder.identity()? {
+        return Ok(identity);
+    }
+    let identity = FolderIdentity {
+        group: 0,
+        disk: DiskId(random_number()?),
+        replica: None,
+    };
+    folder.store_identity(&identity)?;
+    Ok(identity)
+}
+
+pub(crate) fn random_number() -> anyhow::Result<u64> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).context("failed to read random bytes")?;
+    Ok(u64::from_le_bytes(bytes).max(1))
+}
+
+/// A process whose listeners are open.
+#[derive(Debug)]
+struct ControlStart {
+    settings: ControlSettings,
+    folder: DataFolder,
+    identity: FolderIdentity,
+    token: ContentDigest,
+    listeners: ControlListeners,
+    stop: CancellationToken,
+    page: MetricsPage,
+    log: Logger,
+}
+
+impl ControlStart {
+    async fn run(mut self) -> anyhow::Result<()> {
+        let replica = match self.identity.replica {
+            Some(replica) => replica,
+            None => match self.join().await? {
+                Some(replica) => replica,
+                None => return Ok(()),
+            },
+        };
+        let (inputs, receiver) = mpsc::channel();
+        let shared = Arc::new(GroupShared::default());
+        let Self {
+            settings,
+            folder,
+            identity,
+            token,
+            listeners,
+            stop,
+            page,
+            log,
+        } = self;
+        let hello = Hello {
+            group: identity.group,
+            replica: replica.0,
+            host: settings.host.clone(),
+            address: settings.peer_address.to_string(),
+        };
+        let links = PeerLinks::new(Handle::current(), hello);
+        let parts = DriverParts {
+            id: replica,
+            shared: Arc::clone(&shared),
+            inputs: receiver,
+            links,
+            log: log.clone(),
+        };
+        let driver = GroupDriver::open(folder, parts, boot_now(), random_number()?)?;
+        let group = GroupHandle::new(inputs, shared, identity.group);
+        let control = Arc::new(Control {
+            settings,
+            group,
+            log,
+            soft: Mutex::default(),
+        });
+        let driving = spawn_driver(driver, stop.clone(), control.log.clone());
+        let tasks = serve(&control, token, listeners, &stop, page);
+        tasks.wait().await;
+        slog::info!(control.log, "control stopping"; "event" => event::STOPPING);
+        control.group.input(GroupInput::Stop);
+        let outcome = driving.await.context("the driving thread failed")?;
+        slog::info!(control.log, "control stopped"; "event" => event::STOPPED);
+        outcome
+    }
+
+    /// Waits until the group has admitted the folder; returns nothing when the process is to stop before that.
+    async fn join(&mut self) -> anyhow::Result<Option<ReplicaId>> {
+        let admitted = await_identity(
+            &self.settings,
+            self.identity.disk,
+            &self.listeners,
+            &self.stop,
+            &self.log,
+        )
+        .await;
+        let Some((group, replica)) = admitted else {
+            return Ok(None);
+        };
+        // The log comes before the identity that vouches for it.
+        self.folder
+            .initialise(HardState::default(), &ReplicaSnapshot::default())?;
+        self.identity = FolderIdentity {
+            group,
+            replica: Some(replica),
+            ..self.identity
+        };
+        self.folder.store_identity(&self.identity)?;
+        slog::info!(self.log, "identity granted"; "event" => event::IDENTITY_GRANTED, "replica" => replica.0);
+        Ok(Some(replica))
+    }
+}
+
+/// Runs the driver on a thread; when it fails, the whole process is told to stop.
+fn spawn_driver(driver: GroupDriver, stop: CancellationToken, log: Logger) -> JoinHandle<anyhow::Result<()>> {
+    tokio::task::spawn_blocking(move || {
+        let outcome = driver.run();
+        if let Err(error) = &outcome {
+            slog::error!(log, "replica stops"; "event" => event::FATAL, "error" => format!("{error:#}"));
+        }
+        stop.cancel();
+        outcome
+    })
+}
+
+fn serve(
+    control: &Arc<Control>,
+    token: ContentDigest,
+    listeners: ControlListeners,
+    stop: &CancellationToken,
+    page: MetricsPage,
+) -> TaskTracker {
+    let tasks = TaskTracker::new();
+    let api = OperatorApi::new(Arc::clone(control), token);
+    tasks.spawn(serve_peers(listeners.peers, Arc::clone(control), stop.clone()));
+    tasks.spawn(serve_http(
+        listeners.operators,
+        ServerBounds::default(),
+        stop.clone(),
+        move |request| {
+            let api = api.clone();
+            async move { api.answer(request).await }
+        },
+    ));
+    let status = control.group.status();
+    let stopping = stop.clone();
+    // A replica is ready when it knows a leader: it then passes on or answers whatever it is asked.
+    let is_ready = move || !stopping.is_cancelled() && status.borrow().leader.is_some();
+    tasks.spawn(serve_admin(listeners.admin, stop.clone(), page, is_ready, |_path| None));
+    tasks.close();
+    tasks
+}
--- /dev/null
+++ b/crates/acacia-control/src/driver.rs
@@ -0,0 +1,392 @@
+//! The thread that drives the replica: it does what [`Replica`] asks for, in the order that it asks for.
+//!
+//! It is a thread of its own because it waits for the disk. While it does, inputs collect, and all of them go into the
+//! next write together; that is what makes many writers cheap (`docs/BENCHMARKS.md`).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::{command_from_bytes, command_to_bytes, state_from_bytes, state_to_bytes};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::consensus::{
+    DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRefusal, Replica, ReplicaId,
+    ReplicaOutput, ReplicaRole, ReplicaSnapshot, Term,
+};
+use acaciabay::core::control_state::ControlState;
+use acaciabay::core::name::HostName;
+use anyhow::Context;
+use slog::Logger;
+use tokio::sync::oneshot;
+
+use crate::group::{GroupInput, GroupShared, GroupStatus, NotLeading, ProposalAnswer};
+use crate::peer_links::PeerLinks;
+use crate::storage::DataFolder;
+
+/// How often time passes for the replica.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Most inputs that go into one write.
+const MOST_INPUTS: usize = 4_096;
+/// After how many applied entries the log is replaced by a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 10_000;
+/// After how many bytes of applied commands the log is replaced by a snapshot.
+const SNAPSHOT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Everything that the thread owns.
+#[derive(Debug)]
+pub(crate) struct GroupDriver {
+    replica: Replica,
+    folder: DataFolder,
+    hard_state: HardState,
+    shared: Arc<GroupShared>,
+    inputs: Receiver<GroupInput>,
+    links: PeerLinks,
+    log: Logger,
+    waiting: BTreeMap<LogIndex, (Term, ProposalAnswer)>,
+    confirms: Vec<oneshot::Sender<Result<(), NotLeading>>>,
+    identifies: BTreeMap<LogIndex, (ReplicaId, oneshot::Sender<Result<ReplicaId, String>>)>,
+    leading_since: Option<BootTime>,
+    applied_bytes: usize,
+}
+
+/// What a driver is made of.
+#[derive(Debug)]
+pub(crate) struct DriverParts {
+    pub(crate) id: ReplicaId,
+    pub(crate) shared: Arc<GroupShared>,
+    pub(crate) inputs: Receiver<GroupInput>,
+    pub(crate) links: PeerLinks,
+    pub(crate) log: Logger,
+}
+
+impl GroupDriver {
+    /// Restores a replica from its folder.
+    pub(crate) fn open(mut folder: DataFolder, parts: DriverParts, now: BootTime, seed: u64) -> anyhow::Result<Self> {
+        let DriverParts {
+            id,
+            shared,
+            inputs,
+            links,
+            log,
+        } = parts;
+        let stored = folder.load()?;
+        if stored.torn_bytes > 0 {
+            slog::warn!(log, "torn tail cut off"; "event" => event::TAIL_CUT, "bytes" => stored.torn_bytes);
+        }
+        let state = state_of(&stored.snapshot).context("snapshot holds a state that this release cannot read")?;
+        shared.version.send_replace(state.version());
+        *shared.state.write() = state;
+        Ok(Self {
+            hard_state: stored.restored.hard_state,
+            replica: Replica::new(now, id, stored.restored, seed),
+            folder,
+            shared,
+            inputs,
+            links,
+            log,
+            waiting: BTreeMap::new(),
+            confirms: Vec::new(),
+            identifies: BTreeMap::new(),
+            leading_since: None,
+            applied_bytes: 0,
+        })
+    }
+
+    /// Runs until it is told to stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk fails; the process then has to stop, since what it has confirmed may not be there.
+    pub(crate) fn run(mut self) -> anyhow::Result<()> {
+        let mut next_tick = Instant::now();
+        loop {
+            match self
+                .inputs
+                .recv_timeout(next_tick.saturating_duration_since(Instant::now()))
+            {
+                Ok(input) => {
+                    if self.take_inputs(input) {
+                        return Ok(());
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            if Instant::now() >= next_tick {
+                next_tick = Instant::now() + TICK_INTERVAL;
+                self.replica.tick(boot_now());
+            }
+            self.work_off()?;
+            self.answer_confirms();
+            self.show_status();
+        }
+    }
+
+    /// Takes an input and all that have come since; returns whether to stop.
+    fn take_inputs(&mut self, first: GroupInput) -> bool {
+        let mut next = Some(first);
+        for _ in 0..MOST_INPUTS {
+            let Some(input) = next else { return false };
+            if matches!(input, GroupInput::Stop) {
+                return true;
+            }
+            self.take_input(input);
+            next = self.inputs.try_recv().ok();
+        }
+        if let Some(input) = next {
+            self.take_input(input);
+        }
+        false
+    }
+
+    fn take_input(&mut self, input: GroupInput) {
+        match input {
+            GroupInput::Propose { command, answer } => match self.replica.propose(command_to_bytes(&command)) {
+                Ok((term, index)) => {
+                    self.waiting.insert(index, (term, answer));
+                }
+                Err(_not_leader) => {
+                    let _gave_up = answer.sender.send(Err(self.not_leading()));
+                }
+            },
+            GroupInput::Confirm(answer) => self.confirms.push(answer),
+            GroupInput::Message(message) => self.replica.step(boot_now(), message),
+            GroupInput::Greeting { replica, address } => self.links.greet(replica, &address),
+            GroupInput::ChangeMembers { change, answer } => {
+                let changed = self.replica.change_members(change).map(|(_, replica)| replica);
+                let _gave_up = answer.send(changed);
+            }
+            GroupInput::Identify { host, disk, answer } => self.identify(&host, disk, answer),
+            GroupInput::Stop => {}
+        }
+    }
+
+    /// Binds a member to the data folder that its host has come with, or says why not.
+    fn identify(&mut self, host: &HostName, disk: DiskId, answer: oneshot::Sender<Result<ReplicaId, String>>) {
+        let found = self.replica.members().on_host(host).map(|(id, row)| (id, row.disk));
+        let refusal = match found {
+            _ if self.replica.role() != ReplicaRole::Leader => String::new(),
+            None => format!("host `{host}` is not a member; run `acacia members add`"),
+            Some((id, Some(bound))) if bound == disk => {
+                let _gave_up = answer.send(Ok(id));
+                return;
+            }
+            Some((_, Some(_))) => {
+                format!("host `{host}` is bound to another data folder; run `acacia members replace`")
+            }
+            Some((replica, None)) => match self.replica.change_members(MemberChange::Bind { replica, disk }) {
+                Ok((index, _)) => {
+                    // Answered once it is committed: before that, another leader may bind another folder.
+                    self.identifies.insert(index, (replica, answer));
+                    return;
+                }
+                Err(refusal) => describe_refusal(&refusal),
+            },
+        };
+        let _gave_up = answer.send(Err(refusal));
+    }
+
+    /// Does what the replica wants done until it wants nothing more.
+    fn work_off(&mut self) -> anyhow::Result<()> {
+        loop {
+            let output = self.replica.take_output();
+            if output == ReplicaOutput::default() {
+                return Ok(());
+            }
+            self.carry_out(output)?;
+        }
+    }
+
+    fn carry_out(&mut self, output: ReplicaOutput) -> anyhow::Result<()> {
+        let ReplicaOutput {
+            snapshot,
+            hard_state,
+            append,
+            early_messages,
+            messages,
+            committed,
+            wants_snapshot,
+        } = output;
+        if hard_state.is_none() {
+            self.links.send(early_messages.iter());
+        }
+        self.hard_state = hard_state.unwrap_or(self.hard_state);
+        if let Some(snapshot) = snapshot {
+            self.install(&snapshot)?;
+        }
+        if hard_state.is_some() || append.is_some() {
+            self.folder.append(hard_state, append.as_ref())?;
+        }
+        self.replica.note_synced();
+        if hard_state.is_some() {
+            self.links.send(early_messages.iter());
+        }
+        self.links.send(messages.iter());
+        self.apply(committed)?;
+        for to in wants_snapshot {
+            self.send_snapshot(to);
+        }
+        self.compact_if_due()
+    }
+
+    fn install(&mut self, snapshot: &ReplicaSnapshot) -> anyhow::Result<()> {
+        let state = state_of(snapshot).context("leader sent a state that this release cannot read")?;
+        self.folder.replace(self.hard_state, snapshot, &[])?;
+        self.shared.version.send_replace(state.version());
+        *self.shared.state.write() = state;
+        self.applied_bytes = 0;
+        slog::info!(self.log, "snapshot installed"; "event" => event::SNAPSHOT_WRITTEN, "index" => snapshot.index.0);
+        Ok(())
+    }
+
+    fn apply(&mut self, entries: Vec<LogEntry>) -> anyhow::Result<()> {
+        if entries.is_empty() {
+            return Ok(());
+        }
+        let mut answers = Vec::new();
+        {
+            let mut state = self.shared.state.write();
+            for LogEntry { index, term, payload } in entries {
+                let outcome = match payload {
+                    EntryPayload::Command(bytes) => {
+                        self.applied_bytes += bytes.len();
+                        let command = command_from_bytes(bytes);
+                        // Skipping it would let this replica's state differ from the others'.
+                        let command = command.with_context(|| format!("entry {} cannot be read", index.0))?;
+                        Some(state.apply(&command))
+                    }
+                    EntryPayload::Empty => None,
+                    EntryPayload::Members(_) => {
+                        slog::info!(self.log, "members changed"; "event" => event::MEMBERS_CHANGED, "index" => index.0);
+                        None
+                    }
+                };
+                if let Some((proposed, answer)) = self.waiting.remove(&index) {
+                    let outcome = outcome.filter(|_| proposed == term);
+                    answers.push((answer, outcome));
+                }
+                if let Some((replica, answer)) = self.identifies.remove(&index) {
+                    let _gave_up = answer.send(Ok(replica));
+                }
+            }
+            self.shared.version.send_if_modified(|version| {
+                let newer = *version != state.version();
+                *version = state.version();
+                newer
+            });
+        }
+        for (answer, outcome) in answers {
+            let _gave_up = answer.sender.send(outcome.ok_or_else(|| self.not_leading()));
+        }
+        Ok(())
+    }
+
+    fn send_snapshot(&mut self, to: ReplicaId) {
+        let snapshot = self.present_snapshot();
+        self.replica.send_snapshot(to, snapshot);
+    }
+
+    fn present_snapshot(&self) -> ReplicaSnapshot {
+        let state = state_to_bytes(&self.shared.state.read());
+        self.replica.snapshot_at_delivered(state)
+    }
+
+    fn compact_if_due(&mut self) -> anyhow::Result<()> {
+        let entries = self.replica.delivered().0 - self.replica.log().base_index().0;
+        if entries < SNAPSHOT_ENTRIES && self.applied_bytes < SNAPSHOT_BYTES {
+            return Ok(());
+        }
+        let snapshot = self.present_snapshot();
+        self.replica.compact(snapshot.index);
+        let remaining = self.replica.log().entries();
+        self.folder.replace(self.hard_state, &snapshot, &remaining)?;
+        self.applied_bytes = 0;
+        slog::info!(self.log, "snapshot written"; "event" => event::SNAPSHOT_WRITTEN,
+            "index" => snapshot.index.0, "bytes" => snapshot.state.len());
+        Ok(())
+    }
+
+    fn answer_confirms(&mut self) {
+        if self.confirms.is_empty() {
+            return;
+        }
+        let may_act = self.replica.may_act(boot_now());
+        for answer in std::mem::take(&mut self.confirms) {
+            let _gave_up = answer.send(if may_act { Ok(()) } else { Err(self.not_leading()) });
+        }
+    }
+
+    fn not_leading(&self) -> NotLeading {
+        let leader = self.replica.leader().filter(|leader| *leader != self.replica.id());
+        let row = leader.and_then(|leader| self.replica.members().get(leader));
+        NotLeading {
+            leader_address: row.map(|row| row.address.clone()).unwrap_or_default(),
+        }
+    }
+
+    /// Shows the tasks what has changed, and answers those whose proposals another leader now decides about.
+    fn show_status(&mut self) {
+        self.shared.set_lease(self.replica.lease_until());
+        let leads = self.replica.role() == ReplicaRole::Leader;
+        if !leads {
+            for (_, (_, answer)) in std::mem::take(&mut self.waiting) {
+                let _gave_up = answer.sender.send(Err(self.not_leading()));
+            }
+            self.identifies.clear();
+        }
+        let may_act = self.replica.may_act(boot_now());
+        self.leading_since = match self.leading_since {
+            Some(since) if leads => Some(since),
+            None if may_act => Some(boot_now()),
+            _ => None,
+        };
+        let status = GroupStatus {
+            replica: Some(self.replica.id()),
+            term: self.replica.term(),
+            leader: self.replica.leader(),
+            leading_since: self.leading_since,
+            members: self.replica.members().clone(),
+            applied: self.replica.delivered().0,
+        };
+        let before = self.shared.status.send_replace(status.clone());
+        if before.members != status.members {
+            self.links.follow_members(&status.members, self.replica.id());
+        }
+        self.log_leadership(&before, &status);
+    }
+
+    fn log_leadership(&self, before: &GroupStatus, status: &GroupStatus) {
+        let term = status.term.0;
+        match (before.leading_since, status.leading_since) {
+            (None, Some(_)) => {
+                slog::info!(self.log, "leader elected"; "event" => event::LEADER_ELECTED, "term" => term);
+            }
+            (Some(_), None) => {
+                slog::info!(self.log, "leader lost"; "event" => event::LEADER_LOST, "term" => term);
+            }
+            (None, None) | (Some(_), Some(_)) => {}
+        }
+    }
+}
+
+fn state_of(snapshot: &ReplicaSnapshot) -> anyhow::Result<ControlState> {
+    if snapshot.state.is_empty() {
+        return Ok(ControlState::default());
+    }
+    Ok(state_from_bytes(snapshot.state.clone())?)
+}
+
+/// Says why a change of the members was refused.
+pub(crate) fn describe_refusal(refusal: &MemberRefusal) -> String {
+    match refusal {
+        MemberRefusal::NotLeader(_) => "this replica does not lead".to_owned(),
+        MemberRefusal::Busy => "the change before is not committed yet; try again".to_owned(),
+        MemberRefusal::HostTaken(id) => format!("the host is member {} already", id.0),
+        MemberRefusal::NoSuchMember => "there is no such member".to_owned(),
+        MemberRefusal::OtherDisk(_) => "the member is bound to another data folder".to_owned(),
+        MemberRefusal::LastVoter => "the only voter cannot be removed".to_owned(),
+    }
+}
--- a/crates/acacia-control/src/entry_session.rs
+++ b/crates/acacia-control/src/entry_session.rs
@@ -1,67 +1,37 @@
-//! The peer listener: answers entries' requests and tells them of newer configurations.
+//! Answers an entry's requests and tells it of newer configurations.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use acacia_runtime::clock::{boot_now, wall_now};
 use acacia_runtime::event;
-use acacia_wire::generated::entry::EntryRequest;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::{
     ClaimRequest, EntryAnswer, EntryCall, FrameReader, FrameWriter, LeaseRenewal, LeaseRequest, answer_to_wire,
-    call_from_wire, split_frames,
+    call_from_wire,
 };
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
 use acaciabay::core::presence::PresenceRow;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::daemon::Control;
-use crate::group::NotLeading;
+use crate::group::{NotLeading, PendingOutcome};
 
 /// How many answers may wait to be written to one connection. An entry that does not read them is slowed down by not
 /// being read from.
 const WAITING_ANSWERS: usize = 1_024;
 
-/// How long to wait after the system refused to accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Serves peers' connections until `stop` is cancelled.
-pub(crate) async fn serve_peers(listener: TcpListener, control: Arc<Control>, stop: CancellationToken) {
-    let sessions = TaskTracker::new();
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                sessions.spawn(serve_connection(stream, Arc::clone(&control), stop.clone()));
-            }
-            Err(_refused) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
-    }
-    sessions.close();
-    sessions.wait().await;
-}
-
-async fn serve_connection(stream: TcpStream, control: Arc<Control>, stop: CancellationToken) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let (reader, writer) = split_frames(stream);
+/// Answers an entry's requests until its connection ends.
+pub(crate) async fn serve_entry(
+    reader: FrameReader<TcpStream>,
+    writer: FrameWriter<TcpStream>,
+    control: Arc<Control>,
+) -> std::io::Result<()> {
     let (answers, waiting) = mpsc::channel(WAITING_ANSWERS);
-    let log = control.log.clone();
-    let ended = tokio::select! {
-        () = stop.cancelled() => Ok(()),
+    tokio::select! {
         ended = read_requests(reader, Arc::clone(&control), answers.clone()) => ended,
         ended = write_answers(writer, waiting) => ended,
         () = send_notices(control, answers) => Ok(()),
-    };
-    if let Err(error) = ended {
-        slog::debug!(log, "entry connection failed"; "event" => event::CONNECTION_FAILED, "error" => %error);
     }
 }
 
@@ -75,19 +45,71 @@
             slog::warn!(control.log, "unexpected frame from an entry"; "event" => event::MESSAGE_REFUSED);
             continue;
         };
+        let request = message.request;
+        let call = match call_from_wire(boot_now(), message) {
+            Ok(call) => call,
+            Err(error) => {
+                slog::warn!(control.log, "malformed request"; "event" => event::MESSAGE_REFUSED, "error" => %error);
+                continue;
+            }
+        };
+        // Commands are handed over here, so that they are proposed in the order in which the entry sent them: the
+        // release of a claim must not overtake the claim.
+        let begun = begin_call(&control, call).await;
         let (control, answers) = (Arc::clone(&control), answers.clone());
         tokio::spawn(async move {
-            let request = message.request;
-            if let Some(answer) = answer_request(&control, message).await {
-                let frame = Frame::EntryReply(answer_to_wire(boot_now(), request, &answer));
-                // A closed channel means that the connection is gone; the entry asks again on another one.
-                let _gone = answers.send(frame).await;
-            }
+            let answer = finish_call(&control, begun).await;
+            let frame = Frame::EntryReply(answer_to_wire(boot_now(), request, &answer));
+            // A closed channel means that the connection is gone; the entry asks again on another one.
+            let _gone = answers.send(frame).await;
         });
     }
     Ok(())
 }
 
+/// A call that is under way.
+#[derive(Debug)]
+enum BegunCall {
+    Command(PendingOutcome),
+    Renew(LeaseRequest),
+}
+
+async fn begin_call(control: &Control, call: EntryCall) -> BegunCall {
+    let command = match call {
+        EntryCall::Renew(lease) => return BegunCall::Renew(lease),
+        EntryCall::Join { host, domain, nonce } => ControlCommand::JoinEntry { host, domain, nonce },
+        EntryCall::TakeClaim(ClaimRequest { key, holder, digest }) => ControlCommand::TakeClaim {
+            now: wall_now(),
+            key,
+            holder,
+            digest,
+        },
+        EntryCall::EndClaim { key, holder, end } => ControlCommand::EndClaim { key, holder, end },
+        EntryCall::Usage(report) => ControlCommand::CountUsage(report),
+    };
+    BegunCall::Command(control.group.submit(command).await)
+}
+
+async fn finish_call(control: &Control, begun: BegunCall) -> EntryAnswer {
+    let answered = match begun {
+        BegunCall::Command(pending) => pending.outcome().await.map(answer_of),
+        BegunCall::Renew(lease) => renew(control, lease).await,
+    };
+    answered.unwrap_or_else(|NotLeading { leader_address }| EntryAnswer::NotLeader { leader_address })
+}
+
+fn answer_of(outcome: CommandOutcome) -> EntryAnswer {
+    match outcome {
+        CommandOutcome::Joined(incarnation) => EntryAnswer::Joined(incarnation),
+        CommandOutcome::Claim(outcome) => EntryAnswer::Claim(outcome),
+        CommandOutcome::Table { .. }
+        | CommandOutcome::Conflict(_)
+        | CommandOutcome::Key { .. }
+        | CommandOutcome::Order(_)
+        | CommandOutcome::Done => EntryAnswer::Done,
+    }
+}
+
 async fn write_answers(mut writer: FrameWriter<TcpStream>, mut waiting: mpsc::Receiver<Frame>) -> std::io::Result<()> {
     while let Some(frame) = waiting.recv().await {
         writer.feed(frame).await?;
@@ -111,54 +133,6 @@
     }
 }
 
-async fn answer_request(control: &Control, message: EntryRequest) -> Option<EntryAnswer> {
-    match call_from_wire(boot_now(), message) {
-        Ok(call) => Some(answer_call(control, call).await),
-        Err(error) => {
-            slog::warn!(control.log, "malformed request"; "event" => event::MESSAGE_REFUSED, "error" => %error);
-            None
-        }
-    }
-}
-
-async fn answer_call(control: &Control, call: EntryCall) -> EntryAnswer {
-    let answered = match call {
-        EntryCall::Join { host, domain, nonce } => {
-            propose(control, ControlCommand::JoinEntry { host, domain, nonce }).await
-        }
-        EntryCall::Renew(lease) => renew(control, lease).await,
-        EntryCall::TakeClaim(ClaimRequest { key, holder, digest }) => {
-            propose(
-                control,
-                ControlCommand::TakeClaim {
-                    now: wall_now(),
-                    key,
-                    holder,
-                    digest,
-                },
-            )
-            .await
-        }
-        EntryCall::EndClaim { key, holder, end } => {
-            propose(control, ControlCommand::EndClaim { key, holder, end }).await
-        }
-        EntryCall::Usage(report) => propose(control, ControlCommand::CountUsage(report)).await,
-    };
-    answered.unwrap_or_else(|NotLeading { leader_address }| EntryAnswer::NotLeader { leader_address })
-}
-
-async fn propose(control: &Control, command: ControlCommand) -> Result<EntryAnswer, NotLeading> {
-    Ok(match control.group.propose(command).await? {
-        CommandOutcome::Joined(incarnation) => EntryAnswer::Joined(incarnation),
-        CommandOutcome::Claim(outcome) => EntryAnswer::Claim(outcome),
-        CommandOutcome::Table { .. }
-        | CommandOutcome::Conflict(_)
-        | CommandOutcome::Key { .. }
-        | CommandOutcome::Order(_)
-        | CommandOutcome::Done => EntryAnswer::Done,
-    })
-}
-
 /// Confirms an entry's lease and brings its configuration and its view of the endpoints up to date.
 async fn renew(control: &Control, lease: LeaseRequest) -> Result<EntryAnswer, NotLeading> {
     control.group.confirm().await?;
--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -21,6 +21,7 @@
 
 use crate::daemon::Control;
 use crate::group::NotLeading;
+use crate::operator_members::{add_member, list_members, members_json, remove_member, replace_member};
 use crate::operator_tables::{TableName, read_table, write_table};
 
 const LARGEST_BODY: usize = 64 * 1024 * 1024;
@@ -144,6 +145,10 @@
             (&Method::GET, ["v1", "usage"]) => self.usage().await,
             (&Method::GET, ["v1", "in-force"]) => self.in_force(&request).await,
             (&Method::DELETE, ["v1", "entries", host]) => self.remove_entry(host).await,
+            (&Method::GET, ["v1", "members"]) => list_members(&self.control).await,
+            (&Method::POST, ["v1", "members"]) => add_member(&self.control, &request).await,
+            (&Method::DELETE, ["v1", "members", host]) => remove_member(&self.control, host).await,
+            (&Method::POST, ["v1", "members", host, "replace"]) => replace_member(&self.control, host).await,
             _ => Err(OperatorRefusal::new(
                 StatusCode::NOT_FOUND,
                 "no_such_path",
@@ -272,6 +277,7 @@
         });
         let orders = state.orders.rows().filter(|(_, row)| !row.settled);
         Ok(json!({
+            "members": members_json(&self.control),
             "version": state.version().0,
             "routes": state.config.routes.number().0,
             "pools": state.config.pools.number().0,
--- /dev/null
+++ b/crates/acacia-control/src/operator_members.rs
@@ -0,0 +1,122 @@
+//! The members of the group, as operators see and change them.
+
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acaciabay::core::consensus::{MemberChange, MemberRefusal, ReplicaId};
+use acaciabay::core::name::HostName;
+use hyper::StatusCode;
+use serde_json::{Value, json};
+
+use crate::daemon::Control;
+use crate::driver::describe_refusal;
+use crate::operator_api::{OperatorAnswer, OperatorRefusal, OperatorRequest};
+
+/// How long a change waits for the one before it.
+const BUSY_TIMEOUT: Duration = Duration::from_secs(5);
+const BUSY_PAUSE: Duration = Duration::from_millis(50);
+
+pub(crate) async fn list_members(control: &Control) -> OperatorAnswer {
+    control.group.confirm().await?;
+    Ok(json!({"members": members_json(control)}))
+}
+
+/// Returns the members as they stand in answers.
+pub(crate) fn members_json(control: &Control) -> Value {
+    let status = control.group.status().borrow().clone();
+    let rows = status.members.rows().map(|(id, row)| {
+        json!({
+            "replica": id.0,
+            "host": row.host.as_str(),
+            "address": row.address,
+            "voter": row.voter,
+            "bound": row.disk.is_some(),
+            "leader": status.leader == Some(id),
+        })
+    });
+    rows.collect()
+}
+
+pub(crate) async fn add_member(control: &Control, request: &OperatorRequest) -> OperatorAnswer {
+    let body = request.json()?;
+    let host = body["host"].as_str().filter(|host| !host.is_empty());
+    let address = body["address"]
+        .as_str()
+        .filter(|address| address.parse::<std::net::SocketAddr>().is_ok());
+    let (Some(host), Some(address)) = (host, address) else {
+        let message = "expected `host` and `address` (an IP address with a port)";
+        return Err(OperatorRefusal::new(StatusCode::BAD_REQUEST, "bad_member", message));
+    };
+    let replica = change(
+        control,
+        MemberChange::Add {
+            host: host.into(),
+            address: address.to_owned(),
+        },
+    )
+    .await?;
+    Ok(json!({"host": host, "replica": replica.0}))
+}
+
+pub(crate) async fn remove_member(control: &Control, host: &str) -> OperatorAnswer {
+    control.group.confirm().await?;
+    let (replica, _) = find(control, host)?;
+    change(control, MemberChange::Remove { replica }).await?;
+    Ok(json!({"host": host, "removed": replica.0}))
+}
+
+/// Removes a member whose disk was lost and admits its host anew, under another number.
+pub(crate) async fn replace_member(control: &Control, host: &str) -> OperatorAnswer {
+    control.group.confirm().await?;
+    let (old, address) = find(control, host)?;
+    change(control, MemberChange::Remove { replica: old }).await?;
+    let replica = change(
+        control,
+        MemberChange::Add {
+            host: host.into(),
+            address,
+        },
+    )
+    .await?;
+    Ok(json!({"host": host, "removed": old.0, "replica": replica.0}))
+}
+
+fn find(control: &Control, host: &str) -> Result<(ReplicaId, String), OperatorRefusal> {
+    let status = control.group.status().borrow().clone();
+    let found = status
+        .members
+        .on_host(&HostName::new(host))
+        .map(|(id, row)| (id, row.address.clone()));
+    found.ok_or_else(|| {
+        let message = format!("host `{host}` is not a member");
+        OperatorRefusal::new(StatusCode::NOT_FOUND, "no_such_member", message)
+    })
+}
+
+/// Makes a change as soon as the one before it is committed.
+async fn change(control: &Control, change: MemberChange) -> Result<ReplicaId, OperatorRefusal> {
+    let give_up = boot_now() + BUSY_TIMEOUT;
+    loop {
+        match control.group.change_members(change.clone()).await {
+            Ok(replica) => return Ok(replica),
+            Err(MemberRefusal::Busy) if boot_now() < give_up => tokio::time::sleep(BUSY_PAUSE).await,
+            Err(refusal) => return Err(refusal_of(control, &refusal)),
+        }
+    }
+}
+
+fn refusal_of(control: &Control, refusal: &MemberRefusal) -> OperatorRefusal {
+    match refusal {
+        MemberRefusal::NotLeader(_) => {
+            let status = control.group.status().borrow().clone();
+            let leader = status
+                .leader
+                .and_then(|leader| status.members.get(leader).map(|row| row.address.clone()));
+            crate::group::NotLeading {
+                leader_address: leader.unwrap_or_default(),
+            }
+            .into()
+        }
+        other => OperatorRefusal::new(StatusCode::CONFLICT, "member_refused", describe_refusal(other)),
+    }
+}
--- /dev/null
+++ b/crates/acacia-control/src/storage/log_file.rs
@@ -0,0 +1,141 @@
+//! The log: one record for each synced write.
+
+use std::fs::{File, OpenOptions};
+use std::io::{Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use acacia_wire::generated::replica;
+use acacia_wire::{entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire};
+use acaciabay::core::consensus::{HardState, LogAppend, LogEntry, LogIndex, Term};
+use anyhow::{Context, bail};
+use prost::Message;
+
+use super::data_folder::{read_file, replace_file};
+use super::record::{FILE_HEADER, ReadRecord, after_file_header, encode_record, read_record};
+
+const FILE: &str = "log";
+
+/// What a log file held.
+#[derive(Debug, Default)]
+pub(super) struct LogContent {
+    pub(super) base: (LogIndex, Term),
+    pub(super) hard_state: HardState,
+    pub(super) entries: Vec<LogEntry>,
+    pub(super) torn_bytes: usize,
+}
+
+/// The open log file.
+#[derive(Debug)]
+pub(super) struct LogFile {
+    path: PathBuf,
+    file: File,
+}
+
+impl LogFile {
+    /// Opens the log, reads it and cuts off an unfinished last write.
+    pub(super) fn open(folder: &Path) -> anyhow::Result<(Self, LogContent)> {
+        let path = folder.join(FILE);
+        let bytes = read_file(&path)?.with_context(|| format!("`{}` is missing", path.display()))?;
+        let (content, length) = parse(&bytes).with_context(|| format!("failed to read `{}`", path.display()))?;
+        let opened = OpenOptions::new().write(true).open(&path);
+        let mut file = opened.with_context(|| format!("failed to open `{}`", path.display()))?;
+        if content.torn_bytes > 0 {
+            file.set_len(length as u64)
+                .and_then(|()| file.sync_all())
+                .context("failed to cut off a torn write")?;
+        }
+        file.seek(SeekFrom::End(0))
+            .context("failed to go to the end of the log")?;
+        Ok((Self { path, file }, content))
+    }
+
+    /// Replaces the log by one that starts after a snapshot.
+    pub(super) fn replace(
+        folder: &Path,
+        hard_state: HardState,
+        base: (LogIndex, Term),
+        entries: &[LogEntry],
+    ) -> anyhow::Result<Self> {
+        let record = replica::LogRecord {
+            base: Some(replica::LogBase {
+                index: base.0.0,
+                term: base.1.0,
+            }),
+            hard_state: Some(hard_state_to_wire(&hard_state)),
+            first: 0,
+            entries: entries.iter().map(entry_to_wire).collect(),
+        };
+        replace_file(folder, FILE, &encode_record(&record.encode_to_vec())?)?;
+        Ok(Self::open(folder)?.0)
+    }
+
+    /// Adds a record and syncs it.
+    pub(super) fn append(&mut self, hard_state: Option<HardState>, append: Option<&LogAppend>) -> anyhow::Result<()> {
+        let record = replica::LogRecord {
+            base: None,
+            hard_state: hard_state.as_ref().map(hard_state_to_wire),
+            first: append.map_or(0, |append| append.first.0),
+            entries: append
+                .into_iter()
+                .flat_map(|append| &append.entries)
+                .map(entry_to_wire)
+                .collect(),
+        };
+        let bytes = encode_record(&record.encode_to_vec())?;
+        let written = self.file.write_all(&bytes).and_then(|()| self.file.sync_data());
+        written.with_context(|| format!("failed to write and sync `{}`", self.path.display()))
+    }
+}
+
+/// Reads all records; returns what they amount to and where the last whole one ends.
+fn parse(bytes: &[u8]) -> anyhow::Result<(LogContent, usize)> {
+    after_file_header(bytes)?;
+    let mut content = LogContent::default();
+    let mut place = FILE_HEADER;
+    loop {
+        match read_record(bytes, place) {
+            ReadRecord::Whole(payload, next) => {
+                let record = replica::LogRecord::decode(payload)?;
+                take_record(&mut content, record).with_context(|| format!("in the record at byte {place}"))?;
+                place = next;
+            }
+            ReadRecord::End => break,
+            ReadRecord::Torn => {
+                content.torn_bytes = bytes.len() - place;
+                break;
+            }
+            ReadRecord::Damaged => bail!("record at byte {place} is damaged; repair the disk of this host"),
+        }
+    }
+    if place == FILE_HEADER {
+        bail!("log does not say where it starts");
+    }
+    Ok((content, place))
+}
+
+fn take_record(content: &mut LogContent, record: replica::LogRecord) -> anyhow::Result<()> {
+    if let Some(base) = record.base {
+        content.base = (LogIndex(base.index), Term(base.term));
+    }
+    if let Some(hard_state) = record.hard_state {
+        content.hard_state = hard_state_from_wire(&hard_state);
+    }
+    if record.first > 0 {
+        while content
+            .entries
+            .last()
+            .is_some_and(|entry| entry.index.0 >= record.first)
+        {
+            content.entries.pop();
+        }
+    }
+    for message in record.entries {
+        let entry = entry_from_wire(message)?;
+        let last = content.entries.last().map_or(content.base.0, |entry| entry.index);
+        if entry.index != last.next() {
+            bail!("entry {} follows entry {}", entry.index.0, last.0);
+        }
+        content.entries.push(entry);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/acacia-control/src/storage/record.rs
@@ -0,0 +1,108 @@
+//! Records: bytes with a length and checksums, behind a file header with the format version.
+
+use anyhow::bail;
+use crc32fast::hash;
+
+/// The first bytes of every file.
+const MAGIC: [u8; 4] = *b"ACBY";
+/// The format that this release writes, and the newest that it reads.
+const FORMAT_VERSION: u32 = 1;
+/// The length of a file's header.
+pub(super) const FILE_HEADER: usize = 8;
+/// Length of the payload, checksum of that length, checksum of the payload.
+const RECORD_HEADER: usize = 12;
+/// Disks write whole sectors; a write that power loss has cut short leaves whole sectors unwritten.
+const SECTOR: usize = 512;
+
+/// Returns the header that every file starts with.
+pub(super) fn file_header() -> [u8; FILE_HEADER] {
+    let mut header = [0; FILE_HEADER];
+    header[..4].copy_from_slice(&MAGIC);
+    header[4..].copy_from_slice(&FORMAT_VERSION.to_le_bytes());
+    header
+}
+
+/// Checks a file's header and returns what follows it.
+pub(super) fn after_file_header(bytes: &[u8]) -> anyhow::Result<&[u8]> {
+    let Some((header, rest)) = bytes.split_at_checked(FILE_HEADER) else {
+        bail!("file is shorter than its header");
+    };
+    if header[..4] != MAGIC {
+        bail!("file does not start as a file of this program");
+    }
+    let version = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
+    if version > FORMAT_VERSION {
+        bail!("file has format {version}, and this release reads up to {FORMAT_VERSION}; use a newer release");
+    }
+    Ok(rest)
+}
+
+/// Returns a payload as a record.
+pub(super) fn encode_record(payload: &[u8]) -> anyhow::Result<Vec<u8>> {
+    let length = u32::try_from(payload.len())?.to_le_bytes();
+    let mut record = Vec::with_capacity(RECORD_HEADER + payload.len());
+    record.extend_from_slice(&length);
+    record.extend_from_slice(&hash(&length).to_le_bytes());
+    record.extend_from_slice(&hash(payload).to_le_bytes());
+    record.extend_from_slice(payload);
+    Ok(record)
+}
+
+/// What stands at a place of a file.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum ReadRecord<'file> {
+    /// A whole record, and where the next one starts.
+    Whole(&'file [u8], usize),
+    /// The end of the file.
+    End,
+    /// A last write that did not come through; it was never confirmed to anyone.
+    Torn,
+    /// Bytes that were once right and have changed.
+    Damaged,
+}
+
+/// Reads the record that starts at `place`.
+///
+/// Cutting off a damaged record as if it were torn would drop entries that this replica has confirmed, and the group
+/// could lose what it accepted. So a tail counts as torn only where it looks like an unfinished write: it ends before
+/// its length, or whole sectors of it were never written.
+pub(super) fn read_record(bytes: &[u8], place: usize) -> ReadRecord<'_> {
+    let rest = &bytes[place..];
+    if rest.is_empty() {
+        return ReadRecord::End;
+    }
+    let Some((header, after)) = rest.split_at_checked(RECORD_HEADER) else {
+        return ReadRecord::Torn;
+    };
+    let word = |at: usize| [header[at], header[at + 1], header[at + 2], header[at + 3]];
+    let length = word(0);
+    if hash(&length) != u32::from_le_bytes(word(4)) {
+        return if is_unwritten(rest) {
+            ReadRecord::Torn
+        } else {
+            ReadRecord::Damaged
+        };
+    }
+    let length = usize::try_from(u32::from_le_bytes(length)).unwrap_or(usize::MAX);
+    let Some((payload, behind)) = after.split_at_checked(length) else {
+        return ReadRecord::Torn;
+    };
+    if hash(payload) == u32::from_le_bytes(word(8)) {
+        return ReadRecord::Whole(payload, place + RECORD_HEADER + length);
+    }
+    if behind.is_empty() && has_unwritten_sector(bytes, place) {
+        ReadRecord::Torn
+    } else {
+        ReadRecord::Damaged
+    }
+}
+
+fn is_unwritten(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == 0)
+}
+
+fn has_unwritten_sector(bytes: &[u8], place: usize) -> bool {
+    let first = place.next_multiple_of(SECTOR);
+    let sectors = bytes.get(first..).unwrap_or_default().chunks(SECTOR);
+    sectors.into_iter().any(is_unwritten)
+}
--- /dev/null
+++ b/crates/acacia-control/src/storage/snapshot_file.rs
@@ -0,0 +1,36 @@
+//! The snapshot of the replicated state.
+
+use std::path::Path;
+
+use acacia_wire::generated::replica;
+use acacia_wire::{snapshot_from_wire, snapshot_to_wire};
+use acaciabay::core::consensus::ReplicaSnapshot;
+use anyhow::{Context, bail};
+use prost::Message;
+
+use super::data_folder::{read_file, replace_file};
+use super::record::{ReadRecord, after_file_header, encode_record, read_record};
+
+const FILE: &str = "snapshot";
+
+pub(super) fn read(folder: &Path) -> anyhow::Result<ReplicaSnapshot> {
+    let path = folder.join(FILE);
+    let bytes = read_file(&path)?.with_context(|| format!("`{}` is missing", path.display()))?;
+    parse(&bytes).with_context(|| format!("failed to read `{}`", path.display()))
+}
+
+/// A snapshot is renamed into place only when it is whole, so anything but a whole record is damage.
+fn parse(bytes: &[u8]) -> anyhow::Result<ReplicaSnapshot> {
+    let ReadRecord::Whole(payload, _) = read_record(after_file_header(bytes)?, 0) else {
+        bail!("file is damaged");
+    };
+    Ok(snapshot_from_wire(replica::Snapshot::decode(payload)?))
+}
+
+pub(super) fn write(folder: &Path, snapshot: &ReplicaSnapshot) -> anyhow::Result<()> {
+    replace_file(
+        folder,
+        FILE,
+        &encode_record(&snapshot_to_wire(snapshot).encode_to_vec())?,
+    )
+}
--- /dev/null
+++ b/crates/acacia-control/tests/storage.rs
@@ -0,0 +1,304 @@
+//! The data folder after crashes, power losses and damage, against one plain list of entries.
+
+use std::path::{Path, PathBuf};
+
+use acacia_control::storage::{DataFolder, FolderIdentity, StoredReplica};
+use acaciabay::core::consensus::{
+    DiskId, EntryPayload, HardState, LogAppend, LogEntry, LogIndex, MemberSet, ReplicaId, ReplicaSnapshot, Term,
+};
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use tempfile::TempDir;
+
+fn entry(index: u64, term: u64, length: usize) -> LogEntry {
+    let payload = EntryPayload::Command(Bytes::from(vec![u8::try_from(index % 250).unwrap_or(0) + 1; length]));
+    LogEntry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload,
+    }
+}
+
+fn append(first: u64, entries: Vec<LogEntry>) -> LogAppend {
+    LogAppend {
+        first: LogIndex(first),
+        entries,
+    }
+}
+
+fn snapshot(index: u64, term: u64) -> ReplicaSnapshot {
+    let state = Bytes::from(format!("state at {index}"));
+    ReplicaSnapshot {
+        index: LogIndex(index),
+        term: Term(term),
+        members: MemberSet::default(),
+        state,
+    }
+}
+
+const HARD_STATE: HardState = HardState {
+    term: Term(1),
+    vote: None,
+};
+
+fn new_folder() -> (TempDir, DataFolder) {
+    let folder = TempDir::new().expect("the system has a temporary folder");
+    let mut data = DataFolder::open(folder.path()).expect("an empty folder can be opened");
+    data.initialise(HARD_STATE, &snapshot(1, 1))
+        .expect("the folder can be written");
+    data.load().expect("a new folder can be read");
+    (folder, data)
+}
+
+fn load(folder: &Path) -> anyhow::Result<StoredReplica> {
+    DataFolder::open(folder)?.load()
+}
+
+fn indices(stored: &StoredReplica) -> Vec<u64> {
+    stored
+        .restored
+        .log
+        .entries()
+        .iter()
+        .map(|entry| entry.index.0)
+        .collect()
+}
+
+/// A folder with five synced writes, each of one entry longer than a disk sector; returns where each write ends.
+fn folder_with_five_writes() -> (TempDir, PathBuf, Vec<usize>) {
+    let (folder, mut data) = new_folder();
+    let log = folder.path().join("log");
+    let mut ends = Vec::new();
+    for index in 2..7 {
+        data.append(None, Some(&append(index, vec![entry(index, 1, 700)])))
+            .expect("the folder can be written");
+        ends.push(std::fs::read(&log).expect("the log is there").len());
+    }
+    (folder, log, ends)
+}
+
+/// Power is lost while the log is written, and only a part of the last write reaches the disk. The part was never
+/// confirmed to anyone; a replica that refused to start because of it would need a repair after every power loss.
+#[test]
+fn torn_last_write_is_cut_off_at_every_length() {
+    let (folder, log, ends) = folder_with_five_writes();
+    let whole = std::fs::read(&log).expect("the log is there");
+
+    for length in ends[3] + 1..ends[4] {
+        std::fs::write(&log, &whole[..length]).expect("the log can be written");
+        let stored = load(folder.path()).expect("a torn tail is no damage");
+        assert_eq!(indices(&stored), [2, 3, 4, 5], "cut at byte {length}");
+        assert_eq!(stored.torn_bytes, length - ends[3]);
+        assert_eq!(
+            std::fs::read(&log).expect("the log is there").len(),
+            ends[3],
+            "the torn part stayed"
+        );
+    }
+}
+
+/// As above, on a file system that had already grown the file: what was not written reads as zeros.
+#[test]
+fn unwritten_sectors_at_the_end_are_cut_off() {
+    let (folder, log, ends) = folder_with_five_writes();
+    let mut bytes = std::fs::read(&log).expect("the log is there");
+    for byte in &mut bytes[ends[3]..] {
+        *byte = 0;
+    }
+    std::fs::write(&log, &bytes).expect("the log can be written");
+
+    let stored = load(folder.path()).expect("unwritten sectors are no damage");
+
+    assert_eq!(indices(&stored), [2, 3, 4, 5]);
+}
+
+/// A disk returns one wrong bit. If the log were cut there as if it were torn, entries that this replica has confirmed
+/// would be gone without anyone knowing, and the group could lose what it accepted.
+#[test]
+fn flipped_bit_anywhere_stops_the_replica_and_is_located() {
+    let (folder, log, ends) = folder_with_five_writes();
+    let whole = std::fs::read(&log).expect("the log is there");
+
+    for place in (0..ends[4]).step_by(7) {
+        let mut bytes = whole.clone();
+        bytes[place] ^= 1 << (place % 8);
+        std::fs::write(&log, &bytes).expect("the log can be written");
+        let error = load(folder.path())
+            .err()
+            .unwrap_or_else(|| panic!("the flipped bit at {place} went unnoticed"));
+        let text = format!("{error:#}");
+        assert!(text.contains("log"), "{text}");
+    }
+}
+
+#[test]
+fn newer_format_is_refused() {
+    let (folder, log, _) = folder_with_five_writes();
+    let mut bytes = std::fs::read(&log).expect("the log is there");
+    bytes[4] = 9;
+    std::fs::write(&log, &bytes).expect("the log can be written");
+
+    let error = load(folder.path()).expect_err("a newer format cannot be read");
+
+    assert!(format!("{error:#}").contains("format 9"), "{error:#}");
+}
+
+/// The process dies after the new snapshot has its name and before the log was replaced. Nothing may be missing after
+/// the snapshot.
+#[test]
+fn crash_between_snapshot_and_log_keeps_the_entries_after_the_snapshot() {
+    let (folder, log, _) = folder_with_five_writes();
+    let old_log = std::fs::read(&log).expect("the log is there");
+    {
+        let mut data = DataFolder::open(folder.path()).expect("the folder can be opened");
+        data.load().expect("the folder can be read");
+        data.replace(HARD_STATE, &snapshot(4, 1), &[entry(5, 1, 700), entry(6, 1, 700)])
+            .expect("it can be replaced");
+    }
+    std::fs::write(&log, old_log).expect("the log can be written");
+
+    let first = load(folder.path()).expect("the folder is whole");
+    let second = load(folder.path()).expect("the folder is whole");
+
+    for stored in [first, second] {
+        assert_eq!((stored.snapshot.index, indices(&stored)), (LogIndex(4), vec![5, 6]));
+    }
+}
+
+/// A replica that was away gets a snapshot from the leader and dies before its old log was replaced. The old entries
+/// may be ones that the group never accepted, so none may stay behind the snapshot, and the log must go on after it.
+#[test]
+fn crash_while_a_leaders_snapshot_is_installed_leaves_no_old_entries() {
+    let (folder, log, _) = folder_with_five_writes();
+    let old_log = std::fs::read(&log).expect("the log is there");
+    {
+        let mut data = DataFolder::open(folder.path()).expect("the folder can be opened");
+        data.load().expect("the folder can be read");
+        data.replace(HARD_STATE, &snapshot(4, 3), &[])
+            .expect("it can be replaced");
+    }
+    std::fs::write(&log, old_log).expect("the log can be written");
+
+    let mut data = DataFolder::open(folder.path()).expect("the folder can be opened");
+    let stored = data.load().expect("the folder is whole");
+    data.append(None, Some(&append(5, vec![entry(5, 3, 10)])))
+        .expect("the folder can be written");
+    drop(data);
+    let after = load(folder.path()).expect("the folder is whole");
+
+    assert_eq!(indices(&stored), Vec::<u64>::new());
+    assert_eq!(indices(&after), [5]);
+}
+
+/// The process dies while it writes a new snapshot beside the old one.
+#[test]
+fn unfinished_new_snapshot_is_ignored() {
+    let (folder, _, _) = folder_with_five_writes();
+    std::fs::write(folder.path().join("snapshot.new"), b"half").expect("the folder can be written");
+
+    let stored = load(folder.path()).expect("the old snapshot is whole");
+
+    assert_eq!(
+        (stored.snapshot.index, indices(&stored)),
+        (LogIndex(1), vec![2, 3, 4, 5, 6])
+    );
+}
+
+/// Someone deletes the identity and leaves the log. The folder must not pass for an empty one, which would be filled
+/// anew.
+#[test]
+fn folder_without_identity_but_with_a_log_is_refused() {
+    let (folder, data) = new_folder();
+    let identity = FolderIdentity {
+        group: 7,
+        disk: DiskId(8),
+        replica: Some(ReplicaId(1)),
+    };
+    data.store_identity(&identity).expect("the folder can be written");
+    let read = data.identity().expect("the identity can be read");
+    std::fs::remove_file(folder.path().join("identity")).expect("the file is there");
+
+    let missing = data.identity();
+
+    assert_eq!(read, Some(identity));
+    assert!(missing.is_err());
+}
+
+/// One thing that is done to a folder.
+#[derive(Clone, Debug)]
+enum Step {
+    Append { back: u64, count: u64 },
+    Vote { term: u64 },
+    Compact { keep: u64 },
+    Reopen,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..4_u64, 1..5_u64).prop_map(|(back, count)| Step::Append { back, count }),
+        2 => (1..100_u64).prop_map(|term| Step::Vote { term }),
+        1 => (0..4_u64).prop_map(|keep| Step::Compact { keep }),
+        2 => Just(Step::Reopen),
+    ];
+    prop::collection::vec(step, 1..30)
+}
+
+/// Whatever is written, replaced and read again, the folder holds what one plain list holds.
+#[test]
+fn folder_holds_what_a_plain_list_holds() {
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let outcome = TestRunner::new_with_rng(config, random).run(&steps(), |steps| {
+        let (folder, mut data) = new_folder();
+        let (mut list, mut base, mut hard_state) = (Vec::<LogEntry>::new(), 1_u64, HARD_STATE);
+        for (number, step) in (1..).zip(steps) {
+            let end = list.last().map_or(base, |entry| entry.index.0);
+            match step {
+                Step::Append { back, count } => {
+                    let first = (end + 1).saturating_sub(back).max(base + 1);
+                    let entries: Vec<LogEntry> = (first..first + count).map(|index| entry(index, number, 20)).collect();
+                    list.retain(|entry| entry.index.0 < first);
+                    list.extend(entries.clone());
+                    data.append(None, Some(&append(first, entries)))
+                        .expect("the folder can be written");
+                }
+                Step::Vote { term } => {
+                    hard_state = HardState {
+                        term: Term(term),
+                        vote: Some(ReplicaId(number)),
+                    };
+                    data.append(Some(hard_state), None).expect("the folder can be written");
+                }
+                Step::Compact { keep } => {
+                    let index = end.saturating_sub(keep).max(base);
+                    let term = list
+                        .iter()
+                        .find(|entry| entry.index.0 == index)
+                        .map_or(1, |entry| entry.term.0);
+                    list.retain(|entry| entry.index.0 > index);
+                    base = index;
+                    data.replace(hard_state, &snapshot(index, term), &list)
+                        .expect("it can be replaced");
+                }
+                Step::Reopen => {
+                    drop(data);
+                    data = DataFolder::open(folder.path()).expect("the folder can be opened");
+                    data.load().expect("the folder is whole");
+                }
+            }
+        }
+        drop(data);
+        let stored = load(folder.path()).expect("the folder is whole");
+        prop_assert_eq!(stored.restored.log.entries(), list);
+        prop_assert_eq!(stored.restored.hard_state, hard_state);
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
--- a/crates/acacia-entry/src/control_link.rs
+++ b/crates/acacia-entry/src/control_link.rs
@@ -166,9 +166,8 @@
         stream.set_nodelay(true)?;
         let (reader, mut writer) = split_frames(stream);
         let hello = Hello {
-            group: 0,
-            replica: 0,
             host: self.host.clone(),
+            ..Hello::default()
         };
         writer.send(Frame::Hello(hello)).await?;
         Ok((reader, writer))
--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -19,9 +19,11 @@
 
 /// Joins the group and renews the lease until the link closes.
 pub(crate) async fn keep_lease(entry: Arc<Entry>) {
+    // A group that was formed anew by mistake has empty tables; serving by them would be a reversion.
+    let mut group = None;
     loop {
         let ended = match join(&entry).await {
-            Ok(()) => renew_until_stale(&entry).await,
+            Ok(()) => renew_until_stale(&entry, &mut group).await,
             Err(closed) => Err(closed),
         };
         if ended.is_err() {
@@ -45,7 +47,7 @@
 }
 
 /// Returns when the group no longer knows this incarnation.
-async fn renew_until_stale(entry: &Entry) -> Result<(), LinkClosed> {
+async fn renew_until_stale(entry: &Entry, group: &mut Option<u64>) -> Result<(), LinkClosed> {
     let mut news = entry.link.news();
     let mut mark = 0;
     let mut connection = news.borrow().connection;
@@ -63,6 +65,11 @@
             EntryAnswer::StaleIncarnation => return Ok(()),
             _ => continue,
         };
+        if *group.get_or_insert(renewal.group) != renewal.group {
+            slog::error!(entry.log, "answer from another control group refused"; "event" => event::MESSAGE_REFUSED);
+            tokio::time::sleep(RENEWAL_INTERVAL).await;
+            continue;
+        }
         mark = renewal.endpoint_mark;
         let changed = take_renewal(entry, renewal);
         let held = entry.may_serve(asked_at);
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -239,7 +239,11 @@
 }
 
 /// Sets the options that find a silent connection: keepalive while it is idle, a user timeout while data is under way.
-pub(crate) fn prepare_socket(stream: &TcpStream, user_timeout: Duration) -> std::io::Result<()> {
+///
+/// # Errors
+///
+/// Fails when the system refuses an option.
+pub fn prepare_socket(stream: &TcpStream, user_timeout: Duration) -> std::io::Result<()> {
     const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
     const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
     stream.set_nodelay(true)?;
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -7,7 +7,9 @@
 mod watched_stream;
 
 pub use body::{BodyRefusal, ResponseBody, empty_body, full_body, json_response, read_body, text_response};
-pub use client::{ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure};
+pub use client::{
+    ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure, prepare_socket,
+};
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
 pub use server::{ServerBounds, serve_http};
 pub use watched_stream::WriteGuard;
--- a/crates/acacia-operator/src/lib.rs
+++ b/crates/acacia-operator/src/lib.rs
@@ -1,6 +1,8 @@
 //! A client for the operators' interface of the control group, used by the `acacia` command, by tests and by tools.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use acacia_http::{FetchRequest, FetchedAnswer, fetch_json};
@@ -11,7 +13,7 @@
 use tokio::time::Instant;
 
 /// How long one replica may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long to go on looking for a leader. Elections take about a second.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(15);
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -23,6 +25,9 @@
 pub struct OperatorClient {
     addresses: Vec<SocketAddr>,
     token: String,
+    patience: Duration,
+    /// Which address answered last; it is asked first.
+    last: Arc<AtomicUsize>,
 }
 
 /// A key that was just made.
@@ -58,29 +63,43 @@
         Ok(Self {
             addresses,
             token: token.into(),
+            patience: LEADER_TIMEOUT,
+            last: Arc::default(),
         })
     }
 
+    /// Returns the client with another bound on how long it looks for a leader.
+    #[must_use]
+    pub fn with_patience(self, patience: Duration) -> Self {
+        Self { patience, ..self }
+    }
+
     /// Sends a request to the leader, trying every replica until one leads.
     ///
     /// A request whose answer was lost is sent again, which is safe: every write is recognised by its content.
     ///
     /// # Errors
     ///
-    /// Fails when no leader answers within 15 seconds.
+    /// Fails when no leader answers within 15 seconds, or the time given to [`Self::with_patience`].
     pub async fn request(&self, method: Method, path: &str, body: Option<&Value>) -> anyhow::Result<FetchedAnswer> {
-        let give_up = Instant::now() + LEADER_TIMEOUT;
+        let give_up = Instant::now() + self.patience;
         let mut last_error = None;
         loop {
-            for address in &self.addresses {
+            let first = self.last.load(Ordering::Relaxed);
+            for offset in 0..self.addresses.len() {
+                let index = (first + offset) % self.addresses.len();
+                let address = self.addresses[index];
                 let request = FetchRequest {
                     token: Some(&self.token),
                     body,
                     ..FetchRequest::new(&method, path)
                 };
-                let sent = fetch_json(*address, request, ANSWER_TIMEOUT).await;
+                let sent = fetch_json(address, request, ANSWER_TIMEOUT).await;
                 match sent {
-                    Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE => return Ok(answer),
+                    Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE => {
+                        self.last.store(index, Ordering::Relaxed);
+                        return Ok(answer);
+                    }
                     Ok(answer) => last_error = Some(error_of(&answer)),
                     Err(error) => last_error = Some(error),
                 }
--- a/crates/acacia-settings/src/control_settings.rs
+++ b/crates/acacia-settings/src/control_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of `acacia-control`.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use serde_json::Value;
@@ -26,6 +26,8 @@
     pub admin_address: SocketAddr,
     /// Peer addresses of other replicas, through which a new host finds its group.
     pub control_addresses: Vec<SocketAddr>,
+    /// The hosts of entries and replicas; connections from any other are refused.
+    pub peer_hosts: Vec<IpAddr>,
     /// The SHA-256 digest of the operators' token, in hexadecimal digits.
     pub operator_token_sha256: String,
     /// The platform interface that takes usage windows, as an address; none are sent when it is left out.
@@ -56,6 +58,7 @@
     let operator_address = reader.required("operator_address", findings, as_address);
     let admin_address = reader.required("admin_address", findings, as_address);
     let control_addresses = reader.items("control_addresses", findings, read_address);
+    let peer_hosts = reader.items("peer_hosts", findings, read_ip);
     let operator_token_sha256 = reader.required("operator_token_sha256", findings, as_digest);
     let platform_address = reader.optional("platform_address", findings, as_address);
     let trace_file = reader.optional("trace_file", findings, as_text).map(PathBuf::from);
@@ -68,12 +71,21 @@
         operator_address: operator_address?,
         admin_address: admin_address?,
         control_addresses: control_addresses?,
+        peer_hosts: peer_hosts?,
         operator_token_sha256: operator_token_sha256?.to_owned(),
         platform_address,
         trace_file,
     })
 }
 
+fn read_ip(value: &Value, path: String, findings: &mut Findings) -> Option<IpAddr> {
+    let parsed = as_text(value).and_then(|text| {
+        text.parse()
+            .map_err(|_source| format!("expected an IP address, found `{text}`"))
+    });
+    parsed.map_err(|message| findings.add(path, message)).ok()
+}
+
 fn as_digest(value: &Value) -> Result<&str, String> {
     const DIGITS: usize = 64;
     let text = as_text(value)?;
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -105,6 +105,8 @@
 /// A confirmed configuration: what has changed since the version that the entry named.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LeaseRenewal {
+    /// The group that answers.
+    pub group: u64,
     /// The version that `changes` start from.
     pub from: ConfigVersion,
     /// The changes, one version each.
@@ -206,6 +208,7 @@
                 .map(|report| endpoint_to_wire(now, report))
                 .collect(),
             endpoint_mark: renewal.endpoint_mark,
+            group: renewal.group,
         }),
         EntryAnswer::Claim(outcome) => entry_reply::Body::Claim(claim_to_wire(outcome)),
         EntryAnswer::Done => entry_reply::Body::Done(state::Nothing {}),
@@ -230,6 +233,7 @@
         },
         entry_reply::Body::Joined(incarnation) => EntryAnswer::Joined(EntryIncarnation(incarnation)),
         entry_reply::Body::Renewed(renewed) => EntryAnswer::Renewed(LeaseRenewal {
+            group: renewed.group,
             from: ConfigVersion(renewed.from_version),
             changes: all(renewed.changes, change_from_wire)?,
             whole: renewed.whole.map(config_from_wire).transpose()?,
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry_message;
 mod error;
 mod frame;
+mod replica_message;
 mod table_row;
 
 pub use control_command::{command_from_bytes, command_to_bytes};
@@ -19,6 +20,10 @@
 };
 pub use error::WireError;
 pub use frame::{FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
+pub use replica_message::{
+    entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire, message_from_wire, message_to_wire,
+    snapshot_from_wire, snapshot_to_wire,
+};
 
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
--- a/crates/acaciabay/src/core/consensus/log.rs
+++ b/crates/acaciabay/src/core/consensus/log.rs
@@ -100,6 +100,11 @@
             .collect()
     }
 
+    /// Returns a copy of all entries after the base.
+    pub fn entries(&self) -> Vec<LogEntry> {
+        self.entries.iter().cloned().collect()
+    }
+
     /// Adds an entry at the end.
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index().next(), "entries follow one another");
--- a/crates/acaciabay/src/core/presence.rs
+++ b/crates/acaciabay/src/core/presence.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns since when this leader leads.
+    pub const fn leader_since(&self) -> BootTime {
+        self.leader_since
+    }
+
     /// Notes that an entry's lease was confirmed.
     pub fn confirm(&mut self, host: &HostName, row: PresenceRow) {
         self.rows.insert(host.clone(), row);
--- a/crates/acaciabay/tests/consensus/simulation.rs
+++ b/crates/acaciabay/tests/consensus/simulation.rs
@@ -5,7 +5,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::consensus::{
     DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRow, MemberSet, Replica, ReplicaId,
-    ReplicaMessage, ReplicaRole, ReplicaSnapshot, Term,
+    ReplicaMessage, ReplicaOutput, ReplicaRole, ReplicaSnapshot, Term,
 };
 use bytes::Bytes;
 use rand::rngs::StdRng;
@@ -321,7 +321,7 @@
                 return Ok(());
             };
             let output = replica.take_output();
-            if output == Default::default() {
+            if output == ReplicaOutput::default() {
                 return Ok(());
             }
             let host = &mut self.hosts[index];
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -2,6 +2,8 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -15,6 +17,7 @@
 
 use crate::caller::Caller;
 use crate::program::Program;
+use crate::relay::Relay;
 use crate::wait::wait_until;
 
 const OPERATOR_TOKEN: &str = "test-operator-token";
@@ -47,6 +50,8 @@
     pub decode_rate: u32,
     /// Whether endpoints check fencing numbers.
     pub checks_fencing: bool,
+    /// Whether connections to control replicas pass relays that can cut them.
+    pub relays: bool,
 }
 
 impl Default for ClusterShape {
@@ -58,6 +63,7 @@
             bookings: 1,
             decode_rate: 500,
             checks_fencing: true,
+            relays: false,
         }
     }
 }
@@ -69,6 +75,10 @@
     folder: TempDir,
     ip: Ipv4Addr,
     shape: ClusterShape,
+    operator: OnceLock<OperatorClient>,
+    /// Relays before the control replicas' peer addresses, for clusters that were started with them: other replicas
+    /// and entries connect through these.
+    pub relays: Vec<Relay>,
     /// The control replicas; nothing where one is not running.
     pub controls: Vec<Option<Program>>,
     /// The entries.
@@ -89,10 +99,16 @@
             folder: TempDir::new().expect("the system has a temporary folder"),
             ip: next_address(),
             shape,
+            operator: OnceLock::new(),
+            relays: Vec::new(),
             controls: Vec::new(),
             entries: Vec::new(),
             endpoints: Vec::new(),
         };
+        if shape.relays {
+            cluster.relays = (0..shape.controls).map(|index| cluster.start_relay(index)).collect();
+        }
+        cluster.form_group();
         for index in 0..shape.controls {
             cluster.controls.push(None);
             cluster.start_control(index);
@@ -108,15 +124,67 @@
         cluster
     }
 
+    /// Makes the first control host the first replica of a new group.
+    fn form_group(&self) {
+        let settings = self.write_settings("control-1", &self.control_settings(0));
+        let status = Command::new(self.paths.control)
+            .arg("--settings")
+            .arg(&settings)
+            .arg("--form")
+            .args(self.form_address())
+            .status();
+        assert!(
+            status.expect("the program can be run").success(),
+            "the group could not be formed"
+        );
+    }
+
+    /// Admits all control hosts to the group, one after the other, and waits until each votes.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not succeed.
+    pub async fn complete_group(&self) {
+        let operator = self.operator();
+        for index in 1..self.shape.controls {
+            let body = json!({"host": control_name(index), "address": self.member_address(index).to_string()});
+            let added = operator.expect(Method::POST, "/v1/members", Some(&body)).await;
+            added.expect("the host can be admitted");
+            self.wait_voter(index).await;
+        }
+    }
+
+    /// Waits until a control host votes.
+    pub async fn wait_voter(&self, index: usize) {
+        let operator = self.operator();
+        wait_until(&format!("{} votes", control_name(index)), || async {
+            let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
+            let rows = members["members"].as_array()?.clone();
+            rows.iter()
+                .any(|row| row["host"] == control_name(index) && row["voter"] == true)
+                .then_some(())
+        })
+        .await;
+    }
+
+    /// Returns which control host leads.
+    pub async fn leader(&self) -> usize {
+        let operator = self.operator();
+        wait_until("a replica leads", || async {
+            let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
+            let rows = members["members"].as_array()?.clone();
+            let host = rows.iter().find(|row| row["leader"] == true)?["host"]
+                .as_str()?
+                .to_owned();
+            (0..self.shape.controls).find(|index| control_name(*index) == host)
+        })
+        .await
+    }
+
     /// Starts a control replica (again).
     pub fn start_control(&mut self, index: usize) {
-        let settings = self.write_settings(&format!("control-{}", index + 1), &self.control_settings(index));
-        let program = Program::start(
-            &format!("control-{}", index + 1),
-            Path::new(self.paths.control),
-            &settings,
-            &[],
-        );
+        let settings = self.write_settings(&control_name(index), &self.control_settings(index));
+        let program = Program::start(&control_name(index), Path::new(self.paths.control), &settings, &[]);
         program.wait_event("E0101");
         self.controls[index] = Some(program);
     }
@@ -149,10 +217,27 @@
     ///
     /// Panics when the cluster has no replica.
     pub fn operator(&self) -> OperatorClient {
-        let addresses = (0..self.shape.controls)
-            .map(|index| self.control_address(index, 1))
-            .collect();
-        OperatorClient::new(addresses, OPERATOR_TOKEN).expect("the cluster has a replica")
+        let all: Vec<usize> = (0..self.shape.controls).collect();
+        self.operator.get_or_init(|| self.operator_of_all(&all)).clone()
+    }
+
+    /// Returns a client for the operators' interface of one replica.
+    ///
+    /// # Panics
+    ///
+    /// Never, as one address is enough for a client.
+    pub fn operator_of(&self, index: usize) -> OperatorClient {
+        self.operator_of_all(&[index])
+    }
+
+    /// Returns a client for the operators' interface of some replicas.
+    ///
+    /// # Panics
+    ///
+    /// Panics when none is named.
+    pub fn operator_of_all(&self, indices: &[usize]) -> OperatorClient {
+        let addresses = indices.iter().map(|index| self.control_address(*index, 1)).collect();
+        OperatorClient::new(addresses, OPERATOR_TOKEN).expect("at least one replica is named")
     }
 
     /// Returns the operators' token.
@@ -172,6 +257,8 @@
     ///
     /// Panics when that does not succeed.
     pub async fn configure(&self) -> IssuedKey {
+        self.complete_group().await;
+        self.wait_entries().await;
         self.apply("pools", &default_pools()).await;
         self.apply("routes", &default_routes("bottega-amati")).await;
         let key = self.issue_key("bottega-amati").await;
@@ -215,6 +302,23 @@
             .expect("the table comes into force");
     }
 
+    /// Waits until every entry that runs has joined and serves.
+    pub async fn wait_entries(&self) {
+        for index in (0..self.entries.len()).filter(|index| self.entries[*index].is_some()) {
+            let admin = self.entry_address(index, 2);
+            wait_until(&format!("entry-{} serves", index + 1), || async move {
+                let request = FetchRequest::new(&Method::GET, "/readyz");
+                fetch_json(admin, request, ANSWER_TIMEOUT)
+                    .await
+                    .ok()?
+                    .status
+                    .is_success()
+                    .then_some(())
+            })
+            .await;
+        }
+    }
+
     /// Waits until every entry knows every endpoint.
     pub async fn wait_endpoints(&self) {
         for index in 0..self.entries.len() {
@@ -277,6 +381,13 @@
         self.address(3_000, index, 0)
     }
 
+    /// Returns the address under which the other replicas know a replica.
+    fn member_address(&self, index: usize) -> SocketAddr {
+        self.relays
+            .get(index)
+            .map_or_else(|| self.control_address(index, 0), |relay| relay.address)
+    }
+
     /// Returns the data folder of a replica.
     pub fn control_folder(&self, index: usize) -> PathBuf {
         self.folder.path().join(format!("control-{}-data", index + 1))
@@ -301,6 +412,14 @@
         SocketAddr::new(IpAddr::V4(self.ip), base + index * 10 + which)
     }
 
+    fn form_address(&self) -> Vec<String> {
+        vec!["--peer-address".to_owned(), self.member_address(0).to_string()]
+    }
+
+    fn start_relay(&self, index: usize) -> Relay {
+        Relay::start(self.address(4_000, index, 0), self.control_address(index, 0))
+    }
+
     fn write_settings(&self, name: &str, settings: &Value) -> PathBuf {
         let path = self.folder.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
@@ -310,19 +429,20 @@
     fn control_settings(&self, index: usize) -> Value {
         let others = (0..self.shape.controls).filter(|other| *other != index);
         json!({
-            "host": format!("control-{}", index + 1),
+            "host": control_name(index),
             "failure_domain": domain_of(index),
             "data_folder": self.control_folder(index),
             "peer_address": self.control_address(index, 0).to_string(),
             "operator_address": self.control_address(index, 1).to_string(),
             "admin_address": self.control_address(index, 2).to_string(),
-            "control_addresses": others.map(|other| self.control_address(other, 0).to_string()).collect::<Vec<_>>(),
+            "control_addresses": others.map(|other| self.member_address(other).to_string()).collect::<Vec<_>>(),
+            "peer_hosts": ["127.0.0.1", self.ip.to_string()],
             "operator_token_sha256": ContentDigest::of(OPERATOR_TOKEN).to_hex(),
         })
     }
 
     fn entry_settings(&self, index: usize) -> Value {
-        let controls = (0..self.shape.controls).map(|control| self.control_address(control, 0).to_string());
+        let controls = (0..self.shape.controls).map(|control| self.member_address(control).to_string());
         json!({
             "host": format!("entry-{}", index + 1),
             "failure_domain": domain_of(index),
@@ -369,6 +489,10 @@
     ])
 }
 
+fn control_name(index: usize) -> String {
+    format!("control-{}", index + 1)
+}
+
 fn domain_of(index: usize) -> String {
     format!("domain-{}", index % 3 + 1)
 }
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -8,9 +8,11 @@
 mod caller;
 mod cluster;
 mod program;
+mod relay;
 mod wait;
 
 pub use caller::{Caller, StreamedAnswer};
 pub use cluster::{ClusterShape, ProgramPaths, TestCluster};
 pub use program::Program;
+pub use relay::Relay;
 pub use wait::wait_until;
--- a/src/bin/acacia-local.rs
+++ b/src/bin/acacia-local.rs
@@ -77,13 +77,17 @@
     for standin in system.standins {
         standin.finished().await?;
     }
-    system.control.finished().await;
-    Ok(())
+    system.control.finished().await
 }
 
 async fn start(data: &Path, stop: &CancellationToken, log: &Logger) -> anyhow::Result<LocalSystem> {
     let page = MetricsPage::install()?;
-    let control = acacia_control::start(control_settings(data), stop.clone(), page.clone(), log.clone()).await?;
+    let settings = control_settings(data);
+    if !acacia_control::is_formed(&settings.data_folder)? {
+        // A group of one never dials its own address, so a port that is drawn anew at each start does no harm.
+        acacia_control::form_group(&settings, settings.peer_address)?;
+    }
+    let control = acacia_control::start(settings, stop.clone(), page.clone(), log.clone()).await?;
     let mut entries = Vec::new();
     for host in ["entry-1", "entry-2"] {
         let settings = entry_settings(host, control.peer_address);
@@ -119,6 +123,7 @@
         operator_address: ANY_PORT,
         admin_address: ANY_PORT,
         control_addresses: Vec::new(),
+        peer_hosts: vec![ANY_PORT.ip()],
         operator_token_sha256: ContentDigest::of(LOCAL_TOKEN).to_hex(),
         platform_address: None,
         trace_file: None,
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod keys;
+mod members;
 mod pools;
 mod routes;
 mod status;
@@ -23,6 +24,7 @@
     Routes(routes::RoutesArgs),
     Pools(pools::PoolsArgs),
     Keys(keys::KeysArgs),
+    Members(members::MembersArgs),
     Entries(entries::EntriesArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
@@ -35,6 +37,7 @@
             Self::Routes(args) => args.exec(client).await,
             Self::Pools(args) => args.exec(client).await,
             Self::Keys(args) => args.exec(client).await,
+            Self::Members(args) => args.exec(client).await,
             Self::Entries(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
--- a/src/bin/acacia/commands/status.rs
+++ b/src/bin/acacia/commands/status.rs
@@ -43,6 +43,8 @@
 }
 
 fn print_status(status: &Value) {
+    print_members(status);
+    println!();
     println!(
         "configuration version {} (routes {}, pools {})",
         status["version"], status["routes"], status["pools"]
@@ -56,6 +58,25 @@
     }
 }
 
+/// Prints the replicas of the control group, the leader marked.
+pub(super) fn print_members(status: &Value) {
+    println!("{:<20} {:>8}  {:<22} part", "control host", "replica", "address");
+    for member in rows(&status["members"]) {
+        let part = match (&member["leader"], &member["voter"], &member["bound"]) {
+            (Value::Bool(true), ..) => "leader",
+            (_, Value::Bool(true), _) => "voter",
+            (_, _, Value::Bool(true)) => "learner",
+            _ => "awaited",
+        };
+        let replica = member["replica"].as_u64().unwrap_or(0);
+        println!(
+            "{:<20} {replica:>8}  {:<22} {part}",
+            text(member, "host"),
+            text(member, "address")
+        );
+    }
+}
+
 fn print_entries(status: &Value) {
     println!(
         "\n{:<20} {:<20} {:>11} {:>9}  serves",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests over the real binaries, a file for each topic. See `CONTRIBUTING.md` for how to run one of them.
 
+mod at_most_once;
+mod authority;
 mod bad_input;
 mod catalogue;
 mod command_line;
