Send orders and usage windows from the leader alone

Change: `plan_deliveries` decides for each committed, unsettled order whether to send, settle or wait; the leader's duties carry that out over connections that are never kept, with the lease checked in the socket's write. Usage windows are sealed in the log and sent the same way to the platform. `acacia endpoints drain|serve`.

Found and mended: - An order was settled from a report that was older than the order: after serve (2), drain (3) was taken for done because the engine still showed as draining from drain (1), and was never sent (orders::resumed_leader_sends_no_order_of_its_old_term: last order "serve" in place of "drain"). A report now settles an order only if it came after the last copy of it had arrived or was lost. - The error event of a stream that could not be mended was lost, because the server drops what it has not flushed when a body fails (whole_answers::stream_that_cannot_be_mended_does_not_look_whole). The connection is now broken 50 ms after the event.

--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -12,6 +12,7 @@
 use acacia_settings::ControlSettings;
 use acacia_wire::generated::replica::Hello;
 use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
+use acaciabay::core::delivery::DeliveryTable;
 use acaciabay::core::endpoint_news::EndpointNews;
 use acaciabay::core::presence::PresenceTable;
 use acaciabay::util::digest::ContentDigest;
@@ -28,6 +29,7 @@
 use crate::driver::{DriverParts, GroupDriver};
 use crate::group::{GroupHandle, GroupInput, GroupShared};
 use crate::joining::await_identity;
+use crate::leader_duties::carry_out_duties;
 use crate::operator_api::OperatorApi;
 use crate::peer_links::PeerLinks;
 use crate::peer_listener::serve_peers;
@@ -47,6 +49,10 @@
 pub(crate) struct SoftState {
     pub(crate) presence: PresenceTable,
     pub(crate) endpoints: EndpointNews,
+    /// Orders under way.
+    pub(crate) orders: DeliveryTable,
+    /// Usage windows under way.
+    pub(crate) windows: DeliveryTable,
 }
 
 impl Control {
@@ -56,6 +62,8 @@
         let mut soft = self.soft.lock();
         if soft.presence.leader_since() != since {
             soft.presence = PresenceTable::starting_at(since);
+            soft.orders = DeliveryTable::starting_at(since);
+            soft.windows = DeliveryTable::starting_at(since);
         }
         soft
     }
@@ -328,6 +336,7 @@
 ) -> TaskTracker {
     let tasks = TaskTracker::new();
     let api = OperatorApi::new(Arc::clone(control), token);
+    tasks.spawn(carry_out_duties(Arc::clone(control), stop.clone()));
     tasks.spawn(serve_peers(listeners.peers, Arc::clone(control), stop.clone()));
     tasks.spawn(serve_http(
         listeners.operators,
--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -11,7 +11,8 @@
 use acaciabay::core::endpoint::EndpointState;
 use acaciabay::core::entry_config::ConfigVersion;
 use acaciabay::core::key::{KeyId, KeyRow};
-use acaciabay::core::name::HostName;
+use acaciabay::core::name::{EndpointName, HostName};
+use acaciabay::core::order::{OrderRefusal, OrderTarget};
 use acaciabay::util::digest::ContentDigest;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -145,6 +146,8 @@
             (&Method::GET, ["v1", "usage"]) => self.usage().await,
             (&Method::GET, ["v1", "in-force"]) => self.in_force(&request).await,
             (&Method::DELETE, ["v1", "entries", host]) => self.remove_entry(host).await,
+            (&Method::POST, ["v1", "endpoints", name, "drain"]) => self.order(name, OrderTarget::Drain).await,
+            (&Method::POST, ["v1", "endpoints", name, "serve"]) => self.order(name, OrderTarget::Serve).await,
             (&Method::GET, ["v1", "members"]) => list_members(&self.control).await,
             (&Method::POST, ["v1", "members"]) => add_member(&self.control, &request).await,
             (&Method::DELETE, ["v1", "members", host]) => remove_member(&self.control, host).await,
@@ -224,6 +227,40 @@
         Ok(json!({"removed": host}))
     }
 
+    /// Records the intent to order an endpoint; it is sent by the leader's duties.
+    async fn order(&self, name: &str, target: OrderTarget) -> OperatorAnswer {
+        let endpoint = EndpointName::new(name);
+        self.control.group.confirm().await?;
+        let known = self
+            .control
+            .soft()
+            .endpoints
+            .table()
+            .get(&endpoint)
+            .map(|row| row.incarnation);
+        let incarnation = known.ok_or_else(|| {
+            let message = format!("no endpoint called `{name}` has reported");
+            OperatorRefusal::new(StatusCode::NOT_FOUND, "no_such_endpoint", message)
+        })?;
+        match self
+            .control
+            .group
+            .propose(ControlCommand::IntendOrder {
+                endpoint,
+                incarnation,
+                target,
+            })
+            .await?
+        {
+            CommandOutcome::Order(Ok(number)) => Ok(json!({"endpoint": name, "number": number.0})),
+            CommandOutcome::Order(Err(OrderRefusal::Unsettled(number))) => {
+                let message = format!("order {} to `{name}` is not settled yet", number.0);
+                Err(OperatorRefusal::new(StatusCode::CONFLICT, "order_unsettled", message))
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
     async fn usage(&self) -> OperatorAnswer {
         self.control.group.confirm().await?;
         let state = self.control.group.read();
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -36,6 +36,9 @@
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long an engine may pause between tokens; the target is 30 ms, so this is silence, not slowness.
 const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long after the error event the connection is broken. A body that fails at once takes the event with it, because
+/// the server drops what it has not flushed.
+const BREAK_DELAY: Duration = Duration::from_millis(50);
 /// How many chunks may wait for a slow caller. The engine is slowed down beyond it, so memory stays bounded.
 const WAITING_CHUNKS: usize = 32;
 
@@ -433,6 +436,7 @@
             run.bill_partial().await;
             // The caller is told why, and the broken connection tells it that the answer is not whole.
             let _gone = send(&sender, &refusal.to_json()).await;
+            tokio::time::sleep(BREAK_DELAY).await;
             let _gone = sender.send(Err(std::io::Error::other(refusal.message))).await;
         }
     }
--- /dev/null
+++ b/crates/acacia-http/tests/client.rs
@@ -0,0 +1,185 @@
+//! What the client says of a failed request must be true, and no connection may carry two answers into each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use acacia_http::{ClientOptions, ConnectionChoice, EndpointClient, WriteGuard, read_body};
+use acaciabay::core::attempt::AttemptState;
+use acaciabay::core::clock::BootTime;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const NOW: BootTime = BootTime::from_millis(1_000);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn request() -> Request<Full<Bytes>> {
+    Request::post("/")
+        .header("host", "test")
+        .body(Full::new(Bytes::from_static(b"body")))
+        .expect("it is valid")
+}
+
+/// What a scripted server does with each connection.
+#[derive(Clone, Copy, Debug)]
+enum Script {
+    /// Answers every request on it.
+    Answer,
+    /// Reads a request and closes.
+    ReadAndClose,
+    /// Answers one request and then says nothing more.
+    AnswerOnce,
+}
+
+#[derive(Debug, Default)]
+struct ServerRecord {
+    connections: AtomicUsize,
+    bytes: AtomicUsize,
+}
+
+async fn serve(script: Script) -> (SocketAddr, Arc<ServerRecord>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let record = Arc::new(ServerRecord::default());
+    let shared = Arc::clone(&record);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            shared.connections.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(serve_connection(stream, script, Arc::clone(&shared)));
+        }
+    });
+    (address, record)
+}
+
+async fn serve_connection(mut stream: TcpStream, script: Script, record: Arc<ServerRecord>) {
+    let mut buffer = [0; 4_096];
+    let mut answered = false;
+    while let Ok(count) = stream.read(&mut buffer).await {
+        record.bytes.fetch_add(count, Ordering::SeqCst);
+        if count == 0 {
+            return;
+        }
+        match script {
+            Script::ReadAndClose => return,
+            Script::AnswerOnce if answered => {}
+            Script::Answer | Script::AnswerOnce => {
+                answered = true;
+                let _gone = stream.write_all(ANSWER).await;
+            }
+        }
+    }
+}
+
+fn client(options: ClientOptions) -> EndpointClient {
+    EndpointClient::new(options)
+}
+
+async fn exchange(client: &EndpointClient, address: SocketAddr) {
+    let answer = client
+        .send(NOW, address, ConnectionChoice::Pooled, request())
+        .await
+        .expect("the server answers");
+    let body = read_body(answer.response.into_body(), 100, Duration::from_secs(5))
+        .await
+        .expect("the answer is whole");
+    assert_eq!(body, "ok");
+    client.give_back(NOW, answer.connection).await;
+}
+
+/// Nothing listens at the endpoint's address any more.
+#[tokio::test]
+async fn refused_connection_is_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    drop(listener);
+
+    let failure = client(ClientOptions::default())
+        .send(NOW, address, ConnectionChoice::Pooled, request())
+        .await;
+
+    assert_eq!(failure.expect_err("nothing listens").state, AttemptState::Unsent);
+}
+
+/// An endpoint reads a request and dies. It may have run it, so the request must not pass for one that was not run.
+#[tokio::test]
+async fn request_that_was_read_is_written() {
+    let (address, _) = serve(Script::ReadAndClose).await;
+
+    let failure = client(ClientOptions::default())
+        .send(NOW, address, ConnectionChoice::Pooled, request())
+        .await;
+
+    assert_eq!(failure.expect_err("the server closes").state, AttemptState::Written);
+}
+
+#[tokio::test]
+async fn connection_is_used_again_after_a_whole_answer() {
+    let (address, record) = serve(Script::Answer).await;
+    let client = client(ClientOptions::default());
+
+    for _ in 0..3 {
+        exchange(&client, address).await;
+    }
+
+    assert_eq!(record.connections.load(Ordering::SeqCst), 1);
+}
+
+/// A caller gives up before its answer is whole. The rest of that answer arrives on the same connection later and must
+/// not be taken for the next request's.
+#[tokio::test]
+async fn connection_with_an_unread_answer_is_not_used_again() {
+    let (address, record) = serve(Script::Answer).await;
+    let client = client(ClientOptions::default());
+
+    let answer = client
+        .send(NOW, address, ConnectionChoice::Pooled, request())
+        .await
+        .expect("the server answers");
+    drop(answer);
+    exchange(&client, address).await;
+
+    assert_eq!(record.connections.load(Ordering::SeqCst), 2);
+}
+
+/// Something on the way has lost track of an idle connection. One that was idle for long is not trusted.
+#[tokio::test]
+async fn connection_that_was_idle_for_long_is_not_used() {
+    let (address, record) = serve(Script::AnswerOnce).await;
+    let client = client(ClientOptions::default());
+    exchange(&client, address).await;
+
+    let later = NOW + Duration::from_secs(60);
+    let sent = client.send(later, address, ConnectionChoice::Pooled, request()).await;
+
+    assert!(sent.is_ok());
+    assert_eq!(record.connections.load(Ordering::SeqCst), 2);
+}
+
+/// A process decides to send an order and is paused; its lease runs out before it goes on. No byte of the order may
+/// leave then, because another process is in charge.
+#[tokio::test]
+async fn nothing_is_written_once_the_guard_says_no() {
+    let (address, record) = serve(Script::Answer).await;
+    let holds_lease = Arc::new(AtomicBool::new(true));
+    let asked = Arc::clone(&holds_lease);
+    let guard = WriteGuard::new(move || asked.load(Ordering::SeqCst));
+    let client = client(ClientOptions {
+        guard: Some(guard),
+        ..ClientOptions::default()
+    });
+    exchange(&client, address).await;
+    let before = record.bytes.load(Ordering::SeqCst);
+
+    holds_lease.store(false, Ordering::SeqCst);
+    let pooled = client.send(NOW, address, ConnectionChoice::Pooled, request()).await;
+    let fresh = client.send(NOW, address, ConnectionChoice::Fresh, request()).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    assert_eq!(pooled.expect_err("the guard says no").state, AttemptState::Unsent);
+    assert_eq!(fresh.expect_err("the guard says no").state, AttemptState::Unsent);
+    assert_eq!(record.bytes.load(Ordering::SeqCst), before);
+}
--- a/crates/acacia-settings/src/control_settings.rs
+++ b/crates/acacia-settings/src/control_settings.rs
@@ -2,12 +2,16 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::time::Duration;
 
 use serde_json::Value;
 
 use crate::entry_settings::read_address;
 use crate::finding::Findings;
-use crate::object_reader::{ObjectReader, as_address, as_name, as_text};
+use crate::object_reader::{ObjectReader, as_address, as_millis, as_name, as_text};
+
+/// How long a usage window stays open when the settings do not say.
+pub const DEFAULT_WINDOW: Duration = Duration::from_secs(60);
 
 /// What one host of the control group is told at its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +36,8 @@
     pub operator_token_sha256: String,
     /// The platform interface that takes usage windows, as an address; none are sent when it is left out.
     pub platform_address: Option<SocketAddr>,
+    /// How long a usage window stays open.
+    pub usage_window: Duration,
     /// Where spans are written, as OTLP in JSON, one export a line.
     pub trace_file: Option<PathBuf>,
 }
@@ -61,6 +67,7 @@
     let peer_hosts = reader.items("peer_hosts", findings, read_ip);
     let operator_token_sha256 = reader.required("operator_token_sha256", findings, as_digest);
     let platform_address = reader.optional("platform_address", findings, as_address);
+    let usage_window = reader.optional("usage_window_ms", findings, as_millis(100..=86_400_000));
     let trace_file = reader.optional("trace_file", findings, as_text).map(PathBuf::from);
     reader.finish(findings);
     Some(ControlSettings {
@@ -74,6 +81,7 @@
         peer_hosts: peer_hosts?,
         operator_token_sha256: operator_token_sha256?.to_owned(),
         platform_address,
+        usage_window: usage_window.unwrap_or(DEFAULT_WINDOW),
         trace_file,
     })
 }
--- a/crates/acacia-settings/src/lib.rs
+++ b/crates/acacia-settings/src/lib.rs
@@ -11,7 +11,7 @@
 mod standin_settings;
 mod table_document;
 
-pub use control_settings::ControlSettings;
+pub use control_settings::{ControlSettings, DEFAULT_WINDOW};
 pub use entry_settings::{AdmissionPolicy, CallerLimits, EntrySettings};
 pub use finding::{Finding, Findings, read_document};
 pub use object_reader::ObjectReader;
--- a/crates/acacia-settings/src/standin_settings.rs
+++ b/crates/acacia-settings/src/standin_settings.rs
@@ -44,6 +44,8 @@
         /// The service's name.
         service: String,
     },
+    /// The platform's interface that takes usage windows. It reports to nobody.
+    Platform,
 }
 
 impl StandinSettings {
@@ -67,6 +69,9 @@
     let entry_addresses = reader.items("entry_addresses", findings, read_address);
     let models = reader.optional("models", findings, as_names);
     let service = reader.optional("service", findings, as_text);
+    let platform = reader
+        .optional("platform", findings, crate::object_reader::as_flag)
+        .unwrap_or(false);
     let mut rate = |name, fallback| {
         let count = reader
             .optional(name, findings, as_count(1..=10_000_000))
@@ -80,13 +85,14 @@
         .optional("checks_fencing", findings, crate::object_reader::as_flag)
         .unwrap_or(true);
     reader.finish(findings);
-    let kind = match (models, service) {
-        (Some(models), None) => StandinKind::Engine { models },
-        (None, Some(service)) => StandinKind::Service {
+    let kind = match (models, service, platform) {
+        (Some(models), None, false) => StandinKind::Engine { models },
+        (None, Some(service), false) => StandinKind::Service {
             service: service.to_owned(),
         },
+        (None, None, true) => StandinKind::Platform,
         _ => {
-            findings.add("/", "expected either `models` or `service`");
+            findings.add("/", "expected one of `models`, `service` and `platform`");
             return None;
         }
     };
--- a/crates/acacia-standin/src/lib.rs
+++ b/crates/acacia-standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod fault;
 mod order;
+mod platform;
 mod record;
 mod report;
 mod routes;
@@ -13,5 +14,5 @@
 
 pub use engine::{count_tokens, naive_text};
 pub use fault::FaultPlan;
-pub use record::{OrderRecord, RunRecord, RunState, StandinRecord};
+pub use record::{OrderRecord, RunRecord, RunState, StandinRecord, WindowRecord};
 pub use standin::{RunningStandin, start};
--- a/crates/acacia-standin/src/record.rs
+++ b/crates/acacia-standin/src/record.rs
@@ -40,6 +40,15 @@
     pub target: String,
 }
 
+/// One usage window that has arrived.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowRecord {
+    /// Its number.
+    pub window: u64,
+    /// Its body, to the byte.
+    pub body: String,
+}
+
 /// Everything a stand-in has done.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StandinRecord {
@@ -47,6 +56,8 @@
     pub runs: Vec<RunRecord>,
     /// Orders in the order in which they were carried out.
     pub orders: Vec<OrderRecord>,
+    /// Usage windows in the order in which they arrived, repeated ones included.
+    pub windows: Vec<WindowRecord>,
     /// Requests refused as not run.
     pub refused: u64,
 }
--- a/crates/acacia-standin/src/report.rs
+++ b/crates/acacia-standin/src/report.rs
@@ -51,6 +51,7 @@
     match &settings.kind {
         StandinKind::Engine { models } => report["models"] = json!(models),
         StandinKind::Service { service } => report["service"] = json!(service),
+        StandinKind::Platform => {}
     }
     report
 }
--- a/crates/acacia-standin/src/routes.rs
+++ b/crates/acacia-standin/src/routes.rs
@@ -17,6 +17,7 @@
 use crate::engine::{CompletionForm, complete};
 use crate::fault::FaultPlan;
 use crate::order::take_order;
+use crate::platform::take_window;
 use crate::service::run_service;
 use crate::standin::Standin;
 
@@ -59,6 +60,7 @@
         (StandinKind::Engine { .. }, "/v1/chat/completions") => complete(standin, whole, CompletionForm::Chat).await,
         (StandinKind::Engine { .. }, _) => json_response(StatusCode::NOT_FOUND, &json!({"error": "no such path"})),
         (StandinKind::Service { .. }, _) => run_service(standin, whole).await,
+        (StandinKind::Platform, _) => take_window(&standin, &whole),
     }
 }
 
--- a/crates/acaciabay/src/core/mod.rs
+++ b/crates/acaciabay/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod consensus;
 pub mod control_state;
+pub mod delivery;
 pub mod endpoint;
 pub mod endpoint_news;
 pub mod entry_config;
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod check_tables;
 pub mod place_request;
+pub mod plan_deliveries;
 pub mod route_request;
--- /dev/null
+++ b/crates/acaciabay/src/ops/plan_deliveries.rs
@@ -0,0 +1,82 @@
+//! Decides for each unsettled order whether to send it, to settle it, or to wait.
+
+use crate::core::clock::BootTime;
+use crate::core::delivery::DeliveryTable;
+use crate::core::endpoint::{EndpointRow, EndpointState, EndpointTable};
+use crate::core::name::EndpointName;
+use crate::core::order::{OrderRow, OrderTable, OrderTarget};
+
+/// What to do about one order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeliveryStep {
+    /// Send the order to the endpoint.
+    Send {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Where it is.
+        address: std::net::SocketAddr,
+        /// The order.
+        order: OrderRow,
+    },
+    /// Record that the order is settled: nothing more will come of it.
+    Settle {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The order.
+        order: OrderRow,
+    },
+}
+
+/// Plans the next step of every unsettled order.
+///
+/// An order is settled without an answer in two cases only. A newer incarnation of the endpoint has never received it.
+/// And an endpoint that is what the order asked for has carried it out, provided that it said so after the last copy of
+/// the order had arrived or was lost. An earlier report may show what the endpoint was before the order before this
+/// one, and a copy still under way could undo a later order.
+pub fn plan_deliveries(
+    now: BootTime,
+    orders: &OrderTable,
+    endpoints: &EndpointTable,
+    deliveries: &DeliveryTable,
+) -> Vec<DeliveryStep> {
+    let unsettled = orders.rows().filter(|(_, order)| !order.settled);
+    unsettled
+        .filter_map(|(name, order)| plan_one(now, name, order, endpoints.get(name), deliveries))
+        .collect()
+}
+
+fn plan_one(
+    now: BootTime,
+    name: &EndpointName,
+    order: &OrderRow,
+    endpoint: Option<&EndpointRow>,
+    deliveries: &DeliveryTable,
+) -> Option<DeliveryStep> {
+    let endpoint = endpoint?;
+    let number = order.number.0;
+    let quiet_since = deliveries.quiet_since(number);
+    let reported_since = quiet_since.is_some_and(|since| endpoint.heard_at >= since);
+    let void = endpoint.incarnation > order.incarnation;
+    let same = endpoint.incarnation == order.incarnation;
+    let done = same && reported_since && is_at_target(endpoint, &order.target);
+    if void || done {
+        return Some(DeliveryStep::Settle {
+            endpoint: name.clone(),
+            order: order.clone(),
+        });
+    }
+    let send = same && deliveries.may_send(number, now);
+    let (address, order) = (endpoint.address, order.clone());
+    send.then(|| DeliveryStep::Send {
+        endpoint: name.clone(),
+        address,
+        order,
+    })
+}
+
+const fn is_at_target(endpoint: &EndpointRow, target: &OrderTarget) -> bool {
+    match (endpoint.state, target) {
+        (EndpointState::Ready, OrderTarget::Serve) | (EndpointState::Draining, OrderTarget::Drain) => true,
+        (EndpointState::Ready, OrderTarget::Drain) | (EndpointState::Draining, OrderTarget::Serve) => false,
+    }
+}
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -50,6 +50,8 @@
     pub decode_rate: u32,
     /// Whether endpoints check fencing numbers.
     pub checks_fencing: bool,
+    /// Whether there is a platform interface that takes usage windows, as the last endpoint.
+    pub platform: bool,
     /// Whether connections to control replicas pass relays that can cut them.
     pub relays: bool,
 }
@@ -63,6 +65,7 @@
             bookings: 1,
             decode_rate: 500,
             checks_fencing: true,
+            platform: false,
             relays: false,
         }
     }
@@ -117,7 +120,7 @@
             cluster.entries.push(None);
             cluster.start_entry(index);
         }
-        for index in 0..shape.engines + shape.bookings {
+        for index in 0..shape.engines + shape.bookings + usize::from(shape.platform) {
             cluster.endpoints.push(None);
             cluster.start_endpoint(index);
         }
@@ -322,7 +325,7 @@
     /// Waits until every entry knows every endpoint.
     pub async fn wait_endpoints(&self) {
         for index in 0..self.entries.len() {
-            for endpoint in 0..self.endpoints.len() {
+            for endpoint in 0..self.shape.engines + self.shape.bookings {
                 let name = self.endpoint_name(endpoint);
                 let admin = self.entry_address(index, 2);
                 wait_until(&format!("entry-{} knows `{name}`", index + 1), || {
@@ -398,8 +401,16 @@
         self.folder.path()
     }
 
+    /// Returns the place of the platform among the endpoints.
+    pub const fn platform(&self) -> usize {
+        self.shape.engines + self.shape.bookings
+    }
+
     /// Returns the name of an endpoint.
     pub fn endpoint_name(&self, index: usize) -> String {
+        if index == self.platform() {
+            return "platform".to_owned();
+        }
         if index < self.shape.engines {
             format!("engine-{}", index + 1)
         } else {
@@ -428,7 +439,7 @@
 
     fn control_settings(&self, index: usize) -> Value {
         let others = (0..self.shape.controls).filter(|other| *other != index);
-        json!({
+        let mut settings = json!({
             "host": control_name(index),
             "failure_domain": domain_of(index),
             "data_folder": self.control_folder(index),
@@ -438,7 +449,12 @@
             "control_addresses": others.map(|other| self.member_address(other).to_string()).collect::<Vec<_>>(),
             "peer_hosts": ["127.0.0.1", self.ip.to_string()],
             "operator_token_sha256": ContentDigest::of(OPERATOR_TOKEN).to_hex(),
-        })
+            "usage_window_ms": 300,
+        });
+        if self.shape.platform {
+            settings["platform_address"] = json!(self.endpoint_address(self.platform()).to_string());
+        }
+        settings
     }
 
     fn entry_settings(&self, index: usize) -> Value {
@@ -464,7 +480,9 @@
             "decode_rate": self.shape.decode_rate,
             "checks_fencing": self.shape.checks_fencing,
         });
-        if index < self.shape.engines {
+        if index == self.platform() {
+            settings["platform"] = json!(true);
+        } else if index < self.shape.engines {
             settings["models"] = json!(["liuto-7b"]);
         } else {
             settings["service"] = json!("booking");
--- a/src/bin/acacia-local.rs
+++ b/src/bin/acacia-local.rs
@@ -12,7 +12,9 @@
 use acacia_runtime::log::{open_log, silent_log};
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_runtime::program::{run_program, stop_token};
-use acacia_settings::{AdmissionPolicy, CallerLimits, ControlSettings, EntrySettings, StandinKind, StandinSettings};
+use acacia_settings::{
+    AdmissionPolicy, CallerLimits, ControlSettings, DEFAULT_WINDOW, EntrySettings, StandinKind, StandinSettings,
+};
 use acacia_standin::RunningStandin;
 use acaciabay::util::digest::ContentDigest;
 use anyhow::{Context, ensure};
@@ -126,6 +128,7 @@
         peer_hosts: vec![ANY_PORT.ip()],
         operator_token_sha256: ContentDigest::of(LOCAL_TOKEN).to_hex(),
         platform_address: None,
+        usage_window: DEFAULT_WINDOW,
         trace_file: None,
     }
 }
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One file for each subcommand, with its arguments and its `exec`.
 
+mod endpoints;
 mod entries;
 mod keys;
 mod members;
@@ -26,6 +27,7 @@
     Keys(keys::KeysArgs),
     Members(members::MembersArgs),
     Entries(entries::EntriesArgs),
+    Endpoints(endpoints::EndpointsArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
 }
@@ -39,6 +41,7 @@
             Self::Keys(args) => args.exec(client).await,
             Self::Members(args) => args.exec(client).await,
             Self::Entries(args) => args.exec(client).await,
+            Self::Endpoints(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,8 @@
 mod bad_input;
 mod catalogue;
 mod command_line;
+mod orders;
+mod planned_changes;
 mod support;
 mod thin_path;
+mod whole_answers;
