--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -68,6 +68,7 @@
         bookings: 0,
         ..ClusterShape::default()
     });
+    cluster.wait_entries().await;
     let file = cluster.folder().join("pools.json");
     std::fs::write(&file, r#"[{"name": "p", "kind": "engine", "endpoints": ["e*"]}]"#)
         .expect("the folder can be written");
