--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -9,11 +9,15 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::metrics_page::MetricsPage;
+use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::ControlSettings;
+use acacia_wire::ReportRow;
 use acacia_wire::generated::replica::Hello;
 use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
 use acaciabay::core::delivery::DeliveryTable;
 use acaciabay::core::endpoint_news::EndpointNews;
+use acaciabay::core::member::EntryTable;
+use acaciabay::core::name::HostName;
 use acaciabay::core::presence::PresenceTable;
 use acaciabay::util::digest::ContentDigest;
 use anyhow::{Context, bail};
@@ -33,6 +37,7 @@
 use crate::operator_api::OperatorApi;
 use crate::peer_links::PeerLinks;
 use crate::peer_listener::serve_peers;
+use crate::share_plan::SharePlan;
 use crate::storage::{DataFolder, FolderIdentity};
 
 /// What the tasks of one control process share.
@@ -41,6 +46,7 @@
     pub(crate) settings: ControlSettings,
     pub(crate) group: GroupHandle,
     pub(crate) log: Logger,
+    pub(crate) spans: SpanRecorder,
     soft: Mutex<SoftState>,
 }
 
@@ -49,19 +55,36 @@
 pub(crate) struct SoftState {
     pub(crate) presence: PresenceTable,
     pub(crate) endpoints: EndpointNews,
+    /// What the entries may have in use of each pool.
+    pub(crate) shares: SharePlan,
     /// Orders under way.
     pub(crate) orders: DeliveryTable,
     /// Usage windows under way.
     pub(crate) windows: DeliveryTable,
 }
 
+impl SoftState {
+    /// Returns what has been reported since `mark` of the endpoints that an entry hears of.
+    pub(crate) fn news_for(&mut self, entries: &EntryTable, host: &HostName, mark: u64) -> Vec<ReportRow> {
+        self.endpoints.follow(entries);
+        self.endpoints
+            .since(host, mark)
+            .map(|(name, row)| (name.clone(), row.clone()))
+            .collect()
+    }
+}
+
 impl Control {
     /// Returns the soft state of the present leadership.
+    ///
+    /// Whoever needs the replicated state too reads that first: with the two locked in either order, a task that holds
+    /// one, a task that holds the other and the driver waiting to write could wait for each other for ever.
     pub(crate) fn soft(&self) -> MutexGuard<'_, SoftState> {
         let since = self.group.status().borrow().leading_since.unwrap_or_else(boot_now);
         let mut soft = self.soft.lock();
         if soft.presence.leader_since() != since {
             soft.presence = PresenceTable::starting_at(since);
+            soft.shares = SharePlan::default();
             soft.orders = DeliveryTable::starting_at(since);
             soft.windows = DeliveryTable::starting_at(since);
         }
@@ -272,10 +295,12 @@
         };
         let driver = GroupDriver::open(folder, parts, boot_now(), random_number()?)?;
         let group = GroupHandle::new(inputs, shared, identity.group);
+        let spans = SpanRecorder::open(settings.trace_file.as_deref(), "acacia-control", &settings.host, &log)?;
         let control = Arc::new(Control {
             settings,
             group,
             log,
+            spans,
             soft: Mutex::default(),
         });
         let driving = spawn_driver(driver, stop.clone(), control.log.clone());
--- a/crates/acacia-control/src/entry_session.rs
+++ b/crates/acacia-control/src/entry_session.rs
@@ -4,6 +4,7 @@
 
 use acacia_runtime::clock::{boot_now, wall_now};
 use acacia_runtime::event;
+use acacia_runtime::trace::TraceContext;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::{
     ClaimRequest, EntryAnswer, EntryCall, FrameReader, FrameWriter, LeaseRenewal, LeaseRequest, answer_to_wire,
@@ -46,6 +47,8 @@
             continue;
         };
         let request = message.request;
+        let trace = TraceContext::parse(&message.traceparent);
+        let span = trace.map(|trace| control.spans.start("control commit", trace));
         let call = match call_from_wire(boot_now(), message) {
             Ok(call) => call,
             Err(error) => {
@@ -59,6 +62,7 @@
         let (control, answers) = (Arc::clone(&control), answers.clone());
         tokio::spawn(async move {
             let answer = finish_call(&control, begun).await;
+            drop(span);
             let frame = Frame::EntryReply(answer_to_wire(boot_now(), request, &answer));
             // A closed channel means that the connection is gone; the entry asks again on another one.
             let _gone = answers.send(frame).await;
@@ -148,7 +152,6 @@
         Some(changes) => renewal.changes = changes.cloned().collect(),
         None => renewal.whole = Some(state.config.clone()),
     }
-    drop(state);
     let now = boot_now();
     let mut soft = control.soft();
     let row = PresenceRow {
@@ -161,11 +164,8 @@
         soft.endpoints.report(&name, row);
     }
     soft.endpoints.forget_silent(now);
-    renewal.endpoints = soft
-        .endpoints
-        .since(lease.endpoint_mark)
-        .map(|(name, row)| (name.clone(), row.clone()))
-        .collect();
+    renewal.shares = soft.grant_shares(now, &state, &lease.host, lease.demands);
+    renewal.endpoints = soft.news_for(&state.entries, &lease.host, lease.endpoint_mark);
     renewal.endpoint_mark = soft.endpoints.mark();
     Ok(EntryAnswer::Renewed(renewal))
 }
--- a/crates/acacia-control/src/lib.rs
+++ b/crates/acacia-control/src/lib.rs
@@ -16,6 +16,7 @@
 mod operator_tables;
 mod peer_links;
 mod peer_listener;
+mod share_plan;
 pub mod storage;
 
 pub use daemon::{RunningControl, form_group, is_formed, start};
--- a/crates/acacia-entry/src/caller_http.rs
+++ b/crates/acacia-entry/src/caller_http.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use acacia_http::{ResponseBody, json_response};
+use acacia_runtime::trace::TraceContext;
 use acaciabay::core::table::RouteTarget;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 
-use crate::caller_request::identify;
+use crate::caller_request::{identify, trace_of};
 use crate::completion::complete;
 use crate::completion_body::CompletionForm;
 use crate::refusal::CallerRefusal;
@@ -24,21 +25,23 @@
 pub(crate) async fn answer_caller(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
     let named = request.headers().get(REQUEST_ID).cloned();
     let path = path_label(request.uri().path());
-    let (mut response, code) = match dispatch(&entry, request).await {
+    let mut span = entry.spans.start("request", trace_of(request.headers()));
+    let (mut response, code) = match dispatch(&entry, request, span.context()).await {
         Ok(response) => (response, "ok"),
         Err(refusal) => {
             let code = refusal.code;
             (refusal.into_response(), code)
         }
     };
+    span.note("code", &code);
     metrics::counter!("acacia_requests_total", "path" => path, "code" => code).increment(1);
     let id = named.unwrap_or_else(|| HeaderValue::from(entry.next_number()));
     response.headers_mut().insert(REQUEST_ID, id);
     response
 }
 
-async fn dispatch(entry: &Arc<Entry>, request: Request<Incoming>) -> CallerAnswer {
-    let caller = identify(entry, request.headers())?;
+async fn dispatch(entry: &Arc<Entry>, request: Request<Incoming>, trace: TraceContext) -> CallerAnswer {
+    let caller = identify(entry, request.headers(), trace)?;
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/completions") => complete(entry, caller, request, CompletionForm::Text).await,
--- a/crates/acacia-entry/src/caller_request.rs
+++ b/crates/acacia-entry/src/caller_request.rs
@@ -5,19 +5,23 @@
 use acacia_http::{BodyRefusal, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::trace::{TRACEPARENT, TraceContext};
+use acacia_settings::AdmissionPolicy;
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::CustomerName;
+use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::fair_queue::RequestCost;
+use acaciabay::core::name::{CustomerName, EndpointName};
 use acaciabay::core::table::{PoolRow, RouteTarget};
+use acaciabay::ops::place_request::{PlacementRequest, place_in_turn, place_request};
 use acaciabay::ops::route_request::{RouteRefusal, route_request};
 use acaciabay::util::digest::ContentDigest;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
-use rand::Rng;
 
+use crate::admission::AdmissionPermit;
 use crate::refusal::CallerRefusal;
-use crate::shared::Entry;
+use crate::shared::{EndpointView, Entry};
 
 /// The header in which a caller asks for an earlier deadline than its route's, in milliseconds.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -44,7 +48,11 @@
 }
 
 /// Authenticates a request. The key is checked at every request, since it may be withdrawn while its connection is open.
-pub(crate) fn identify(entry: &Entry, headers: &HeaderMap) -> Result<CallerIdentity, CallerRefusal> {
+pub(crate) fn identify(
+    entry: &Entry,
+    headers: &HeaderMap,
+    trace: TraceContext,
+) -> Result<CallerIdentity, CallerRefusal> {
     let now = boot_now();
     if entry.stop.is_cancelled() {
         return Err(CallerRefusal::stopping());
@@ -72,9 +80,7 @@
             entry.incarnation().0,
             entry.next_number()
         ),
-        trace: text(TRACEPARENT)
-            .and_then(TraceContext::parse)
-            .map_or_else(new_trace, child_of),
+        trace,
         arrived_at: now,
         deadline: text(DEADLINE_HEADER)
             .and_then(|value| value.parse().ok())
@@ -119,22 +125,60 @@
         })
 }
 
-fn new_trace() -> TraceContext {
-    let mut random = rand::rng();
-    TraceContext {
-        trace: random.random(),
-        span: random.random(),
-    }
-}
-
-fn child_of(parent: TraceContext) -> TraceContext {
-    TraceContext {
-        trace: parent.trace,
-        span: rand::rng().random(),
-    }
+/// Returns the trace that a request belongs to, or starts one.
+pub(crate) fn trace_of(headers: &HeaderMap) -> TraceContext {
+    let header = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
+    header
+        .and_then(TraceContext::parse)
+        .unwrap_or_else(|| TraceContext::new_root(&mut rand::rng()))
 }
 
 /// Returns the time left until a deadline.
 pub(crate) fn time_left(now: BootTime, deadline: BootTime) -> Duration {
     deadline.since(now)
 }
+
+/// Waits until the request may run, by the entry's policy.
+///
+/// What could not be answered within its deadline even if it ran at once is refused without waiting: it would only
+/// take an engine's time from requests that can.
+pub(crate) async fn admit(
+    entry: &Entry,
+    caller: &CallerIdentity,
+    route: &CallerRoute,
+    cost: RequestCost,
+    output_tokens: u64,
+) -> Result<AdmissionPermit, CallerRefusal> {
+    match entry.settings.policy {
+        AdmissionPolicy::Baseline => Ok(AdmissionPermit::unlimited()),
+        AdmissionPolicy::Fair => {
+            let now = boot_now();
+            let service = entry.admission.expected_service(&route.pool.name, output_tokens);
+            let spare = time_left(now, route.deadline).saturating_sub(service);
+            let patience = entry.settings.limits.queue_wait.min(spare);
+            if patience.is_zero() {
+                return Err(CallerRefusal::overloaded(service));
+            }
+            let span = entry.spans.start("admission", caller.trace);
+            let admitted = entry
+                .admission
+                .admit(now, &route.pool.name, &caller.customer, cost, patience)
+                .await;
+            drop(span);
+            admitted.map_err(|refusal| CallerRefusal::overloaded(refusal.retry_after))
+        }
+    }
+}
+
+/// Picks an endpoint by the entry's policy.
+pub(crate) fn place_by_policy<'view>(
+    entry: &Entry,
+    now: BootTime,
+    view: &'view EndpointView,
+    request: PlacementRequest<'_>,
+) -> Option<(&'view EndpointName, &'view EndpointRow)> {
+    match entry.settings.policy {
+        AdmissionPolicy::Fair => place_request(now, &mut rand::rng(), &view.table, &view.sends, request),
+        AdmissionPolicy::Baseline => place_in_turn(now, entry.next_number(), &view.table, request),
+    }
+}
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -6,13 +6,14 @@
 use acacia_http::{ConnectionChoice, FinishedConnection, ResponseBody, json_response};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_runtime::trace::TRACEPARENT;
+use acacia_runtime::trace::{ActiveSpan, TRACEPARENT, TraceContext};
 use acaciabay::core::attempt::{AttemptState, AttemptVerdict};
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::endpoint::EndpointRow;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
-use acaciabay::ops::place_request::{PlacementRequest, place_request};
+use acaciabay::ops::place_request::PlacementRequest;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, Collected, Full, StreamBody};
@@ -22,8 +23,11 @@
 use serde_json::Value;
 use tokio::sync::mpsc;
 
+use crate::admission::AdmissionPermit;
 use crate::caller_http::CallerAnswer;
-use crate::caller_request::{CallerIdentity, CallerRoute, find_route, read_caller_body, time_left};
+use crate::caller_request::{
+    CallerIdentity, CallerRoute, admit, find_route, place_by_policy, read_caller_body, time_left,
+};
 use crate::completion_body::{CompletionBody, CompletionForm};
 use crate::endpoint_stream::{EndpointStream, StreamFault, StreamPiece, TokenPiece};
 use crate::refusal::CallerRefusal;
@@ -55,7 +59,8 @@
         PoolKind::Engine => {}
         PoolKind::Repeatable | PoolKind::AtMostOnce => return Err(CallerRefusal::no_route(&body.model)),
     }
-    let mut run = CompletionRun::new(Arc::clone(entry), caller, route, body);
+    let permit = admit(entry, &caller, &route, body.cost, body.output_tokens).await?;
+    let mut run = CompletionRun::new(Arc::clone(entry), caller, route, body, permit);
     // The head of the answer goes out only when there is something to answer with, so that a failure before the first
     // token still gets a status of its own.
     let first = run.next().await?;
@@ -91,15 +96,22 @@
     again: Option<EndpointName>,
     /// Whether an endpoint may have run the request.
     maybe_run: bool,
+    /// Held until the run ends; it stands for the pieces of memory that the request occupies.
+    _permit: AdmissionPermit,
 }
 
 #[derive(Debug)]
 struct OpenAttempt {
     endpoint: EndpointName,
     stream: EndpointStream,
+    /// When the request was sent, or its last token came.
+    last_token_at: BootTime,
+    has_begun: bool,
     connection: FinishedConnection,
     was_again: bool,
     guard: SendGuard,
+    /// Lasts as long as the attempt.
+    _span: ActiveSpan,
 }
 
 /// Where the next attempt goes.
@@ -111,7 +123,13 @@
 }
 
 impl CompletionRun {
-    const fn new(entry: Arc<Entry>, caller: CallerIdentity, route: CallerRoute, body: CompletionBody) -> Self {
+    const fn new(
+        entry: Arc<Entry>,
+        caller: CallerIdentity,
+        route: CallerRoute,
+        body: CompletionBody,
+        permit: AdmissionPermit,
+    ) -> Self {
         Self {
             entry,
             caller,
@@ -126,6 +144,7 @@
             tried: Vec::new(),
             again: None,
             maybe_run: false,
+            _permit: permit,
         }
     }
 
@@ -157,6 +176,7 @@
             };
             match self.read_piece(&mut attempt, left).await {
                 Ok(StreamPiece::Token(token)) if token.offset == self.next_offset => {
+                    self.note_pace(&mut attempt);
                     self.attempt = Some(attempt);
                     return Ok(RunPiece::Token(self.take_token(token)));
                 }
@@ -179,6 +199,19 @@
         }
     }
 
+    fn note_pace(&self, attempt: &mut OpenAttempt) {
+        let now = boot_now();
+        let gap = now.since(attempt.last_token_at);
+        let pool = &self.route.pool.name;
+        if attempt.has_begun {
+            self.entry.admission.note_gap(pool, gap);
+        } else {
+            self.entry.admission.note_first(pool, gap);
+        }
+        attempt.has_begun = true;
+        attempt.last_token_at = now;
+    }
+
     fn take_token(&mut self, token: TokenPiece) -> TokenPiece {
         self.next_offset += 1;
         self.text.push_str(&token.text);
@@ -239,13 +272,17 @@
         loop {
             self.count_attempt()?;
             let place = self.place()?;
-            let guard = self.entry.begin_send(&place.endpoint);
+            let guard = self.entry.begin_send(&place.endpoint, self.body.cost.pieces);
             let id = format!("{}-{}", self.caller.id, self.attempts);
-            let request = self.endpoint_request(&place, &id);
+            let mut span = self.entry.spans.start("attempt", self.caller.trace);
+            span.note("endpoint", &place.endpoint);
+            span.note("offset", &self.next_offset);
+            let request = self.endpoint_request(&place, &id, span.context());
+            let sent_at = boot_now();
             let sent = self
                 .entry
                 .client
-                .send(boot_now(), place.row.address, place.choice, request);
+                .send(sent_at, place.row.address, place.choice, request);
             let answer = match tokio::time::timeout(left.min(FIRST_TOKEN_TIMEOUT), sent).await {
                 Ok(Ok(answer)) => answer,
                 Ok(Err(failure)) => {
@@ -273,9 +310,12 @@
             return Ok(OpenAttempt {
                 endpoint: place.endpoint,
                 stream,
+                last_token_at: sent_at,
+                has_begun: false,
                 connection,
                 was_again,
                 guard,
+                _span: span,
             });
         }
     }
@@ -306,9 +346,10 @@
             pool: &self.route.pool,
             target: &self.route.target,
             prefix: &self.body.prefix,
+            pieces: self.body.cost.pieces,
             tried: &self.tried,
         };
-        match place_request(now, &mut rand::rng(), &view.table, &view.sends, request) {
+        match place_by_policy(&self.entry, now, &view, request) {
             Some((endpoint, row)) => Ok(AttemptPlace {
                 endpoint: endpoint.clone(),
                 row: row.clone(),
@@ -319,7 +360,7 @@
         }
     }
 
-    fn endpoint_request(&self, place: &AttemptPlace, id: &str) -> Request<Full<Bytes>> {
+    fn endpoint_request(&self, place: &AttemptPlace, id: &str, trace: TraceContext) -> Request<Full<Bytes>> {
         let body = Full::new(self.body.endpoint_body(self.next_offset, &self.text));
         let mut request = Request::new(body);
         *request.method_mut() = Method::POST;
@@ -329,7 +370,7 @@
         for (name, text) in [
             (HOST.as_str(), place.row.address.to_string()),
             ("x-request-id", id.to_owned()),
-            (TRACEPARENT, self.caller.trace.to_string()),
+            (TRACEPARENT, trace.to_string()),
         ] {
             if let (Ok(name), Ok(value)) = (hyper::header::HeaderName::try_from(name), HeaderValue::from_str(&text)) {
                 headers.insert(name, value);
@@ -369,6 +410,7 @@
 
     /// Commits the usage before the caller learns that the answer is whole.
     async fn bill(&self, usage: UsageFigures) {
+        let _span = self.entry.spans.start("usage commit", self.caller.trace);
         self.entry
             .usage
             .record(self.entry.incarnation(), &self.caller.customer, usage)
--- a/crates/acacia-entry/src/completion_body.rs
+++ b/crates/acacia-entry/src/completion_body.rs
@@ -2,6 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use acaciabay::core::fair_queue::RequestCost;
 use acaciabay::core::usage::UsageFigures;
 use bytes::Bytes;
 use serde_json::{Map, Value, json};
@@ -22,11 +23,21 @@
     pub(crate) model: String,
     pub(crate) stream: bool,
     pub(crate) wants_usage: bool,
+    /// What the request is expected to cost.
+    pub(crate) cost: RequestCost,
+    /// How many tokens it is expected to generate.
+    pub(crate) output_tokens: u64,
     /// The start of the prompt, by which engines that may have cached it are preferred.
     pub(crate) prefix: Vec<u8>,
     fields: Map<String, Value>,
 }
 
+/// Bytes of a prompt that make a token, for estimates; engines count exactly.
+const BYTES_PER_TOKEN: u64 = 5;
+/// Tokens that a request without `max_tokens` is expected to generate.
+const USUAL_TOKENS: u64 = 256;
+/// The most tokens that a request may ask for.
+const MOST_TOKENS: u64 = 1_000_000;
 /// How much of a prompt's start decides where it goes. It covers the system prompt of usual requests.
 const PREFIX_BYTES: usize = 1_024;
 
@@ -46,13 +57,17 @@
         if fields.get("n").is_some_and(|n| n != 1) {
             return Err(CallerRefusal::bad_request("unsupported", "/n: only 1 is supported"));
         }
-        check_max_tokens(&fields)?;
+        let max_tokens = check_max_tokens(&fields)?;
         let wants_usage = fields
             .get("stream_options")
             .and_then(|options| options.get("include_usage"));
+        let output_tokens = max_tokens.unwrap_or(USUAL_TOKENS);
+        let prompt_tokens = prompt.len() as u64 / BYTES_PER_TOKEN + 1;
         Ok(Self {
             form,
             model,
+            cost: RequestCost::of(prompt_tokens, output_tokens),
+            output_tokens,
             stream: flag_field(&fields, "stream")?,
             wants_usage: wants_usage.and_then(Value::as_bool).unwrap_or(false),
             prefix: prompt.into_bytes().into_iter().take(PREFIX_BYTES).collect(),
@@ -156,14 +171,16 @@
     }
 }
 
-fn check_max_tokens(fields: &Map<String, Value>) -> Result<(), CallerRefusal> {
+fn check_max_tokens(fields: &Map<String, Value>) -> Result<Option<u64>, CallerRefusal> {
     match fields.get("max_tokens") {
-        None | Some(Value::Null) => Ok(()),
-        Some(value) if value.as_u64().is_some_and(|tokens| tokens > 0) => Ok(()),
-        Some(_) => Err(CallerRefusal::bad_request(
-            "bad_field",
-            "/max_tokens: expected a whole number above 0",
-        )),
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => {
+            let tokens = value.as_u64().filter(|tokens| (1..=MOST_TOKENS).contains(tokens));
+            let message = format!("/max_tokens: expected a whole number from 1 to {MOST_TOKENS}");
+            tokens
+                .map(Some)
+                .ok_or_else(|| CallerRefusal::bad_request("bad_field", message))
+        }
     }
 }
 
--- a/crates/acacia-entry/src/control_link.rs
+++ b/crates/acacia-entry/src/control_link.rs
@@ -33,22 +33,22 @@
 
 /// The link is gone because the process is stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LinkClosed;
+pub struct LinkClosed;
 
 /// Sends calls to the leader.
 #[derive(Clone, Debug)]
-pub(crate) struct ControlLink {
+pub struct ControlLink {
     calls: mpsc::Sender<LinkCall>,
     newest: watch::Receiver<LinkNews>,
 }
 
 /// What the link learns without asking.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LinkNews {
+pub struct LinkNews {
     /// The newest version that a leader has announced.
-    pub(crate) version: ConfigVersion,
+    pub version: ConfigVersion,
     /// Counts connections; marks of endpoint reports are valid for one connection only.
-    pub(crate) connection: u64,
+    pub connection: u64,
 }
 
 #[derive(Debug)]
@@ -60,7 +60,7 @@
 
 impl ControlLink {
     /// Creates a link and the task that drives it.
-    pub(crate) fn open(host: String, addresses: Vec<SocketAddr>, log: Logger) -> (Self, LinkDriver) {
+    pub fn open(host: String, addresses: Vec<SocketAddr>, log: Logger) -> (Self, LinkDriver) {
         let (calls, waiting) = mpsc::channel(WAITING_CALLS);
         let (news, newest) = watch::channel(LinkNews::default());
         let driver = LinkDriver {
@@ -79,7 +79,11 @@
     /// Sends a call and waits for the leader's answer, however many connections that takes.
     ///
     /// Dropping the future gives the call up; it may have been carried out all the same.
-    pub(crate) async fn call(&self, call: EntryCall, traceparent: &str) -> Result<EntryAnswer, LinkClosed> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link's driver is gone because the process is stopping.
+    pub async fn call(&self, call: EntryCall, traceparent: &str) -> Result<EntryAnswer, LinkClosed> {
         let (answer, answered) = oneshot::channel();
         let call = LinkCall {
             call,
@@ -91,14 +95,14 @@
     }
 
     /// Follows what the leader announces.
-    pub(crate) fn news(&self) -> watch::Receiver<LinkNews> {
+    pub fn news(&self) -> watch::Receiver<LinkNews> {
         self.newest.clone()
     }
 }
 
 /// Drives a [`ControlLink`].
 #[derive(Debug)]
-pub(crate) struct LinkDriver {
+pub struct LinkDriver {
     host: String,
     addresses: Vec<SocketAddr>,
     log: Logger,
@@ -125,7 +129,7 @@
 
 impl LinkDriver {
     /// Runs until every [`ControlLink`] is dropped.
-    pub(crate) async fn run(mut self) {
+    pub async fn run(mut self) {
         let mut next = rand::rng().random_range(0..self.addresses.len().max(1));
         loop {
             let address = self.hint.take().unwrap_or_else(|| {
--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -9,6 +9,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::metrics_page::MetricsPage;
+use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::{CallerLimits, EntrySettings};
 use anyhow::Context;
 use slog::Logger;
@@ -68,6 +69,7 @@
     page: MetricsPage,
     log: Logger,
 ) -> anyhow::Result<RunningEntry> {
+    let spans = SpanRecorder::open(settings.trace_file.as_deref(), "acacia-entry", &settings.host, &log)?;
     let listeners = EntryListeners {
         callers: listen(settings.caller_address).await?,
         endpoints: listen(settings.endpoint_address).await?,
@@ -78,7 +80,7 @@
     let admin_address = listeners.admin.local_addr()?;
     slog::info!(log, "entry started"; "event" => event::STARTED,
         "callers" => %caller_address, "endpoints" => %endpoint_address, "admin" => %admin_address);
-    let whole = tokio::spawn(run(settings, listeners, stop, page, log));
+    let whole = tokio::spawn(run(settings, listeners, stop, page, (log, spans)));
     Ok(RunningEntry {
         caller_address,
         endpoint_address,
@@ -99,12 +101,12 @@
     listeners: EntryListeners,
     stop: CancellationToken,
     page: MetricsPage,
-    log: Logger,
+    (log, spans): (Logger, SpanRecorder),
 ) {
     let bounds = server_bounds(&settings.limits);
     let (link, link_driver) = ControlLink::open(settings.host.clone(), settings.control_addresses.clone(), log.clone());
     let (usage, usage_driver) = UsageSender::open(link.clone(), log.clone());
-    let entry = Arc::new(Entry::new(settings, log.clone(), stop.clone(), link, usage));
+    let entry = Arc::new(Entry::new(settings, log.clone(), spans, stop.clone(), link, usage));
     let after_callers = CancellationToken::new();
     let driving = tokio::spawn(link_driver.run());
     let billing = tokio::spawn(usage_driver.run());
@@ -114,7 +116,11 @@
         let entry = Arc::clone(&entry);
         let shown = Arc::clone(&entry);
         let is_ready = move || !entry.stop.is_cancelled() && entry.may_serve(boot_now());
-        let inspect = move |path: &str| (path == "/endpoints").then(|| show_endpoints(&shown));
+        let inspect = move |path: &str| match path {
+            "/endpoints" => Some(show_endpoints(&shown)),
+            "/shares" => Some(shown.admission.show()),
+            _ => None,
+        };
         tokio::spawn(serve_admin(
             listeners.admin,
             after_callers.clone(),
--- a/crates/acacia-entry/src/endpoint_http.rs
+++ b/crates/acacia-entry/src/endpoint_http.rs
@@ -30,6 +30,8 @@
     state: ReportedState,
     running: u32,
     slots: u32,
+    pieces_used: Option<u32>,
+    pieces: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -67,7 +69,7 @@
     let name = EndpointName::new(&report.endpoint);
     let row = row_of(report);
     let mut view = entry.endpoints.lock();
-    if view.table.report(&name, row) {
+    if view.take_report(&name, row) {
         view.unsent.push(name);
     }
 }
@@ -89,6 +91,8 @@
         },
         running: report.running,
         slots: report.slots,
+        pieces_used: report.pieces_used.unwrap_or(report.running),
+        pieces: report.pieces.unwrap_or(report.slots),
         heard_at: boot_now(),
     }
 }
@@ -104,7 +108,9 @@
             "takes_work": row.takes_work(now),
             "running": row.running,
             "slots": row.slots,
-            "own_sends": view.sends.get(name).copied().unwrap_or(0),
+            "pieces_used": row.pieces_used,
+            "pieces": row.pieces,
+            "own_sends": view.sends.get(name).map_or(0, |own| own.requests),
             "report_age_ms": u64::try_from(now.since(row.heard_at).as_millis()).unwrap_or(u64::MAX),
         })
     });
--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -88,13 +88,16 @@
 fn lease_request(entry: &Entry, endpoint_mark: u64) -> LeaseRequest {
     let mut view = entry.endpoints.lock();
     let names = std::mem::take(&mut view.unsent);
+    let config = entry.config();
+    let demands = entry.admission.demands(config.pools.rows().map(|pool| &pool.name));
     let rows = names
         .into_iter()
         .filter_map(|name| view.table.get(&name).cloned().map(|row| (name, row)));
     LeaseRequest {
         incarnation: entry.incarnation(),
         host: entry.settings.host.as_str().into(),
-        version: entry.config.read().version,
+        version: config.version,
+        demands,
         reports: rows.collect(),
         endpoint_mark,
     }
@@ -106,10 +109,11 @@
     {
         let mut view = entry.endpoints.lock();
         for (name, row) in renewal.endpoints {
-            view.table.report(&name, row);
+            view.take_report(&name, row);
         }
         view.table.forget_silent(now);
     }
+    entry.admission.grant(now, renewal.shares);
     if renewal.changes.is_empty() && renewal.whole.is_none() {
         return false;
     }
--- a/crates/acacia-entry/src/lib.rs
+++ b/crates/acacia-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! streamed and resumable) or `service_call` (plain services, some of them at most once). `control_link` keeps the
 //! serving lease and the configuration. Nothing in this process must survive it.
 
+mod admission;
 mod caller_http;
 mod caller_request;
 mod completion;
@@ -18,4 +19,5 @@
 mod shared;
 mod usage_sender;
 
+pub use control_link::{ControlLink, LinkClosed, LinkDriver, LinkNews};
 pub use daemon::{RunningEntry, start};
--- a/crates/acacia-entry/src/refusal.rs
+++ b/crates/acacia-entry/src/refusal.rs
@@ -101,6 +101,15 @@
         )
     }
 
+    pub(crate) fn overloaded(retry_after: Duration) -> Self {
+        let message = "the customer's line for this pool is longer than can be served in time";
+        let retry_after = Some(retry_after);
+        Self {
+            retry_after,
+            ..Self::not_run(StatusCode::TOO_MANY_REQUESTS, "overloaded", message)
+        }
+    }
+
     pub(crate) fn claim_unavailable() -> Self {
         let message = "the call could not be claimed, so it was not run";
         Self::passing(StatusCode::SERVICE_UNAVAILABLE, "claim_unavailable", message)
@@ -188,7 +197,13 @@
     pub(crate) fn into_response(self) -> Response<ResponseBody> {
         let mut response = json_response(self.status, &self.to_json());
         if let Some(wait) = self.retry_after {
-            let secs = wait.as_secs().max(1);
+            let secs = wait.as_secs_f64().ceil().max(1.0);
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "waits are seconds to minutes"
+            )]
+            let secs = secs as u64;
             response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(secs));
         }
         response
--- a/crates/acacia-entry/src/service_call.rs
+++ b/crates/acacia-entry/src/service_call.rs
@@ -6,16 +6,17 @@
 use acacia_http::{BodyRefusal, ConnectionChoice, EndpointAnswer, ResponseBody, full_body, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_runtime::trace::TRACEPARENT;
+use acacia_runtime::trace::{TRACEPARENT, TraceContext};
 use acacia_wire::{ClaimRequest, EntryAnswer, EntryCall};
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::claim::{ClaimHolder, ClaimKey, ClaimOutcome, LARGEST_STORED_ANSWER, StoredAnswer};
 use acaciabay::core::control_state::ClaimEnd;
 use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::fair_queue::RequestCost;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
-use acaciabay::ops::place_request::{PlacementRequest, place_request};
+use acaciabay::ops::place_request::PlacementRequest;
 use acaciabay::util::digest::ContentDigest;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -25,7 +26,9 @@
 use serde_json::Value;
 
 use crate::caller_http::CallerAnswer;
-use crate::caller_request::{CallerIdentity, CallerRoute, find_route, read_caller_body, time_left};
+use crate::caller_request::{
+    CallerIdentity, CallerRoute, admit, find_route, place_by_policy, read_caller_body, time_left,
+};
 use crate::refusal::CallerRefusal;
 use crate::shared::Entry;
 
@@ -39,6 +42,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long the end of a claim may hold up the answer. The link goes on sending it after that.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
+/// What a call counts for: one piece, and as many tokens as a short completion.
+const CALL_COST: RequestCost = RequestCost { pieces: 1, tokens: 100 };
 /// The largest answer of a service.
 const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
 
@@ -88,6 +93,7 @@
         idempotency_key: parts.headers.get(IDEMPOTENCY_KEY).cloned(),
         body: read_caller_body(entry, incoming).await?,
     };
+    let _permit = admit(entry, &call.caller, &call.route, CALL_COST, 0).await?;
     let answer = match call.route.pool.kind {
         PoolKind::Engine => return Err(CallerRefusal::no_route(&service)),
         PoolKind::Repeatable => run_repeatable(entry, &call).await?,
@@ -237,7 +243,8 @@
         holder,
         digest: ContentDigest::of(content),
     };
-    let traceparent = call.caller.trace.to_string();
+    let span = entry.spans.start("claim", call.caller.trace);
+    let traceparent = span.context().to_string();
     let answer = entry.link.call(EntryCall::TakeClaim(request), &traceparent);
     if let Ok(Ok(EntryAnswer::Claim(outcome))) = tokio::time::timeout(CLAIM_TIMEOUT, answer).await {
         return Ok(outcome);
@@ -265,7 +272,8 @@
 
 async fn end_claim(entry: &Entry, call: &ServiceCall, key: ClaimKey, holder: ClaimHolder, end: ClaimEnd) {
     let link = entry.link.clone();
-    let traceparent = call.caller.trace.to_string();
+    let span = entry.spans.start("claim end", call.caller.trace);
+    let traceparent = span.context().to_string();
     let ended = tokio::spawn(async move {
         let _closed = link.call(EntryCall::EndClaim { key, holder, end }, &traceparent).await;
     });
@@ -279,9 +287,10 @@
         pool: &call.route.pool,
         target: &call.route.target,
         prefix: &[],
+        pieces: CALL_COST.pieces,
         tried,
     };
-    let placed = place_request(boot_now(), &mut rand::rng(), &view.table, &view.sends, request);
+    let placed = place_by_policy(entry, boot_now(), &view, request);
     placed.map(|(endpoint, row)| (endpoint.clone(), row.clone()))
 }
 
@@ -292,12 +301,14 @@
     row: &EndpointRow,
     choice: ConnectionChoice,
 ) -> Result<ServiceAnswer, AttemptFailure> {
-    let guard = entry.begin_send(endpoint);
+    let guard = entry.begin_send(endpoint, CALL_COST.pieces);
     let left = time_left(boot_now(), call.route.deadline);
     if left.is_zero() {
         return Err(AttemptFailure::NotRun);
     }
-    let request = endpoint_request(call, row);
+    let mut span = entry.spans.start("attempt", call.caller.trace);
+    span.note("endpoint", endpoint);
+    let request = endpoint_request(call, row, span.context());
     let whole = async {
         let sent = entry.client.send(boot_now(), row.address, choice, request).await;
         let answer = sent.map_err(|failure| {
@@ -370,7 +381,7 @@
     error["error"]["not_run"] == Value::Bool(true)
 }
 
-fn endpoint_request(call: &ServiceCall, row: &EndpointRow) -> Request<Full<Bytes>> {
+fn endpoint_request(call: &ServiceCall, row: &EndpointRow, trace: TraceContext) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.path.clone();
@@ -381,7 +392,7 @@
     if let Some(key) = &call.idempotency_key {
         headers.insert(IDEMPOTENCY_KEY, key.clone());
     }
-    let trace = call.caller.trace.to_string();
+    let trace = trace.to_string();
     for (name, text) in [("x-request-id", call.caller.id.as_str()), (TRACEPARENT, trace.as_str())] {
         if let Ok(value) = HeaderValue::from_str(text) {
             headers.insert(name, value);
@@ -394,6 +405,7 @@
 }
 
 async fn bill(entry: &Entry, call: &ServiceCall) {
+    let _span = entry.spans.start("usage commit", call.caller.trace);
     let figures = UsageFigures {
         calls: 1,
         ..UsageFigures::default()
--- a/crates/acacia-entry/src/shared.rs
+++ b/crates/acacia-entry/src/shared.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use acacia_http::{ClientOptions, EndpointClient};
+use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::EntrySettings;
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::endpoint::EndpointTable;
+use acaciabay::core::endpoint::{EndpointRow, EndpointTable};
 use acaciabay::core::entry_config::EntryConfig;
 use acaciabay::core::member::EntryIncarnation;
 use acaciabay::core::name::EndpointName;
@@ -17,6 +18,7 @@
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::AdmissionDesk;
 use crate::control_link::ControlLink;
 use crate::usage_sender::UsageSender;
 
@@ -25,6 +27,7 @@
 pub(crate) struct Entry {
     pub(crate) settings: EntrySettings,
     pub(crate) log: Logger,
+    pub(crate) spans: SpanRecorder,
     pub(crate) stop: CancellationToken,
     pub(crate) link: ControlLink,
     pub(crate) usage: UsageSender,
@@ -33,6 +36,7 @@
     pub(crate) lease: Mutex<ServingLease>,
     pub(crate) endpoints: Mutex<EndpointView>,
     pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) admission: AdmissionDesk,
     incarnation: AtomicU64,
     requests: AtomicU64,
 }
@@ -52,6 +56,7 @@
     pub(crate) fn new(
         settings: EntrySettings,
         log: Logger,
+        spans: SpanRecorder,
         stop: CancellationToken,
         link: ControlLink,
         usage: UsageSender,
@@ -59,6 +64,7 @@
         Self {
             settings,
             log,
+            spans,
             stop,
             link,
             usage,
@@ -67,6 +73,7 @@
             lease: Mutex::default(),
             endpoints: Mutex::default(),
             retries: Mutex::default(),
+            admission: AdmissionDesk::default(),
             incarnation: AtomicU64::new(0),
             requests: AtomicU64::new(0),
         }
@@ -95,28 +102,46 @@
     }
 
     /// Counts a request as under way at an endpoint until the guard is dropped.
-    pub(crate) fn begin_send(self: &Arc<Self>, endpoint: &EndpointName) -> SendGuard {
-        *self.endpoints.lock().sends.entry(endpoint.clone()).or_default() += 1;
+    pub(crate) fn begin_send(self: &Arc<Self>, endpoint: &EndpointName, pieces: u32) -> SendGuard {
+        let mut view = self.endpoints.lock();
+        let own = view.sends.entry(endpoint.clone()).or_default();
+        own.requests += 1;
+        own.pieces += pieces;
         SendGuard {
             entry: Arc::clone(self),
             endpoint: endpoint.clone(),
+            pieces,
         }
     }
 }
 
+impl EndpointView {
+    /// Takes over a report and notes what this entry had under way when it came.
+    pub(crate) fn take_report(&mut self, name: &EndpointName, row: EndpointRow) -> bool {
+        let is_new = self.table.report(name, row);
+        if is_new && let Some(own) = self.sends.get_mut(name) {
+            own.reported = own.pieces;
+        }
+        is_new
+    }
+}
+
 /// A request under way at an endpoint.
 #[derive(Debug)]
 pub(crate) struct SendGuard {
     entry: Arc<Entry>,
     endpoint: EndpointName,
+    pieces: u32,
 }
 
 impl Drop for SendGuard {
     fn drop(&mut self) {
         let mut view = self.entry.endpoints.lock();
-        if let Some(count) = view.sends.get_mut(&self.endpoint) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(own) = view.sends.get_mut(&self.endpoint) {
+            own.requests -= 1;
+            own.pieces -= self.pieces;
+            own.reported = own.reported.min(own.pieces);
+            if own.requests == 0 {
                 view.sends.remove(&self.endpoint);
             }
         }
--- a/crates/acacia-runtime/src/trace.rs
+++ b/crates/acacia-runtime/src/trace.rs
@@ -1,16 +1,33 @@
-//! W3C trace context: which trace and which span a request belongs to.
+//! Spans of requests, one for each hop, in W3C trace context and exported as OTLP in JSON.
+//!
+//! Each line of the file is one `ExportTraceServiceRequest`, the form that OpenTelemetry's file exporter writes and its
+//! collector reads. A full queue drops spans and counts them: a slow disk must not slow requests down.
 
 use std::fmt;
+use std::io::Write;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+
+use anyhow::Context;
+use rand::Rng;
+use serde_json::{Value, json};
+use slog::Logger;
+
+use crate::clock::wall_nanos;
+use crate::event;
 
 /// The header that carries the context.
 pub const TRACEPARENT: &str = "traceparent";
 
+/// How many finished spans may wait to be written.
+const WAITING_SPANS: usize = 8_192;
+
 /// The position of a request in its trace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TraceContext {
     /// Identifies the whole request, over all processes.
     pub trace: u128,
-    /// Identifies the span that the next one is a child of.
+    /// Identifies the span that the next one is a child of; 0 for the root.
     pub span: u64,
 }
 
@@ -26,6 +43,14 @@
         let span = u64::from_str_radix(span, 16).ok().filter(|span| *span != 0)?;
         Some(Self { trace, span })
     }
+
+    /// Starts a trace of our own, for a request that came without one.
+    pub fn new_root(random: &mut impl Rng) -> Self {
+        Self {
+            trace: random.random_range(1..u128::MAX),
+            span: 0,
+        }
+    }
 }
 
 impl fmt::Display for TraceContext {
@@ -33,3 +58,129 @@
         write!(f, "00-{:032x}-{:016x}-01", self.trace, self.span)
     }
 }
+
+/// Writes finished spans, or drops them when no file is set.
+#[derive(Clone, Debug, Default)]
+pub struct SpanRecorder {
+    finished: Option<SyncSender<SpanRecord>>,
+}
+
+#[derive(Debug)]
+struct SpanRecord {
+    name: &'static str,
+    context: TraceContext,
+    parent: u64,
+    started_at: u64,
+    ended_at: u64,
+    attributes: Vec<(&'static str, String)>,
+}
+
+impl SpanRecorder {
+    /// Opens the file, if there is one, and starts to write to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be opened.
+    pub fn open(path: Option<&Path>, program: &'static str, host: &str, log: &Logger) -> anyhow::Result<Self> {
+        let Some(path) = path else { return Ok(Self::default()) };
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+        let file = file.with_context(|| format!("failed to open the trace file `{}`", path.display()))?;
+        let (sender, receiver) = sync_channel(WAITING_SPANS);
+        let (host, log) = (host.to_owned(), log.clone());
+        std::thread::spawn(move || write_spans(&file, &receiver, program, &host, &log));
+        Ok(Self { finished: Some(sender) })
+    }
+
+    /// Starts a span below `parent`; it ends when it is dropped.
+    pub fn start(&self, name: &'static str, parent: TraceContext) -> ActiveSpan {
+        let span = rand::rng().random_range(1..u64::MAX);
+        ActiveSpan {
+            recorder: self.clone(),
+            name,
+            context: TraceContext {
+                trace: parent.trace,
+                span,
+            },
+            parent: parent.span,
+            started_at: wall_nanos(),
+            attributes: Vec::new(),
+        }
+    }
+}
+
+/// A span that has begun.
+#[derive(Debug)]
+pub struct ActiveSpan {
+    recorder: SpanRecorder,
+    name: &'static str,
+    context: TraceContext,
+    parent: u64,
+    started_at: u64,
+    attributes: Vec<(&'static str, String)>,
+}
+
+impl ActiveSpan {
+    /// Returns the context for what happens within this span.
+    pub const fn context(&self) -> TraceContext {
+        self.context
+    }
+
+    /// Notes something about the span.
+    pub fn note(&mut self, key: &'static str, value: &impl ToString) {
+        if self.recorder.finished.is_some() {
+            self.attributes.push((key, value.to_string()));
+        }
+    }
+}
+
+impl Drop for ActiveSpan {
+    fn drop(&mut self) {
+        let Some(finished) = &self.recorder.finished else {
+            return;
+        };
+        let record = SpanRecord {
+            name: self.name,
+            context: self.context,
+            parent: self.parent,
+            started_at: self.started_at,
+            ended_at: wall_nanos(),
+            attributes: std::mem::take(&mut self.attributes),
+        };
+        if finished.try_send(record).is_err() {
+            metrics::counter!("acacia_spans_dropped_total").increment(1);
+        }
+    }
+}
+
+fn write_spans(mut file: &std::fs::File, spans: &Receiver<SpanRecord>, program: &str, host: &str, log: &Logger) {
+    let resource = json!({"attributes": [attribute("service.name", program), attribute("host.name", host)]});
+    while let Ok(span) = spans.recv() {
+        let mut batch = vec![span_to_json(&span)];
+        batch.extend(spans.try_iter().map(|span| span_to_json(&span)));
+        let scope = json!({"scope": {"name": "acaciabay"}, "spans": batch});
+        let request = json!({"resourceSpans": [{"resource": resource, "scopeSpans": [scope]}]});
+        if let Err(error) = writeln!(file, "{request}") {
+            slog::warn!(log, "spans lost"; "event" => event::SPANS_LOST, "error" => %error);
+        }
+    }
+}
+
+fn attribute(key: &str, value: &str) -> Value {
+    json!({"key": key, "value": {"stringValue": value}})
+}
+
+fn span_to_json(span: &SpanRecord) -> Value {
+    let mut value = json!({
+        "traceId": format!("{:032x}", span.context.trace),
+        "spanId": format!("{:016x}", span.context.span),
+        "name": span.name,
+        "kind": 1,
+        "startTimeUnixNano": span.started_at.to_string(),
+        "endTimeUnixNano": span.ended_at.to_string(),
+        "attributes": span.attributes.iter().map(|(key, value)| attribute(key, value)).collect::<Vec<_>>(),
+    });
+    if span.parent != 0 {
+        value["parentSpanId"] = json!(format!("{:016x}", span.parent));
+    }
+    value
+}
--- a/crates/acacia-settings/src/entry_settings.rs
+++ b/crates/acacia-settings/src/entry_settings.rs
@@ -55,6 +55,8 @@
     pub body_timeout: Duration,
     /// Most connections held open at once.
     pub connections: usize,
+    /// How long a request may wait for its turn before it is refused.
+    pub queue_wait: Duration,
 }
 
 impl Default for CallerLimits {
@@ -65,6 +67,7 @@
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             connections: 8_192,
+            queue_wait: Duration::from_millis(600),
         }
     }
 }
@@ -133,6 +136,7 @@
     let mut millis = |name| reader.optional(name, findings, as_millis(10..=600_000));
     let head_timeout = millis("head_timeout_ms");
     let body_timeout = millis("body_timeout_ms");
+    let queue_wait = millis("queue_wait_ms");
     let size = |count: Option<u64>, fallback| count.and_then(|count| usize::try_from(count).ok()).unwrap_or(fallback);
     CallerLimits {
         body_bytes: size(body_bytes, fallback.body_bytes),
@@ -140,5 +144,6 @@
         head_timeout: head_timeout.unwrap_or(fallback.head_timeout),
         body_timeout: body_timeout.unwrap_or(fallback.body_timeout),
         connections: size(connections, fallback.connections),
+        queue_wait: queue_wait.unwrap_or(fallback.queue_wait),
     }
 }
--- a/crates/acacia-settings/src/standin_settings.rs
+++ b/crates/acacia-settings/src/standin_settings.rs
@@ -1,12 +1,13 @@
 //! Settings of `acacia-standin`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde_json::Value;
 
 use crate::entry_settings::read_address;
 use crate::finding::Findings;
-use crate::object_reader::{ObjectReader, as_address, as_count, as_list, as_name, as_text};
+use crate::object_reader::{ObjectReader, as_address, as_count, as_list, as_millis, as_name, as_text};
 
 /// What one stand-in is told at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,15 @@
     pub prefill_rate: u32,
     /// Tokens that it generates a second for each request.
     pub decode_rate: u32,
+    /// Tokens that it generates a second over all requests.
+    pub batch_rate: u32,
+    /// Pieces of memory, each of about a thousand tokens; requests beyond them wait in the engine, first come first
+    /// served.
+    pub pieces: u32,
+    /// How many prompt starts its cache holds.
+    pub cached_prefixes: u32,
+    /// How old the load in its reports is.
+    pub report_lag: Duration,
     /// Whether it checks fencing numbers of orders.
     pub checks_fencing: bool,
 }
@@ -81,6 +91,12 @@
     let slots = rate("slots", 16);
     let prefill_rate = rate("prefill_rate", 20_000);
     let decode_rate = rate("decode_rate", 200);
+    let batch_rate = rate("batch_rate", 4_000);
+    let pieces = rate("pieces", 64);
+    let cached_prefixes = rate("cached_prefixes", 32);
+    let report_lag = reader
+        .optional("report_lag_ms", findings, as_millis(0..=60_000))
+        .unwrap_or_default();
     let checks_fencing = reader
         .optional("checks_fencing", findings, crate::object_reader::as_flag)
         .unwrap_or(true);
@@ -105,6 +121,10 @@
         slots,
         prefill_rate,
         decode_rate,
+        batch_rate,
+        pieces,
+        cached_prefixes,
+        report_lag,
         checks_fencing,
     })
 }
--- a/crates/acacia-standin/src/engine.rs
+++ b/crates/acacia-standin/src/engine.rs
@@ -4,6 +4,7 @@
 //! test can compare any answer with [`naive_text`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use acacia_http::{ResponseBody, json_response};
@@ -22,8 +23,15 @@
 use crate::routes::{WholeRequest, refuse};
 use crate::standin::{SlotGuard, Standin};
 
+/// Tokens in one piece of memory.
+const PIECE_TOKENS: u64 = 1_000;
+/// How much of a prompt's start is cached, in bytes, and about how many bytes make a token.
+const PREFIX_BYTES: usize = 1_024;
+const BYTES_PER_TOKEN: usize = 6;
 /// Tokens generated when a request names no number.
 const DEFAULT_TOKENS: u64 = 16;
+/// How much of a request's body is kept in the record.
+const LONGEST_RECORDED_BODY: usize = 1_024;
 const WORDS: [&str; 16] = [
     "spruce", "maple", "bridge", "scroll", "varnish", "purfling", "peg", "bow", "pulp", "mould", "tray", "press",
     "bale", "deckle", "slurry", "kiln",
@@ -128,7 +136,7 @@
     let place = standin.begin_run(RunRecord {
         id: whole.id.clone(),
         path: whole.path,
-        body: String::from_utf8_lossy(&whole.body).into_owned(),
+        body: recorded_body(&whole.body),
         saw_authorization: whole.saw_authorization,
         traceparent: whole.traceparent,
         tokens: 0,
@@ -146,6 +154,12 @@
     stream_answer(standin, generation, slot, place)
 }
 
+/// Keeps the end of a long body, where the request's own fields stand; the prompts of a whole load would fill memory.
+fn recorded_body(body: &[u8]) -> String {
+    let start = body.len().saturating_sub(LONGEST_RECORDED_BODY);
+    String::from_utf8_lossy(&body[start..]).into_owned()
+}
+
 fn draw_fault(standin: &Standin) -> Option<StreamFault> {
     let mut state = standin.lock();
     let at = state.faults.after_tokens;
@@ -193,14 +207,21 @@
 
 async fn generate(standin: &Standin, generation: &Generation, sender: ChunkSender) -> Result<(), GenerationStopped> {
     let prompt_tokens = count_tokens(&generation.prompt);
-    {
-        let _turn = standin.prefill.lock().await;
-        tokio::time::sleep(per_second(prompt_tokens, standin.settings.prefill_rate)).await;
-    }
-    let start = tokio::time::Instant::now();
+    let pieces = (prompt_tokens + generation.end)
+        .div_ceil(PIECE_TOKENS)
+        .clamp(1, u64::from(standin.settings.pieces));
+    let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+    let memory = Arc::clone(&standin.memory);
+    let _held = tokio::select! {
+        held = memory.acquire_many_owned(pieces) => held.map_err(|_closed| GenerationStopped)?,
+        () = sender.closed() => return Err(GenerationStopped),
+    };
+    prefill(standin, generation, prompt_tokens).await;
+    let _decoding = DecodingGuard::begin(standin);
+    let mut due = tokio::time::Instant::now();
     for position in generation.first..generation.end {
-        let done = position - generation.first + 1;
-        tokio::time::sleep_until(start + per_second(done, standin.settings.decode_rate)).await;
+        due += token_interval(standin);
+        tokio::time::sleep_until(due).await;
         match strike_at(generation.fault, position) {
             Some(FaultKind::Skip) => continue,
             Some(FaultKind::Silence) => return stay_silent(&sender).await,
@@ -214,6 +235,46 @@
     sender.send(Ok(last)).await.map_err(|_gone| GenerationStopped)
 }
 
+/// Works a prompt off; a cached start costs nothing.
+async fn prefill(standin: &Standin, generation: &Generation, prompt_tokens: u64) {
+    let prefix: Vec<u8> = generation.prompt.bytes().take(PREFIX_BYTES).collect();
+    let cached = standin.touch_prefix(&prefix);
+    let cached_tokens = if cached {
+        (prefix.len() / BYTES_PER_TOKEN) as u64
+    } else {
+        0
+    };
+    let _turn = standin.prefill.lock().await;
+    tokio::time::sleep(per_second(
+        prompt_tokens.saturating_sub(cached_tokens),
+        standin.settings.prefill_rate,
+    ))
+    .await;
+}
+
+/// One of the streams that share the batch rate.
+#[derive(Debug)]
+struct DecodingGuard<'standin>(&'standin Standin);
+
+impl<'standin> DecodingGuard<'standin> {
+    fn begin(standin: &'standin Standin) -> Self {
+        standin.generating.fetch_add(1, Ordering::AcqRel);
+        Self(standin)
+    }
+}
+
+impl Drop for DecodingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.generating.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Returns the time between two tokens of a stream: its own rate, or its part of the batch rate if that is less.
+fn token_interval(standin: &Standin) -> Duration {
+    let streams = u64::from(standin.generating.load(Ordering::Acquire));
+    per_second(1, standin.settings.decode_rate).max(per_second(streams, standin.settings.batch_rate))
+}
+
 fn strike_at(fault: Option<StreamFault>, position: u64) -> Option<FaultKind> {
     fault.filter(|fault| fault.at == position).map(|fault| fault.kind)
 }
--- a/crates/acacia-standin/src/standin.rs
+++ b/crates/acacia-standin/src/standin.rs
@@ -1,5 +1,6 @@
 //! A running stand-in: its state, its listener and its reports.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -12,6 +13,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +31,10 @@
     pub(crate) running: AtomicU32,
     /// Held by the one prompt that is being worked off, so that prompts share the prefill rate.
     pub(crate) prefill: tokio::sync::Mutex<()>,
+    /// The engine's memory; requests wait for it first come, first served.
+    pub(crate) memory: Arc<Semaphore>,
+    /// Streams that are being generated, which share the batch rate.
+    pub(crate) generating: AtomicU32,
     state: Mutex<StandinState>,
 }
 
@@ -38,6 +44,8 @@
     pub(crate) faults: FaultPlan,
     pub(crate) draining: bool,
     pub(crate) last_order: u64,
+    /// Starts of prompts that are cached, the latest used last.
+    pub(crate) cache: VecDeque<Vec<u8>>,
 }
 
 impl Standin {
@@ -61,6 +69,19 @@
         state.record.runs.len() - 1
     }
 
+    /// Looks a prompt's start up in the cache and keeps it there; tells whether it was there.
+    pub(crate) fn touch_prefix(&self, prefix: &[u8]) -> bool {
+        let mut state = self.lock();
+        let found = state.cache.iter().position(|known| known == prefix);
+        let known = found.and_then(|place| state.cache.remove(place));
+        let is_hit = known.is_some();
+        state.cache.push_back(known.unwrap_or_else(|| prefix.to_vec()));
+        if state.cache.len() > usize::try_from(self.settings.cached_prefixes).unwrap_or(0) {
+            state.cache.pop_front();
+        }
+        is_hit
+    }
+
     pub(crate) fn finish_run(&self, place: usize, tokens: u64) {
         let mut state = self.lock();
         let run = &mut state.record.runs[place];
@@ -111,12 +132,15 @@
     let incarnation = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |time| time.as_micros());
+    let pieces = usize::try_from(settings.pieces).unwrap_or(usize::MAX);
     let standin = Arc::new(Standin {
         settings,
         address,
         incarnation: u64::try_from(incarnation).unwrap_or(u64::MAX),
         running: AtomicU32::new(0),
         prefill: tokio::sync::Mutex::new(()),
+        memory: Arc::new(Semaphore::new(pieces)),
+        generating: AtomicU32::new(0),
         state: Mutex::new(StandinState::default()),
     });
     slog::info!(log, "stand-in started"; "event" => event::STARTED, "address" => %address);
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -8,7 +8,10 @@
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::entry_config::{ConfigChange, ConfigVersion, EntryConfig};
 use acaciabay::core::member::{EntryIncarnation, JoinNonce};
-use acaciabay::core::name::{DomainName, EndpointName, HostName};
+use acaciabay::core::name::{DomainName, EndpointName, HostName, PoolName};
+use acaciabay::core::pace::PaceReport;
+use acaciabay::core::pool_admission::PoolShare;
+use acaciabay::core::share_table::PoolDemand;
 use acaciabay::core::usage::UsageReport;
 use acaciabay::util::digest::ContentDigest;
 
@@ -67,6 +70,8 @@
     pub reports: Vec<ReportRow>,
     /// The leader's mark of the latest report that this entry has been told of.
     pub endpoint_mark: u64,
+    /// What the entry asks for in each pool.
+    pub demands: Vec<(PoolName, PoolDemand)>,
 }
 
 /// A request to claim a call.
@@ -117,6 +122,8 @@
     pub endpoints: Vec<ReportRow>,
     /// The leader's new mark.
     pub endpoint_mark: u64,
+    /// What the entry may have in use in each pool.
+    pub shares: Vec<(PoolName, PoolShare)>,
 }
 
 /// Encodes a call; ages of reports are counted up to `now`.
@@ -137,6 +144,7 @@
                 .map(|report| endpoint_to_wire(now, report))
                 .collect(),
             endpoint_mark: lease.endpoint_mark,
+            demands: lease.demands.iter().map(demand_to_wire).collect(),
         }),
         EntryCall::TakeClaim(claim) => entry_request::Body::TakeClaim(state::TakeClaim {
             now_secs: 0,
@@ -176,6 +184,7 @@
             version: ConfigVersion(renew.version),
             reports: all(&renew.reports, |report| endpoint_from_wire(now, report))?,
             endpoint_mark: renew.endpoint_mark,
+            demands: renew.demands.iter().map(demand_from_wire).collect(),
         }),
         entry_request::Body::TakeClaim(claim) => EntryCall::TakeClaim(ClaimRequest {
             key: claim_key_from_wire(claim.key)?,
@@ -209,6 +218,7 @@
                 .collect(),
             endpoint_mark: renewal.endpoint_mark,
             group: renewal.group,
+            shares: renewal.shares.iter().map(share_to_wire).collect(),
         }),
         EntryAnswer::Claim(outcome) => entry_reply::Body::Claim(claim_to_wire(outcome)),
         EntryAnswer::Done => entry_reply::Body::Done(state::Nothing {}),
@@ -239,6 +249,7 @@
             whole: renewed.whole.map(config_from_wire).transpose()?,
             endpoints: all(&renewed.endpoints, |report| endpoint_from_wire(now, report))?,
             endpoint_mark: renewed.endpoint_mark,
+            shares: renewed.shares.iter().map(share_from_wire).collect(),
         }),
         entry_reply::Body::Claim(claim) => EntryAnswer::Claim(claim_from_wire(claim)?),
         entry_reply::Body::Done(state::Nothing {}) => EntryAnswer::Done,
@@ -303,6 +314,8 @@
         state: state.into(),
         running: row.running,
         slots: row.slots,
+        pieces_used: row.pieces_used,
+        pieces: row.pieces,
         age_ms: u64::try_from(now.since(row.heard_at).as_millis()).unwrap_or(u64::MAX),
     }
 }
@@ -331,7 +344,83 @@
         state,
         running: message.running,
         slots: message.slots,
+        pieces_used: message.pieces_used,
+        pieces: message.pieces,
         heard_at: BootTime::from_boot(now.since_boot().saturating_sub(age)),
     };
     Ok((message.name.as_str().into(), row))
 }
+
+fn demand_to_wire((pool, demand): &(PoolName, PoolDemand)) -> entry::PoolDemand {
+    let customers = demand.customers.iter().map(|(customer, pieces)| entry::CustomerPieces {
+        customer: customer.to_string(),
+        pieces: *pieces,
+    });
+    entry::PoolDemand {
+        pool: pool.to_string(),
+        used: demand.used,
+        share: demand.share,
+        number: demand.number,
+        customers: customers.collect(),
+        gap_sum_us: micros(demand.pace.gap_sum),
+        gaps: demand.pace.gaps,
+        first_sum_us: micros(demand.pace.first_sum),
+        firsts: demand.pace.firsts,
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn demand_from_wire(message: &entry::PoolDemand) -> (PoolName, PoolDemand) {
+    let customers = message
+        .customers
+        .iter()
+        .map(|row| (row.customer.as_str().into(), row.pieces));
+    let demand = PoolDemand {
+        used: message.used,
+        share: message.share,
+        number: message.number,
+        customers: customers.collect(),
+        pace: PaceReport {
+            gap_sum: Duration::from_micros(message.gap_sum_us),
+            gaps: message.gaps,
+            first_sum: Duration::from_micros(message.first_sum_us),
+            firsts: message.firsts,
+        },
+    };
+    (message.pool.as_str().into(), demand)
+}
+
+fn share_to_wire((pool, share): &(PoolName, PoolShare)) -> entry::PoolShare {
+    let customers = share.weights.iter().map(|(customer, weight)| entry::CustomerPart {
+        customer: customer.to_string(),
+        weight: *weight,
+        cap: share.caps.get(customer).copied(),
+    });
+    entry::PoolShare {
+        pool: pool.to_string(),
+        pieces: share.pieces,
+        number: share.number,
+        customers: customers.collect(),
+    }
+}
+
+fn share_from_wire(message: &entry::PoolShare) -> (PoolName, PoolShare) {
+    let weights = message
+        .customers
+        .iter()
+        .map(|row| (row.customer.as_str().into(), row.weight));
+    let caps = message
+        .customers
+        .iter()
+        .filter_map(|row| Some((row.customer.as_str().into(), row.cap?)));
+    let share = PoolShare {
+        pieces: message.pieces,
+        number: message.number,
+        weights: weights.collect(),
+        caps: caps.collect(),
+    };
+    (message.pool.as_str().into(), share)
+}
--- a/crates/acaciabay/src/core/endpoint.rs
+++ b/crates/acaciabay/src/core/endpoint.rs
@@ -59,6 +59,10 @@
     pub running: u32,
     /// Requests that it can run at once.
     pub slots: u32,
+    /// Pieces of its memory in use when it reported; a service counts one for each call.
+    pub pieces_used: u32,
+    /// Pieces of its memory.
+    pub pieces: u32,
     /// When this process learned of the report.
     pub heard_at: BootTime,
 }
--- /dev/null
+++ b/crates/acaciabay/src/core/fair_queue.rs
@@ -0,0 +1,156 @@
+//! Start-time fair queueing: customers are served in proportion to their weights by what their requests cost, however
+//! many requests each of them sends.
+//!
+//! Every request gets a start tag, the later of the queue's virtual time and the finish tag of the same customer's
+//! request before it, and a finish tag its cost divided by the weight later. The request with the lowest start tag goes
+//! first. A customer with one request now and then therefore never waits behind another one's backlog.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::core::name::CustomerName;
+
+/// Identifies a waiting request within its queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketNumber(pub u64);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestCost {
+    /// Pieces of engine memory that it holds while it runs.
+    pub pieces: u32,
+    /// Its priced tokens, by which fairness is counted.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    ticket: TicketNumber,
+    cost: RequestCost,
+    start: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct CustomerLine {
+    waiting: VecDeque<WaitingRequest>,
+    /// The finish tag of the customer's last request, waiting or gone.
+    finish: f64,
+    pieces: u64,
+}
+
+/// Requests that wait for the same pool, in one line for each customer.
+#[derive(Clone, Debug, Default)]
+pub struct FairQueue {
+    lines: BTreeMap<CustomerName, CustomerLine>,
+    weights: BTreeMap<CustomerName, f64>,
+    virtual_time: f64,
+    last: u64,
+}
+
+impl FairQueue {
+    /// Sets the weights of customers.
+    pub fn set_weights(&mut self, weights: BTreeMap<CustomerName, f64>) {
+        self.weights = weights;
+    }
+
+    /// Returns a customer's weight. One that is not named has just come, and counts as the others do on the average.
+    pub fn weight(&self, customer: &CustomerName) -> f64 {
+        let mean = || self.weights.values().sum::<f64>() / self.weights.len() as f64;
+        let known = self.weights.get(customer).copied();
+        let weight = known.unwrap_or_else(|| if self.weights.is_empty() { 1.0 } else { mean() });
+        weight.max(f64::MIN_POSITIVE)
+    }
+
+    /// Adds a request to its customer's line.
+    pub fn push(&mut self, customer: &CustomerName, cost: RequestCost) -> TicketNumber {
+        self.last += 1;
+        let ticket = TicketNumber(self.last);
+        let weight = self.weight(customer);
+        let line = self.lines.entry(customer.clone()).or_default();
+        let start = line.finish.max(self.virtual_time);
+        line.finish = start + cost.tokens as f64 / weight;
+        line.pieces += u64::from(cost.pieces);
+        line.waiting.push_back(WaitingRequest { ticket, cost, start });
+        ticket
+    }
+
+    /// Takes the next request among those customers' whose next request `may_go`.
+    pub fn pop_where(&mut self, may_go: impl Fn(&CustomerName, RequestCost) -> bool) -> Option<TicketNumber> {
+        let (customer, request) = self
+            .next_line(may_go)
+            .map(|(customer, request)| (customer.clone(), *request))?;
+        self.virtual_time = self.virtual_time.max(request.start);
+        if let Some(line) = self.lines.get_mut(&customer) {
+            line.waiting.pop_front();
+            line.pieces -= u64::from(request.cost.pieces);
+        }
+        self.drop_idle();
+        Some(request.ticket)
+    }
+
+    /// Takes the request that is next.
+    pub fn pop(&mut self) -> Option<TicketNumber> {
+        self.pop_where(|_, _| true)
+    }
+
+    /// Removes a request that has stopped waiting.
+    pub fn cancel(&mut self, customer: &CustomerName, ticket: TicketNumber) -> bool {
+        let Some(line) = self.lines.get_mut(customer) else {
+            return false;
+        };
+        let Some(place) = line.waiting.iter().position(|request| request.ticket == ticket) else {
+            return false;
+        };
+        if let Some(request) = line.waiting.remove(place) {
+            line.pieces -= u64::from(request.cost.pieces);
+        }
+        true
+    }
+
+    /// Returns how many requests of a customer wait.
+    pub fn waiting(&self, customer: &CustomerName) -> usize {
+        self.lines.get(customer).map_or(0, |line| line.waiting.len())
+    }
+
+    /// Returns how many pieces each customer waits for.
+    pub fn backlog(&self) -> impl Iterator<Item = (&CustomerName, u64)> {
+        self.lines
+            .iter()
+            .filter(|(_, line)| line.pieces > 0)
+            .map(|(customer, line)| (customer, line.pieces))
+    }
+
+    /// Returns how many pieces all customers together wait for.
+    pub fn waiting_pieces(&self) -> u64 {
+        self.lines.values().map(|line| line.pieces).sum()
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.lines.values().all(|line| line.waiting.is_empty())
+    }
+
+    fn next_line(
+        &self,
+        may_go: impl Fn(&CustomerName, RequestCost) -> bool,
+    ) -> Option<(&CustomerName, &WaitingRequest)> {
+        let heads = self
+            .lines
+            .iter()
+            .filter_map(|(customer, line)| line.waiting.front().map(|head| (customer, head)));
+        let heads = heads.filter(|(customer, head)| may_go(customer, head.cost));
+        heads.min_by(|first, second| {
+            first
+                .1
+                .start
+                .total_cmp(&second.1.start)
+                .then(first.1.ticket.cmp(&second.1.ticket))
+        })
+    }
+
+    /// Forgets customers whose last request lies in the past of the virtual time: a later one starts afresh anyway.
+    fn drop_idle(&mut self) {
+        let now = self.virtual_time;
+        self.lines
+            .retain(|_, line| !line.waiting.is_empty() || line.finish > now);
+    }
+}
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! The operations, one function each, over the tables in [`crate::core`].
 
 pub mod check_tables;
+pub mod divide_pool;
 pub mod place_request;
 pub mod plan_deliveries;
 pub mod route_request;
--- a/crates/acaciabay/src/ops/place_request.rs
+++ b/crates/acaciabay/src/ops/place_request.rs
@@ -15,8 +15,19 @@
 /// Affinity without a bound sends every request with a popular prompt prefix to one engine.
 const AFFINITY_LOAD_BOUND: f64 = 1.25;
 
+/// What this entry itself has under way at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Pieces of the endpoint's memory that they hold.
+    pub pieces: u32,
+    /// How many of these pieces the endpoint's latest report contains.
+    pub reported: u32,
+}
+
 /// What this entry itself has under way at each endpoint, which the endpoint's lagging report may not contain yet.
-pub type OwnSends = BTreeMap<EndpointName, u32>;
+pub type OwnSends = BTreeMap<EndpointName, OwnLoad>;
 
 /// A request that needs an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +38,8 @@
     pub target: &'request RouteTarget,
     /// The digestible start of the prompt, whose cached form an engine may hold; empty for none.
     pub prefix: &'request [u8],
+    /// Pieces of memory that it needs.
+    pub pieces: u32,
     /// Endpoints that an earlier attempt of this request has used.
     pub tried: &'request [EndpointName],
 }
@@ -42,19 +55,20 @@
     sends: &OwnSends,
     request: PlacementRequest<'_>,
 ) -> Option<(&'table EndpointName, &'table EndpointRow)> {
-    let candidates: Vec<_> = endpoints
+    let mut candidates: Vec<_> = endpoints
         .rows()
         .filter(|(name, row)| is_candidate(now, name, row, request))
         .collect();
+    let with_room = |candidate: &(&EndpointName, &EndpointRow)| has_room(*candidate, sends, request.pieces);
+    if candidates.iter().any(with_room) {
+        candidates.retain(with_room);
+    }
     if candidates.is_empty() {
         return None;
     }
     if !request.prefix.is_empty() {
-        let favourite = candidates
-            .iter()
-            .max_by_key(|(name, _)| rendezvous::score(request.prefix, name.as_str().as_bytes()))
-            .copied()?;
-        if within_bound(favourite, &candidates, sends) {
+        let favourite = favourite_of(request.prefix, &candidates)?;
+        if within_bound(favourite, &candidates, sends, request.pieces) {
             return Some(favourite);
         }
     }
@@ -67,6 +81,31 @@
     })
 }
 
+/// Picks the endpoints in turn, whatever their load: the baseline of the measurements.
+pub fn place_in_turn<'table>(
+    now: BootTime,
+    turn: u64,
+    endpoints: &'table EndpointTable,
+    request: PlacementRequest<'_>,
+) -> Option<(&'table EndpointName, &'table EndpointRow)> {
+    let candidates: Vec<_> = endpoints
+        .rows()
+        .filter(|(name, row)| is_candidate(now, name, row, request))
+        .collect();
+    let place = usize::try_from(turn).unwrap_or(0).checked_rem(candidates.len())?;
+    candidates.get(place).copied()
+}
+
+fn favourite_of<'table>(
+    prefix: &[u8],
+    candidates: &[(&'table EndpointName, &'table EndpointRow)],
+) -> Option<(&'table EndpointName, &'table EndpointRow)> {
+    candidates
+        .iter()
+        .max_by_key(|(name, _)| rendezvous::score(prefix, name.as_str().as_bytes()))
+        .copied()
+}
+
 fn is_candidate(now: BootTime, name: &EndpointName, row: &EndpointRow, request: PlacementRequest<'_>) -> bool {
     request.pool.contains(name)
         && row.takes_work(now)
@@ -86,15 +125,25 @@
     favourite: (&EndpointName, &EndpointRow),
     candidates: &[(&EndpointName, &EndpointRow)],
     sends: &OwnSends,
+    pieces: u32,
 ) -> bool {
     let total: f64 = candidates.iter().map(|candidate| load(*candidate, sends)).sum();
     let mean = total / candidates.len() as f64;
-    let one_more = 1.0 / f64::from(favourite.1.slots.max(1));
-    load(favourite, sends) <= mean * AFFINITY_LOAD_BOUND + one_more
+    let own = f64::from(pieces) / f64::from(favourite.1.pieces.max(1));
+    load(favourite, sends) <= mean * AFFINITY_LOAD_BOUND + own
+}
+
+fn has_room((name, row): (&EndpointName, &EndpointRow), sends: &OwnSends, pieces: u32) -> bool {
+    used((name, row), sends) + pieces <= row.pieces
 }
 
-/// The share of the endpoint's slots in use: its own report, or what this entry has sent when that is more.
+/// The share of the endpoint's memory in use.
 fn load((name, row): (&EndpointName, &EndpointRow), sends: &OwnSends) -> f64 {
-    let own = sends.get(name).copied().unwrap_or(0);
-    f64::from(row.running.max(own)) / f64::from(row.slots.max(1))
+    f64::from(used((name, row), sends)) / f64::from(row.pieces.max(1))
+}
+
+/// The endpoint's report, corrected by what this entry has sent since.
+fn used((name, row): (&EndpointName, &EndpointRow), sends: &OwnSends) -> u32 {
+    let own = sends.get(name).copied().unwrap_or_default();
+    row.pieces_used.saturating_add(own.pieces.saturating_sub(own.reported))
 }
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -36,7 +36,7 @@
 }
 
 /// How many processes of each kind a cluster has.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ClusterShape {
     /// Replicas of the control group.
     pub controls: usize,
@@ -50,6 +50,12 @@
     pub decode_rate: u32,
     /// Whether endpoints check fencing numbers.
     pub checks_fencing: bool,
+    /// Fields that replace those of every entry's settings.
+    pub entry_settings: Value,
+    /// Fields that replace those of every control host's settings.
+    pub control_settings: Value,
+    /// Fields that replace those of every endpoint's settings.
+    pub endpoint_settings: Value,
     /// Whether there is a platform interface that takes usage windows, as the last endpoint.
     pub platform: bool,
     /// Whether connections to control replicas pass relays that can cut them.
@@ -65,6 +71,9 @@
             bookings: 1,
             decode_rate: 500,
             checks_fencing: true,
+            entry_settings: json!({}),
+            control_settings: json!({}),
+            endpoint_settings: json!({}),
             platform: false,
             relays: false,
         }
@@ -96,12 +105,12 @@
     /// # Panics
     ///
     /// Panics when one does not start.
-    pub fn start(paths: ProgramPaths, shape: ClusterShape) -> Self {
+    pub fn start(paths: ProgramPaths, shape: &ClusterShape) -> Self {
         let mut cluster = Self {
             paths,
             folder: TempDir::new().expect("the system has a temporary folder"),
             ip: next_address(),
-            shape,
+            shape: shape.clone(),
             operator: OnceLock::new(),
             relays: Vec::new(),
             controls: Vec::new(),
@@ -170,6 +179,21 @@
         .await;
     }
 
+    /// Waits until a control host is ready.
+    pub async fn wait_ready(&self, index: usize) {
+        let admin = self.control_address(index, 2);
+        wait_until(&format!("{} is ready", control_name(index)), || async move {
+            let request = FetchRequest::new(&Method::GET, "/readyz");
+            fetch_json(admin, request, ANSWER_TIMEOUT)
+                .await
+                .ok()?
+                .status
+                .is_success()
+                .then_some(())
+        })
+        .await;
+    }
+
     /// Returns which control host leads.
     pub async fn leader(&self) -> usize {
         let operator = self.operator();
@@ -322,17 +346,18 @@
         }
     }
 
-    /// Waits until every entry knows every endpoint.
+    /// Waits until every entry knows every endpoint and has its share of every pool.
     pub async fn wait_endpoints(&self) {
         for index in 0..self.entries.len() {
+            let admin = self.entry_address(index, 2);
             for endpoint in 0..self.shape.engines + self.shape.bookings {
                 let name = self.endpoint_name(endpoint);
-                let admin = self.entry_address(index, 2);
                 wait_until(&format!("entry-{} knows `{name}`", index + 1), || {
                     knows(admin, name.clone())
                 })
                 .await;
             }
+            wait_until(&format!("entry-{} has its shares", index + 1), || has_shares(admin)).await;
         }
     }
 
@@ -454,12 +479,13 @@
         if self.shape.platform {
             settings["platform_address"] = json!(self.endpoint_address(self.platform()).to_string());
         }
+        replace_fields(&mut settings, &self.shape.control_settings);
         settings
     }
 
     fn entry_settings(&self, index: usize) -> Value {
         let controls = (0..self.shape.controls).map(|control| self.member_address(control).to_string());
-        json!({
+        let mut settings = json!({
             "host": format!("entry-{}", index + 1),
             "failure_domain": domain_of(index),
             "caller_address": self.entry_address(index, 0).to_string(),
@@ -467,7 +493,9 @@
             "admin_address": self.entry_address(index, 2).to_string(),
             "control_addresses": controls.collect::<Vec<_>>(),
             "limits": {"body_bytes": 65_536, "head_timeout_ms": 1_000, "body_timeout_ms": 1_000},
-        })
+        });
+        replace_fields(&mut settings, &self.shape.entry_settings);
+        settings
     }
 
     fn endpoint_settings(&self, index: usize) -> Value {
@@ -487,6 +515,7 @@
         } else {
             settings["service"] = json!("booking");
         }
+        replace_fields(&mut settings, &self.shape.endpoint_settings);
         settings
     }
 }
@@ -507,6 +536,12 @@
     ])
 }
 
+fn replace_fields(settings: &mut Value, fields: &Value) {
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        settings[name] = value.clone();
+    }
+}
+
 fn control_name(index: usize) -> String {
     format!("control-{}", index + 1)
 }
@@ -524,6 +559,13 @@
         .then_some(())
 }
 
+async fn has_shares(admin: SocketAddr) -> Option<()> {
+    let request = FetchRequest::new(&Method::GET, "/shares");
+    let answer = fetch_json(admin, request, ANSWER_TIMEOUT).await.ok()?;
+    let rows = answer.body["shares"].as_array()?.clone();
+    rows.iter().all(|row| row["granted"] == true).then_some(())
+}
+
 /// Draws a loopback address that no other cluster of this or another test process uses.
 fn next_address() -> Ipv4Addr {
     static CLUSTERS: AtomicU16 = AtomicU16::new(0);
--- a/src/bin/acacia-local.rs
+++ b/src/bin/acacia-local.rs
@@ -157,6 +157,10 @@
         slots: 16,
         prefill_rate: 20_000,
         decode_rate: 200,
+        batch_rate: 4_000,
+        pieces: 64,
+        cached_prefixes: 32,
+        report_lag: Duration::ZERO,
         checks_fencing: true,
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,4 +9,5 @@
 mod planned_changes;
 mod support;
 mod thin_path;
+mod traces;
 mod whole_answers;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -10,6 +10,10 @@
 };
 
 /// Starts a cluster of the given shape.
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "fixtures are written in place by the tests"
+)]
 pub(crate) fn cluster(shape: ClusterShape) -> TestCluster {
-    TestCluster::start(PATHS, shape)
+    TestCluster::start(PATHS, &shape)
 }
