--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::{Arc, mpsc};
 
-use acacia_http::{ServerBounds, serve_http};
+use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
@@ -15,7 +15,7 @@
 use acacia_wire::generated::replica::Hello;
 use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
 use acaciabay::core::delivery::DeliveryTable;
-use acaciabay::core::endpoint_news::EndpointNews;
+use acaciabay::core::endpoint_changes::EndpointChanges;
 use acaciabay::core::member::EntryTable;
 use acaciabay::core::name::HostName;
 use acaciabay::core::presence::PresenceTable;
@@ -33,7 +33,7 @@
 use crate::driver::{DriverParts, GroupDriver};
 use crate::group::{GroupHandle, GroupInput, GroupShared};
 use crate::joining::await_identity;
-use crate::leader_duties::carry_out_duties;
+use crate::leader_tasks::run_leader_tasks;
 use crate::operator_api::OperatorApi;
 use crate::peer_links::PeerLinks;
 use crate::peer_listener::serve_peers;
@@ -54,7 +54,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct SoftState {
     pub(crate) presence: PresenceTable,
-    pub(crate) endpoints: EndpointNews,
+    pub(crate) endpoints: EndpointChanges,
     /// What the entries may have in use of each pool.
     pub(crate) shares: SharePlan,
     /// Orders under way.
@@ -65,7 +65,7 @@
 
 impl SoftState {
     /// Returns what has been reported since `mark` of the endpoints that an entry hears of.
-    pub(crate) fn news_for(&mut self, entries: &EntryTable, host: &HostName, mark: u64) -> Vec<ReportRow> {
+    pub(crate) fn changes_for(&mut self, entries: &EntryTable, host: &HostName, mark: u64) -> Vec<ReportRow> {
         self.endpoints.follow(entries);
         self.endpoints
             .since(host, mark)
@@ -219,12 +219,6 @@
     })
 }
 
-async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("failed to listen on `{address}`"))
-}
-
 /// Returns whom the folder belongs to; an empty one draws its number now and waits to be admitted.
 fn open_identity(folder: &DataFolder) -> anyhow::Result<FolderIdentity> {
     if let Some(identity) = folder.identity()? {
@@ -361,7 +355,7 @@
 ) -> TaskTracker {
     let tasks = TaskTracker::new();
     let api = OperatorApi::new(Arc::clone(control), token);
-    tasks.spawn(carry_out_duties(Arc::clone(control), stop.clone()));
+    tasks.spawn(run_leader_tasks(Arc::clone(control), stop.clone()));
     tasks.spawn(serve_peers(listeners.peers, Arc::clone(control), stop.clone()));
     tasks.spawn(serve_http(
         listeners.operators,
--- a/crates/acacia-control/src/driver.rs
+++ b/crates/acacia-control/src/driver.rs
@@ -154,7 +154,7 @@
             },
             GroupInput::Confirm(answer) => self.confirms.push(answer),
             GroupInput::Message(message) => self.replica.step(boot_now(), message),
-            GroupInput::Greeting { replica, address } => self.links.greet(replica, &address),
+            GroupInput::PeerConnected { replica, address } => self.links.open_for_caller(replica, &address),
             GroupInput::ChangeMembers { change, answer } => {
                 let changed = self.replica.change_members(change).map(|(_, replica)| replica);
                 let _gave_up = answer.send(changed);
--- a/crates/acacia-control/src/group.rs
+++ b/crates/acacia-control/src/group.rs
@@ -50,7 +50,7 @@
     },
     Confirm(oneshot::Sender<Result<(), NotLeading>>),
     Message(ReplicaMessage),
-    Greeting {
+    PeerConnected {
         replica: ReplicaId,
         address: String,
     },
--- a/crates/acacia-control/src/leader_duties.rs
+++ b/crates/acacia-control/src/leader_tasks.rs
@@ -28,13 +28,13 @@
 use crate::daemon::Control;
 
 /// How often the leader looks at what is to be done.
-const DUTY_INTERVAL: Duration = Duration::from_millis(100);
+const TASK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long an endpoint or the platform may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 const LARGEST_ANSWER: usize = 64 * 1024;
 
-/// Carries out the leader's duties until `stop` is cancelled.
-pub(crate) async fn carry_out_duties(control: Arc<Control>, stop: CancellationToken) {
+/// Runs the leader's tasks until `stop` is cancelled.
+pub(crate) async fn run_leader_tasks(control: Arc<Control>, stop: CancellationToken) {
     let group = control.group.clone();
     let guard = WriteGuard::new(move || group.may_act(boot_now()));
     // Connections are never kept: what was written on an old one might still be delivered after a new one was used.
@@ -49,7 +49,7 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = tokio::time::sleep(DUTY_INTERVAL) => {}
+            () = tokio::time::sleep(TASK_INTERVAL) => {}
         }
         if !control.group.may_act(boot_now()) {
             continue;
--- a/crates/acacia-control/src/lib.rs
+++ b/crates/acacia-control/src/lib.rs
@@ -10,7 +10,7 @@
 mod entry_session;
 mod group;
 mod joining;
-mod leader_duties;
+mod leader_tasks;
 mod operator_api;
 mod operator_members;
 mod operator_tables;
--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -227,7 +227,7 @@
         Ok(json!({"removed": host}))
     }
 
-    /// Records the intent to order an endpoint; it is sent by the leader's duties.
+    /// Records the intent to order an endpoint; it is sent by the leader's tasks.
     async fn order(&self, name: &str, target: OrderTarget) -> OperatorAnswer {
         let endpoint = EndpointName::new(name);
         self.control.group.confirm().await?;
--- a/crates/acacia-control/src/peer_links.rs
+++ b/crates/acacia-control/src/peer_links.rs
@@ -59,7 +59,7 @@
     ///
     /// A replica that has just been admitted, or was away while members changed, does not know the leader that calls
     /// it. Without a link it could not answer, and the leader would never learn what it lacks.
-    pub(crate) fn greet(&mut self, id: ReplicaId, address: &str) {
+    pub(crate) fn open_for_caller(&mut self, id: ReplicaId, address: &str) {
         if !address.is_empty() {
             self.open(id, address);
         }
--- a/crates/acacia-control/src/peer_listener.rs
+++ b/crates/acacia-control/src/peer_listener.rs
@@ -75,7 +75,7 @@
         return Err(std::io::Error::other(text));
     }
     let replica = ReplicaId(hello.replica);
-    control.group.input(GroupInput::Greeting {
+    control.group.input(GroupInput::PeerConnected {
         replica,
         address: hello.address,
     });
--- a/crates/acacia-control/src/share_plan.rs
+++ b/crates/acacia-control/src/share_plan.rs
@@ -135,7 +135,6 @@
             pieces,
             number,
             weights: part.weights,
-            caps: part.caps,
         }
     }
 }
--- a/crates/acacia-entry/src/admission.rs
+++ b/crates/acacia-entry/src/admission.rs
@@ -17,12 +17,12 @@
 
 /// The admission of all pools.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct AdmissionDesk {
-    pools: Arc<Mutex<BTreeMap<PoolName, PoolDesk>>>,
+pub(crate) struct PoolAdmissions {
+    pools: Arc<Mutex<BTreeMap<PoolName, PoolState>>>,
 }
 
 #[derive(Debug)]
-struct PoolDesk {
+struct PoolState {
     admission: PoolAdmission,
     pace: PaceMeter,
     waiting: HashMap<TicketNumber, WaitingTicket>,
@@ -51,7 +51,7 @@
 /// A request's part of the share, if it has begun.
 #[derive(Debug)]
 struct AdmissionPlace {
-    desk: AdmissionDesk,
+    admissions: PoolAdmissions,
     pool: PoolName,
     customer: CustomerName,
     cost: RequestCost,
@@ -63,9 +63,9 @@
         if !self.has_begun {
             return;
         }
-        self.desk.with_pool(&self.pool, |desk| {
-            desk.admission.end(&self.customer, self.cost);
-            desk.admit_waiting(boot_now());
+        self.admissions.with_pool(&self.pool, |state| {
+            state.admission.end(&self.customer, self.cost);
+            state.admit_waiting(boot_now());
         });
     }
 }
@@ -80,16 +80,16 @@
 impl Drop for WaitingPlace {
     fn drop(&mut self) {
         let Some(mut place) = self.place.take() else { return };
-        let waited = place.desk.with_pool(&place.pool, |desk| {
-            desk.waiting.remove(&self.ticket);
-            desk.admission.cancel(&place.customer, self.ticket)
+        let waited = place.admissions.with_pool(&place.pool, |state| {
+            state.waiting.remove(&self.ticket);
+            state.admission.cancel(&place.customer, self.ticket)
         });
         // One that no longer waits was admitted just now, and what was begun for it has to be ended.
         place.has_begun = !waited;
     }
 }
 
-impl AdmissionDesk {
+impl PoolAdmissions {
     /// Waits until a request may run.
     ///
     /// # Errors
@@ -104,9 +104,9 @@
         patience: Duration,
     ) -> Result<AdmissionPermit, AdmissionRefusal> {
         let (admitted, receiver) = oneshot::channel();
-        let ticket = self.with_pool(pool, |desk| {
-            let ticket = desk.admission.enqueue(now, customer, cost, patience)?;
-            desk.waiting.insert(
+        let ticket = self.with_pool(pool, |state| {
+            let ticket = state.admission.enqueue(now, customer, cost, patience)?;
+            state.waiting.insert(
                 ticket,
                 WaitingTicket {
                     customer: customer.clone(),
@@ -114,11 +114,11 @@
                     admitted,
                 },
             );
-            desk.admit_waiting(now);
+            state.admit_waiting(now);
             Ok(ticket)
         })?;
         let place = AdmissionPlace {
-            desk: self.clone(),
+            admissions: self.clone(),
             pool: pool.clone(),
             customer: customer.clone(),
             cost,
@@ -140,28 +140,28 @@
 
     /// Estimates how long an answer of so many tokens takes.
     pub(crate) fn expected_service(&self, pool: &PoolName, output_tokens: u64) -> Duration {
-        self.with_pool(pool, |desk| desk.pace.expected_service(output_tokens))
+        self.with_pool(pool, |state| state.pace.expected_service(boot_now(), output_tokens))
     }
 
     /// Notes how long an engine took to its first token.
     pub(crate) fn note_first(&self, pool: &PoolName, first: Duration) {
-        self.with_pool(pool, |desk| desk.pace.note_first(first));
+        self.with_pool(pool, |state| state.pace.note_first(boot_now(), first));
     }
 
     /// Notes how long an engine took from one token to the next.
     pub(crate) fn note_gap(&self, pool: &PoolName, gap: Duration) {
-        self.with_pool(pool, |desk| desk.pace.note_gap(gap));
+        self.with_pool(pool, |state| state.pace.note_gap(boot_now(), gap));
     }
 
     /// Returns what this entry asks for in each of these pools.
     pub(crate) fn demands<'pool>(&self, pools: impl Iterator<Item = &'pool PoolName>) -> Vec<(PoolName, PoolDemand)> {
         let demand = |name: &PoolName| {
-            let demand = self.with_pool(name, |desk| PoolDemand {
-                used: desk.admission.used(),
-                share: desk.admission.share().pieces,
-                number: desk.admission.share().number,
-                customers: desk.admission.demand(),
-                pace: desk.pace.take_report(),
+            let demand = self.with_pool(name, |state| PoolDemand {
+                used: state.admission.used(),
+                share: state.admission.share().pieces,
+                number: state.admission.share().number,
+                customers: state.admission.demand(),
+                pace: state.pace.take_report(),
             });
             (name.clone(), demand)
         };
@@ -171,14 +171,14 @@
     /// Shows operators what this entry may have in use of each pool, and what it has.
     pub(crate) fn show(&self) -> Value {
         let pools = self.pools.lock();
-        let rows = pools.iter().map(|(name, desk)| {
-            let share = desk.admission.share();
+        let rows = pools.iter().map(|(name, state)| {
+            let share = state.admission.share();
             json!({
                 "pool": name.as_str(),
                 "share": share.pieces,
                 "granted": share.number > 0,
-                "used": desk.admission.used(),
-                "waiting": desk.waiting.len(),
+                "used": state.admission.used(),
+                "waiting": state.waiting.len(),
             })
         });
         json!({"shares": rows.collect::<Vec<_>>()})
@@ -187,25 +187,25 @@
     /// Takes over shares from the leader.
     pub(crate) fn grant(&self, now: BootTime, shares: Vec<(PoolName, PoolShare)>) {
         for (pool, share) in shares {
-            self.with_pool(&pool, |desk| {
-                desk.admission.grant(share);
-                desk.admit_waiting(now);
+            self.with_pool(&pool, |state| {
+                state.admission.grant(share);
+                state.admit_waiting(now);
             });
         }
     }
 
-    fn with_pool<T>(&self, pool: &PoolName, act: impl FnOnce(&mut PoolDesk) -> T) -> T {
+    fn with_pool<T>(&self, pool: &PoolName, act: impl FnOnce(&mut PoolState) -> T) -> T {
         let mut pools = self.pools.lock();
-        let desk = pools.entry(pool.clone()).or_insert_with(|| PoolDesk {
+        let state = pools.entry(pool.clone()).or_insert_with(|| PoolState {
             admission: PoolAdmission::new(boot_now()),
             pace: PaceMeter::default(),
             waiting: HashMap::new(),
         });
-        act(desk)
+        act(state)
     }
 }
 
-impl PoolDesk {
+impl PoolState {
     fn admit_waiting(&mut self, now: BootTime) {
         while let Some(ticket) = self.admission.admit_next(now) {
             let Some(waiting) = self.waiting.remove(&ticket) else {
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, FinishedConnection, ResponseBody, json_response};
+use acacia_http::{ConnectionChoice, FinishedConnection, json_response};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::trace::{ActiveSpan, TRACEPARENT, TraceContext};
@@ -15,13 +15,11 @@
 use acaciabay::core::usage::UsageFigures;
 use acaciabay::ops::place_request::PlacementRequest;
 use bytes::Bytes;
-use futures::stream;
-use http_body_util::{BodyExt, Collected, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HOST, HeaderValue};
+use http_body_util::{BodyExt, Collected, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::Value;
-use tokio::sync::mpsc;
 
 use crate::admission::AdmissionPermit;
 use crate::caller_http::CallerAnswer;
@@ -29,6 +27,7 @@
     CallerIdentity, CallerRoute, admit, find_route, place_by_policy, read_caller_body, time_left,
 };
 use crate::completion_body::{CompletionBody, CompletionForm};
+use crate::completion_stream::stream_answer;
 use crate::endpoint_stream::{EndpointStream, StreamFault, StreamPiece, TokenPiece};
 use crate::refusal::CallerRefusal;
 use crate::shared::{Entry, SendGuard};
@@ -40,11 +39,6 @@
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long an engine may pause between tokens; the target is 30 ms, so this is silence, not slowness.
 const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long after the error event the connection is broken. A body that fails at once takes the event with it, because
-/// the server drops what it has not flushed.
-const BREAK_DELAY: Duration = Duration::from_millis(50);
-/// How many chunks may wait for a slow caller. The engine is slowed down beyond it, so memory stays bounded.
-const WAITING_CHUNKS: usize = 32;
 
 pub(crate) async fn complete(
     entry: &Arc<Entry>,
@@ -73,18 +67,18 @@
 
 /// What a run yields.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum RunPiece {
+pub(crate) enum RunPiece {
     Token(TokenPiece),
     Finished(UsageFigures),
 }
 
 /// One completion on its way through one or more attempts.
 #[derive(Debug)]
-struct CompletionRun {
+pub(crate) struct CompletionRun {
     entry: Arc<Entry>,
     caller: CallerIdentity,
     route: CallerRoute,
-    body: CompletionBody,
+    pub(crate) body: CompletionBody,
     attempt: Option<OpenAttempt>,
     attempts: u32,
     text: String,
@@ -148,7 +142,8 @@
         }
     }
 
-    fn caller_id(&self) -> String {
+    /// Returns the id that the caller sees.
+    pub(crate) fn caller_id(&self) -> String {
         format!("cmpl-{}", self.caller.id)
     }
 
@@ -164,7 +159,7 @@
     }
 
     /// Returns the next token, or the usage of the whole answer, through as many attempts as that takes.
-    async fn next(&mut self) -> Result<RunPiece, CallerRefusal> {
+    pub(crate) async fn next(&mut self) -> Result<RunPiece, CallerRefusal> {
         loop {
             let left = time_left(boot_now(), self.route.deadline);
             if left.is_zero() {
@@ -409,7 +404,7 @@
     }
 
     /// Commits the usage before the caller learns that the answer is whole.
-    async fn bill(&self, usage: UsageFigures) {
+    pub(crate) async fn bill(&self, usage: UsageFigures) {
         let _span = self.entry.spans.start("usage commit", self.caller.trace);
         self.entry
             .usage
@@ -418,7 +413,7 @@
     }
 
     /// Bills an answer that was cut or cancelled by the tokens that the caller was given.
-    async fn bill_partial(&self) {
+    pub(crate) async fn bill_partial(&self) {
         if self.next_offset > 0 {
             self.bill(UsageFigures {
                 output_tokens: self.next_offset,
@@ -448,68 +443,3 @@
         &run.body.whole(&run.caller_id(), &run.text, finish, &usage),
     ))
 }
-
-type ChunkSender = mpsc::Sender<std::io::Result<Bytes>>;
-
-fn stream_answer(run: CompletionRun, first: RunPiece) -> Response<ResponseBody> {
-    let (sender, mut receiver) = mpsc::channel::<std::io::Result<Bytes>>(WAITING_CHUNKS);
-    tokio::spawn(pump(run, first, sender));
-    let chunks = stream::poll_fn(move |context| receiver.poll_recv(context));
-    let frames = futures::StreamExt::map(chunks, |chunk| chunk.map(Frame::data));
-    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    response
-}
-
-/// Why the stream to the caller ended before the answer was whole.
-#[derive(Debug)]
-enum PumpEnd {
-    CallerGone,
-    Failed(CallerRefusal),
-}
-
-async fn pump(mut run: CompletionRun, first: RunPiece, sender: ChunkSender) {
-    match pump_pieces(&mut run, first, &sender).await {
-        Ok(()) => {}
-        Err(PumpEnd::CallerGone) => run.bill_partial().await,
-        Err(PumpEnd::Failed(refusal)) => {
-            run.bill_partial().await;
-            // The caller is told why, and the broken connection tells it that the answer is not whole.
-            let _gone = send(&sender, &refusal.to_json()).await;
-            tokio::time::sleep(BREAK_DELAY).await;
-            let _gone = sender.send(Err(std::io::Error::other(refusal.message))).await;
-        }
-    }
-}
-
-async fn pump_pieces(run: &mut CompletionRun, first: RunPiece, sender: &ChunkSender) -> Result<(), PumpEnd> {
-    let id = run.caller_id();
-    let mut piece = first;
-    loop {
-        match &piece {
-            RunPiece::Token(token) => {
-                let chunk = run.body.chunk(&id, &token.text, token.finish.as_deref());
-                send(sender, &chunk).await?;
-            }
-            RunPiece::Finished(usage) => {
-                run.bill(*usage).await;
-                if run.body.wants_usage {
-                    send(sender, &run.body.usage_chunk(&id, usage)).await?;
-                }
-                let done = Bytes::from_static(b"data: [DONE]\n\n");
-                return sender.send(Ok(done)).await.map_err(|_gone| PumpEnd::CallerGone);
-            }
-        }
-        piece = tokio::select! {
-            next = run.next() => next.map_err(PumpEnd::Failed)?,
-            () = sender.closed() => return Err(PumpEnd::CallerGone),
-        };
-    }
-}
-
-async fn send(sender: &ChunkSender, chunk: &Value) -> Result<(), PumpEnd> {
-    let line = Bytes::from(format!("data: {chunk}\n\n"));
-    sender.send(Ok(line)).await.map_err(|_gone| PumpEnd::CallerGone)
-}
--- a/crates/acacia-entry/src/control_link.rs
+++ b/crates/acacia-entry/src/control_link.rs
@@ -39,12 +39,12 @@
 #[derive(Clone, Debug)]
 pub struct ControlLink {
     calls: mpsc::Sender<LinkCall>,
-    newest: watch::Receiver<LinkNews>,
+    newest: watch::Receiver<LinkStatus>,
 }
 
 /// What the link learns without asking.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LinkNews {
+pub struct LinkStatus {
     /// The newest version that a leader has announced.
     pub version: ConfigVersion,
     /// Counts connections; marks of endpoint reports are valid for one connection only.
@@ -62,13 +62,13 @@
     /// Creates a link and the task that drives it.
     pub fn open(host: String, addresses: Vec<SocketAddr>, log: Logger) -> (Self, LinkDriver) {
         let (calls, waiting) = mpsc::channel(WAITING_CALLS);
-        let (news, newest) = watch::channel(LinkNews::default());
+        let (status, newest) = watch::channel(LinkStatus::default());
         let driver = LinkDriver {
             host,
             addresses,
             log,
             waiting,
-            news,
+            status,
             pending: HashMap::new(),
             last: 0,
             hint: None,
@@ -95,7 +95,7 @@
     }
 
     /// Follows what the leader announces.
-    pub fn news(&self) -> watch::Receiver<LinkNews> {
+    pub fn status(&self) -> watch::Receiver<LinkStatus> {
         self.newest.clone()
     }
 }
@@ -107,7 +107,7 @@
     addresses: Vec<SocketAddr>,
     log: Logger,
     waiting: mpsc::Receiver<LinkCall>,
-    news: watch::Sender<LinkNews>,
+    status: watch::Sender<LinkStatus>,
     pending: HashMap<u64, PendingCall>,
     last: u64,
     hint: Option<SocketAddr>,
@@ -155,7 +155,7 @@
     async fn use_connection(&mut self, address: SocketAddr) -> LinkEnd {
         match self.connect(address).await {
             Ok((reader, writer)) => {
-                self.news.send_modify(|news| news.connection += 1);
+                self.status.send_modify(|status| status.connection += 1);
                 match self.exchange(reader, writer).await {
                     Ok(end) => end,
                     Err(error) => LinkEnd::Failed(error),
@@ -227,9 +227,20 @@
     }
 
     async fn send_new(&mut self, writer: &mut FrameWriter<TcpStream>, call: LinkCall) -> std::io::Result<()> {
+        let frame = self.enlist(call);
+        writer.feed(frame).await?;
+        while let Ok(call) = self.waiting.try_recv() {
+            let frame = self.enlist(call);
+            writer.feed(frame).await?;
+        }
+        writer.flush().await
+    }
+
+    /// Numbers a call and counts it as pending before it is written, so that a connection that breaks in the write loses
+    /// nothing.
+    fn enlist(&mut self, call: LinkCall) -> Frame {
         self.last += 1;
         let frame = Frame::EntryRequest(call_to_wire(boot_now(), self.last, &call.traceparent, &call.call));
-        // The call counts as pending before it is written, so that a connection that breaks in the write loses nothing.
         self.pending.insert(
             self.last,
             PendingCall {
@@ -237,20 +248,7 @@
                 sent_at: Instant::now(),
             },
         );
-        writer.feed(frame).await?;
-        while let Ok(call) = self.waiting.try_recv() {
-            self.last += 1;
-            let frame = Frame::EntryRequest(call_to_wire(boot_now(), self.last, &call.traceparent, &call.call));
-            self.pending.insert(
-                self.last,
-                PendingCall {
-                    call,
-                    sent_at: Instant::now(),
-                },
-            );
-            writer.feed(frame).await?;
-        }
-        writer.flush().await
+        frame
     }
 
     /// Hands an answer to its caller; returns whether to move on to another replica.
@@ -258,7 +256,8 @@
         let request = reply.request;
         match answer_from_wire(boot_now(), reply) {
             Ok(EntryAnswer::NewerVersion(version)) => {
-                self.news.send_modify(|news| news.version = news.version.max(version));
+                self.status
+                    .send_modify(|status| status.version = status.version.max(version));
                 false
             }
             Ok(EntryAnswer::NotLeader { leader_address }) => {
--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ServerBounds, serve_http};
+use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
@@ -89,12 +89,6 @@
     })
 }
 
-async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("failed to listen on `{address}`"))
-}
-
 /// Runs the entry and stops it in the order that loses nothing: callers first, then usage, then everything else.
 async fn run(
     settings: EntrySettings,
--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -48,11 +48,11 @@
 
 /// Returns when the group no longer knows this incarnation.
 async fn renew_until_stale(entry: &Entry, group: &mut Option<u64>) -> Result<(), LinkClosed> {
-    let mut news = entry.link.news();
+    let mut status = entry.link.status();
     let mut mark = 0;
-    let mut connection = news.borrow().connection;
+    let mut connection = status.borrow().connection;
     loop {
-        let latest = *news.borrow_and_update();
+        let latest = *status.borrow_and_update();
         if latest.connection != connection {
             // Another leader counts reports from its own zero.
             mark = 0;
@@ -81,7 +81,7 @@
             // Asking again at once tells the leader that this entry serves by the new version.
             continue;
         }
-        let _news = tokio::time::timeout(RENEWAL_INTERVAL, news.changed()).await;
+        let _changed = tokio::time::timeout(RENEWAL_INTERVAL, status.changed()).await;
     }
 }
 
--- a/crates/acacia-entry/src/lib.rs
+++ b/crates/acacia-entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_request;
 mod completion;
 mod completion_body;
+mod completion_stream;
 mod control_link;
 mod daemon;
 mod endpoint_http;
@@ -19,5 +20,5 @@
 mod shared;
 mod usage_sender;
 
-pub use control_link::{ControlLink, LinkClosed, LinkDriver, LinkNews};
+pub use control_link::{ControlLink, LinkClosed, LinkDriver, LinkStatus};
 pub use daemon::{RunningEntry, start};
--- a/crates/acacia-entry/src/shared.rs
+++ b/crates/acacia-entry/src/shared.rs
@@ -18,7 +18,7 @@
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
-use crate::admission::AdmissionDesk;
+use crate::admission::PoolAdmissions;
 use crate::control_link::ControlLink;
 use crate::usage_sender::UsageSender;
 
@@ -36,7 +36,7 @@
     pub(crate) lease: Mutex<ServingLease>,
     pub(crate) endpoints: Mutex<EndpointView>,
     pub(crate) retries: Mutex<RetryBudget>,
-    pub(crate) admission: AdmissionDesk,
+    pub(crate) admission: PoolAdmissions,
     incarnation: AtomicU64,
     requests: AtomicU64,
 }
@@ -73,7 +73,7 @@
             lease: Mutex::default(),
             endpoints: Mutex::default(),
             retries: Mutex::default(),
-            admission: AdmissionDesk::default(),
+            admission: PoolAdmissions::default(),
             incarnation: AtomicU64::new(0),
             requests: AtomicU64::new(0),
         }
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -1,10 +1,12 @@
 //! An HTTP/1.1 server with bounds on what a client may take, and a stop that cuts no request.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -45,6 +47,17 @@
     }
 }
 
+/// Opens a listener.
+///
+/// # Errors
+///
+/// Fails, naming the address, when it is taken or not this host's.
+pub async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("failed to listen on `{address}`"))
+}
+
 /// Serves connections until `stop` is cancelled, then finishes the requests that have begun and returns.
 pub async fn serve_http<F>(
     listener: TcpListener,
--- a/crates/acacia-standin/src/standin.rs
+++ b/crates/acacia-standin/src/standin.rs
@@ -6,13 +6,12 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use acacia_http::{ServerBounds, serve_http};
+use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::event;
 use acacia_settings::StandinSettings;
 use anyhow::Context;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
-use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -125,9 +124,7 @@
 ///
 /// Fails when its address is taken.
 pub async fn start(settings: StandinSettings, stop: CancellationToken, log: Logger) -> anyhow::Result<RunningStandin> {
-    let listener = TcpListener::bind(settings.address)
-        .await
-        .with_context(|| format!("failed to listen on `{}`", settings.address))?;
+    let listener = listen(settings.address).await?;
     let address = listener.local_addr()?;
     let incarnation = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -397,7 +397,6 @@
     let customers = share.weights.iter().map(|(customer, weight)| entry::CustomerPart {
         customer: customer.to_string(),
         weight: *weight,
-        cap: share.caps.get(customer).copied(),
     });
     entry::PoolShare {
         pool: pool.to_string(),
@@ -412,15 +411,10 @@
         .customers
         .iter()
         .map(|row| (row.customer.as_str().into(), row.weight));
-    let caps = message
-        .customers
-        .iter()
-        .filter_map(|row| Some((row.customer.as_str().into(), row.cap?)));
     let share = PoolShare {
         pieces: message.pieces,
         number: message.number,
         weights: weights.collect(),
-        caps: caps.collect(),
     };
     (message.pool.as_str().into(), share)
 }
--- a/crates/acaciabay/src/core/control_state.rs
+++ b/crates/acaciabay/src/core/control_state.rs
@@ -11,7 +11,7 @@
 use crate::core::member::{EntryIncarnation, EntryTable, JoinNonce};
 use crate::core::name::{DomainName, EndpointName, HostName};
 use crate::core::order::{OrderNumber, OrderRefusal, OrderTable, OrderTarget};
-use crate::core::table::{PoolRow, RouteRow, TableConflict, TableEdit, TableNumber};
+use crate::core::table::{NumberedTable, PoolRow, RouteRow, TableConflict, TableEdit, TableNumber, TableRow};
 use crate::core::usage::{UsageReport, UsageTable};
 use crate::util::digest::ContentDigest;
 
@@ -185,44 +185,45 @@
     }
 
     fn edit_routes(&mut self, edit: &TableEdit<RouteRow>) -> CommandOutcome {
-        let before = self.config.routes.number();
-        match self.config.routes.apply(edit) {
-            Err(conflict) => CommandOutcome::Conflict(conflict),
-            Ok(number) => {
-                if number > before {
-                    let TableEdit { upserts, removals, .. } = edit.clone();
-                    self.record(ConfigChange::Routes {
-                        number,
-                        upserts,
-                        removals,
-                    });
-                }
-                CommandOutcome::Table {
-                    number,
-                    version: self.version(),
-                }
+        let applied = apply_edit(&mut self.config.routes, edit);
+        self.finish_edit(applied, |number| {
+            let TableEdit { upserts, removals, .. } = edit.clone();
+            ConfigChange::Routes {
+                number,
+                upserts,
+                removals,
             }
-        }
+        })
     }
 
     fn edit_pools(&mut self, edit: &TableEdit<PoolRow>) -> CommandOutcome {
-        let before = self.config.pools.number();
-        match self.config.pools.apply(edit) {
-            Err(conflict) => CommandOutcome::Conflict(conflict),
-            Ok(number) => {
-                if number > before {
-                    let TableEdit { upserts, removals, .. } = edit.clone();
-                    self.record(ConfigChange::Pools {
-                        number,
-                        upserts,
-                        removals,
-                    });
-                }
-                CommandOutcome::Table {
-                    number,
-                    version: self.version(),
-                }
+        let applied = apply_edit(&mut self.config.pools, edit);
+        self.finish_edit(applied, |number| {
+            let TableEdit { upserts, removals, .. } = edit.clone();
+            ConfigChange::Pools {
+                number,
+                upserts,
+                removals,
             }
+        })
+    }
+
+    /// Records the change that an edit has made; a resend has made none.
+    fn finish_edit(
+        &mut self,
+        applied: Result<AppliedEdit, TableConflict>,
+        change: impl FnOnce(TableNumber) -> ConfigChange,
+    ) -> CommandOutcome {
+        let AppliedEdit { number, is_new } = match applied {
+            Ok(applied) => applied,
+            Err(conflict) => return CommandOutcome::Conflict(conflict),
+        };
+        if is_new {
+            self.record(change(number));
+        }
+        CommandOutcome::Table {
+            number,
+            version: self.version(),
         }
     }
 
@@ -289,3 +290,19 @@
         self.config.version = self.history.version();
     }
 }
+
+/// What an accepted edit has come to.
+#[derive(Clone, Copy, Debug)]
+struct AppliedEdit {
+    number: TableNumber,
+    is_new: bool,
+}
+
+fn apply_edit<R: TableRow>(table: &mut NumberedTable<R>, edit: &TableEdit<R>) -> Result<AppliedEdit, TableConflict> {
+    let before = table.number();
+    let number = table.apply(edit)?;
+    Ok(AppliedEdit {
+        number,
+        is_new: number > before,
+    })
+}
--- a/crates/acaciabay/src/core/endpoint_news.rs
+++ b/crates/acaciabay/src/core/endpoint_changes.rs
@@ -17,26 +17,26 @@
 
 /// An endpoint table that remembers when each row last changed, counted in reports.
 #[derive(Clone, Debug, Default)]
-pub struct EndpointNews {
+pub struct EndpointChanges {
     table: EndpointTable,
     last: u64,
     latest: HashMap<EndpointName, u64>,
     subsets: SubsetPlan,
     /// For every entry, while each hears of every endpoint.
-    all: NewsIndex,
+    all: ChangeIndex,
     /// For each entry, once there are more of them.
-    by_entry: HashMap<HostName, NewsIndex>,
+    by_entry: HashMap<HostName, ChangeIndex>,
     forgotten_at: BootTime,
 }
 
 /// Endpoints by when they were last heard of.
 #[derive(Clone, Debug, Default)]
-struct NewsIndex {
+struct ChangeIndex {
     by_mark: BTreeMap<u64, EndpointName>,
     marks: HashMap<EndpointName, u64>,
 }
 
-impl NewsIndex {
+impl ChangeIndex {
     fn file(&mut self, mark: u64, name: &EndpointName) {
         if let Some(before) = self.marks.insert(name.clone(), mark) {
             self.by_mark.remove(&before);
@@ -51,13 +51,13 @@
     }
 }
 
-impl EndpointNews {
+impl EndpointChanges {
     /// Takes over which entries serve; files everything anew when they have changed.
     pub fn follow(&mut self, entries: &EntryTable) {
         if !self.subsets.follow(entries) {
             return;
         }
-        self.all = NewsIndex::default();
+        self.all = ChangeIndex::default();
         self.by_entry.clear();
         for (name, mark) in &self.latest {
             file(&mut self.subsets, &mut self.all, &mut self.by_entry, *mark, name);
@@ -126,8 +126,8 @@
 
 fn file(
     subsets: &mut SubsetPlan,
-    all: &mut NewsIndex,
-    by_entry: &mut HashMap<HostName, NewsIndex>,
+    all: &mut ChangeIndex,
+    by_entry: &mut HashMap<HostName, ChangeIndex>,
     mark: u64,
     name: &EndpointName,
 ) {
--- a/crates/acaciabay/src/core/fair_queue.rs
+++ b/crates/acaciabay/src/core/fair_queue.rs
@@ -73,10 +73,15 @@
         ticket
     }
 
-    /// Takes the next request among those customers' whose next request `may_go`.
-    pub fn pop_where(&mut self, may_go: impl Fn(&CustomerName, RequestCost) -> bool) -> Option<TicketNumber> {
+    /// Returns the cost of the request that is next.
+    pub fn next_cost(&self) -> Option<RequestCost> {
+        self.next_line().map(|(_, request)| request.cost)
+    }
+
+    /// Takes the request that is next.
+    pub fn pop(&mut self) -> Option<TicketNumber> {
         let (customer, request) = self
-            .next_line(may_go)
+            .next_line()
             .map(|(customer, request)| (customer.clone(), *request))?;
         self.virtual_time = self.virtual_time.max(request.start);
         if let Some(line) = self.lines.get_mut(&customer) {
@@ -87,11 +92,6 @@
         Some(request.ticket)
     }
 
-    /// Takes the request that is next.
-    pub fn pop(&mut self) -> Option<TicketNumber> {
-        self.pop_where(|_, _| true)
-    }
-
     /// Removes a request that has stopped waiting.
     pub fn cancel(&mut self, customer: &CustomerName, ticket: TicketNumber) -> bool {
         let Some(line) = self.lines.get_mut(customer) else {
@@ -119,25 +119,16 @@
             .map(|(customer, line)| (customer, line.pieces))
     }
 
-    /// Returns how many pieces all customers together wait for.
-    pub fn waiting_pieces(&self) -> u64 {
-        self.lines.values().map(|line| line.pieces).sum()
-    }
-
     /// Tells whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.lines.values().all(|line| line.waiting.is_empty())
     }
 
-    fn next_line(
-        &self,
-        may_go: impl Fn(&CustomerName, RequestCost) -> bool,
-    ) -> Option<(&CustomerName, &WaitingRequest)> {
+    fn next_line(&self) -> Option<(&CustomerName, &WaitingRequest)> {
         let heads = self
             .lines
             .iter()
             .filter_map(|(customer, line)| line.waiting.front().map(|head| (customer, head)));
-        let heads = heads.filter(|(customer, head)| may_go(customer, head.cost));
         heads.min_by(|first, second| {
             first
                 .1
--- a/crates/acaciabay/src/core/mod.rs
+++ b/crates/acaciabay/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod control_state;
 pub mod delivery;
 pub mod endpoint;
-pub mod endpoint_news;
+pub mod endpoint_changes;
 pub mod entry_config;
 pub mod fair_queue;
 pub mod key;
--- a/crates/acaciabay/src/core/pace.rs
+++ b/crates/acaciabay/src/core/pace.rs
@@ -8,13 +8,20 @@
 
 use crate::core::clock::BootTime;
 
-/// The mean time between tokens that a pool is held to. The target is 30 ms for 95 in 100.
-const TOKEN_GAP: Duration = Duration::from_millis(18);
+/// The longest mean time between tokens that a pool is held to. The target is 30 ms for 95 in 100.
+const TOKEN_GAP: Duration = Duration::from_millis(22);
+/// How far above the shortest mean lately seen the time between tokens may rise. Beyond the point at which an engine's
+/// batch is full, more streams make each of them slower and all together no faster, and hold memory for longer.
+const GAP_MARGIN: f64 = 1.4;
+/// How fast the shortest mean seen is forgotten at each adjustment, since models and engines change.
+const GAP_RISE: f64 = 1.005;
 /// The mean time from sending a request to its first token that a pool is held to. With the wait for a turn it makes
 /// the 1.2 s of the target.
 const FIRST_TOKEN: Duration = Duration::from_millis(500);
 /// How much of a new figure goes into an entry's own estimate.
 const NEW_PART: f64 = 0.05;
+/// How long an estimate takes to fade to its half.
+const ESTIMATE_HALF_LIFE: Duration = Duration::from_millis(500);
 /// How often the leader looks at the pace. What it changed before has to show first.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(500);
 /// The smallest part of a pool that is granted, however slow it is.
@@ -54,18 +61,21 @@
     report: PaceReport,
     gap: f64,
     first: f64,
+    noted_at: BootTime,
 }
 
 impl PaceMeter {
     /// Notes the time between two tokens.
-    pub fn note_gap(&mut self, gap: Duration) {
+    pub fn note_gap(&mut self, now: BootTime, gap: Duration) {
+        self.noted_at = now;
         self.report.gap_sum += gap;
         self.report.gaps += 1;
         self.gap += (gap.as_secs_f64() - self.gap) * NEW_PART;
     }
 
     /// Notes the time from sending a request to its first token.
-    pub fn note_first(&mut self, first: Duration) {
+    pub fn note_first(&mut self, now: BootTime, first: Duration) {
+        self.noted_at = now;
         self.report.first_sum += first;
         self.report.firsts += 1;
         self.first += (first.as_secs_f64() - self.first) * NEW_PART;
@@ -77,8 +87,12 @@
     }
 
     /// Estimates how long an answer of so many tokens takes from sending to its end.
-    pub fn expected_service(&self, output_tokens: u64) -> Duration {
-        let seconds = self.first + self.gap * output_tokens as f64;
+    ///
+    /// The estimate fades while nothing new is learned. It decides who is refused, and a high one that stayed would
+    /// refuse every request whose answer could lower it.
+    pub fn expected_service(&self, now: BootTime, output_tokens: u64) -> Duration {
+        let age = now.since(self.noted_at).as_secs_f64() / ESTIMATE_HALF_LIFE.as_secs_f64();
+        let seconds = (self.first + self.gap * output_tokens as f64) * 0.5_f64.powf(age);
         Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0))
     }
 }
@@ -88,6 +102,8 @@
 pub struct PoolThrottle {
     factor: f64,
     seen: PaceReport,
+    /// The shortest mean time between tokens lately, in seconds.
+    shortest_gap: f64,
     adjusted_at: BootTime,
 }
 
@@ -97,6 +113,7 @@
         Self {
             factor: 1.0,
             seen: PaceReport::default(),
+            shortest_gap: f64::INFINITY,
             adjusted_at: now,
         }
     }
@@ -116,8 +133,9 @@
         }
         self.adjusted_at = now;
         let seen = std::mem::take(&mut self.seen);
+        let gap_target = self.gap_target(&seen);
         let slowness =
-            slowness(seen.gap_sum, seen.gaps, TOKEN_GAP).max(slowness(seen.first_sum, seen.firsts, FIRST_TOKEN));
+            slowness(seen.gap_sum, seen.gaps, gap_target).max(slowness(seen.first_sum, seen.firsts, FIRST_TOKEN));
         let step = (1.0 / slowness.max(f64::MIN_POSITIVE)).clamp(*STEP.start(), *STEP.end());
         let in_use = used as f64 / f64::from(capacity.max(1));
         // When the engines are slow, what is in use shows what is too much; the granted part may be larger by far.
@@ -129,6 +147,19 @@
         self.factor = (base * step).clamp(SMALLEST_FACTOR, 1.0);
     }
 
+    fn gap_target(&mut self, seen: &PaceReport) -> Duration {
+        if seen.gaps > 0 {
+            let mean = seen.gap_sum.as_secs_f64() / seen.gaps as f64;
+            self.shortest_gap = (self.shortest_gap * GAP_RISE).min(mean);
+        }
+        let relative = self.shortest_gap * GAP_MARGIN;
+        if relative < TOKEN_GAP.as_secs_f64() {
+            Duration::from_secs_f64(relative)
+        } else {
+            TOKEN_GAP
+        }
+    }
+
     /// Returns how many pieces of a pool are granted.
     pub fn granted(&self, capacity: u32) -> u32 {
         #[expect(
--- a/crates/acaciabay/src/core/pool_admission.rs
+++ b/crates/acaciabay/src/core/pool_admission.rs
@@ -46,8 +46,6 @@
     pub number: u64,
     /// The weights of the customers that come through this entry.
     pub weights: BTreeMap<CustomerName, f64>,
-    /// Pieces that a customer may have in use, for those who ask for more than their fair part.
-    pub caps: BTreeMap<CustomerName, u32>,
 }
 
 /// The admission of one entry to one pool.
@@ -103,26 +101,18 @@
         Ok(self.queue.push(customer, cost))
     }
 
-    /// Admits the next request that the share and its customer's cap have room for.
+    /// Admits the next request if the share has room for it.
     ///
-    /// A request larger than the whole share, or than the cap, is admitted alone; it would otherwise wait for ever.
+    /// A request larger than the whole share is admitted alone; it would otherwise wait for ever.
     pub fn admit_next(&mut self, now: BootTime) -> Option<TicketNumber> {
-        let (used, share, running) = (self.used, &self.share, &self.running);
-        let may_go = |customer: &CustomerName, cost: RequestCost| {
-            let pieces = u64::from(cost.pieces);
-            let own = running.get(customer).copied().unwrap_or(0);
-            let capped = share
-                .caps
-                .get(customer)
-                .is_some_and(|cap| own > 0 && own + pieces > u64::from(*cap));
-            let fits = used == 0 || used + pieces <= u64::from(share.pieces);
-            fits && !capped
-        };
-        let before = self.queue.waiting_pieces();
-        let ticket = self.queue.pop_where(may_go)?;
+        let cost = self.queue.next_cost()?;
+        let fits = self.used + u64::from(cost.pieces) <= u64::from(self.share.pieces);
+        if !fits && self.used > 0 {
+            return None;
+        }
         self.turn_window(now);
-        self.window_pieces += before - self.queue.waiting_pieces();
-        Some(ticket)
+        self.window_pieces += u64::from(cost.pieces);
+        self.queue.pop()
     }
 
     /// Counts an admitted request as running.
--- a/crates/acaciabay/src/core/share_table.rs
+++ b/crates/acaciabay/src/core/share_table.rs
@@ -8,9 +8,6 @@
 use crate::core::name::{CustomerName, HostName, PoolName};
 use crate::core::pace::PaceReport;
 
-/// How much of a demand is left at the next report, in hundredths; about three seconds until half of it is gone.
-const PEAK_PART: u64 = 90;
-
 /// What one entry asks for in one pool.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PoolDemand {
@@ -58,8 +55,7 @@
         } else {
             grant.believed = grant.believed.max(demand.share);
         }
-        let before = std::mem::replace(&mut grant.demand, demand);
-        keep_peaks(&mut grant.demand.customers, &before.customers);
+        grant.demand = demand;
     }
 
     /// Forgets entries that may not serve any more.
@@ -99,20 +95,6 @@
     }
 }
 
-/// Lets each customer's demand fall slowly only.
-///
-/// A customer with a request now and then asks for nothing most of the time. If its part were given away in between,
-/// its next request would find the pool full of a larger customer's and have to wait for one of these to end.
-fn keep_peaks(demand: &mut BTreeMap<CustomerName, u64>, before: &BTreeMap<CustomerName, u64>) {
-    for (customer, pieces) in before {
-        let kept = pieces * PEAK_PART / 100;
-        if kept > 0 {
-            let present = demand.entry(customer.clone()).or_default();
-            *present = kept.max(*present);
-        }
-    }
-}
-
 /// What an entry may have in use at the most.
 fn promised(grant: &EntryGrant) -> u64 {
     u64::from(grant.believed.max(grant.granted)).max(grant.demand.used)
--- a/crates/acaciabay/src/ops/divide_pool.rs
+++ b/crates/acaciabay/src/ops/divide_pool.rs
@@ -13,8 +13,6 @@
     /// The weights of the customers that come through this entry. A customer's weight is 1 over all entries, divided
     /// as its demand is: one who comes through every entry must not count once in each.
     pub weights: BTreeMap<CustomerName, f64>,
-    /// What a customer who asks for more than its fair part may have in use here.
-    pub caps: BTreeMap<CustomerName, u32>,
 }
 
 /// Divides `capacity` pieces.
@@ -79,25 +77,12 @@
         .map(|(customer, pieces)| (customer.clone(), weight(customer, *pieces)));
     let weights: BTreeMap<CustomerName, f64> = weights.collect();
     let part = |customer: &CustomerName| parts.get(customer).copied().unwrap_or(0.0);
-    let is_limited = |customer: &CustomerName| part(customer) < totals.get(customer).copied().unwrap_or(0) as f64;
-    let limited = weights.iter().filter(|(customer, _)| is_limited(customer));
-    let caps = limited
-        .map(|(customer, weight)| (customer.clone(), whole((part(customer) * weight).ceil())))
-        .collect();
     let own: f64 = weights.iter().map(|(customer, weight)| part(customer) * weight).sum();
-    EntryPart {
-        pieces: whole(own + headroom),
-        weights,
-        caps,
-    }
-}
-
-/// Rounds down to whole pieces, forgiving what summing up has lost.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "parts lie between 0 and the capacity"
-)]
-fn whole(pieces: f64) -> u32 {
-    (pieces + 1e-6).floor() as u32
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "parts lie between 0 and the capacity"
+    )]
+    let pieces = (own + headroom + 1e-6).floor() as u32;
+    EntryPart { pieces, weights }
 }
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -10,7 +10,6 @@
 use acacia_http::{FetchRequest, fetch_json};
 use acacia_operator::{IssuedKey, OperatorClient};
 use acacia_standin::StandinRecord;
-use acaciabay::util::digest::ContentDigest;
 use hyper::Method;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -20,7 +19,7 @@
 use crate::relay::Relay;
 use crate::wait::wait_until;
 
-const OPERATOR_TOKEN: &str = "test-operator-token";
+pub(crate) const OPERATOR_TOKEN: &str = "test-operator-token";
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -83,10 +82,10 @@
 /// Processes of one system, with the files that they were started from.
 #[derive(Debug)]
 pub struct TestCluster {
-    paths: ProgramPaths,
-    folder: TempDir,
-    ip: Ipv4Addr,
-    shape: ClusterShape,
+    pub(crate) paths: ProgramPaths,
+    pub(crate) folder: TempDir,
+    pub(crate) ip: Ipv4Addr,
+    pub(crate) shape: ClusterShape,
     operator: OnceLock<OperatorClient>,
     /// Relays before the control replicas' peer addresses, for clusters that were started with them: other replicas
     /// and entries connect through these.
@@ -410,7 +409,7 @@
     }
 
     /// Returns the address under which the other replicas know a replica.
-    fn member_address(&self, index: usize) -> SocketAddr {
+    pub(crate) fn member_address(&self, index: usize) -> SocketAddr {
         self.relays
             .get(index)
             .map_or_else(|| self.control_address(index, 0), |relay| relay.address)
@@ -443,7 +442,7 @@
         }
     }
 
-    fn address(&self, base: u16, index: usize, which: u16) -> SocketAddr {
+    pub(crate) fn address(&self, base: u16, index: usize, which: u16) -> SocketAddr {
         let index = u16::try_from(index).expect("clusters are small");
         SocketAddr::new(IpAddr::V4(self.ip), base + index * 10 + which)
     }
@@ -455,69 +454,6 @@
     fn start_relay(&self, index: usize) -> Relay {
         Relay::start(self.address(4_000, index, 0), self.control_address(index, 0))
     }
-
-    fn write_settings(&self, name: &str, settings: &Value) -> PathBuf {
-        let path = self.folder.path().join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
-        path
-    }
-
-    fn control_settings(&self, index: usize) -> Value {
-        let others = (0..self.shape.controls).filter(|other| *other != index);
-        let mut settings = json!({
-            "host": control_name(index),
-            "failure_domain": domain_of(index),
-            "data_folder": self.control_folder(index),
-            "peer_address": self.control_address(index, 0).to_string(),
-            "operator_address": self.control_address(index, 1).to_string(),
-            "admin_address": self.control_address(index, 2).to_string(),
-            "control_addresses": others.map(|other| self.member_address(other).to_string()).collect::<Vec<_>>(),
-            "peer_hosts": ["127.0.0.1", self.ip.to_string()],
-            "operator_token_sha256": ContentDigest::of(OPERATOR_TOKEN).to_hex(),
-            "usage_window_ms": 300,
-        });
-        if self.shape.platform {
-            settings["platform_address"] = json!(self.endpoint_address(self.platform()).to_string());
-        }
-        replace_fields(&mut settings, &self.shape.control_settings);
-        settings
-    }
-
-    fn entry_settings(&self, index: usize) -> Value {
-        let controls = (0..self.shape.controls).map(|control| self.member_address(control).to_string());
-        let mut settings = json!({
-            "host": format!("entry-{}", index + 1),
-            "failure_domain": domain_of(index),
-            "caller_address": self.entry_address(index, 0).to_string(),
-            "endpoint_address": self.entry_address(index, 1).to_string(),
-            "admin_address": self.entry_address(index, 2).to_string(),
-            "control_addresses": controls.collect::<Vec<_>>(),
-            "limits": {"body_bytes": 65_536, "head_timeout_ms": 1_000, "body_timeout_ms": 1_000},
-        });
-        replace_fields(&mut settings, &self.shape.entry_settings);
-        settings
-    }
-
-    fn endpoint_settings(&self, index: usize) -> Value {
-        let entries = (0..self.shape.entries).map(|entry| self.entry_address(entry, 1).to_string());
-        let mut settings = json!({
-            "endpoint": self.endpoint_name(index),
-            "failure_domain": domain_of(index),
-            "address": self.endpoint_address(index).to_string(),
-            "entry_addresses": entries.collect::<Vec<_>>(),
-            "decode_rate": self.shape.decode_rate,
-            "checks_fencing": self.shape.checks_fencing,
-        });
-        if index == self.platform() {
-            settings["platform"] = json!(true);
-        } else if index < self.shape.engines {
-            settings["models"] = json!(["liuto-7b"]);
-        } else {
-            settings["service"] = json!("booking");
-        }
-        replace_fields(&mut settings, &self.shape.endpoint_settings);
-        settings
-    }
 }
 
 /// The pools that tests use.
@@ -536,20 +472,10 @@
     ])
 }
 
-fn replace_fields(settings: &mut Value, fields: &Value) {
-    for (name, value) in fields.as_object().into_iter().flatten() {
-        settings[name] = value.clone();
-    }
-}
-
-fn control_name(index: usize) -> String {
+pub(crate) fn control_name(index: usize) -> String {
     format!("control-{}", index + 1)
 }
 
-fn domain_of(index: usize) -> String {
-    format!("domain-{}", index % 3 + 1)
-}
-
 async fn knows(admin: SocketAddr, endpoint: String) -> Option<()> {
     let request = FetchRequest::new(&Method::GET, "/endpoints");
     let answer = fetch_json(admin, request, ANSWER_TIMEOUT).await.ok()?;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod cluster;
+mod cluster_settings;
 mod program;
 mod relay;
 mod wait;
--- a/src/bin/acacia-local.rs
+++ b/src/bin/acacia-local.rs
@@ -231,7 +231,9 @@
 
 async fn post(system: &LocalSystem, entry: usize, path: &str, key: &IssuedKey, body: &Value) -> anyhow::Result<Value> {
     let address = system.entries[entry].caller_address;
-    let headers = [("idempotency-key", "local-once")];
+    // The data folder outlives a run, so the same key would get the earlier run's answer.
+    let idempotency_key = format!("local-{}", key.id);
+    let headers = [("idempotency-key", idempotency_key.as_str())];
     let request = FetchRequest {
         token: Some(&key.secret),
         headers: &headers,
