--- a/crates/acaciabay/src/core/pace.rs
+++ b/crates/acaciabay/src/core/pace.rs
@@ -8,13 +8,8 @@
 
 use crate::core::clock::BootTime;
 
-/// The longest mean time between tokens that a pool is held to. The target is 30 ms for 95 in 100.
+/// The mean time between tokens that a pool is held to. The target is 30 ms for 95 in 100.
 const TOKEN_GAP: Duration = Duration::from_millis(22);
-/// How far above the shortest mean lately seen the time between tokens may rise. Beyond the point at which an engine's
-/// batch is full, more streams make each of them slower and all together no faster, and hold memory for longer.
-const GAP_MARGIN: f64 = 1.4;
-/// How fast the shortest mean seen is forgotten at each adjustment, since models and engines change.
-const GAP_RISE: f64 = 1.005;
 /// The mean time from sending a request to its first token that a pool is held to. With the wait for a turn it makes
 /// the 1.2 s of the target.
 const FIRST_TOKEN: Duration = Duration::from_millis(500);
@@ -102,8 +97,6 @@
 pub struct PoolThrottle {
     factor: f64,
     seen: PaceReport,
-    /// The shortest mean time between tokens lately, in seconds.
-    shortest_gap: f64,
     adjusted_at: BootTime,
 }
 
@@ -113,7 +106,6 @@
         Self {
             factor: 1.0,
             seen: PaceReport::default(),
-            shortest_gap: f64::INFINITY,
             adjusted_at: now,
         }
     }
@@ -133,9 +125,8 @@
         }
         self.adjusted_at = now;
         let seen = std::mem::take(&mut self.seen);
-        let gap_target = self.gap_target(&seen);
         let slowness =
-            slowness(seen.gap_sum, seen.gaps, gap_target).max(slowness(seen.first_sum, seen.firsts, FIRST_TOKEN));
+            slowness(seen.gap_sum, seen.gaps, TOKEN_GAP).max(slowness(seen.first_sum, seen.firsts, FIRST_TOKEN));
         let step = (1.0 / slowness.max(f64::MIN_POSITIVE)).clamp(*STEP.start(), *STEP.end());
         let in_use = used as f64 / f64::from(capacity.max(1));
         // When the engines are slow, what is in use shows what is too much; the granted part may be larger by far.
@@ -147,19 +138,6 @@
         self.factor = (base * step).clamp(SMALLEST_FACTOR, 1.0);
     }
 
-    fn gap_target(&mut self, seen: &PaceReport) -> Duration {
-        if seen.gaps > 0 {
-            let mean = seen.gap_sum.as_secs_f64() / seen.gaps as f64;
-            self.shortest_gap = (self.shortest_gap * GAP_RISE).min(mean);
-        }
-        let relative = self.shortest_gap * GAP_MARGIN;
-        if relative < TOKEN_GAP.as_secs_f64() {
-            Duration::from_secs_f64(relative)
-        } else {
-            TOKEN_GAP
-        }
-    }
-
     /// Returns how many pieces of a pool are granted.
     pub fn granted(&self, capacity: u32) -> u32 {
         #[expect(
