Let requests of the process-level tests wait for a slow machine

While the machine was compiling, tokens came slower than 22 ms apart, the leader granted less of the pool, and the stream would have waited longer than 600 ms. Ruled out: a cut stream and work for the draining engine, of which the test's judge found none.

Change: entries of test clusters let requests wait 10 s; the assertions stay.

--- a/crates/test-support/src/cluster_settings.rs
+++ b/crates/test-support/src/cluster_settings.rs
@@ -44,7 +44,12 @@
             "endpoint_address": self.entry_address(index, 1).to_string(),
             "admin_address": self.entry_address(index, 2).to_string(),
             "control_addresses": controls.collect::<Vec<_>>(),
-            "limits": {"body_bytes": 65_536, "head_timeout_ms": 1_000, "body_timeout_ms": 1_000},
+            "limits": {
+                "body_bytes": 65_536,
+                "head_timeout_ms": 1_000,
+                "body_timeout_ms": 1_000,
+                "queue_wait_ms": 10_000,
+            },
         });
         replace_fields(&mut settings, &self.shape.entry_settings);
         settings
