--- a/crates/acacia-runtime/src/trace.rs
+++ b/crates/acacia-runtime/src/trace.rs
@@ -159,7 +159,8 @@
         batch.extend(spans.try_iter().map(|span| span_to_json(&span)));
         let scope = json!({"scope": {"name": "acaciabay"}, "spans": batch});
         let request = json!({"resourceSpans": [{"resource": resource, "scopeSpans": [scope]}]});
-        if let Err(error) = writeln!(file, "{request}") {
+        // One write a line, so that a reader never sees half of one for long.
+        if let Err(error) = file.write_all(format!("{request}\n").as_bytes()) {
             slog::warn!(log, "spans lost"; "event" => event::SPANS_LOST, "error" => %error);
         }
     }
--- a/tests/testsuite/traces.rs
+++ b/tests/testsuite/traces.rs
@@ -16,7 +16,7 @@
     let (mut names, mut parents) = (BTreeSet::new(), BTreeMap::new());
     let texts = files.iter().filter_map(|file| std::fs::read_to_string(file).ok());
     let lines: Vec<Value> = texts
-        .flat_map(|text| text.lines().map(parse).collect::<Vec<_>>())
+        .flat_map(|text| whole_lines(&text).map(parse).collect::<Vec<_>>())
         .collect();
     for span in lines
         .iter()
@@ -31,6 +31,11 @@
     (names, parents)
 }
 
+/// A line that is being written has no end yet and is left for the next look.
+fn whole_lines(text: &str) -> impl Iterator<Item = &str> {
+    text.split_inclusive('\n').filter(|line| line.ends_with('\n'))
+}
+
 fn parse(line: &str) -> Value {
     serde_json::from_str(line).expect("each line is one export request")
 }
