Add serving by host and path to the library

Cause: nothing of the product runs on the users' machines. Its routes know customers and models, not hosts and paths; its endpoints are announced with an incarnation and not found by heartbeats; the group is formed by an operator's command, while these machines are started together and nobody is told how many there are.

Change, in the library, without I/O: `core/serving` (configuration and its look-up, endpoint registry ordered by birth and sequence, parts of prompts, load of endpoints, event stream, counts of starts, budget of second sends, duties), `ops/place_call`, `ops/plan_stages`, `ops/plan_members`. The replica gets a `QuorumPolicy`: an entry counts only on as many disks as may be lost plus one, and a learner takes the place of a voter that is silent. Ruled out: a majority alone (a majority of three founders does not survive two lost disks).

--- a/crates/acaciabay/src/core/consensus/members.rs
+++ b/crates/acaciabay/src/core/consensus/members.rs
@@ -86,6 +86,20 @@
         values.get(self.quorum() - 1).copied().unwrap_or(0)
     }
 
+    /// Returns the highest value that at least `copies` voters have reached, or all voters where there are fewer.
+    pub(super) fn copies_value(&self, copies: usize, mut value_of: impl FnMut(ReplicaId) -> u64) -> u64 {
+        let mut values: Vec<u64> = self.voters().map(&mut value_of).collect();
+        values.sort_unstable_by(|first, second| second.cmp(first));
+        let place = copies.min(values.len()).saturating_sub(1);
+        values.get(place).copied().unwrap_or(0)
+    }
+
+    /// Returns the set with one more learner that is bound to a data folder, and the number given to it.
+    pub(super) fn with_bound_learner(&self, host: HostName, address: String, disk: DiskId) -> (Self, ReplicaId) {
+        let (added, id) = self.with_learner(host, address);
+        (added.with_changed(id, |row| row.disk = Some(disk)), id)
+    }
+
     /// Returns the set with one more learner, and the number given to it.
     pub(super) fn with_learner(&self, host: HostName, address: String) -> (Self, ReplicaId) {
         let id = ReplicaId(self.last.0 + 1);
--- a/crates/acaciabay/src/core/consensus/membership.rs
+++ b/crates/acaciabay/src/core/consensus/membership.rs
@@ -1,10 +1,12 @@
 //! Changes of the group's members, one at a time.
 
+use std::time::Duration;
+
 use super::entry::{EntryPayload, LogIndex};
 use super::members::{DiskId, ReplicaId};
 use super::progress::FollowerProgress;
 use super::replica::{NotLeader, Replica, ReplicaRole};
-use super::timing::PROMOTION_LAG;
+use super::timing::{HEARTBEAT_INTERVAL, PROMOTION_LAG};
 use crate::core::name::HostName;
 
 /// A change of the members.
@@ -17,6 +19,15 @@
         /// Its peer address.
         address: String,
     },
+    /// Admits a replica on a host together with the data folder that the host has come with.
+    Admit {
+        /// The host.
+        host: HostName,
+        /// Its peer address.
+        address: String,
+        /// The folder.
+        disk: DiskId,
+    },
     /// Binds a member to the data folder that its host has come with.
     Bind {
         /// The member.
@@ -31,6 +42,19 @@
     },
 }
 
+/// What a leader sees of another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowerState {
+    /// The member.
+    pub replica: ReplicaId,
+    /// Whether it votes.
+    pub voter: bool,
+    /// Whether it has synced nearly all that is committed.
+    pub caught_up: bool,
+    /// For how long it has answered no round.
+    pub silence: Duration,
+}
+
 /// Why a change of the members was refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MemberRefusal {
@@ -68,6 +92,12 @@
                 }
                 self.members.with_learner(host, address)
             }
+            MemberChange::Admit { host, address, disk } => {
+                if let Some((taken, _)) = self.members.on_host(&host) {
+                    return Err(MemberRefusal::HostTaken(taken));
+                }
+                self.members.with_bound_learner(host, address, disk)
+            }
             MemberChange::Bind { replica, disk } => {
                 let row = self.members.get(replica).ok_or(MemberRefusal::NoSuchMember)?;
                 match row.disk {
@@ -86,7 +116,8 @@
         Ok((self.append_own(EntryPayload::Members(members)), replica))
     }
 
-    fn is_changing(&self) -> bool {
+    /// Tells whether a change of the members, or the first entry of this leader, is not committed yet.
+    pub fn is_changing(&self) -> bool {
         self.members_index > self.commit || self.commit < self.term_start
     }
 
@@ -98,12 +129,29 @@
         let learner = self.members.get(id).is_some_and(|row| !row.voter && row.disk.is_some());
         let matched = self.progress.get(&id).map_or(LogIndex(0), |progress| progress.matched);
         let caught_up = matched >= self.members_index && matched.0 + PROMOTION_LAG >= self.commit.0;
-        if learner && caught_up && !self.is_changing() {
+        let wanted = self
+            .policy
+            .voters
+            .is_none_or(|most| self.members.voters().count() < most);
+        if learner && caught_up && wanted && !self.is_changing() {
             let members = self.members.with_changed(id, |row| row.voter = true);
             self.append_own(EntryPayload::Members(members));
         }
     }
 
+    /// Returns how far the other members have come, as a leader sees it; nothing on a replica that does not lead.
+    pub fn followers(&self) -> Vec<FollowerState> {
+        let rows = self.progress.iter();
+        let states = rows.map(|(id, progress)| FollowerState {
+            replica: *id,
+            voter: self.members.is_voter(*id),
+            caught_up: progress.matched >= self.members_index && progress.matched.0 + PROMOTION_LAG >= self.commit.0,
+            silence: HEARTBEAT_INTERVAL
+                * u32::try_from(self.round - progress.round.min(self.round)).unwrap_or(u32::MAX),
+        });
+        states.collect()
+    }
+
     /// Keeps the leader's view of followers in step with the members.
     pub(super) fn adjust_progress(&mut self) {
         if self.role != ReplicaRole::Leader {
--- a/crates/acaciabay/src/core/consensus/replica.rs
+++ b/crates/acaciabay/src/core/consensus/replica.rs
@@ -76,6 +76,18 @@
     pub wants_snapshot: BTreeSet<ReplicaId>,
 }
 
+/// How many copies a committed entry has, and how many replicas vote.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QuorumPolicy {
+    /// The least number of synced copies of a committed entry, where a majority of the voters would be fewer.
+    ///
+    /// While the group is being founded or a member is being replaced, few replicas vote. A majority of three does not
+    /// survive the loss of two disks.
+    pub copies: usize,
+    /// The most replicas that vote; further ones learn and wait to replace one that is lost. No bound without it.
+    pub voters: Option<usize>,
+}
+
 /// One replica of the group.
 #[derive(Debug)]
 pub struct Replica {
@@ -100,6 +112,7 @@
     pub(super) round_due: BootTime,
     pub(super) lease_until: BootTime,
     pub(super) output: ReplicaOutput,
+    pub(super) policy: QuorumPolicy,
     delivered: LogIndex,
     random: StdRng,
 }
@@ -134,12 +147,20 @@
             round_due: now,
             lease_until: BootTime::default(),
             output: ReplicaOutput::default(),
+            policy: QuorumPolicy::default(),
             random: StdRng::seed_from_u64(seed),
         };
         replica.reset_election(now);
         replica
     }
 
+    /// Sets how many copies and voters there are to be.
+    #[must_use]
+    pub const fn with_policy(mut self, policy: QuorumPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Lets time pass; to be called every few milliseconds.
     pub fn tick(&mut self, now: BootTime) {
         match self.role {
--- a/crates/acaciabay/src/core/consensus/replication.rs
+++ b/crates/acaciabay/src/core/consensus/replication.rs
@@ -166,7 +166,8 @@
     /// may still be replaced by a leader that does not have it.
     pub(super) fn advance_commit(&mut self) {
         let (own, synced) = (self.id, self.synced);
-        let reached = self.members.quorum_value(|id| {
+        let copies = self.policy.copies.max(self.members.quorum());
+        let reached = self.members.copies_value(copies, |id| {
             if id == own {
                 synced.0
             } else {
--- a/crates/acaciabay/src/core/control_state.rs
+++ b/crates/acaciabay/src/core/control_state.rs
@@ -11,6 +11,7 @@
 use crate::core::member::{EntryIncarnation, EntryTable, JoinNonce};
 use crate::core::name::{DomainName, EndpointName, HostName};
 use crate::core::order::{OrderNumber, OrderRefusal, OrderTable, OrderTarget};
+use crate::core::serving::serving_state::{ServingCommand, ServingOutcome, ServingState};
 use crate::core::table::{NumberedTable, PoolRow, RouteRow, TableConflict, TableEdit, TableNumber, TableRow};
 use crate::core::usage::{UsageReport, UsageTable};
 use crate::util::digest::ContentDigest;
@@ -79,6 +80,8 @@
         /// Which order.
         number: OrderNumber,
     },
+    /// Changes what serves calls by host and path.
+    Serving(ServingCommand),
 }
 
 /// How a claim ends.
@@ -117,6 +120,8 @@
     Claim(ClaimOutcome),
     /// An order was given this number, or refused.
     Order(Result<OrderNumber, OrderRefusal>),
+    /// A change of what serves calls by host and path came to this.
+    Serving(ServingOutcome),
     /// The command was carried out and has nothing to tell.
     Done,
 }
@@ -136,6 +141,8 @@
     pub usage: UsageTable,
     /// Orders to endpoints.
     pub orders: OrderTable,
+    /// Configuration and duties for calls by host and path.
+    pub serving: ServingState,
 }
 
 impl ControlState {
@@ -176,6 +183,7 @@
                 self.orders.settle(endpoint, *number);
                 CommandOutcome::Done
             }
+            ControlCommand::Serving(command) => CommandOutcome::Serving(self.serving.apply(command)),
         }
     }
 
--- a/crates/acaciabay/src/core/mod.rs
+++ b/crates/acaciabay/src/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod pool_admission;
 pub mod presence;
 pub mod retry_budget;
+pub mod serving;
 pub mod serving_lease;
 pub mod share_table;
 pub mod subset_plan;
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -0,0 +1,168 @@
+//! The work that endpoints have before them, as one entry sees it.
+//!
+//! What the entry has sent itself it knows exactly. What other entries have sent it hears from the control group a few
+//! times a second. Reports of the endpoints themselves would come later than both.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::part_memory::PartMemory;
+use super::prompt::PromptPart;
+use crate::core::clock::BootTime;
+use crate::core::name::EndpointName;
+
+/// Work at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointWork {
+    /// Tokens of prompts that are still to be read.
+    pub unread_tokens: u64,
+    /// Calls that run or wait.
+    pub calls: u64,
+    /// Tokens of prompts and answers that running calls hold in memory.
+    pub held_tokens: u64,
+}
+
+impl EndpointWork {
+    /// Returns both together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+            calls: self.calls + other.calls,
+            held_tokens: self.held_tokens + other.held_tokens,
+        }
+    }
+
+    const fn minus(self, other: Self) -> Self {
+        Self {
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            calls: self.calls.saturating_sub(other.calls),
+            held_tokens: self.held_tokens.saturating_sub(other.held_tokens),
+        }
+    }
+}
+
+/// How long an endpoint that has failed in a way that speaks against it is used only if there is no other, the first
+/// time; each further failure doubles it.
+const FIRST_SUSPICION: Duration = Duration::from_millis(300);
+/// The longest suspicion: an endpoint that is well again is found out within this time.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(3);
+/// How many milliseconds an engine takes for a token of a prompt until it was measured, the middle of current engines.
+const FIRST_PACE: f64 = 0.02;
+/// How much one measurement moves the pace.
+const PACE_STEP: f64 = 0.1;
+/// Prompts with fewer tokens say more about the network than about the engine.
+const LEAST_MEASURED: u64 = 1_000;
+
+#[derive(Clone, Debug, Default)]
+struct LoadRow {
+    own: EndpointWork,
+    others: EndpointWork,
+    memory: PartMemory,
+    failures: u32,
+    suspected_until: BootTime,
+    pace: Option<f64>,
+}
+
+/// The load of all endpoints that this entry has dealt with.
+#[derive(Clone, Debug, Default)]
+pub struct LoadTable {
+    rows: HashMap<EndpointName, LoadRow>,
+}
+
+impl LoadTable {
+    /// Returns the work at an endpoint.
+    pub fn work(&self, name: &EndpointName) -> EndpointWork {
+        self.rows
+            .get(name)
+            .map(|row| row.own.plus(row.others))
+            .unwrap_or_default()
+    }
+
+    /// Returns what this entry itself has at each endpoint.
+    pub fn own_work(&self) -> impl Iterator<Item = (&EndpointName, EndpointWork)> {
+        let rows = self.rows.iter().map(|(name, row)| (name, row.own));
+        rows.filter(|(_, work)| *work != EndpointWork::default())
+    }
+
+    /// Adds work that this entry has sent.
+    pub fn begin(&mut self, name: &EndpointName, work: EndpointWork) {
+        let row = self.row(name);
+        row.own = row.own.plus(work);
+    }
+
+    /// Takes away work that is done or given up.
+    pub fn end(&mut self, name: &EndpointName, work: EndpointWork) {
+        let row = self.row(name);
+        row.own = row.own.minus(work);
+    }
+
+    /// Takes over what the other entries have at the endpoints.
+    pub fn hear_others(&mut self, works: impl IntoIterator<Item = (EndpointName, EndpointWork)>) {
+        for row in self.rows.values_mut() {
+            row.others = EndpointWork::default();
+        }
+        for (name, work) in works {
+            self.row(&name).others = work;
+        }
+    }
+
+    /// Returns how many tokens at the start of a prompt the endpoint is believed to keep.
+    pub fn kept_tokens(&self, name: &EndpointName, parts: &[PromptPart]) -> u64 {
+        self.rows.get(name).map_or(0, |row| row.memory.kept_tokens(parts))
+    }
+
+    /// Notes that the endpoint has read these parts.
+    pub fn note_read(&mut self, name: &EndpointName, parts: &[PromptPart], capacity: u64) {
+        self.row(name).memory.note_read(parts, capacity);
+    }
+
+    /// Notes how long an endpoint took for a prompt.
+    pub fn note_pace(&mut self, name: &EndpointName, tokens: u64, took: Duration) {
+        if tokens < LEAST_MEASURED {
+            return;
+        }
+        let measured = took.as_secs_f64() * 1_000.0 / tokens as f64;
+        let row = self.row(name);
+        let before = row.pace.unwrap_or(FIRST_PACE);
+        row.pace = Some(before + PACE_STEP * (measured - before));
+    }
+
+    /// Returns how many milliseconds the endpoint takes for a token of a prompt.
+    pub fn pace(&self, name: &EndpointName) -> f64 {
+        self.rows.get(name).and_then(|row| row.pace).unwrap_or(FIRST_PACE)
+    }
+
+    /// Notes a failure that speaks against the endpoint.
+    pub fn note_failure(&mut self, now: BootTime, name: &EndpointName) {
+        let row = self.row(name);
+        let doublings = row.failures.min(8);
+        let suspicion = FIRST_SUSPICION * 2_u32.pow(doublings);
+        row.failures += 1;
+        row.suspected_until = now + suspicion.min(LONGEST_SUSPICION);
+    }
+
+    /// Notes an answer that speaks for the endpoint.
+    pub fn note_success(&mut self, name: &EndpointName) {
+        let row = self.row(name);
+        row.failures = row.failures.saturating_sub(1);
+        if row.failures == 0 {
+            row.suspected_until = BootTime::default();
+        }
+    }
+
+    /// Tells whether the endpoint has failed lately.
+    pub fn is_suspected(&self, now: BootTime, name: &EndpointName) -> bool {
+        self.rows.get(name).is_some_and(|row| now < row.suspected_until)
+    }
+
+    /// Forgets endpoints that are not in use any more.
+    pub fn retain(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
+        self.rows
+            .retain(|name, row| is_known(name) || row.own != EndpointWork::default());
+    }
+
+    fn row(&mut self, name: &EndpointName) -> &mut LoadRow {
+        self.rows.entry(name.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -0,0 +1,23 @@
+//! Serving by host and path: what an operator configures as one numbered document, and what an entry knows of endpoints.
+//!
+//! * [`config`] is the configuration, [`config_index`] finds a call's route and customer in it.
+//! * [`endpoint_registry`] orders what endpoints say of themselves, whichever way and however late it arrives.
+//! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
+//! * [`endpoint_load`] is the work that every endpoint still has before it.
+//! * [`event_stream`] cuts an answer into whole events.
+//! * [`start_counts`] counts the calls that began, by window and customer.
+//! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
+//!
+//! `docs/design/machines.md` has the programs in which these parts meet.
+
+pub mod config;
+pub mod config_index;
+pub mod duty;
+pub mod endpoint_load;
+pub mod endpoint_registry;
+pub mod event_stream;
+pub mod part_memory;
+pub mod prompt;
+pub mod send_budget;
+pub mod serving_state;
+pub mod start_counts;
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/part_memory.rs
@@ -0,0 +1,60 @@
+//! Which parts of prompts an endpoint keeps in its memory, as far as an entry can tell from its own sends.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::prompt::{PartId, PromptPart};
+
+/// The parts that one endpoint is believed to keep, the longest unused going first.
+#[derive(Clone, Debug, Default)]
+pub struct PartMemory {
+    parts: HashMap<PartId, KeptPart>,
+    by_use: BTreeMap<u64, PartId>,
+    tokens: u64,
+    uses: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KeptPart {
+    tokens: u64,
+    used: u64,
+}
+
+impl PartMemory {
+    /// Returns how many tokens at the start of a prompt need not be read again: the parts from the first on that are
+    /// kept without a gap.
+    pub fn kept_tokens(&self, parts: &[PromptPart]) -> u64 {
+        let kept = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that the endpoint has read these parts, and forgets the longest unused beyond `capacity` tokens.
+    pub fn note_read(&mut self, parts: &[PromptPart], capacity: u64) {
+        for part in parts {
+            self.uses += 1;
+            let used = self.uses;
+            let fresh = KeptPart {
+                tokens: part.tokens,
+                used,
+            };
+            if let Some(known) = self.parts.insert(part.id, fresh) {
+                self.by_use.remove(&known.used);
+                self.tokens -= known.tokens;
+            }
+            self.by_use.insert(used, part.id);
+            self.tokens += part.tokens;
+        }
+        while self.tokens > capacity {
+            let Some((_, oldest)) = self.by_use.pop_first() else {
+                return;
+            };
+            if let Some(known) = self.parts.remove(&oldest) {
+                self.tokens -= known.tokens;
+            }
+        }
+    }
+
+    /// Returns how many tokens are kept in all.
+    pub const fn tokens(&self) -> u64 {
+        self.tokens
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/send_budget.rs
@@ -0,0 +1,67 @@
+//! A bound on second sends that many entries keep without asking each other.
+//!
+//! When a service fails, every entry sends its calls again, and the service gets a multiple of its load at the worst
+//! moment. Operators bound that for all entries together: in any window, a part of the calls plus a fixed slack. The
+//! part of the calls can be kept by each entry for its own calls; the slack is divided by the number of entries.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::core::clock::BootTime;
+
+/// The bound for one service over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendBound {
+    /// Second sends for each call.
+    pub ratio: f64,
+    /// Second sends beyond that.
+    pub slack: f64,
+    /// The length of the window that slides.
+    pub window: Duration,
+}
+
+/// How much of the bound is used: the rest covers calls that two clocks count into different windows.
+const USED_PART: f64 = 0.8;
+
+/// What one entry has sent to one service within the window.
+#[derive(Clone, Debug, Default)]
+pub struct SendBudget {
+    calls: VecDeque<BootTime>,
+    repeats: VecDeque<BootTime>,
+}
+
+impl SendBudget {
+    /// Notes a caller's request.
+    pub fn note_call(&mut self, now: BootTime, bound: &SendBound) {
+        self.forget(now, bound);
+        self.calls.push_back(now);
+    }
+
+    /// Takes one second send and tells whether there was one left.
+    ///
+    /// `entries` is how many entries may be sending at present. Counting too few of them would let all together exceed
+    /// the slack.
+    pub fn spend(&mut self, now: BootTime, bound: &SendBound, entries: u32) -> bool {
+        self.forget(now, bound);
+        let allowed = USED_PART * (bound.ratio * self.calls.len() as f64 + bound.slack / f64::from(entries.max(1)));
+        if (self.repeats.len() + 1) as f64 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    /// Notes a second send that could not be avoided.
+    pub fn force(&mut self, now: BootTime, bound: &SendBound) {
+        self.forget(now, bound);
+        self.repeats.push_back(now);
+    }
+
+    fn forget(&mut self, now: BootTime, bound: &SendBound) {
+        for times in [&mut self.calls, &mut self.repeats] {
+            while times.front().is_some_and(|first| now.since(*first) >= bound.window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod check_tables;
 pub mod divide_pool;
+pub mod place_call;
 pub mod place_request;
 pub mod plan_deliveries;
+pub mod plan_members;
+pub mod plan_stages;
 pub mod route_request;
--- /dev/null
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -0,0 +1,103 @@
+//! How many engines of a service read prompts and how many make tokens.
+//!
+//! Reading is what a shifting mix changes by factors; making tokens needs a slot and memory for each running stream.
+//! So as many engines make tokens as the running streams need, never fewer than keep the service going when a failure
+//! domain is lost, and all others read.
+
+use std::collections::BTreeMap;
+
+use crate::core::name::{DomainName, EndpointName};
+use crate::core::serving::config::EngineSpec;
+use crate::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use crate::util::number::round_up;
+
+/// What the running streams of a service take, at the recent peak.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StreamDemand {
+    /// Streams that run at once.
+    pub streams: f64,
+    /// Tokens of memory that they hold.
+    pub held_tokens: f64,
+}
+
+/// The part of an engine's slots and memory that streams may take: beyond it each token takes noticeably longer, and
+/// a burst would find no room.
+const FILL: f64 = 0.5;
+
+/// The least number of engines of each stage, on two failure domains, so that the loss of one engine stops nothing.
+const LEAST_OF_STAGE: usize = 2;
+
+/// An engine to change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageChange {
+    /// The engine.
+    pub endpoint: EndpointName,
+    /// What it is to do.
+    pub stage: EngineStage,
+}
+
+/// Returns how many of `engines` engines should make tokens.
+pub fn wanted_decoders(engines: usize, spec: &EngineSpec, demand: &StreamDemand) -> usize {
+    if engines < 2 {
+        return engines;
+    }
+    let by_slots = demand.streams / (FILL * f64::from(spec.slots.max(1)));
+    let by_memory = demand.held_tokens / (FILL * spec.memory_tokens.max(1) as f64);
+    let needed = usize::try_from(round_up(by_slots.max(by_memory))).unwrap_or(usize::MAX);
+    let least = LEAST_OF_STAGE.min(engines / 2);
+    needed.clamp(least, engines - least)
+}
+
+/// Returns the engines to change so that `wanted` of them make tokens, at most `most` at once.
+///
+/// Engines that make tokens stay spread over the failure domains: the next to become one is taken where there are
+/// fewest, the next to become a reader where there are most.
+pub fn plan_stages(engines: &[(&EndpointName, &ServingEndpoint)], wanted: usize, most: usize) -> Vec<StageChange> {
+    let mut decoders: Vec<_> = of_stage(engines, EngineStage::Decode);
+    let mut readers: Vec<_> = of_stage(engines, EngineStage::Prefill);
+    let mut changes = Vec::new();
+    while changes.len() < most && decoders.len() != wanted {
+        let counts = count_domains(engines, &decoders);
+        let count =
+            |(_, endpoint): &(&EndpointName, &ServingEndpoint)| counts.get(&endpoint.domain).copied().unwrap_or(0);
+        let (from, to, stage, place) = if decoders.len() > wanted {
+            // A reclaimable engine is better as a reader: what it loses when it is taken away is read again elsewhere.
+            let place = best_place(&decoders, |row| (row.1.reclaimable, count(row)));
+            (&mut decoders, &mut readers, EngineStage::Prefill, place)
+        } else {
+            let place = best_place(&readers, |row| (!row.1.reclaimable, usize::MAX - count(row)));
+            (&mut readers, &mut decoders, EngineStage::Decode, place)
+        };
+        let Some(place) = place else { break };
+        let row = from.remove(place);
+        to.push(row);
+        changes.push(StageChange {
+            endpoint: row.0.clone(),
+            stage,
+        });
+    }
+    changes
+}
+
+fn of_stage<'table>(
+    engines: &[(&'table EndpointName, &'table ServingEndpoint)],
+    stage: EngineStage,
+) -> Vec<(&'table EndpointName, &'table ServingEndpoint)> {
+    let rows = engines.iter().filter(|(_, endpoint)| endpoint.stage == Some(stage));
+    rows.copied().collect()
+}
+
+fn count_domains<'table>(
+    engines: &[(&'table EndpointName, &'table ServingEndpoint)],
+    decoders: &[(&'table EndpointName, &'table ServingEndpoint)],
+) -> BTreeMap<&'table DomainName, usize> {
+    let mut counts: BTreeMap<_, _> = engines.iter().map(|(_, endpoint)| (&endpoint.domain, 0)).collect();
+    for (_, endpoint) in decoders {
+        *counts.entry(&endpoint.domain).or_default() += 1;
+    }
+    counts
+}
+
+fn best_place<T, K: Ord>(rows: &[T], key: impl Fn(&T) -> K) -> Option<usize> {
+    (0..rows.len()).max_by_key(|place| key(&rows[*place]))
+}
--- a/crates/acaciabay/src/util/mod.rs
+++ b/crates/acaciabay/src/util/mod.rs
@@ -1,4 +1,5 @@
 //! Helpers without an opinion about serving.
 
 pub mod digest;
+pub mod number;
 pub mod rendezvous;
