Add the messages and settings for serving by host and path

Cause: entries and replicas need to say more than the tables of the product so far: a document in force as a whole, endpoints that report to any replica, work that entries have at endpoints, hosts that ask for a place by themselves.

Change: `serving.proto`, fields added to `state.proto` and `replica.proto` (no number used twice), conversions; documents travel as the changed middle against the one held. Settings for the two processes with findings as a whole. Logs go to standard output, which is where the users' on-call engineers read them; the tests' fixture follows. HTTP: bounds asked for at each connection, connections kept for as long as the other side keeps them.

--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -115,7 +115,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: OpenConnection,
-    since: BootTime,
+    until: BootTime,
 }
 
 /// Sends requests to endpoints over connections of its own.
@@ -169,6 +169,12 @@
 
     /// Keeps a connection for later, after the answer's body was read to its end.
     pub async fn give_back(&self, now: BootTime, finished: FinishedConnection) {
+        self.give_back_for(now, finished, self.options.idle_timeout).await;
+    }
+
+    /// Keeps a connection for later, but no longer than `keep`: what the other side has said that it keeps it.
+    pub async fn give_back_for(&self, now: BootTime, finished: FinishedConnection, keep: Duration) {
+        let until = now + keep.min(self.options.idle_timeout);
         let FinishedConnection {
             address,
             mut connection,
@@ -178,17 +184,17 @@
         }
         let mut idle = self.idle.lock();
         let list = idle.entry(address).or_default();
-        list.retain(|known| now.since(known.since) < self.options.idle_timeout);
+        list.retain(|known| now < known.until);
         if list.len() < self.options.idle_connections {
-            list.push(IdleConnection { connection, since: now });
+            list.push(IdleConnection { connection, until });
         }
     }
 
     fn take_idle(&self, now: BootTime, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&address)?;
-        while let Some(IdleConnection { connection, since }) = list.pop() {
-            if now.since(since) < self.options.idle_timeout && !connection.sender.is_closed() {
+        while let Some(IdleConnection { connection, until }) = list.pop() {
+            if now < until && !connection.sender.is_closed() {
                 return Some(connection);
             }
         }
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -11,5 +11,5 @@
     ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure, prepare_socket,
 };
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
-pub use server::{ServerBounds, listen, serve_http};
+pub use server::{ServerBounds, listen, serve_http, serve_http_within};
 pub use watched_stream::WriteGuard;
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -66,9 +66,21 @@
     handle: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    serve_http_within(listener, move || bounds, stop, handle).await;
+}
+
+/// Serves like [`serve_http`], with bounds that are asked for at each connection because they may change.
+pub async fn serve_http_within<F>(
+    listener: TcpListener,
+    bounds_now: impl Fn() -> ServerBounds,
+    stop: CancellationToken,
+    handle: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+) where
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let open = TaskTracker::new();
-    let permits = Arc::new(Semaphore::new(bounds.connections));
+    let permits = Arc::new(Semaphore::new(bounds_now().connections));
     loop {
         let permit = tokio::select! {
             () = stop.cancelled() => break,
@@ -82,7 +94,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let (stop, handle) = (stop.clone(), handle.clone());
+        let (stop, handle, bounds) = (stop.clone(), handle.clone(), bounds_now());
         open.spawn(async move {
             serve_connection(stream, bounds, stop, handle).await;
             drop(permit);
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -47,6 +47,20 @@
     STOP_OVERDUE = "E0215";
     /// Spans could not be written.
     SPANS_LOST = "E0216";
+    /// A call was answered, or broke off.
+    CALL_ENDED = "E0220";
+    /// A call was refused before any endpoint could run it.
+    CALL_REFUSED = "E0221";
+    /// An entry's readiness changed.
+    READINESS_CHANGED = "E0222";
+    /// An entry took over a configuration for calls by host and path.
+    SERVING_CONFIG_APPLIED = "E0223";
+    /// A session with a replica was opened.
+    CONTROL_FOUND = "E0224";
+    /// A prompt was read, or could not be.
+    PROMPT_READ = "E0225";
+    /// The settings were read again.
+    SETTINGS_RELOADED = "E0226";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -74,6 +88,32 @@
     WINDOW_BILLED = "E0312";
     /// A usage window could not be delivered and is sent again.
     WINDOW_DELAYED = "E0313";
+    /// A replica was removed from the group and gives its folder up.
+    IDENTITY_REVOKED = "E0314";
+    /// An endpoint has reported something new.
+    ENDPOINT_CHANGED = "E0320";
+    /// A report of an endpoint could not be used.
+    REPORT_REFUSED = "E0321";
+    /// The configuration in force cannot be read by this release.
+    CONFIG_UNREADABLE = "E0322";
+    /// An entry or a replica has opened a session.
+    SESSION_BEGUN = "E0323";
+    /// A session has ended.
+    SESSION_ENDED = "E0324";
+    /// A configuration for calls by host and path was accepted.
+    SERVING_CONFIG_ACCEPTED = "E0325";
+    /// A configuration that is held already, or was overtaken, was acknowledged again.
+    SERVING_CONFIG_OLD = "E0326";
+    /// A configuration was refused.
+    SERVING_CONFIG_REFUSED = "E0327";
+    /// This process has taken all duties under a new number.
+    DUTIES_ASSUMED = "E0328";
+    /// This process has lost its duties.
+    DUTIES_LEFT = "E0329";
+    /// The counts of a usage window were fixed.
+    STARTS_SEALED = "E0330";
+    /// An engine is to change its stage.
+    STAGE_PLANNED = "E0331";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-runtime/src/log.rs
+++ b/crates/acacia-runtime/src/log.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error, one JSON object a line.
+//! Structured logs on standard output, one JSON object a line.
 
 use slog::{Drain, Logger, o};
 
@@ -8,7 +8,7 @@
 
 /// Opens the log of a process.
 pub fn open_log(program: &'static str, host: &str) -> Logger {
-    let lines = slog_json::Json::default(std::io::stderr()).fuse();
+    let lines = slog_json::Json::default(std::io::stdout()).fuse();
     let queue = slog_async::Async::new(lines).chan_size(WAITING_RECORDS).build().fuse();
     Logger::root(queue, o!("program" => program, "host" => host.to_owned()))
 }
--- a/crates/acacia-settings/src/lib.rs
+++ b/crates/acacia-settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry_settings;
 mod finding;
 mod object_reader;
+mod serving_settings;
 mod standin_settings;
 mod table_document;
 
@@ -15,5 +16,6 @@
 pub use entry_settings::{AdmissionPolicy, CallerLimits, EntrySettings};
 pub use finding::{Finding, Findings, read_document};
 pub use object_reader::ObjectReader;
+pub use serving_settings::{SendBoundSettings, ServingControlSettings, ServingEntrySettings};
 pub use standin_settings::{StandinKind, StandinSettings};
 pub use table_document::{pools_from_json, pools_to_json, routes_from_json, routes_to_json};
--- a/crates/acacia-settings/src/object_reader.rs
+++ b/crates/acacia-settings/src/object_reader.rs
@@ -192,3 +192,22 @@
 pub fn as_millis(range: RangeInclusive<u64>) -> impl FnOnce(&Value) -> Result<Duration, String> {
     move |value| as_count(range)(value).map(Duration::from_millis)
 }
+
+/// Reads a number within bounds, which may have a fraction.
+pub fn as_number(range: RangeInclusive<f64>) -> impl FnOnce(&Value) -> Result<f64, String> {
+    move |value| {
+        let number = value.as_f64().filter(|number| range.contains(number));
+        number.ok_or_else(|| {
+            format!(
+                "expected a number from {} to {}, found {value}",
+                range.start(),
+                range.end()
+            )
+        })
+    }
+}
+
+/// Reads a number of seconds within bounds, which may have a fraction.
+pub fn as_seconds(range: RangeInclusive<f64>) -> impl FnOnce(&Value) -> Result<Duration, String> {
+    move |value| as_number(range)(value).map(Duration::from_secs_f64)
+}
--- /dev/null
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -0,0 +1,189 @@
+//! Settings of the processes that serve calls by host and path.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::entry_settings::read_address;
+use crate::finding::Findings;
+use crate::object_reader::{ObjectReader, as_address, as_count, as_flag, as_name, as_number, as_seconds, as_text};
+
+/// What a control process is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServingControlSettings {
+    /// The host's name.
+    pub host: String,
+    /// The failure domain that the host is in.
+    pub failure_domain: String,
+    /// The one folder that holds all files of the process.
+    pub data_folder: PathBuf,
+    /// Where operators and endpoints call.
+    pub control_address: SocketAddr,
+    /// Where entries and the other replicas connect.
+    pub peer_address: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_address: SocketAddr,
+    /// Control addresses of other hosts, through which a new one finds its group.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time: the seeds then found the group.
+    pub found_group: bool,
+    /// How many disks may be lost at once without losing anything that was accepted.
+    pub tolerated_losses: usize,
+    /// The platform's address for usage and orders; nothing is sent without it.
+    pub platform_address: Option<SocketAddr>,
+    /// The length of a usage window.
+    pub usage_window: Duration,
+    /// Within which time a usage window is due after its end.
+    pub usage_due: Duration,
+    /// Within which time duties must not go back and forth between two hosts.
+    pub duty_lease: Duration,
+}
+
+/// What an entry process is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServingEntrySettings {
+    /// The host's name.
+    pub host: String,
+    /// The failure domain that the host is in.
+    pub failure_domain: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether to send callers here.
+    pub ready_address: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_address: SocketAddr,
+    /// The port of the control processes for entries.
+    pub peer_port: u16,
+    /// Control addresses through which the control group is found.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Within which time a withdrawn key must stop working, also where this host is cut off.
+    pub key_withdrawal: Duration,
+    /// The length of a usage window.
+    pub usage_window: Duration,
+    /// How long the process may take to stop.
+    pub stop_grace: Duration,
+    /// The bound on second sends.
+    pub send_bound: SendBoundSettings,
+}
+
+/// The bound on second sends over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendBoundSettings {
+    /// Second sends for each call.
+    pub ratio: f64,
+    /// Second sends beyond that in a window.
+    pub slack: f64,
+    /// The length of the window.
+    pub window: Duration,
+}
+
+impl ServingControlSettings {
+    /// Checks a settings document.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every finding in the document.
+    pub fn from_json(document: &Value) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let settings = read_control(document, &mut findings);
+        findings.into_result(settings)
+    }
+}
+
+impl ServingEntrySettings {
+    /// Checks a settings document.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every finding in the document.
+    pub fn from_json(document: &Value) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let settings = read_entry(document, &mut findings);
+        findings.into_result(settings)
+    }
+}
+
+fn read_control(document: &Value, findings: &mut Findings) -> Option<ServingControlSettings> {
+    let mut reader = ObjectReader::new(document, "", findings);
+    let host = reader.required("host", findings, as_name);
+    let failure_domain = reader.required("failure_domain", findings, as_name);
+    let data_folder = reader.required("data_folder", findings, as_name);
+    let control_address = reader.required("control_address", findings, as_address);
+    let peer_address = reader.required("peer_address", findings, as_address);
+    let metrics_address = reader.required("metrics_address", findings, as_address);
+    let seed_addresses = reader.items("seed_addresses", findings, read_address);
+    let found_group = reader.required("found_group", findings, as_flag);
+    let tolerated_losses = reader.required("tolerated_losses", findings, as_count(0..=10));
+    let platform_address = reader.optional("platform_address", findings, as_optional_address);
+    let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
+    let usage_due = reader.required("usage_due_s", findings, as_seconds(0.1..=86_400.0));
+    let duty_lease = reader.required("duty_lease_ms", findings, as_count(0..=600_000));
+    reader.finish(findings);
+    Some(ServingControlSettings {
+        host: host?.to_owned(),
+        failure_domain: failure_domain?.to_owned(),
+        data_folder: PathBuf::from(data_folder?),
+        control_address: control_address?,
+        peer_address: peer_address?,
+        metrics_address: metrics_address?,
+        seed_addresses: seed_addresses?,
+        found_group: found_group?,
+        tolerated_losses: usize::try_from(tolerated_losses?).ok()?,
+        platform_address: platform_address.flatten(),
+        usage_window: usage_window?,
+        usage_due: usage_due?,
+        duty_lease: Duration::from_millis(duty_lease?),
+    })
+}
+
+fn read_entry(document: &Value, findings: &mut Findings) -> Option<ServingEntrySettings> {
+    let mut reader = ObjectReader::new(document, "", findings);
+    let host = reader.required("host", findings, as_name);
+    let failure_domain = reader.required("failure_domain", findings, as_name);
+    let caller_address = reader.required("caller_address", findings, as_address);
+    let ready_address = reader.required("ready_address", findings, as_address);
+    let metrics_address = reader.required("metrics_address", findings, as_address);
+    let peer_port = reader.required("peer_port", findings, as_count(1..=65_535));
+    let seed_addresses = reader.items("seed_addresses", findings, read_address);
+    let key_withdrawal = reader.required("key_withdrawal_ms", findings, as_count(100..=600_000));
+    let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
+    let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
+    let mut bound = reader.child("send_bound", findings);
+    let send_bound = read_send_bound(&mut bound, findings);
+    bound.finish(findings);
+    reader.finish(findings);
+    Some(ServingEntrySettings {
+        host: host?.to_owned(),
+        failure_domain: failure_domain?.to_owned(),
+        caller_address: caller_address?,
+        ready_address: ready_address?,
+        metrics_address: metrics_address?,
+        peer_port: u16::try_from(peer_port?).ok()?,
+        seed_addresses: seed_addresses?,
+        key_withdrawal: Duration::from_millis(key_withdrawal?),
+        usage_window: usage_window?,
+        stop_grace: stop_grace?,
+        send_bound: send_bound?,
+    })
+}
+
+fn read_send_bound(reader: &mut ObjectReader<'_>, findings: &mut Findings) -> Option<SendBoundSettings> {
+    let ratio = reader.required("ratio", findings, as_number(0.0..=10.0));
+    let slack = reader.required("slack", findings, as_number(0.0..=1e9));
+    let window = reader.required("window_s", findings, as_seconds(0.1..=3_600.0));
+    Some(SendBoundSettings {
+        ratio: ratio?,
+        slack: slack?,
+        window: window?,
+    })
+}
+
+/// Reads an address that a template leaves empty where there is none.
+fn as_optional_address(value: &Value) -> Result<Option<SocketAddr>, String> {
+    match as_text(value)? {
+        "" => Ok(None),
+        _ => as_address(value).map(Some),
+    }
+}
--- a/crates/acacia-wire/src/control_command.rs
+++ b/crates/acacia-wire/src/control_command.rs
@@ -7,12 +7,16 @@
 use acaciabay::core::key::KeyId;
 use acaciabay::core::member::{EntryIncarnation, JoinNonce};
 use acaciabay::core::order::{OrderNumber, OrderTarget};
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::serving_state::ServingCommand;
+use acaciabay::core::serving::start_counts::WindowNumber;
 use acaciabay::core::table::{PoolRow, RouteRow, TableEdit, TableNumber};
 use bytes::Bytes;
 use prost::Message;
 
 use crate::error::WireError;
 use crate::generated::state::{self, control_command::Command};
+use crate::serving_message::{counts_from_wire, counts_to_wire};
 use crate::table_row::{
     all, digest_from_wire, digest_to_wire, key_from_wire, key_to_wire, pool_from_wire, pool_to_wire, report_from_wire,
     report_to_wire, route_from_wire, route_key_from_wire, route_key_to_wire, route_to_wire,
@@ -81,6 +85,19 @@
             endpoint: endpoint.to_string(),
             number: number.0,
         }),
+        ControlCommand::Serving(command) => serving_to_wire(command),
+    }
+}
+
+fn serving_to_wire(command: &ServingCommand) -> Command {
+    match command {
+        ServingCommand::PutConfig { number, document } => Command::PutConfig(state::PutConfig {
+            number: number.0,
+            document: document.clone(),
+        }),
+        ServingCommand::AssumeDuties { holder } => Command::AssumeDuties(holder.to_string()),
+        ServingCommand::SealStarts { window, counts } => Command::SealStarts(counts_to_wire(*window, counts)),
+        ServingCommand::SettleStarts { window } => Command::SettleStarts(window.0),
     }
 }
 
@@ -119,6 +136,20 @@
             endpoint: settled.endpoint.as_str().into(),
             number: OrderNumber(settled.number),
         },
+        Command::PutConfig(put) => ControlCommand::Serving(ServingCommand::PutConfig {
+            number: ConfigNumber(put.number),
+            document: put.document,
+        }),
+        Command::AssumeDuties(holder) => ControlCommand::Serving(ServingCommand::AssumeDuties {
+            holder: holder.as_str().into(),
+        }),
+        Command::SealStarts(message) => {
+            let (window, counts) = counts_from_wire(message);
+            ControlCommand::Serving(ServingCommand::SealStarts { window, counts })
+        }
+        Command::SettleStarts(window) => ControlCommand::Serving(ServingCommand::SettleStarts {
+            window: WindowNumber(window),
+        }),
     })
 }
 
--- a/crates/acacia-wire/src/control_state.rs
+++ b/crates/acacia-wire/src/control_state.rs
@@ -22,6 +22,7 @@
 };
 use crate::error::WireError;
 use crate::generated::state::{self, claim_row, config_change::Change};
+use crate::serving_message::{serving_state_from_wire, serving_state_to_wire};
 use crate::table_row::{
     accepted_from_wire, accepted_to_wire, all, digest_from_wire, digest_to_wire, key_from_wire, key_to_wire,
     pool_from_wire, pool_to_wire, route_from_wire, route_key_from_wire, route_key_to_wire, route_to_wire,
@@ -40,6 +41,7 @@
         usage: Some(usage_table_to_wire(&state.usage)),
         last_order: state.orders.last().0,
         orders: state.orders.rows().map(order_to_wire).collect(),
+        serving: Some(serving_state_to_wire(&state.serving)),
     };
     message.encode_to_vec().into()
 }
@@ -71,6 +73,8 @@
         claims: ClaimTable::restore(all(message.claims, claim_from_wire)?),
         usage: usage_table_from_wire(message.usage.ok_or(WireError::missing("usage"))?),
         orders: OrderTable::restore(OrderNumber(message.last_order), all(&message.orders, order_from_wire)?),
+        // A snapshot of an earlier release has none.
+        serving: message.serving.map(serving_state_from_wire).unwrap_or_default(),
     })
 }
 
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod frame;
 mod replica_message;
+mod serving_message;
 mod table_row;
 
 pub use control_command::{command_from_bytes, command_to_bytes};
@@ -25,6 +26,11 @@
     snapshot_from_wire, snapshot_to_wire,
 };
 
+pub use serving_message::{
+    apply_patch, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire, patch_between, use_from_wire,
+    use_to_wire,
+};
+
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
 #[expect(clippy::pedantic, reason = "generated code")]
@@ -37,6 +43,10 @@
     pub mod entry {
         include!("generated/acacia.entry.rs");
     }
+    /// Entries and replicas about calls by host and path.
+    pub mod serving {
+        include!("generated/acacia.serving.rs");
+    }
     /// Replicas among each other.
     pub mod replica {
         include!("generated/acacia.replica.rs");
--- /dev/null
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -0,0 +1,173 @@
+//! What entries and replicas say about calls by host and path, to and from the library's types.
+
+use acaciabay::core::name::{CustomerName, EndpointName};
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::duty::{DutyTable, FenceNumber};
+use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::serving_state::ServingState;
+use acaciabay::core::serving::start_counts::{CustomerCounts, WindowNumber};
+use bytes::{Bytes, BytesMut};
+
+use crate::error::WireError;
+use crate::generated::{serving, state};
+
+/// Encodes the counts of a window.
+pub fn counts_to_wire(window: WindowNumber, counts: &CustomerCounts) -> state::WindowCounts {
+    let rows = counts.iter().map(|(customer, count)| state::CustomerCount {
+        customer: customer.to_string(),
+        count: *count,
+    });
+    state::WindowCounts {
+        window: window.0,
+        counts: rows.collect(),
+    }
+}
+
+/// Decodes the counts of a window.
+pub fn counts_from_wire(message: state::WindowCounts) -> (WindowNumber, CustomerCounts) {
+    let rows = message.counts.into_iter();
+    let counts = rows.map(|row| (CustomerName::new(row.customer), row.count));
+    (WindowNumber(message.window), counts.collect())
+}
+
+/// Encodes what is known of an endpoint.
+pub fn endpoint_to_wire(name: &EndpointName, endpoint: &ServingEndpoint) -> serving::EndpointRow {
+    let phase = match endpoint.phase {
+        EndpointPhase::Ready => serving::EndpointPhase::Ready,
+        EndpointPhase::Draining => serving::EndpointPhase::Draining,
+        EndpointPhase::Gone => serving::EndpointPhase::Gone,
+    };
+    let stage = match endpoint.stage {
+        None => serving::EngineStage::Unspecified,
+        Some(EngineStage::Prefill) => serving::EngineStage::Prefill,
+        Some(EngineStage::Decode) => serving::EngineStage::Decode,
+    };
+    serving::EndpointRow {
+        name: name.to_string(),
+        service: endpoint.service.to_string(),
+        address: endpoint.address.to_string(),
+        domain: endpoint.domain.to_string(),
+        slots: endpoint.slots,
+        phase: phase.into(),
+        stage: stage.into(),
+        reclaimable: endpoint.reclaimable,
+        birth: endpoint.birth.0,
+        sequence: endpoint.sequence,
+    }
+}
+
+/// Decodes what is known of an endpoint.
+///
+/// # Errors
+///
+/// Fails when a field is missing or impossible.
+pub fn endpoint_from_wire(message: &serving::EndpointRow) -> Result<(EndpointName, ServingEndpoint), WireError> {
+    let phase = match message.phase() {
+        serving::EndpointPhase::Ready => EndpointPhase::Ready,
+        serving::EndpointPhase::Draining => EndpointPhase::Draining,
+        serving::EndpointPhase::Gone => EndpointPhase::Gone,
+        serving::EndpointPhase::Unspecified => return Err(WireError::missing("phase")),
+    };
+    let stage = match message.stage() {
+        serving::EngineStage::Unspecified => None,
+        serving::EngineStage::Prefill => Some(EngineStage::Prefill),
+        serving::EngineStage::Decode => Some(EngineStage::Decode),
+    };
+    let address = message.address.parse();
+    let endpoint = ServingEndpoint {
+        service: message.service.as_str().into(),
+        address: address.map_err(|_source| WireError::invalid("address"))?,
+        domain: message.domain.as_str().into(),
+        slots: message.slots,
+        phase,
+        stage,
+        reclaimable: message.reclaimable,
+        birth: EndpointBirth(message.birth),
+        sequence: message.sequence,
+    };
+    Ok((message.name.as_str().into(), endpoint))
+}
+
+/// Encodes work at an endpoint.
+pub fn use_to_wire(name: &EndpointName, work: EndpointWork) -> serving::EndpointUse {
+    serving::EndpointUse {
+        name: name.to_string(),
+        unread_tokens: work.unread_tokens,
+        calls: work.calls,
+        held_tokens: work.held_tokens,
+    }
+}
+
+/// Decodes work at an endpoint.
+pub fn use_from_wire(message: &serving::EndpointUse) -> (EndpointName, EndpointWork) {
+    let work = EndpointWork {
+        unread_tokens: message.unread_tokens,
+        calls: message.calls,
+        held_tokens: message.held_tokens,
+    };
+    (message.name.as_str().into(), work)
+}
+
+/// Returns what turns one document into another.
+///
+/// Operators change a route or a key at a time in a document of many; sending the changed middle alone keeps the
+/// traffic to the entries small.
+pub fn patch_between(base_number: u64, base: &[u8], target: &Bytes) -> serving::DocumentPatch {
+    let start = base
+        .iter()
+        .zip(target.iter())
+        .take_while(|(one, other)| one == other)
+        .count();
+    let rest = base.len().min(target.len()) - start;
+    let ends = base.iter().rev().zip(target.iter().rev());
+    let end = ends.take(rest).take_while(|(one, other)| one == other).count();
+    serving::DocumentPatch {
+        base_number,
+        kept_start: start as u64,
+        kept_end: end as u64,
+        middle: target.slice(start..target.len() - end),
+    }
+}
+
+/// Applies a change to the document that it was made against.
+///
+/// # Errors
+///
+/// Fails when the change does not fit the document.
+pub fn apply_patch(base: &[u8], patch: &serving::DocumentPatch) -> Result<Bytes, WireError> {
+    let misfit = || WireError::invalid("patch");
+    let start = usize::try_from(patch.kept_start).map_err(|_source| misfit())?;
+    let end = usize::try_from(patch.kept_end).map_err(|_source| misfit())?;
+    if start.checked_add(end).is_none_or(|kept| kept > base.len()) {
+        return Err(misfit());
+    }
+    let mut document = BytesMut::with_capacity(start + patch.middle.len() + end);
+    document.extend_from_slice(&base[..start]);
+    document.extend_from_slice(&patch.middle);
+    document.extend_from_slice(&base[base.len() - end..]);
+    Ok(document.freeze())
+}
+
+pub(crate) fn serving_state_to_wire(state: &ServingState) -> state::ServingState {
+    let sealed = state.sealed.iter();
+    state::ServingState {
+        config_number: state.config_number.0,
+        document: state.document.clone(),
+        fence: state.duties.fence().0,
+        holder: state.duties.holder().map(ToString::to_string).unwrap_or_default(),
+        sealed: sealed.map(|(window, counts)| counts_to_wire(*window, counts)).collect(),
+        last_sealed: state.last_sealed.0,
+    }
+}
+
+pub(crate) fn serving_state_from_wire(message: state::ServingState) -> ServingState {
+    let holder = (!message.holder.is_empty()).then(|| message.holder.as_str().into());
+    ServingState {
+        config_number: ConfigNumber(message.config_number),
+        document: message.document,
+        duties: DutyTable::restored(FenceNumber(message.fence), holder),
+        sealed: message.sealed.into_iter().map(counts_from_wire).collect(),
+        last_sealed: WindowNumber(message.last_sealed),
+    }
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -7,7 +7,7 @@
 
 const PROTO_FOLDER: &str = "crates/acacia-wire/proto";
 const GENERATED_FOLDER: &str = "crates/acacia-wire/src/generated";
-const PROTO_FILES: [&str; 3] = ["state.proto", "entry.proto", "replica.proto"];
+const PROTO_FILES: [&str; 4] = ["state.proto", "entry.proto", "serving.proto", "replica.proto"];
 
 /// Tasks of the project's developers.
 #[derive(Debug, FromArgs)]
