Run the control group for serving by host and path

Cause: a core machine of the users has to found or join a group by itself, answer operators and endpoints, keep entries up to date, and do the duties of one process at a time.

What calls look like stands behind two traits. The driver takes the policy, answers hosts that ask for a place, and removes a silent voter while a learner waits.

--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -13,7 +13,9 @@
 use acacia_settings::ControlSettings;
 use acacia_wire::ReportRow;
 use acacia_wire::generated::replica::Hello;
-use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
+use acaciabay::core::consensus::{
+    DiskId, HardState, LogIndex, MemberRow, MemberSet, QuorumPolicy, ReplicaId, ReplicaSnapshot, Term,
+};
 use acaciabay::core::delivery::DeliveryTable;
 use acaciabay::core::endpoint_changes::EndpointChanges;
 use acaciabay::core::member::EntryTable;
@@ -286,6 +288,7 @@
             inputs: receiver,
             links,
             log: log.clone(),
+            policy: QuorumPolicy::default(),
         };
         let driver = GroupDriver::open(folder, parts, boot_now(), random_number()?)?;
         let group = GroupHandle::new(inputs, shared, identity.group);
--- a/crates/acacia-control/src/driver.rs
+++ b/crates/acacia-control/src/driver.rs
@@ -13,16 +13,17 @@
 use acacia_wire::{command_from_bytes, command_to_bytes, state_from_bytes, state_to_bytes};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::consensus::{
-    DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRefusal, Replica, ReplicaId,
+    DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRefusal, QuorumPolicy, Replica, ReplicaId,
     ReplicaOutput, ReplicaRole, ReplicaSnapshot, Term,
 };
 use acaciabay::core::control_state::ControlState;
 use acaciabay::core::name::HostName;
+use acaciabay::ops::plan_members::plan_members;
 use anyhow::Context;
 use slog::Logger;
 use tokio::sync::oneshot;
 
-use crate::group::{GroupInput, GroupShared, GroupStatus, NotLeading, ProposalAnswer};
+use crate::group::{GroupInput, GroupShared, GroupStatus, JoinAnswer, JoinCall, NotLeading, ProposalAnswer};
 use crate::peer_links::PeerLinks;
 use crate::storage::DataFolder;
 
@@ -50,6 +51,7 @@
     identifies: BTreeMap<LogIndex, (ReplicaId, oneshot::Sender<Result<ReplicaId, String>>)>,
     leading_since: Option<BootTime>,
     applied_bytes: usize,
+    policy: QuorumPolicy,
 }
 
 /// What a driver is made of.
@@ -60,6 +62,8 @@
     pub(crate) inputs: Receiver<GroupInput>,
     pub(crate) links: PeerLinks,
     pub(crate) log: Logger,
+    /// How many copies and voters there are to be.
+    pub(crate) policy: QuorumPolicy,
 }
 
 impl GroupDriver {
@@ -71,6 +75,7 @@
             inputs,
             links,
             log,
+            policy,
         } = parts;
         let stored = folder.load()?;
         if stored.torn_bytes > 0 {
@@ -78,10 +83,12 @@
         }
         let state = state_of(&stored.snapshot).context("snapshot holds a state that this release cannot read")?;
         shared.version.send_replace(state.version());
+        shared.serving.send_replace(state.serving.config_number);
         *shared.state.write() = state;
         Ok(Self {
+            policy,
             hard_state: stored.restored.hard_state,
-            replica: Replica::new(now, id, stored.restored, seed),
+            replica: Replica::new(now, id, stored.restored, seed).with_policy(policy),
             folder,
             shared,
             inputs,
@@ -118,6 +125,7 @@
             if Instant::now() >= next_tick {
                 next_tick = Instant::now() + TICK_INTERVAL;
                 self.replica.tick(boot_now());
+                self.replace_silent_voter();
             }
             self.work_off()?;
             self.answer_confirms();
@@ -160,6 +168,9 @@
                 let _gave_up = answer.send(changed);
             }
             GroupInput::Identify { host, disk, answer } => self.identify(&host, disk, answer),
+            GroupInput::Join { request, answer } => {
+                let _gave_up = answer.send(self.answer_join(request));
+            }
             GroupInput::Stop => {}
         }
     }
@@ -189,6 +200,66 @@
         let _gave_up = answer.send(Err(refusal));
     }
 
+    /// Brings a host that asks for its place one step nearer to it; the host asks until it has it.
+    ///
+    /// A host whose folder is not the one that its member is bound to has lost its disk. Its member is removed first:
+    /// under its old number it would confirm entries that it has forgotten.
+    fn answer_join(&mut self, request: JoinCall) -> JoinAnswer {
+        if !self.replica.may_act(boot_now()) {
+            return JoinAnswer::Elsewhere(self.not_leading());
+        }
+        if self.replica.is_changing() {
+            return JoinAnswer::Open;
+        }
+        let JoinCall {
+            host,
+            address,
+            disk,
+            replica,
+        } = request;
+        if let Some(replica) = replica {
+            let row = self.replica.members().get(replica);
+            return match row {
+                Some(row) if row.disk == Some(disk) => JoinAnswer::Member(replica),
+                Some(_) | None => JoinAnswer::Removed,
+            };
+        }
+        let found = self.replica.members().on_host(&host).map(|(id, row)| (id, row.disk));
+        let change = match found {
+            Some((id, Some(bound))) if bound == disk => return JoinAnswer::Member(id),
+            Some((replica, _)) => MemberChange::Remove { replica },
+            None => MemberChange::Admit { host, address, disk },
+        };
+        self.change_members(change, "a host asked for its place");
+        JoinAnswer::Open
+    }
+
+    /// Removes a voter that is silent while another member could take its place.
+    fn replace_silent_voter(&mut self) {
+        let Some(wanted) = self.policy.voters else { return };
+        if self.replica.is_changing() || !self.replica.may_act(boot_now()) {
+            return;
+        }
+        let voters = self.replica.members().voters().count();
+        if let Some(replica) = plan_members(&self.replica.followers(), voters, wanted) {
+            self.change_members(MemberChange::Remove { replica }, "silent while a substitute waits");
+        }
+    }
+
+    fn change_members(&mut self, change: MemberChange, reason: &str) {
+        let text = format!("{change:?}");
+        match self.replica.change_members(change) {
+            Ok(_) => {
+                slog::info!(self.log, "member change proposed"; "event" => event::MEMBERS_CHANGED,
+                    "change" => text, "reason" => reason);
+            }
+            Err(refusal) => {
+                slog::warn!(self.log, "member change refused"; "event" => event::MEMBERS_CHANGED,
+                    "change" => text, "reason" => describe_refusal(&refusal));
+            }
+        }
+    }
+
     /// Does what the replica wants done until it wants nothing more.
     fn work_off(&mut self) -> anyhow::Result<()> {
         loop {
@@ -236,7 +307,9 @@
         let state = state_of(snapshot).context("leader sent a state that this release cannot read")?;
         self.folder.replace(self.hard_state, snapshot, &[])?;
         self.shared.version.send_replace(state.version());
+        let number = state.serving.config_number;
         *self.shared.state.write() = state;
+        self.shared.serving.send_replace(number);
         self.applied_bytes = 0;
         slog::info!(self.log, "snapshot installed"; "event" => event::SNAPSHOT_WRITTEN, "index" => snapshot.index.0);
         Ok(())
@@ -277,6 +350,11 @@
                 *version = state.version();
                 newer
             });
+            self.shared.serving.send_if_modified(|number| {
+                let newer = *number != state.serving.config_number;
+                *number = state.serving.config_number;
+                newer
+            });
         }
         for (answer, outcome) in answers {
             let _gave_up = answer.sender.send(outcome.ok_or_else(|| self.not_leading()));
--- a/crates/acacia-control/src/entry_session.rs
+++ b/crates/acacia-control/src/entry_session.rs
@@ -110,6 +110,7 @@
         | CommandOutcome::Conflict(_)
         | CommandOutcome::Key { .. }
         | CommandOutcome::Order(_)
+        | CommandOutcome::Serving(_)
         | CommandOutcome::Done => EntryAnswer::Done,
     }
 }
--- a/crates/acacia-control/src/group.rs
+++ b/crates/acacia-control/src/group.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand, ControlState};
 use acaciabay::core::entry_config::ConfigVersion;
 use acaciabay::core::name::HostName;
+use acaciabay::core::serving::config::ConfigNumber;
 use parking_lot::{RwLock, RwLockReadGuard};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 
@@ -63,9 +64,36 @@
         disk: DiskId,
         answer: oneshot::Sender<Result<ReplicaId, String>>,
     },
+    Join {
+        request: JoinCall,
+        answer: oneshot::Sender<JoinAnswer>,
+    },
     Stop,
 }
 
+/// A host asks to become a member by itself, or whether it still is one.
+#[derive(Clone, Debug)]
+pub(crate) struct JoinCall {
+    pub(crate) host: HostName,
+    pub(crate) address: String,
+    pub(crate) disk: DiskId,
+    /// The replica that the host's folder belongs to already.
+    pub(crate) replica: Option<ReplicaId>,
+}
+
+/// What a host is told that asks for its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum JoinAnswer {
+    /// It is this member.
+    Member(ReplicaId),
+    /// Its folder's member was removed; the folder is of no more use.
+    Removed,
+    /// The change that it waits for is under way.
+    Open,
+    /// Another replica has to be asked.
+    Elsewhere(NotLeading),
+}
+
 /// Where the outcome of a proposal goes.
 #[derive(Debug)]
 pub(crate) struct ProposalAnswer {
@@ -106,6 +134,8 @@
     pub(crate) state: RwLock<ControlState>,
     pub(crate) version: watch::Sender<ConfigVersion>,
     pub(crate) status: watch::Sender<GroupStatus>,
+    /// The number of the configuration for calls by host and path.
+    pub(crate) serving: watch::Sender<ConfigNumber>,
     /// When the leader lease ends, in microseconds of the boot clock; 0 while this replica may not act.
     lease_until: AtomicU64,
 }
@@ -193,6 +223,18 @@
             .unwrap_or_else(|_gone| Err("replica is stopping".to_owned()))
     }
 
+    /// Asks for a place in the group.
+    pub(crate) async fn join(&self, request: JoinCall) -> JoinAnswer {
+        let (answer, receiver) = oneshot::channel();
+        self.input(GroupInput::Join { request, answer });
+        receiver.await.unwrap_or_else(|_gone| JoinAnswer::Elsewhere(nobody()))
+    }
+
+    /// Follows the number of the configuration for calls by host and path.
+    pub fn serving_numbers(&self) -> watch::Receiver<ConfigNumber> {
+        self.shared.serving.subscribe()
+    }
+
     /// Tells whether this replica may act for the group at `now`. Guards ask at the moment of writing.
     pub fn may_act(&self, now: BootTime) -> bool {
         now < self.shared.lease_until()
--- a/crates/acacia-control/src/lib.rs
+++ b/crates/acacia-control/src/lib.rs
@@ -16,6 +16,7 @@
 mod operator_tables;
 mod peer_links;
 mod peer_listener;
+pub mod serving;
 mod share_plan;
 pub mod storage;
 
--- a/crates/acacia-control/src/peer_listener.rs
+++ b/crates/acacia-control/src/peer_listener.rs
@@ -15,7 +15,7 @@
 
 use crate::daemon::Control;
 use crate::entry_session::serve_entry;
-use crate::group::GroupInput;
+use crate::group::{GroupHandle, GroupInput};
 
 /// How long to wait after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -63,19 +63,24 @@
     let (mut reader, writer) = split_frames(stream);
     match tokio::time::timeout(HELLO_TIMEOUT, reader.next()).await?? {
         Some(Frame::Hello(Hello { replica: 0, .. })) => serve_entry(reader, writer, control).await,
-        Some(Frame::Hello(hello)) => serve_replica(reader, control, hello).await,
+        Some(Frame::Hello(hello)) => serve_replica(reader, &control.group, hello).await,
         Some(Frame::IdentityRequest(request)) => answer_identity(writer, control, request).await,
         _ => Err(std::io::ErrorKind::InvalidData.into()),
     }
 }
 
-async fn serve_replica(mut reader: FrameReader<TcpStream>, control: Arc<Control>, hello: Hello) -> std::io::Result<()> {
-    if hello.group != control.group.group() {
+/// Takes another replica's messages until its connection ends.
+pub(crate) async fn serve_replica(
+    mut reader: FrameReader<TcpStream>,
+    group: &GroupHandle,
+    hello: Hello,
+) -> std::io::Result<()> {
+    if hello.group != group.group() {
         let text = format!("replica {} on `{}` belongs to another group", hello.replica, hello.host);
         return Err(std::io::Error::other(text));
     }
     let replica = ReplicaId(hello.replica);
-    control.group.input(GroupInput::PeerConnected {
+    group.input(GroupInput::PeerConnected {
         replica,
         address: hello.address,
     });
@@ -85,7 +90,7 @@
         };
         match message_from_wire(message) {
             Ok(message) if message.from == replica => {
-                control.group.input(GroupInput::Message(message));
+                group.input(GroupInput::Message(message));
             }
             Ok(_forged) => return Err(std::io::Error::other("message in another replica's name")),
             Err(error) => return Err(std::io::Error::other(error)),
--- /dev/null
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -0,0 +1,210 @@
+//! What the tasks of a control process share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_settings::ServingControlSettings;
+use acacia_wire::endpoint_to_wire;
+use acacia_wire::generated::serving::EndpointNews;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{EndpointName, HostName, ServiceName};
+use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
+use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
+use acaciabay::core::serving::start_counts::GatheredCounts;
+use parking_lot::{Mutex, MutexGuard};
+use slog::Logger;
+use tokio::sync::broadcast;
+
+use super::codec::{ControlCodec, PlatformCodec};
+use crate::group::GroupHandle;
+
+/// How many pieces of news a session may be behind before it starts over with all endpoints.
+const WAITING_NEWS: usize = 1_024;
+/// After which silence an entry no longer counts as serving; its lease has ended long before.
+const ENTRY_SILENCE: Duration = Duration::from_secs(10);
+
+/// What an entry has said last.
+#[derive(Clone, Debug)]
+pub(super) struct EntryPresence {
+    pub(super) heard_at: BootTime,
+    pub(super) uses: Vec<(EndpointName, EndpointWork)>,
+}
+
+/// What callers asked of a service, over all entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct ServiceTraffic {
+    pub(super) calls: u64,
+    pub(super) unread_tokens: u64,
+    pub(super) output_tokens: u64,
+    /// Microseconds for a thousand tokens of a prompt, as the entries measure it.
+    pub(super) pace_us: u64,
+    /// The longest wait before a prompt is read that an entry has expected since the last look.
+    pub(super) wait_us: u64,
+}
+
+/// What is learned anew after each start.
+#[derive(Debug, Default)]
+pub(super) struct ServingSoft {
+    pub(super) registry: EndpointRegistry,
+    pub(super) entries: BTreeMap<HostName, EntryPresence>,
+    pub(super) counts: GatheredCounts,
+    pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
+    config: Option<Arc<ServingConfig>>,
+}
+
+impl ServingSoft {
+    /// Returns how many entries serve.
+    pub(super) fn live_entries(&mut self, now: BootTime) -> usize {
+        self.entries.retain(|_, row| now.since(row.heard_at) < ENTRY_SILENCE);
+        self.entries.len()
+    }
+
+    /// Returns what all entries but one have at the endpoints.
+    pub(super) fn uses_beside(&self, host: Option<&HostName>) -> BTreeMap<EndpointName, EndpointWork> {
+        let mut sums: BTreeMap<EndpointName, EndpointWork> = BTreeMap::new();
+        for (_, row) in self.entries.iter().filter(|(name, _)| Some(*name) != host) {
+            for (endpoint, work) in &row.uses {
+                let sum = sums.entry(endpoint.clone()).or_default();
+                *sum = sum.plus(*work);
+            }
+        }
+        sums
+    }
+}
+
+/// What the tasks share.
+#[derive(Debug)]
+pub(super) struct ServingHub {
+    pub(super) settings: ServingControlSettings,
+    pub(super) group: GroupHandle,
+    pub(super) codec: Arc<dyn ControlCodec>,
+    pub(super) platform: Arc<dyn PlatformCodec>,
+    pub(super) log: Logger,
+    news: broadcast::Sender<Arc<EndpointNews>>,
+    soft: Mutex<ServingSoft>,
+}
+
+impl ServingHub {
+    pub(super) fn new(
+        settings: ServingControlSettings,
+        group: GroupHandle,
+        codec: Arc<dyn ControlCodec>,
+        platform: Arc<dyn PlatformCodec>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            settings,
+            group,
+            codec,
+            platform,
+            log,
+            news: broadcast::Sender::new(WAITING_NEWS),
+            soft: Mutex::default(),
+        }
+    }
+
+    pub(super) fn soft(&self) -> MutexGuard<'_, ServingSoft> {
+        self.soft.lock()
+    }
+
+    /// Follows what endpoints say to this process.
+    pub(super) fn news(&self) -> broadcast::Receiver<Arc<EndpointNews>> {
+        self.news.subscribe()
+    }
+
+    /// Takes what an endpoint has said to this process, and passes it on.
+    pub(super) fn take_report(&self, name: &EndpointName, endpoint: ServingEndpoint) -> ReportEffect {
+        let effect = self.soft().registry.report(boot_now(), name, endpoint);
+        self.pass_on(name, effect);
+        effect
+    }
+
+    /// Notes that an endpoint has told this process that it leaves, and passes that on.
+    pub(super) fn take_leave(&self, name: &EndpointName, birth: Option<EndpointBirth>) -> ReportEffect {
+        let effect = self.soft().registry.leave(name, birth);
+        self.pass_on(name, effect);
+        effect
+    }
+
+    /// Takes what an endpoint has said to another replica.
+    pub(super) fn hear_report(&self, name: &EndpointName, endpoint: ServingEndpoint) {
+        let phase = endpoint.phase;
+        let mut soft = self.soft();
+        if soft.registry.report(boot_now(), name, endpoint) == ReportEffect::Old
+            && phase == acaciabay::core::serving::endpoint_registry::EndpointPhase::Gone
+        {
+            soft.registry.leave(name, None);
+        }
+    }
+
+    fn pass_on(&self, name: &EndpointName, effect: ReportEffect) {
+        let soft = self.soft();
+        let Some(endpoint) = soft.registry.get(name) else {
+            return;
+        };
+        match effect {
+            ReportEffect::Old => return,
+            ReportEffect::Heard => {}
+            ReportEffect::Changed => {
+                slog::info!(self.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
+                    "endpoint" => name.as_str(), "service" => endpoint.service.as_str(),
+                    "phase" => ?endpoint.phase, "stage" => ?endpoint.stage, "address" => %endpoint.address,
+                    "birth" => endpoint.birth.0, "sequence" => endpoint.sequence);
+            }
+        }
+        let rows = vec![endpoint_to_wire(name, endpoint)];
+        // Without a session there is nobody to tell; whoever connects gets all endpoints.
+        let _nobody = self.news.send(Arc::new(EndpointNews { rows }));
+    }
+
+    /// Returns all endpoints, for a session that begins.
+    pub(super) fn all_endpoints(&self) -> EndpointNews {
+        let soft = self.soft();
+        let rows = soft
+            .registry
+            .rows()
+            .map(|(name, endpoint)| endpoint_to_wire(name, endpoint));
+        EndpointNews { rows: rows.collect() }
+    }
+
+    /// Returns the configuration in force, read once for each number.
+    pub(super) fn config(&self) -> Option<Arc<ServingConfig>> {
+        let (number, document) = {
+            let state = self.group.read();
+            (state.serving.config_number, state.serving.document.clone())
+        };
+        if number == ConfigNumber(0) {
+            return None;
+        }
+        let mut soft = self.soft();
+        if let Some(config) = soft.config.as_ref().filter(|config| config.number == number) {
+            return Some(Arc::clone(config));
+        }
+        match self.codec.read_config(&document) {
+            Ok(config) => {
+                let config = Arc::new(config);
+                soft.config = Some(Arc::clone(&config));
+                Some(config)
+            }
+            Err(findings) => {
+                slog::error!(self.log, "configuration in force cannot be read"; "event" => event::CONFIG_UNREADABLE,
+                    "number" => number.0, "findings" => ?findings);
+                None
+            }
+        }
+    }
+
+    /// Returns the control address of the leader, which has the same ports as this process.
+    pub(super) fn leader_control_address(&self) -> Option<SocketAddr> {
+        let status = self.group.status();
+        let status = status.borrow();
+        let leader = status.leader.filter(|leader| Some(*leader) != status.replica)?;
+        let peer: SocketAddr = status.members.get(leader)?.address.parse().ok()?;
+        Some(SocketAddr::new(peer.ip(), self.settings.control_address.port()))
+    }
+}
--- /dev/null
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -0,0 +1,103 @@
+//! Listens to the other replicas for what endpoints tell them.
+//!
+//! An endpoint reports to whichever replica it picks. That replica tells all sessions; this one listens like an entry
+//! does, so that the leader knows all endpoints, and a replica can give a new session all of them at once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::prepare_socket;
+use acacia_runtime::event;
+use acacia_wire::generated::replica::peer_frame::Frame;
+use acacia_wire::generated::serving::serving_frame::Body;
+use acacia_wire::generated::serving::{ServingFrame, ServingHello};
+use acacia_wire::{endpoint_from_wire, split_frames};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::hub::ServingHub;
+use super::session::ALIVE_INTERVAL;
+
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the kernel may go on trying to deliver.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// After how long without a frame the connection counts as lost: three missed signs of life.
+const SILENCE: Duration = ALIVE_INTERVAL.saturating_mul(3);
+/// How long to wait before connecting again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Keeps a session with every other voter until `stop` is cancelled.
+pub(super) async fn observe_replicas(hub: Arc<ServingHub>, stop: CancellationToken) {
+    let mut status = hub.group.status();
+    let mut sessions: BTreeMap<String, JoinHandle<()>> = BTreeMap::new();
+    loop {
+        let wanted = {
+            let status = status.borrow_and_update();
+            let own = status.replica;
+            let others = status.members.rows().filter(|(id, row)| Some(*id) != own && row.voter);
+            others.map(|(_, row)| row.address.clone()).collect::<Vec<_>>()
+        };
+        sessions.retain(|address, session| {
+            let keep = wanted.contains(address);
+            if !keep {
+                session.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            let hub = Arc::clone(&hub);
+            sessions
+                .entry(address.clone())
+                .or_insert_with(|| tokio::spawn(keep_session(hub, address)));
+        }
+        tokio::select! {
+            () = stop.cancelled() => break,
+            changed = status.changed() => if changed.is_err() { break },
+        }
+    }
+    for session in sessions.values() {
+        session.abort();
+    }
+}
+
+async fn keep_session(hub: Arc<ServingHub>, address: String) {
+    loop {
+        if let Err(error) = use_session(&hub, &address).await {
+            slog::debug!(hub.log, "replica cannot be heard"; "event" => event::CONNECTION_FAILED,
+                "address" => &address, "error" => %error);
+        }
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn use_session(hub: &ServingHub, address: &str) -> std::io::Result<()> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    prepare_socket(&stream, USER_TIMEOUT)?;
+    let (mut reader, mut writer) = split_frames(stream);
+    let hello = ServingHello {
+        host: hub.settings.host.clone(),
+        domain: hub.settings.failure_domain.clone(),
+        start: 0,
+        entry: false,
+    };
+    writer.send(Frame::ServingHello(hello)).await?;
+    while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
+        let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        };
+        let Body::News(news) = body else { continue };
+        for row in &news.rows {
+            match endpoint_from_wire(row) {
+                Ok((name, endpoint)) => hub.hear_report(&name, endpoint),
+                Err(error) => {
+                    slog::warn!(hub.log, "malformed news of an endpoint"; "event" => event::MESSAGE_REFUSED,
+                        "from" => address, "error" => %error);
+                }
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/acacia-control/src/serving/session.rs
@@ -0,0 +1,216 @@
+//! A session with an entry, or with a replica that listens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::generated::replica::peer_frame::Frame;
+use acacia_wire::generated::serving::serving_frame::Body;
+use acacia_wire::generated::serving::{
+    RenewServing, ReplicaAddresses, ServingElsewhere, ServingFrame, ServingHello, ServingRenewed, serving_renewed,
+};
+use acacia_wire::generated::state::Nothing;
+use acacia_wire::{FrameReader, FrameWriter, counts_from_wire, patch_between, use_from_wire, use_to_wire};
+use acaciabay::core::name::HostName;
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::start_counts::EntryStart;
+use bytes::Bytes;
+use tokio::net::TcpStream;
+use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::mpsc;
+
+use super::hub::{EntryPresence, ServingHub};
+
+/// How often something is sent where nothing is new, so that the other side notices a silent connection.
+pub(super) const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// How many frames may wait to be written to one connection.
+const WAITING_FRAMES: usize = 256;
+
+/// Serves one session until its connection ends.
+pub(super) async fn serve_session(
+    reader: FrameReader<TcpStream>,
+    writer: FrameWriter<TcpStream>,
+    hub: Arc<ServingHub>,
+    hello: ServingHello,
+) -> std::io::Result<()> {
+    slog::info!(hub.log, "session begun"; "event" => event::SESSION_BEGUN,
+        "host" => &hello.host, "start" => hello.start, "entry" => hello.entry);
+    let (frames, waiting) = mpsc::channel(WAITING_FRAMES);
+    let ended = tokio::select! {
+        ended = read_frames(reader, &hub, &hello, frames.clone()) => ended,
+        ended = write_frames(writer, waiting) => ended,
+        () = send_news(&hub, frames) => Ok(()),
+    };
+    slog::info!(hub.log, "session ended"; "event" => event::SESSION_ENDED,
+        "host" => &hello.host, "start" => hello.start, "outcome" => ?ended.as_ref().err());
+    ended
+}
+
+async fn read_frames(
+    mut reader: FrameReader<TcpStream>,
+    hub: &Arc<ServingHub>,
+    hello: &ServingHello,
+    frames: mpsc::Sender<Body>,
+) -> std::io::Result<()> {
+    // What this entry was sent last on this connection, as the base of the next change.
+    let mut sent = SentDocument::default();
+    while let Some(frame) = reader.next().await? {
+        let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        };
+        if let Body::Renew(request) = body {
+            let answer = answer_renewal(hub, hello, request, &mut sent).await;
+            if frames.send(answer).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn write_frames(mut writer: FrameWriter<TcpStream>, mut waiting: mpsc::Receiver<Body>) -> std::io::Result<()> {
+    loop {
+        let body = match tokio::time::timeout(ALIVE_INTERVAL, waiting.recv()).await {
+            Ok(Some(body)) => body,
+            Ok(None) => return Ok(()),
+            Err(_elapsed) => Body::Alive(Nothing {}),
+        };
+        writer.feed(serving_frame(body)).await?;
+        while let Ok(body) = waiting.try_recv() {
+            writer.feed(serving_frame(body)).await?;
+        }
+        writer.flush().await?;
+    }
+}
+
+pub(super) const fn serving_frame(body: Body) -> Frame {
+    Frame::Serving(ServingFrame { body: Some(body) })
+}
+
+/// Sends what is new until the session ends: endpoints, replicas, the number of the configuration.
+async fn send_news(hub: &Arc<ServingHub>, frames: mpsc::Sender<Body>) {
+    let mut news = hub.news();
+    let mut numbers = hub.group.serving_numbers();
+    let mut status = hub.group.status();
+    let mut addresses = Vec::new();
+    let first = Body::News(hub.all_endpoints());
+    if frames.send(first).await.is_err() {
+        return;
+    }
+    numbers.mark_changed();
+    status.mark_changed();
+    loop {
+        let body = tokio::select! {
+            received = news.recv() => match received {
+                Ok(news) => Body::News(news.as_ref().clone()),
+                Err(RecvError::Lagged(_)) => Body::News(hub.all_endpoints()),
+                Err(RecvError::Closed) => return,
+            },
+            Ok(()) = numbers.changed() => Body::NewerConfig(numbers.borrow_and_update().0),
+            Ok(()) = status.changed() => {
+                let voters = voter_addresses(&status.borrow_and_update().members);
+                if voters == addresses {
+                    continue;
+                }
+                addresses.clone_from(&voters);
+                Body::Replicas(ReplicaAddresses { addresses: voters })
+            },
+            else => return,
+        };
+        if frames.send(body).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn voter_addresses(members: &acaciabay::core::consensus::MemberSet) -> Vec<String> {
+    let voters = members.rows().filter(|(_, row)| row.voter);
+    voters.map(|(_, row)| row.address.clone()).collect()
+}
+
+#[derive(Debug, Default)]
+struct SentDocument {
+    number: ConfigNumber,
+    document: Bytes,
+}
+
+/// Confirms an entry's lease, if this replica leads, and brings its configuration up to date.
+///
+/// The leader is confirmed before the state is read: what is read then contains everything that any replica has
+/// acknowledged, so that the entry never serves by a configuration that was replaced before it asked.
+async fn answer_renewal(
+    hub: &Arc<ServingHub>,
+    hello: &ServingHello,
+    request: RenewServing,
+    sent: &mut SentDocument,
+) -> Body {
+    if hub.group.confirm().await.is_err() {
+        return Body::Elsewhere(ServingElsewhere {
+            request: request.request,
+            leader_address: leader_peer_address(hub),
+        });
+    }
+    let (number, document) = {
+        let state = hub.group.read();
+        (state.serving.config_number, state.serving.document.clone())
+    };
+    let (entries, others) = take_presence(hub, hello, &request);
+    let held = ConfigNumber(request.config_number);
+    let content = (held != number).then(|| {
+        if held == sent.number && held != ConfigNumber(0) {
+            serving_renewed::Content::Patch(patch_between(held.0, &sent.document, &document))
+        } else {
+            serving_renewed::Content::Document(document.clone())
+        }
+    });
+    *sent = SentDocument { number, document };
+    Body::Renewed(ServingRenewed {
+        request: request.request,
+        config_number: number.0,
+        content,
+        entries,
+        others,
+    })
+}
+
+fn leader_peer_address(hub: &ServingHub) -> String {
+    let control: Option<SocketAddr> = hub.leader_control_address();
+    let peer = control.map(|control| SocketAddr::new(control.ip(), hub.settings.peer_address.port()));
+    peer.map(|peer| peer.to_string()).unwrap_or_default()
+}
+
+/// Notes what the entry has said, and returns how many entries serve and what the others have at the endpoints.
+fn take_presence(
+    hub: &ServingHub,
+    hello: &ServingHello,
+    request: &RenewServing,
+) -> (u32, Vec<acacia_wire::generated::serving::EndpointUse>) {
+    let now = boot_now();
+    let host: HostName = hello.host.as_str().into();
+    let start = EntryStart(hello.start);
+    let mut soft = hub.soft();
+    for message in &request.counts {
+        let (window, counts) = counts_from_wire(message.clone());
+        soft.counts.report(start, window, counts);
+    }
+    for demand in &request.demands {
+        let traffic = soft.traffic.entry(demand.service.as_str().into()).or_default();
+        traffic.calls += demand.calls;
+        traffic.unread_tokens += demand.unread_tokens;
+        traffic.output_tokens += demand.output_tokens;
+        traffic.pace_us = if demand.pace_us > 0 {
+            demand.pace_us
+        } else {
+            traffic.pace_us
+        };
+        traffic.wait_us = traffic.wait_us.max(demand.wait_us);
+    }
+    let uses = request.uses.iter().map(use_from_wire).collect();
+    soft.entries.insert(host.clone(), EntryPresence { heard_at: now, uses });
+    let entries = u32::try_from(soft.live_entries(now)).unwrap_or(u32::MAX);
+    let others = soft.uses_beside(Some(&host));
+    let others = others.iter().map(|(name, work)| use_to_wire(name, *work));
+    (entries, others.collect())
+}
--- /dev/null
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -0,0 +1,122 @@
+//! Usage windows: fixed in the log before they are first reported, so that every copy says the same.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::{boot_now, wall_nanos};
+use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::control_state::ControlCommand;
+use acaciabay::core::serving::serving_state::ServingCommand;
+use acaciabay::core::serving::start_counts::{CustomerCounts, WindowNumber};
+use hyper::StatusCode;
+use tokio::sync::oneshot;
+
+use super::codec::DutyStamp;
+use super::duties::DutyClient;
+use super::hub::ServingHub;
+
+/// Which part of the time until a window is due its counts may still arrive; the rest is for sending it again.
+const GATHERING_PART: f64 = 0.35;
+/// How long to wait before a window is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(500);
+/// Windows that are further behind than this were due long ago; a group that starts over does not report them.
+const MOST_BEHIND: u64 = 12;
+
+/// The windows of one holder.
+#[derive(Debug, Default)]
+pub(super) struct UsageWindows {
+    sending: Option<oneshot::Receiver<()>>,
+    next_send: BootTime,
+}
+
+impl UsageWindows {
+    /// Fixes the windows that have ended and sends the oldest one that was not taken.
+    pub(super) async fn tick(&mut self, now: BootTime, hub: &Arc<ServingHub>, client: &DutyClient, stamp: &DutyStamp) {
+        seal_ended(hub).await;
+        self.send_oldest(now, hub, client, stamp);
+    }
+
+    fn send_oldest(&mut self, now: BootTime, hub: &Arc<ServingHub>, client: &DutyClient, stamp: &DutyStamp) {
+        if let Some(sending) = &mut self.sending {
+            if sending.try_recv() == Err(oneshot::error::TryRecvError::Empty) {
+                return;
+            }
+            self.sending = None;
+        }
+        if now < self.next_send {
+            return;
+        }
+        let oldest = hub
+            .group
+            .read()
+            .serving
+            .sealed
+            .first_key_value()
+            .map(|(window, counts)| (*window, counts.clone()));
+        let Some((window, counts)) = oldest else { return };
+        let (done, sending) = oneshot::channel();
+        self.sending = Some(sending);
+        self.next_send = now + RESEND_PAUSE;
+        let (hub, client, stamp) = (Arc::clone(hub), client.clone(), stamp.clone());
+        tokio::spawn(async move {
+            send(&hub, &client, &stamp, window, &counts).await;
+            // The next tick takes a dropped sender for the end as well.
+            let _ended = done.send(());
+        });
+    }
+}
+
+fn window_millis(hub: &ServingHub) -> u64 {
+    u64::try_from(hub.settings.usage_window.as_millis())
+        .unwrap_or(u64::MAX)
+        .max(1)
+}
+
+async fn seal_ended(hub: &ServingHub) {
+    let length = window_millis(hub);
+    let wall_millis = wall_nanos() / 1_000_000;
+    let gathering = hub.settings.usage_due.mul_f64(GATHERING_PART);
+    let ripe_millis = wall_millis.saturating_sub(u64::try_from(gathering.as_millis()).unwrap_or(u64::MAX));
+    // The window that contains the ripe moment has not ended by then; the one before it has.
+    let last_ripe = WindowNumber::at(ripe_millis, length).0.saturating_sub(1);
+    let last_sealed = hub.group.read().serving.last_sealed.0;
+    let first = if last_sealed == 0 { last_ripe } else { last_sealed + 1 };
+    for window in first.max(last_ripe.saturating_sub(MOST_BEHIND))..=last_ripe {
+        let window = WindowNumber(window);
+        let counts = hub.soft().counts.sums(window);
+        let total: u64 = counts.values().sum();
+        let command = ServingCommand::SealStarts { window, counts };
+        if hub.group.propose(ControlCommand::Serving(command)).await.is_err() {
+            return;
+        }
+        slog::info!(hub.log, "usage window sealed"; "event" => event::STARTS_SEALED,
+            "window" => window.0, "calls" => total);
+        hub.soft().counts.forget_before(window);
+    }
+}
+
+async fn send(hub: &ServingHub, client: &DutyClient, stamp: &DutyStamp, window: WindowNumber, counts: &CustomerCounts) {
+    let Some(address) = hub.settings.platform_address else {
+        return;
+    };
+    let call = hub.platform.usage_call(stamp, window, counts);
+    match client.send(address, call).await {
+        Ok((status, _)) if status.is_success() => {
+            slog::info!(hub.log, "usage window taken"; "event" => event::WINDOW_BILLED,
+                "window" => window.0, "fence" => stamp.fence.0);
+            let command = ServingCommand::SettleStarts { window };
+            // If leadership is lost meanwhile, the next leader sends the same counts again.
+            let _not_leading = hub.group.propose(ControlCommand::Serving(command)).await;
+        }
+        Ok((StatusCode::CONFLICT, _)) => {
+            slog::warn!(hub.log, "usage window refused: a higher number was used"; "event" => event::WINDOW_DELAYED,
+                "window" => window.0, "fence" => stamp.fence.0);
+        }
+        other => {
+            slog::warn!(hub.log, "usage window delayed"; "event" => event::WINDOW_DELAYED,
+                "window" => window.0, "fence" => stamp.fence.0, "reason" => ?other.map(|(status, _)| status),
+                "now" => %boot_now());
+        }
+    }
+}
--- a/crates/acacia-control/src/storage/data_folder.rs
+++ b/crates/acacia-control/src/storage/data_folder.rs
@@ -4,7 +4,9 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
-use acaciabay::core::consensus::{HardState, LogAppend, LogEntry, ReplicaLog, ReplicaSnapshot, RestoredReplica};
+use acaciabay::core::consensus::{
+    DiskId, HardState, LogAppend, LogEntry, ReplicaLog, ReplicaSnapshot, RestoredReplica,
+};
 use anyhow::{Context, bail};
 use fs2::FileExt;
 
@@ -204,3 +206,20 @@
         Err(error) => Err(error).with_context(|| format!("failed to read `{}`", path.display())),
     }
 }
+
+/// Makes the folder of a replica that was removed one that waits for a new place, under a new number.
+///
+/// One file is replaced, so a crash leaves the folder as it was or as it is to be; the old log is overwritten when the
+/// new place is granted.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written and synced.
+pub fn forget_replica(path: &Path, disk: DiskId) -> anyhow::Result<()> {
+    let identity = FolderIdentity {
+        group: 0,
+        disk,
+        replica: None,
+    };
+    identity::write(path, &identity)
+}
--- a/crates/acacia-control/src/storage/mod.rs
+++ b/crates/acacia-control/src/storage/mod.rs
@@ -17,5 +17,5 @@
 mod record;
 mod snapshot_file;
 
-pub use data_folder::{DataFolder, StoredReplica};
+pub use data_folder::{DataFolder, StoredReplica, forget_replica};
 pub use identity::FolderIdentity;
