--- a/crates/acacia-entry/src/lib.rs
+++ b/crates/acacia-entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod lease_keeper;
 mod refusal;
 mod service_call;
+pub mod serving;
 mod shared;
 mod usage_sender;
 
--- /dev/null
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -0,0 +1,135 @@
+//! One send of a call to one endpoint.
+
+use std::time::Duration;
+
+use acacia_http::{ConnectionChoice, FinishedConnection};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::attempt::AttemptState;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{Response, StatusCode};
+
+use super::call::{OpenCall, millis};
+use super::codec::{AttemptHead, AttemptRole};
+use super::shared::ChosenEndpoint;
+
+/// How much earlier than the endpoint closes it a connection is given up, so that no request crosses the close.
+const KEEP_MARGIN: Duration = Duration::from_secs(1);
+
+/// What a send came to.
+#[derive(Debug)]
+pub(super) enum AttemptOutcome {
+    /// The endpoint has answered; the body may still be arriving.
+    Answered(Box<EndpointReply>),
+    /// The endpoint cannot have run the call: nothing was sent, or it says so itself. `arrived` tells which.
+    NotRun {
+        /// Whether the endpoint got the call.
+        arrived: bool,
+    },
+    /// The endpoint may have run the call.
+    Lost,
+    /// The time for the send has passed, and the endpoint may be running the call.
+    TimedOut,
+}
+
+/// An endpoint's answer.
+#[derive(Debug)]
+pub(super) struct EndpointReply {
+    pub(super) response: Response<Incoming>,
+    pub(super) connection: KeptConnection,
+}
+
+/// The connection of an answer, to be used again once the answer is whole.
+#[derive(Debug)]
+pub(super) struct KeptConnection {
+    finished: FinishedConnection,
+    keep: Option<Duration>,
+}
+
+impl KeptConnection {
+    /// Keeps the connection for other calls.
+    pub(super) async fn give_back(self, call: &OpenCall) {
+        let client = &call.shared.client;
+        let now = boot_now();
+        match self.keep.map(|keep| keep.saturating_sub(KEEP_MARGIN)) {
+            Some(keep) => client.give_back_for(now, self.finished, keep).await,
+            None => client.give_back(now, self.finished).await,
+        }
+    }
+}
+
+/// Sends a call and waits for the head of the answer, at most for `patience`.
+pub(super) async fn send(
+    call: &OpenCall,
+    chosen: &ChosenEndpoint,
+    role: AttemptRole<'_>,
+    resume_after: Option<u64>,
+    patience: Duration,
+) -> AttemptOutcome {
+    let sent_at = boot_now();
+    let attempt = AttemptHead {
+        endpoint: &chosen.name,
+        customer: call.customer(),
+        time_left: call.time_left(sent_at),
+        role,
+        resume_after,
+        priority: call.admitted.priority(),
+    };
+    let mut request = call
+        .shared
+        .codec
+        .attempt_head(&call.parts, &attempt)
+        .map(|()| Full::new(call.body.clone()));
+    if !call.body.is_empty() || call.parts.headers.contains_key(CONTENT_LENGTH) {
+        request.headers_mut().insert(CONTENT_LENGTH, call.body.len().into());
+    }
+    let sending = call
+        .shared
+        .client
+        .send(sent_at, chosen.endpoint.address, ConnectionChoice::Pooled, request);
+    let outcome = match tokio::time::timeout(patience, sending).await {
+        Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
+        Ok(Err(failure)) => {
+            let outcome = match failure.state {
+                AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
+                AttemptState::Written | AttemptState::Started | AttemptState::Ended => AttemptOutcome::Lost,
+            };
+            (outcome, failure.to_string())
+        }
+        Ok(Ok(answer)) => {
+            let head = call.shared.codec.read_answer(answer.response.headers());
+            let status = answer.response.status();
+            if head
+                .request
+                .as_ref()
+                .is_some_and(|request| *request != call.head.request)
+            {
+                slog::warn!(call.shared.log, "answer crossed"; "event" => event::ANSWER_CROSSED,
+                    "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
+                (AttemptOutcome::Lost, "answer to another request".to_owned())
+            } else if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+                (AttemptOutcome::NotRun { arrived: true }, status.to_string())
+            } else {
+                let connection = KeptConnection {
+                    finished: answer.connection,
+                    keep: head.keep_alive,
+                };
+                let reply = EndpointReply {
+                    response: answer.response,
+                    connection,
+                };
+                return AttemptOutcome::Answered(Box::new(reply));
+            }
+        }
+    };
+    let (outcome, reason) = outcome;
+    slog::info!(call.shared.log, "attempt failed"; "event" => event::ATTEMPT_FAILED, "request" => &call.head.request,
+        "endpoint" => chosen.name.as_str(), "address" => %chosen.endpoint.address, "role" => ?role,
+        "outcome" => ?outcome, "reason" => reason, "after_ms" => millis(boot_now().since(sent_at)),
+        "report" => chosen.endpoint.sequence);
+    metrics::counter!("acacia_attempts_failed_total").increment(1);
+    call.shared.view().loads.note_failure(boot_now(), &chosen.name);
+    outcome
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -0,0 +1,144 @@
+//! What every call passes: the lease, its route and key, its body.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{BodyRefusal, ResponseBody, read_body};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{CustomerName, ServiceName};
+use acaciabay::core::serving::config::CallRoute;
+use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
+use acaciabay::util::rendezvous;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+
+use super::codec::{CallHead, HeadFault};
+use super::refusal::{CallRefusal, SOON, not_run};
+use super::shared::EntryShared;
+use super::{plain_call, stream_call};
+
+/// How much earlier than the caller an endpoint is told to stop: the way back.
+pub(super) const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// A call that may be sent to an endpoint.
+#[derive(Debug)]
+pub(super) struct OpenCall {
+    pub(super) shared: Arc<EntryShared>,
+    pub(super) parts: Parts,
+    pub(super) head: CallHead,
+    pub(super) body: Bytes,
+    pub(super) admitted: AdmittedCall,
+    pub(super) service: ServiceName,
+    pub(super) received_at: BootTime,
+    /// When the caller has to have its answer.
+    pub(super) until: BootTime,
+    /// A number drawn from the request's identity, to spread calls.
+    pub(super) draw: u64,
+}
+
+impl OpenCall {
+    pub(super) fn route(&self) -> &CallRoute {
+        &self.admitted.route
+    }
+
+    pub(super) fn customer(&self) -> Option<&CustomerName> {
+        self.admitted.customer.as_ref().map(|customer| &customer.name)
+    }
+
+    /// Returns how long an endpoint may still work on the call.
+    pub(super) fn time_left(&self, now: BootTime) -> Duration {
+        self.until.since(now + WAY_BACK)
+    }
+}
+
+/// Answers one call.
+pub(super) async fn answer(shared: Arc<EntryShared>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let received_at = boot_now();
+    let is_leaving = shared.leaving.is_cancelled();
+    let mut response = match open(&shared, request, received_at).await {
+        Ok(call) if call.route().kind.is_stream() => stream_call::answer(call).await,
+        Ok(call) => plain_call::answer(call).await,
+        Err((head, refusal)) => refuse(&shared, head.as_ref(), refusal, received_at),
+    };
+    if is_leaving || shared.leaving.is_cancelled() {
+        // A caller that keeps this connection would find it closed in the middle of a later request.
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Answers a call that no endpoint answers.
+pub(super) fn refuse(
+    shared: &EntryShared,
+    head: Option<&CallHead>,
+    refusal: CallRefusal,
+    received_at: BootTime,
+) -> Response<ResponseBody> {
+    let request = head.map(|head| head.request.as_str());
+    slog::info!(shared.log, "call refused"; "event" => event::CALL_REFUSED, "request" => request,
+        "path" => head.map(|head| head.path.as_str()), "refusal" => ?refusal,
+        "after_ms" => millis(boot_now().since(received_at)));
+    metrics::counter!("acacia_calls_refused_total", "reason" => refusal.reason()).increment(1);
+    shared.codec.write_refusal(request, &refusal)
+}
+
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+type RefusedCall = (Option<CallHead>, CallRefusal);
+
+async fn open(
+    shared: &Arc<EntryShared>,
+    request: Request<Incoming>,
+    received_at: BootTime,
+) -> Result<OpenCall, RefusedCall> {
+    let (parts, body) = request.into_parts();
+    let index = shared.view().index.clone();
+    let Some(index) = index.filter(|_| shared.may_serve(received_at)) else {
+        return Err((None, not_run("no lease", SOON)));
+    };
+    let bounds = index.config().bounds;
+    let head = shared.codec.read_head(&parts, bounds.head_bytes);
+    let head = head.map_err(|fault| match fault {
+        HeadFault::Malformed(reason) => (None, CallRefusal::BadHead(reason)),
+        HeadFault::TooLarge => (None, CallRefusal::HeadTooLarge),
+    })?;
+    let admitted = match index.admit(&head.host, &head.path, head.key.as_deref()) {
+        Ok(admitted) => admitted,
+        Err(AccessRefusal::NoRoute) => return Err((Some(head), CallRefusal::NoRoute)),
+        Err(AccessRefusal::UnknownKey) => return Err((Some(head), CallRefusal::UnknownKey)),
+    };
+    let patience = head
+        .patience
+        .unwrap_or(admitted.route.timeout)
+        .min(admitted.route.timeout);
+    let body = match read_body(body, bounds.body_bytes, patience).await {
+        Ok(body) => body,
+        Err(BodyRefusal::TooLarge) => return Err((Some(head), CallRefusal::BodyTooLarge)),
+        Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => return Err((Some(head), CallRefusal::BodyLate)),
+    };
+    let draw = rendezvous::seed(head.request.as_bytes());
+    let Some(service) = admitted.route.pick_service(draw).cloned() else {
+        return Err((Some(head), CallRefusal::NoRoute));
+    };
+    shared.note_call(boot_now(), &service, head.prompt.as_ref());
+    Ok(OpenCall {
+        shared: Arc::clone(shared),
+        parts,
+        head,
+        body,
+        admitted,
+        service,
+        received_at,
+        until: received_at + patience,
+        draw,
+    })
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -0,0 +1,343 @@
+//! Sessions with the replicas of the control group: the lease, the configuration, the endpoints.
+//!
+//! The entry keeps a session with every replica that votes, since each tells what endpoints report to it. It asks the
+//! leader alone for its lease; while it does not know who leads, it asks all.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::prepare_socket;
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::generated::replica::peer_frame::Frame;
+use acacia_wire::generated::serving::serving_frame::Body;
+use acacia_wire::generated::serving::{
+    EndpointNews, RenewServing, ServiceDemand, ServingFrame, ServingHello, ServingRenewed, serving_renewed,
+};
+use acacia_wire::{
+    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, split_frames, use_from_wire, use_to_wire,
+};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::config_index::ConfigIndex;
+use acaciabay::core::serving::endpoint_registry::{EndpointPhase, ReportEffect};
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::shared::EntryShared;
+
+/// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
+/// other of the endpoints' load is never older than two of them.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a leader may take to answer before all replicas are asked.
+const RENEWAL_PATIENCE: Duration = Duration::from_millis(600);
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the kernel may go on trying to deliver.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// After how long without a frame a session counts as lost; replicas send one every half second.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// How long to wait before connecting again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the sessions share.
+#[derive(Debug)]
+pub(super) struct SessionBoard {
+    shared: Arc<EntryShared>,
+    /// Identifies this start of the process.
+    start: u64,
+    leader: Mutex<Option<SocketAddr>>,
+    replicas: watch::Sender<BTreeSet<SocketAddr>>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Wakes the sessions when a newer configuration was announced.
+    news: Notify,
+}
+
+impl SessionBoard {
+    pub(super) fn new(shared: Arc<EntryShared>, start: u64, seeds: watch::Receiver<Vec<SocketAddr>>) -> Self {
+        Self {
+            shared,
+            start,
+            leader: Mutex::default(),
+            replicas: watch::Sender::default(),
+            seeds,
+            news: Notify::new(),
+        }
+    }
+
+    /// Keeps the sessions until `stop` is cancelled.
+    pub(super) async fn keep_sessions(self: Arc<Self>, stop: CancellationToken) {
+        let mut replicas = self.replicas.subscribe();
+        let mut seeds = self.seeds.clone();
+        let mut sessions: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
+        loop {
+            let wanted = self.wanted_replicas(&replicas.borrow_and_update(), &seeds.borrow_and_update());
+            sessions.retain(|address, session| {
+                let keep = wanted.contains(address);
+                if !keep {
+                    session.abort();
+                }
+                keep
+            });
+            for address in wanted {
+                let board = Arc::clone(&self);
+                let session = sessions.entry(address);
+                session.or_insert_with(|| tokio::spawn(async move { board.keep_session(address).await }));
+            }
+            tokio::select! {
+                () = stop.cancelled() => break,
+                Ok(()) = replicas.changed() => {}
+                Ok(()) = seeds.changed() => {}
+            }
+        }
+        for session in sessions.values() {
+            session.abort();
+        }
+    }
+
+    /// The voters, once a replica has named them, and the seeds besides: after every voter was replaced, the seeds are
+    /// the only way back.
+    fn wanted_replicas(&self, voters: &BTreeSet<SocketAddr>, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+        let port = self.shared.settings.peer_port;
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+        voters.iter().copied().chain(seeds).collect()
+    }
+
+    async fn keep_session(self: Arc<Self>, address: SocketAddr) {
+        let mut was_open = false;
+        loop {
+            let ended = self.use_session(address, &mut was_open).await;
+            self.leader.lock().take_if(|leader| *leader == address);
+            if std::mem::take(&mut was_open) {
+                slog::warn!(self.shared.log, "session with a replica lost"; "event" => event::CONTROL_LOST,
+                    "replica" => %address, "reason" => ended.err().map(|error| error.to_string()));
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn use_session(&self, address: SocketAddr, was_open: &mut bool) -> std::io::Result<()> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        prepare_socket(&stream, USER_TIMEOUT)?;
+        let (reader, mut writer) = split_frames(stream);
+        let settings = &self.shared.settings;
+        let hello = ServingHello {
+            host: settings.host.clone(),
+            domain: settings.failure_domain.clone(),
+            start: self.start,
+            entry: true,
+        };
+        writer.send(Frame::ServingHello(hello)).await?;
+        *was_open = true;
+        slog::info!(self.shared.log, "session with a replica opened"; "event" => event::CONTROL_FOUND,
+            "replica" => %address);
+        let asked = Mutex::new(None);
+        tokio::select! {
+            ended = self.read_frames(address, reader, &asked) => ended,
+            ended = self.ask_renewals(address, writer, &asked) => ended,
+        }
+    }
+
+    async fn ask_renewals(
+        &self,
+        address: SocketAddr,
+        mut writer: FrameWriter<TcpStream>,
+        asked: &Mutex<Option<AskedRenewal>>,
+    ) -> std::io::Result<()> {
+        let mut number = 0;
+        loop {
+            let leads = self.leader.lock().is_none_or(|leader| leader == address);
+            let now = boot_now();
+            let waiting = asked.lock().as_ref().map(|asked| now.since(asked.at));
+            if waiting.is_some_and(|waiting| waiting >= RENEWAL_PATIENCE) {
+                self.doubt_leader(address);
+            }
+            if leads && waiting.is_none_or(|waiting| waiting >= RENEWAL_PATIENCE) {
+                number += 1;
+                *asked.lock() = Some(AskedRenewal { number, at: now });
+                writer.send(self.renewal(number)).await?;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
+                () = self.news.notified() => {}
+            }
+        }
+    }
+
+    /// Asks all replicas again where the one that was taken for the leader does not answer.
+    fn doubt_leader(&self, address: SocketAddr) {
+        if self.leader.lock().take_if(|leader| *leader == address).is_some() {
+            slog::info!(self.shared.log, "leader does not answer"; "event" => event::CONTROL_LOST,
+                "replica" => %address);
+        }
+    }
+
+    fn renewal(&self, number: u64) -> Frame {
+        let mut view = self.shared.view();
+        let uses = view
+            .loads
+            .own_work()
+            .map(|(name, work)| use_to_wire(name, work))
+            .collect();
+        let demands = std::mem::take(&mut view.demands);
+        let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
+            service: service.to_string(),
+            calls: demand.calls,
+            unread_tokens: demand.unread_tokens,
+            output_tokens: demand.output_tokens,
+            pace_us: 0,
+            wait_us: demand.wait_us,
+        });
+        let counts = view
+            .starts
+            .windows()
+            .map(|(window, counts)| counts_to_wire(window, counts));
+        let request = RenewServing {
+            request: number,
+            config_number: view.number.0,
+            counts: counts.collect(),
+            uses,
+            demands: demands.collect(),
+        };
+        Frame::Serving(ServingFrame {
+            body: Some(Body::Renew(request)),
+        })
+    }
+
+    async fn read_frames(
+        &self,
+        address: SocketAddr,
+        mut reader: FrameReader<TcpStream>,
+        asked: &Mutex<Option<AskedRenewal>>,
+    ) -> std::io::Result<()> {
+        while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
+            let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
+                return Err(std::io::ErrorKind::InvalidData.into());
+            };
+            match body {
+                Body::Renewed(renewed) => {
+                    let answered = asked.lock().take_if(|asked| asked.number == renewed.request);
+                    if let Some(answered) = answered {
+                        *self.leader.lock() = Some(address);
+                        self.take_renewal(answered.at, renewed)?;
+                    }
+                }
+                Body::Elsewhere(elsewhere) => {
+                    *asked.lock() = None;
+                    let named: Option<SocketAddr> = elsewhere.leader_address.parse().ok();
+                    let mut leader = self.leader.lock();
+                    if *leader == Some(address) || leader.is_none() {
+                        *leader = named.filter(|named| *named != address);
+                    }
+                }
+                Body::News(news) => self.take_news(&news),
+                Body::Replicas(replicas) => {
+                    let voters: BTreeSet<_> = replicas.addresses.iter().filter_map(|text| text.parse().ok()).collect();
+                    if !voters.is_empty() {
+                        self.replicas.send_if_modified(|known| {
+                            let is_new = *known != voters;
+                            *known = voters;
+                            is_new
+                        });
+                    }
+                }
+                Body::NewerConfig(number) => {
+                    if ConfigNumber(number) > self.shared.view().number {
+                        self.news.notify_waiters();
+                    }
+                }
+                Body::Alive(_) => {}
+                Body::Renew(_) => return Err(std::io::ErrorKind::InvalidData.into()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes a confirmation and the configuration that it brings, then extends the lease.
+    fn take_renewal(&self, asked_at: BootTime, renewed: ServingRenewed) -> std::io::Result<()> {
+        let number = ConfigNumber(renewed.config_number);
+        if let Some(content) = renewed.content {
+            self.take_config(number, content)?;
+        }
+        let mut view = self.shared.view();
+        // A renewal that was overtaken by one from another replica confirms nothing that is newer.
+        if view.number != number {
+            return Ok(());
+        }
+        view.entries = renewed.entries;
+        view.loads.hear_others(renewed.others.iter().map(use_from_wire));
+        drop(view);
+        self.shared.confirm_lease(asked_at);
+        Ok(())
+    }
+
+    fn take_config(&self, number: ConfigNumber, content: serving_renewed::Content) -> std::io::Result<()> {
+        let (held, base) = {
+            let view = self.shared.view();
+            (view.number, view.document.clone())
+        };
+        if number <= held {
+            return Ok(());
+        }
+        let document: Bytes = match content {
+            serving_renewed::Content::Document(document) => document,
+            serving_renewed::Content::Patch(patch) if ConfigNumber(patch.base_number) == held => {
+                apply_patch(&base, &patch).map_err(std::io::Error::other)?
+            }
+            serving_renewed::Content::Patch(_) => return Err(std::io::Error::other("change of another configuration")),
+        };
+        let config = self.shared.codec.read_config(&document).map_err(|findings| {
+            slog::error!(self.shared.log, "configuration cannot be read"; "event" => event::CONFIG_UNREADABLE,
+                "number" => number.0, "findings" => ?findings);
+            std::io::Error::other("configuration cannot be read")
+        })?;
+        let index = Arc::new(ConfigIndex::new(config));
+        let mut view = self.shared.view();
+        if number > view.number {
+            view.number = number;
+            view.document = document;
+            view.index = Some(index);
+            slog::info!(self.shared.log, "configuration applied"; "event" => event::SERVING_CONFIG_APPLIED,
+                "number" => number.0, "before" => held.0);
+        }
+        Ok(())
+    }
+
+    fn take_news(&self, news: &EndpointNews) {
+        let now = boot_now();
+        let mut view = self.shared.view();
+        view.heard_endpoints = true;
+        for row in &news.rows {
+            let (name, endpoint) = match endpoint_from_wire(row) {
+                Ok(read) => read,
+                Err(error) => {
+                    slog::warn!(self.shared.log, "malformed news of an endpoint"; "event" => event::MESSAGE_REFUSED,
+                        "error" => %error);
+                    continue;
+                }
+            };
+            let phase = endpoint.phase;
+            let mut effect = view.registry.report(now, &name, endpoint);
+            if effect == ReportEffect::Old && phase == EndpointPhase::Gone {
+                // Leaving carries no number of its own.
+                effect = view.registry.leave(&name, None);
+            }
+            if effect == ReportEffect::Changed {
+                slog::info!(self.shared.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
+                    "endpoint" => name.as_str(), "phase" => ?phase, "sequence" => row.sequence, "birth" => row.birth);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AskedRenewal {
+    number: u64,
+    at: BootTime,
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -0,0 +1,198 @@
+//! Calls that one endpoint answers as a whole.
+
+use acacia_http::{ResponseBody, full_body};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_load::EndpointWork;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{Response, StatusCode};
+
+use super::attempt::{AttemptOutcome, EndpointReply, send};
+use super::call::{OpenCall, millis, refuse};
+use super::codec::AttemptRole;
+use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
+use super::shared::{ChosenEndpoint, LoadGuard};
+use super::stream_body::pass_through;
+
+/// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
+/// when its answer breaks off.
+const WHOLE_BYTES: usize = 64 * 1024;
+/// How long the rest of an answer that is not passed on may take; a new connection costs about as much.
+const DISCARD_TIME: std::time::Duration = std::time::Duration::from_millis(20);
+/// How often a call may be turned away by endpoints, or find them unreachable, before it is given up.
+const MOST_TURNED_AWAY: u32 = 3;
+
+/// What has become of a call so far.
+#[derive(Debug, Default)]
+struct PlainProgress {
+    tried: Vec<EndpointName>,
+    /// Sends after which an endpoint may have run the call.
+    ran: u32,
+    turned_away: u32,
+}
+
+/// Answers a call.
+pub(super) async fn answer(call: OpenCall) -> Response<ResponseBody> {
+    match run(&call).await {
+        Ok((response, endpoint)) => {
+            slog::info!(call.shared.log, "call answered"; "event" => event::CALL_ENDED,
+                "request" => &call.head.request, "route" => &call.route().name, "endpoint" => endpoint.as_str(),
+                "status" => response.status().as_u16(), "after_ms" => millis(boot_now().since(call.received_at)));
+            metrics::histogram!("acacia_call_seconds").record(boot_now().since(call.received_at).as_secs_f64());
+            response
+        }
+        Err(refusal) => refuse(&call.shared, Some(&call.head), refusal, call.received_at),
+    }
+}
+
+async fn run(call: &OpenCall) -> Result<(Response<ResponseBody>, EndpointName), CallRefusal> {
+    let mut progress = PlainProgress::default();
+    loop {
+        let now = boot_now();
+        let chosen = call.shared.choose_plain(now, &call.service, &progress.tried, call.draw);
+        let Some(chosen) = chosen else {
+            return Err(progress.give_up("no endpoint", NO_ENDPOINT));
+        };
+        let guard = call.shared.begin_work(&chosen.name, one_call());
+        let patience = call.until.since(now);
+        let outcome = send(call, &chosen, AttemptRole::Whole, None, patience).await;
+        match outcome {
+            AttemptOutcome::Answered(reply) => {
+                if may_go_elsewhere(call, &progress, &chosen, &reply) {
+                    progress.ran += 1;
+                    discard(call, *reply).await;
+                } else if let Some(response) = take_answer(call, &chosen, *reply, guard).await {
+                    return Ok((response, chosen.name));
+                } else {
+                    progress.ran += 1;
+                    if !may_repeat(call, &progress) {
+                        return Err(CallRefusal::AnswerLost);
+                    }
+                }
+            }
+            AttemptOutcome::NotRun { arrived } => {
+                progress.turned_away += 1;
+                let is_free = !arrived || call.shared.spend_send(boot_now(), &call.service);
+                if progress.turned_away > MOST_TURNED_AWAY || !is_free {
+                    return Err(progress.give_up("turned away", SOON));
+                }
+            }
+            AttemptOutcome::Lost => {
+                progress.ran += 1;
+                if !may_repeat(call, &progress) {
+                    return Err(CallRefusal::AnswerLost);
+                }
+            }
+            AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
+        }
+        progress.tried.push(chosen.name);
+    }
+}
+
+impl PlainProgress {
+    /// Refuses the call, and promises that it has not run only where that is certain.
+    const fn give_up(&self, reason: &'static str, retry_after: std::time::Duration) -> CallRefusal {
+        if self.ran == 0 {
+            not_run(reason, retry_after)
+        } else {
+            CallRefusal::AnswerLost
+        }
+    }
+}
+
+const fn one_call() -> EndpointWork {
+    EndpointWork {
+        unread_tokens: 0,
+        calls: 1,
+        held_tokens: 0,
+    }
+}
+
+/// Tells whether a failure that an endpoint reports is better tried elsewhere than passed on.
+fn may_go_elsewhere(call: &OpenCall, progress: &PlainProgress, chosen: &ChosenEndpoint, reply: &EndpointReply) -> bool {
+    let failed = reply.response.status().is_server_error();
+    if !failed || !call.route().kind.may_repeat() || progress.ran + 1 >= call.route().max_attempts {
+        return false;
+    }
+    let now = boot_now();
+    let mut tried = progress.tried.clone();
+    tried.push(chosen.name.clone());
+    let other = call.shared.choose_plain(now, &call.service, &tried, call.draw);
+    other.is_some() && call.shared.spend_send(now, &call.service)
+}
+
+/// Reads the rest of an answer that is not passed on, so that its connection can be used again.
+async fn discard(call: &OpenCall, reply: EndpointReply) {
+    let reading = read_whole(reply.response.into_body());
+    if let Ok(Some(_)) = tokio::time::timeout(DISCARD_TIME, reading).await {
+        reply.connection.give_back(call).await;
+    }
+}
+
+fn may_repeat(call: &OpenCall, progress: &PlainProgress) -> bool {
+    let now = boot_now();
+    call.route().kind.may_repeat()
+        && progress.ran < call.route().max_attempts
+        && now < call.until
+        && call.shared.spend_send(now, &call.service)
+}
+
+/// Reads a small answer whole, or begins to pass a large one on; nothing if it broke off before its end.
+async fn take_answer(
+    call: &OpenCall,
+    chosen: &ChosenEndpoint,
+    reply: EndpointReply,
+    guard: LoadGuard,
+) -> Option<Response<ResponseBody>> {
+    let EndpointReply { response, connection } = reply;
+    let (parts, incoming) = response.into_parts();
+    let headers = call.shared.codec.caller_headers(&parts.headers);
+    call.shared.count_start(call.customer());
+    let (status, length) = (parts.status, content_length(&parts.headers));
+    if length.is_some_and(|length| length > WHOLE_BYTES) {
+        let body = pass_through(call, incoming, connection, guard);
+        return Some(assemble(status, headers, body));
+    }
+    let left = call.until.since(boot_now());
+    let Ok(Some(whole)) = tokio::time::timeout(left, read_whole(incoming)).await else {
+        slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str());
+        call.shared.view().loads.note_failure(boot_now(), &chosen.name);
+        return None;
+    };
+    connection.give_back(call).await;
+    let mut view = call.shared.view();
+    if status.is_server_error() {
+        view.loads.note_failure(boot_now(), &chosen.name);
+    } else {
+        view.loads.note_success(&chosen.name);
+    }
+    drop(view);
+    Some(assemble(status, headers, full_body(whole)))
+}
+
+fn content_length(headers: &hyper::HeaderMap) -> Option<usize> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+async fn read_whole(mut incoming: Incoming) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Some(whole.freeze())
+}
+
+/// Puts an endpoint's status, headers and body together for the caller.
+pub(super) fn assemble(status: StatusCode, headers: hyper::HeaderMap, body: ResponseBody) -> Response<ResponseBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -0,0 +1,186 @@
+//! Having a prompt read by one engine, so that another can make the tokens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{ConnectionChoice, read_body};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::name::{DomainName, EndpointName};
+use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::ops::place_call::PromptPlace;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HOST;
+
+use super::attempt::{AttemptOutcome, EndpointReply, send};
+use super::call::{OpenCall, millis};
+use super::codec::AttemptRole;
+use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
+use super::shared::{ChosenEndpoint, EntryShared};
+
+/// How much longer than expected an engine may take to read a prompt before another one is asked.
+const WAIT_FACTOR: f64 = 3.0;
+/// How much longer beside that: the time of a step of the engine, and of the network.
+const WAIT_MARGIN: Duration = Duration::from_millis(700);
+/// Most engines that are asked to read one prompt.
+const MOST_READERS: usize = 3;
+/// The largest answer of an engine that has read a prompt.
+const LARGEST_HANDLE: usize = 16 * 1024;
+/// How long freeing a handle may take.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A prompt that an engine has read and keeps for another. It is freed there unless it is taken.
+#[derive(Debug)]
+pub(super) struct ReadPrompt {
+    pub(super) address: SocketAddr,
+    pub(super) handle: String,
+    pub(super) domain: DomainName,
+    shared: Arc<EntryShared>,
+    is_taken: bool,
+}
+
+impl ReadPrompt {
+    /// Notes that another engine has taken the prompt.
+    pub(super) const fn take(&mut self) {
+        self.is_taken = true;
+    }
+}
+
+impl Drop for ReadPrompt {
+    /// Frees a prompt that nobody took: until it lapses, nobody else can use the memory.
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let (method, path) = self.shared.codec.free_handle(&self.handle);
+        let (shared, address) = (Arc::clone(&self.shared), self.address);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, address.to_string());
+        let Ok(request) = request.body(Full::new(Bytes::new())) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let freeing = async {
+                let answer = shared
+                    .client
+                    .send(boot_now(), address, ConnectionChoice::Pooled, request)
+                    .await;
+                if let Ok(answer) = answer
+                    && read_body(answer.response.into_body(), LARGEST_HANDLE, FREE_TIMEOUT)
+                        .await
+                        .is_ok()
+                {
+                    shared.client.give_back(boot_now(), answer.connection).await;
+                }
+            };
+            // A handle that cannot be freed lapses by itself.
+            let _late = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
+        });
+    }
+}
+
+/// Has the prompt of a call read. `repeated` says that it was read before, so that every further send counts.
+pub(super) async fn read_prompt(
+    call: &OpenCall,
+    prompt: &PromptShape,
+    repeated: bool,
+) -> Result<ReadPrompt, CallRefusal> {
+    let mut tried: Vec<EndpointName> = Vec::new();
+    while tried.len() < MOST_READERS {
+        let now = boot_now();
+        let found = call.shared.choose_reader(now, &call.service, &tried, prompt);
+        let Some((chosen, place)) = found else {
+            return Err(not_run("no engine reads prompts", NO_ENDPOINT));
+        };
+        let left = call.until.since(now);
+        if place.wait >= left {
+            return Err(not_run("prompt cannot be read in time", place.wait.min(left)));
+        }
+        let counts = repeated || !tried.is_empty();
+        if counts && !call.shared.spend_send(now, &call.service) {
+            return Err(not_run("no second send left", SOON));
+        }
+        if let Some(read) = read_at(call, prompt, &chosen, &place).await {
+            return Ok(read);
+        }
+        tried.push(chosen.name);
+    }
+    Err(not_run("engines did not read the prompt", SOON))
+}
+
+async fn read_at(
+    call: &OpenCall,
+    prompt: &PromptShape,
+    chosen: &ChosenEndpoint,
+    place: &PromptPlace,
+) -> Option<ReadPrompt> {
+    let began_at = boot_now();
+    let work = EndpointWork {
+        unread_tokens: place.unread_tokens,
+        calls: 1,
+        held_tokens: 0,
+    };
+    note_demand(call, place);
+    let queued = call.shared.view().loads.work(&chosen.name).unread_tokens;
+    let _guard = call.shared.begin_work(&chosen.name, work);
+    let bound = place.wait.mul_f64(WAIT_FACTOR) + WAIT_MARGIN;
+    let patience = bound.min(call.until.since(began_at));
+    // Noted before the answer: calls that come meanwhile with the same parts belong there as well.
+    let memory = call.shared.engine_memory(&call.service);
+    call.shared.view().loads.note_read(&chosen.name, &prompt.parts, memory);
+    let outcome = send(call, chosen, AttemptRole::ReadPrompt, None, patience).await;
+    let AttemptOutcome::Answered(reply) = outcome else {
+        return None;
+    };
+    let handle = take_handle(call, chosen, *reply).await?;
+    let took = boot_now().since(began_at);
+    slog::info!(call.shared.log, "prompt read"; "event" => event::PROMPT_READ, "request" => &call.head.request,
+        "endpoint" => chosen.name.as_str(), "tokens" => prompt.prompt_tokens, "unread" => place.unread_tokens,
+        "queued" => queued, "expected_ms" => millis(place.wait), "took_ms" => millis(took));
+    metrics::histogram!("acacia_prompt_read_seconds").record(took.as_secs_f64());
+    metrics::histogram!("acacia_prompt_wait_error_seconds").record(took.as_secs_f64() - place.wait.as_secs_f64());
+    let mut view = call.shared.view();
+    view.loads.note_pace(&chosen.name, queued + place.unread_tokens, took);
+    view.loads.note_success(&chosen.name);
+    drop(view);
+    Some(ReadPrompt {
+        address: chosen.endpoint.address,
+        handle,
+        domain: chosen.endpoint.domain.clone(),
+        shared: Arc::clone(&call.shared),
+        is_taken: false,
+    })
+}
+
+fn note_demand(call: &OpenCall, place: &PromptPlace) {
+    let mut view = call.shared.view();
+    let demand = view.demands.entry(call.service.clone()).or_default();
+    demand.unread_tokens += place.unread_tokens;
+    demand.wait_us = demand
+        .wait_us
+        .max(u64::try_from(place.wait.as_micros()).unwrap_or(u64::MAX));
+}
+
+async fn take_handle(call: &OpenCall, chosen: &ChosenEndpoint, reply: EndpointReply) -> Option<String> {
+    let EndpointReply { response, connection } = reply;
+    let status = response.status();
+    let body = read_body(response.into_body(), LARGEST_HANDLE, call.until.since(boot_now())).await;
+    let body = body.ok()?;
+    connection.give_back(call).await;
+    let handle = status
+        .is_success()
+        .then(|| call.shared.codec.read_prompt_handle(&body))
+        .flatten();
+    if handle.is_none() {
+        slog::info!(call.shared.log, "prompt was not read"; "event" => event::PROMPT_READ,
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "status" => status.as_u16());
+        call.shared.view().loads.note_failure(boot_now(), &chosen.name);
+    }
+    handle
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -0,0 +1,313 @@
+//! What all calls of an entry look at.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use acacia_http::{ClientOptions, EndpointClient, WriteGuard};
+use acacia_runtime::clock::{boot_now, wall_nanos};
+use acacia_settings::ServingEntrySettings;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::config_index::ConfigIndex;
+use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
+use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
+use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
+use acaciabay::ops::place_call::{PlacementView, PromptPlace, place_plain, place_prompt, place_stream};
+use bytes::Bytes;
+use parking_lot::{Mutex, MutexGuard};
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use super::codec::CallCodec;
+
+/// Which part of the time within which a withdrawn key must stop working an entry serves without a confirmation. The
+/// rest covers a call that is on its way to an endpoint when the lease ends.
+const LEASE_PART: f64 = 0.75;
+/// How long an unused connection to an endpoint is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the kernel may go on delivering to an endpoint that does not acknowledge.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a connection attempt to an endpoint may take: in one region it takes milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How many windows of counts are repeated to the leader: those that may still be open.
+const KEPT_WINDOWS: u64 = 4;
+
+/// What callers asked of a service since the leader was last told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct DemandCount {
+    pub(super) calls: u64,
+    pub(super) unread_tokens: u64,
+    pub(super) output_tokens: u64,
+    pub(super) wait_us: u64,
+}
+
+/// What changes.
+#[derive(Debug, Default)]
+pub(super) struct EntryView {
+    pub(super) index: Option<Arc<ConfigIndex>>,
+    pub(super) document: Bytes,
+    pub(super) number: ConfigNumber,
+    pub(super) registry: EndpointRegistry,
+    /// Whether a replica has told all endpoints that it knows.
+    pub(super) heard_endpoints: bool,
+    pub(super) loads: LoadTable,
+    pub(super) entries: u32,
+    pub(super) starts: StartCounts,
+    pub(super) demands: BTreeMap<ServiceName, DemandCount>,
+    budgets: HashMap<ServiceName, SendBudget>,
+}
+
+/// What the tasks of an entry share.
+#[derive(Debug)]
+pub(super) struct EntryShared {
+    pub(super) settings: ServingEntrySettings,
+    pub(super) domain: DomainName,
+    pub(super) codec: Arc<dyn CallCodec>,
+    pub(super) client: EndpointClient,
+    pub(super) log: Logger,
+    /// Cancelled once the process is to stop: it takes calls on, but asks callers to go elsewhere.
+    pub(super) leaving: CancellationToken,
+    lease: Arc<LeaseClock>,
+    view: Mutex<EntryView>,
+}
+
+/// When the serving lease ends, in microseconds of the boot clock.
+#[derive(Debug, Default)]
+struct LeaseClock(AtomicU64);
+
+impl LeaseClock {
+    fn is_valid(&self, now: BootTime) -> bool {
+        now.since_boot() < Duration::from_micros(self.0.load(Ordering::Acquire))
+    }
+
+    fn extend(&self, until: BootTime) {
+        let micros = u64::try_from(until.since_boot().as_micros()).unwrap_or(u64::MAX);
+        self.0.fetch_max(micros, Ordering::AcqRel);
+    }
+}
+
+/// Work that an endpoint has before it, until the value is dropped.
+#[derive(Debug)]
+pub(super) struct LoadGuard {
+    shared: Arc<EntryShared>,
+    endpoint: EndpointName,
+    work: EndpointWork,
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.shared.view().loads.end(&self.endpoint, self.work);
+    }
+}
+
+impl EntryShared {
+    pub(super) fn new(
+        settings: ServingEntrySettings,
+        codec: Arc<dyn CallCodec>,
+        leaving: CancellationToken,
+        log: Logger,
+    ) -> Self {
+        let lease = Arc::new(LeaseClock::default());
+        let asked = Arc::clone(&lease);
+        let options = ClientOptions {
+            connect_timeout: CONNECT_TIMEOUT,
+            user_timeout: USER_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            // A process that was frozen after it had checked the lease must not run a call for a key that was
+            // withdrawn meanwhile, so the write itself asks again.
+            guard: Some(WriteGuard::new(move || asked.is_valid(boot_now()))),
+            ..ClientOptions::default()
+        };
+        Self {
+            domain: settings.failure_domain.as_str().into(),
+            settings,
+            codec,
+            client: EndpointClient::new(options),
+            log,
+            leaving,
+            lease,
+            view: Mutex::default(),
+        }
+    }
+
+    pub(super) fn view(&self) -> MutexGuard<'_, EntryView> {
+        self.view.lock()
+    }
+
+    /// Tells whether the entry may serve at `now`.
+    pub(super) fn may_serve(&self, now: BootTime) -> bool {
+        self.lease.is_valid(now)
+    }
+
+    /// Extends the lease by a confirmation that was asked for at `asked_at`.
+    pub(super) fn confirm_lease(&self, asked_at: BootTime) {
+        self.lease
+            .extend(asked_at + self.settings.key_withdrawal.mul_f64(LEASE_PART));
+    }
+
+    /// Tells whether callers should be sent here.
+    pub(super) fn is_ready(&self, now: BootTime) -> bool {
+        let view = self.view();
+        let knows_all = view.index.is_some() && view.heard_endpoints;
+        knows_all && self.may_serve(now) && !self.leaving.is_cancelled()
+    }
+
+    /// Notes a caller's request.
+    pub(super) fn note_call(&self, now: BootTime, service: &ServiceName, prompt: Option<&PromptShape>) {
+        let bound = self.bound();
+        let mut view = self.view();
+        view.budgets.entry(service.clone()).or_default().note_call(now, &bound);
+        let demand = view.demands.entry(service.clone()).or_default();
+        demand.calls += 1;
+        demand.output_tokens += prompt.map_or(0, |prompt| prompt.output_tokens);
+    }
+
+    /// Takes a second send from the budget of a service.
+    pub(super) fn spend_send(&self, now: BootTime, service: &ServiceName) -> bool {
+        let bound = self.bound();
+        let mut view = self.view();
+        let entries = view.entries;
+        let budget = view.budgets.entry(service.clone()).or_default();
+        let granted = budget.spend(now, &bound, entries);
+        if !granted {
+            metrics::counter!("acacia_send_budget_exhausted_total").increment(1);
+        }
+        granted
+    }
+
+    fn bound(&self) -> SendBound {
+        let bound = self.settings.send_bound;
+        SendBound {
+            ratio: bound.ratio,
+            slack: bound.slack,
+            window: bound.window,
+        }
+    }
+
+    /// Counts a call that began to run.
+    pub(super) fn count_start(&self, customer: Option<&CustomerName>) {
+        let Some(customer) = customer else { return };
+        let length = u64::try_from(self.settings.usage_window.as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let window = WindowNumber::at(wall_nanos() / 1_000_000, length);
+        let mut view = self.view();
+        view.starts.count(window, customer);
+        view.starts
+            .forget_before(WindowNumber(window.0.saturating_sub(KEPT_WINDOWS)));
+    }
+
+    /// Adds work to an endpoint until the guard is dropped.
+    pub(super) fn begin_work(self: &Arc<Self>, endpoint: &EndpointName, work: EndpointWork) -> LoadGuard {
+        self.view().loads.begin(endpoint, work);
+        LoadGuard {
+            shared: Arc::clone(self),
+            endpoint: endpoint.clone(),
+            work,
+        }
+    }
+
+    /// Chooses an endpoint for a plain call.
+    pub(super) fn choose_plain(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        draw: u64,
+    ) -> Option<ChosenEndpoint> {
+        let view = self.view();
+        let candidates = untried(view.registry.ready(now, service), tried);
+        let name = place_plain(&self.placement(now, &view), &candidates, draw)?;
+        chosen(&candidates, &name)
+    }
+
+    /// Chooses an engine that reads a prompt.
+    pub(super) fn choose_reader(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        prompt: &PromptShape,
+    ) -> Option<(ChosenEndpoint, PromptPlace)> {
+        let view = self.view();
+        let candidates = untried(of_stage(&view, now, service, EngineStage::Prefill), tried);
+        let place = place_prompt(&self.placement(now, &view), &candidates, prompt)?;
+        let chosen = chosen(&candidates, &place.endpoint)?;
+        Some((chosen, place))
+    }
+
+    /// Chooses an engine that makes tokens.
+    pub(super) fn choose_maker(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        reader_domain: Option<&DomainName>,
+    ) -> Option<ChosenEndpoint> {
+        let memory = self.engine_memory(service);
+        let view = self.view();
+        let mut candidates = of_stage(&view, now, service, EngineStage::Decode);
+        if candidates.is_empty() {
+            // A service whose endpoints name no stage does both at once.
+            candidates = view.registry.ready(now, service);
+            candidates.retain(|(_, endpoint)| endpoint.stage.is_none());
+        }
+        let candidates = untried(candidates, tried);
+        let name = place_stream(&self.placement(now, &view), &candidates, memory, reader_domain)?;
+        chosen(&candidates, &name)
+    }
+
+    /// Returns how many tokens the memory of a service's engines holds.
+    pub(super) fn engine_memory(&self, service: &ServiceName) -> u64 {
+        let index = self.view().index.clone();
+        let spec = index.and_then(|index| index.config().services.get(service).cloned());
+        spec.and_then(|spec| spec.engine)
+            .map_or(0, |engine| engine.memory_tokens)
+    }
+
+    fn placement<'view>(&'view self, now: BootTime, view: &'view EntryView) -> PlacementView<'view> {
+        PlacementView {
+            now,
+            domain: &self.domain,
+            loads: &view.loads,
+        }
+    }
+}
+
+/// An endpoint that a call is sent to.
+#[derive(Clone, Debug)]
+pub(super) struct ChosenEndpoint {
+    pub(super) name: EndpointName,
+    pub(super) endpoint: ServingEndpoint,
+}
+
+type Row<'view> = (&'view EndpointName, &'view ServingEndpoint);
+
+fn of_stage<'view>(
+    view: &'view EntryView,
+    now: BootTime,
+    service: &'view ServiceName,
+    stage: EngineStage,
+) -> Vec<Row<'view>> {
+    let mut rows = view.registry.ready(now, service);
+    rows.retain(|(_, endpoint)| endpoint.stage == Some(stage));
+    rows
+}
+
+fn untried<'view>(mut rows: Vec<Row<'view>>, tried: &[EndpointName]) -> Vec<Row<'view>> {
+    rows.retain(|(name, _)| !tried.contains(name));
+    rows
+}
+
+fn chosen(rows: &[Row<'_>], name: &EndpointName) -> Option<ChosenEndpoint> {
+    let row = rows.iter().find(|(known, _)| *known == name)?;
+    Some(ChosenEndpoint {
+        name: row.0.clone(),
+        endpoint: row.1.clone(),
+    })
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -0,0 +1,148 @@
+//! Starting an entry process, and its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{ServerBounds, listen, serve_http, serve_http_within, text_response};
+use acacia_runtime::admin::serve_admin;
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_runtime::metrics_page::MetricsPage;
+use acacia_settings::ServingEntrySettings;
+use anyhow::Context;
+use hyper::StatusCode;
+use slog::Logger;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::call;
+use super::codec::CallCodec;
+use super::control_sessions::SessionBoard;
+use super::shared::EntryShared;
+
+/// Most connections of callers at once; the others of the descriptors are for endpoints and replicas.
+const CONNECTIONS: usize = 2_500;
+/// What callers may send while no configuration is known: nothing is served by it.
+const FIRST_BOUNDS: ServerBounds = ServerBounds {
+    head_bytes: 64 * 1024,
+    head_timeout: Duration::from_secs(15),
+    connections: CONNECTIONS,
+};
+/// How long new connections are taken after the stop was asked for: the balancer asks once a second and believes two
+/// answers.
+const ACCEPTING_TIME: Duration = Duration::from_millis(3_200);
+/// How much earlier than the platform kills it the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How often the readiness is looked at for the log.
+const READINESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Runs an entry process until `stop` is cancelled and its calls have ended.
+///
+/// # Errors
+///
+/// Fails when an address is taken.
+pub async fn start(
+    settings: ServingEntrySettings,
+    codec: Arc<dyn CallCodec>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    stop: CancellationToken,
+    page: MetricsPage,
+    log: Logger,
+) -> anyhow::Result<()> {
+    let callers = listen(settings.caller_address).await?;
+    let ready = listen(settings.ready_address).await?;
+    let metrics = listen(settings.metrics_address).await?;
+    slog::info!(log, "entry started"; "event" => event::STARTED, "domain" => &settings.failure_domain,
+        "callers" => %settings.caller_address, "ready" => %settings.ready_address,
+        "seeds" => ?settings.seed_addresses);
+    let grace = settings.stop_grace.saturating_sub(STOP_MARGIN);
+    let shared = Arc::new(EntryShared::new(settings, codec, stop.clone(), log.clone()));
+    let board = Arc::new(SessionBoard::new(Arc::clone(&shared), draw_start()?, seeds));
+    // Two moments of the end: callers are asked to go elsewhere, then connections are closed.
+    let closing = CancellationToken::new();
+    let ended = CancellationToken::new();
+    let background = TaskTracker::new();
+    background.spawn(board.keep_sessions(ended.clone()));
+    background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
+    let asked = Arc::clone(&shared);
+    background.spawn(serve_http(
+        ready,
+        ServerBounds::default(),
+        ended.clone(),
+        move |_request| {
+            let is_ready = asked.is_ready(boot_now());
+            async move {
+                if is_ready {
+                    text_response(StatusCode::OK, "ready\n")
+                } else {
+                    text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+                }
+            }
+        },
+    ));
+    let asked = Arc::clone(&shared);
+    let is_ready = move || asked.is_ready(boot_now());
+    background.spawn(serve_admin(metrics, ended.clone(), page, is_ready, |_path| None));
+    let answering = Arc::clone(&shared);
+    let bounding = Arc::clone(&shared);
+    let serving = tokio::spawn(serve_http_within(
+        callers,
+        move || bounds_now(&bounding),
+        closing.clone(),
+        move |request| call::answer(Arc::clone(&answering), request),
+    ));
+    stop.cancelled().await;
+    slog::info!(log, "entry stopping"; "event" => event::STOPPING);
+    tokio::time::sleep(ACCEPTING_TIME.min(grace / 2)).await;
+    closing.cancel();
+    let left = grace.saturating_sub(ACCEPTING_TIME.min(grace / 2));
+    if tokio::time::timeout(left, serving).await.is_err() {
+        slog::warn!(log, "calls still run"; "event" => event::STOP_OVERDUE);
+    }
+    ended.cancel();
+    slog::info!(log, "entry stopped"; "event" => event::STOPPED);
+    Ok(())
+}
+
+/// Draws what identifies this start. A clock would not do: hosts that start together read the same time, and the counts
+/// of one would pass for those of another.
+fn draw_start() -> anyhow::Result<u64> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).context("failed to read random bytes")?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+fn bounds_now(shared: &EntryShared) -> ServerBounds {
+    let Some(index) = shared.view().index.clone() else {
+        return FIRST_BOUNDS;
+    };
+    let bounds = index.config().bounds;
+    ServerBounds {
+        // The exact size is checked with the head in hand, where it is answered as too large.
+        head_bytes: FIRST_BOUNDS.head_bytes.max(2 * bounds.head_bytes),
+        head_timeout: bounds.idle_timeout.max(bounds.head_timeout),
+        connections: CONNECTIONS,
+    }
+}
+
+async fn watch_readiness(shared: Arc<EntryShared>, stop: CancellationToken) {
+    let mut was_ready = false;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(READINESS_INTERVAL) => {}
+        }
+        let now = boot_now();
+        let is_ready = shared.is_ready(now);
+        if is_ready != was_ready {
+            was_ready = is_ready;
+            let view = shared.view();
+            slog::info!(shared.log, "readiness changed"; "event" => event::READINESS_CHANGED, "ready" => is_ready,
+                "config" => view.number.0, "endpoints" => view.registry.rows().count(),
+                "lease" => shared.may_serve(now), "leaving" => shared.leaving.is_cancelled());
+        }
+        shared.view().registry.forget_silent(now);
+    }
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -0,0 +1,169 @@
+//! The body of an answer on its way to the caller, at the caller's own speed.
+
+use acacia_http::ResponseBody;
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::serving::event_stream::EventCutter;
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use super::attempt::KeptConnection;
+use super::call::{OpenCall, millis};
+use super::shared::LoadGuard;
+use super::stream_call::{OpenStream, StreamRun};
+
+/// Passes a large body on as it arrives. A body that breaks off breaks the caller's connection, so that it cannot be
+/// taken for whole.
+pub(super) fn pass_through(
+    call: &OpenCall,
+    incoming: Incoming,
+    connection: KeptConnection,
+    guard: LoadGuard,
+) -> ResponseBody {
+    let log = call.shared.log.clone();
+    let request = call.head.request.clone();
+    let until = call.until;
+    let frames = stream::unfold(Some((incoming, connection, guard)), move |state| {
+        let (log, request) = (log.clone(), request.clone());
+        async move {
+            let (mut incoming, connection, guard) = state?;
+            let left = until.since(boot_now());
+            match tokio::time::timeout(left, incoming.frame()).await {
+                Ok(Some(Ok(frame))) => Some((Ok(frame), Some((incoming, connection, guard)))),
+                Ok(None) => None,
+                broken => {
+                    slog::info!(log, "answer broke off"; "event" => event::ATTEMPT_FAILED, "request" => request,
+                        "late" => broken.is_err());
+                    Some((Err(std::io::Error::other("endpoint broke off")), None))
+                }
+            }
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// What a stream passes through.
+#[derive(Debug)]
+struct EventState {
+    run: StreamRun,
+    stream: OpenStream,
+    cutter: EventCutter,
+    last_id: Option<u64>,
+    events: usize,
+}
+
+/// Passes events on as they arrive, and lets another engine go on where one breaks off.
+pub(super) fn stream_events(run: StreamRun, stream: OpenStream) -> ResponseBody {
+    let state = EventState {
+        last_id: run.call.head.resume_after,
+        run,
+        stream,
+        cutter: EventCutter::default(),
+        events: 0,
+    };
+    let frames = stream::unfold(Some(state), |state| async move {
+        let mut state = state?;
+        match state.next().await {
+            Piece::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(state))),
+            Piece::Last(bytes) => {
+                state.finish().await;
+                (!bytes.is_empty()).then(|| (Ok(Frame::data(bytes)), None))
+            }
+            Piece::Broken => Some((Err(std::io::Error::other("stream broke off")), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+#[derive(Debug)]
+enum Piece {
+    Events(Bytes),
+    /// What is left when the answer has ended.
+    Last(Bytes),
+    Broken,
+}
+
+impl EventState {
+    async fn next(&mut self) -> Piece {
+        loop {
+            let bound = self.run.silence_bound();
+            match tokio::time::timeout(bound, self.stream.incoming.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let events = self.cutter.push(&data);
+                    if events.bytes.is_empty() {
+                        continue;
+                    }
+                    self.note_events(events.count, events.last_id);
+                    return Piece::Events(events.bytes);
+                }
+                Ok(None) => return Piece::Last(Bytes::copy_from_slice(self.cutter.rest())),
+                Ok(Some(Err(error))) => {
+                    if !self.go_on(&error.to_string()).await {
+                        return Piece::Broken;
+                    }
+                }
+                Err(_elapsed) => {
+                    if !self.go_on("silent").await {
+                        return Piece::Broken;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_events(&mut self, count: usize, last_id: Option<u64>) {
+        let call = &self.run.call;
+        if self.events == 0 {
+            call.shared.count_start(call.customer());
+            metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
+        }
+        self.events += count;
+        self.last_id = last_id.or(self.last_id);
+    }
+
+    /// Lets another engine go on after the last whole event; tells whether one does.
+    async fn go_on(&mut self, reason: &str) -> bool {
+        let call = &self.run.call;
+        call.shared.view().loads.note_failure(boot_now(), &self.stream.endpoint);
+        let may_go_on = self.run.may_go_on();
+        slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
+            "request" => &call.head.request, "endpoint" => self.stream.endpoint.as_str(), "reason" => reason,
+            "events" => self.events, "last_id" => self.last_id, "goes_on" => may_go_on);
+        if !may_go_on {
+            return false;
+        }
+        let (request, log) = (call.head.request.clone(), call.shared.log.clone());
+        match self.run.open(self.last_id).await {
+            Ok(stream) if stream.status.is_success() => {
+                slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
+                    "endpoint" => stream.endpoint.as_str(), "after" => self.last_id);
+                self.stream = stream;
+                self.cutter = EventCutter::default();
+                true
+            }
+            Ok(stream) => {
+                slog::info!(log, "stream not resumed"; "event" => event::ATTEMPT_FAILED, "request" => request,
+                    "endpoint" => stream.endpoint.as_str(), "status" => stream.status.as_u16());
+                false
+            }
+            Err(refusal) => {
+                slog::info!(log, "stream not resumed"; "event" => event::ATTEMPT_FAILED, "request" => request,
+                    "refusal" => ?refusal);
+                false
+            }
+        }
+    }
+
+    async fn finish(self) {
+        let call = &self.run.call;
+        slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
+            "endpoint" => self.stream.endpoint.as_str(), "events" => self.events,
+            "after_ms" => millis(boot_now().since(call.received_at)));
+        call.shared.view().loads.note_success(&self.stream.endpoint);
+        drop(self.stream.guard);
+        self.stream.connection.give_back(call).await;
+    }
+}
--- /dev/null
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -0,0 +1,213 @@
+//! Calls whose answer is a stream of events.
+
+use std::time::Duration;
+
+use acacia_http::ResponseBody;
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_load::EndpointWork;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response, StatusCode};
+
+use super::attempt::{AttemptOutcome, KeptConnection, send};
+use super::call::{OpenCall, millis, refuse};
+use super::codec::AttemptRole;
+use super::plain_call::assemble;
+use super::prompt_read::{ReadPrompt, read_prompt};
+use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
+use super::shared::{ChosenEndpoint, LoadGuard};
+use super::stream_body::stream_events;
+
+/// Most engines that are asked in vain before a call is given up.
+const MOST_TURNED_AWAY: u32 = 3;
+/// Which part of the time after which a caller leaves an engine may be silent before another one goes on.
+const SILENCE_PART: f64 = 0.6;
+
+/// A call with what its sends have come to.
+#[derive(Debug)]
+pub(super) struct StreamRun {
+    pub(super) call: OpenCall,
+    /// Sends after which an engine may have begun to make tokens.
+    ran: u32,
+    turned_away: u32,
+    reads: u32,
+}
+
+/// An engine that makes the tokens of a call.
+#[derive(Debug)]
+pub(super) struct OpenStream {
+    pub(super) endpoint: EndpointName,
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) incoming: Incoming,
+    pub(super) connection: KeptConnection,
+    pub(super) guard: LoadGuard,
+}
+
+/// Answers a call.
+pub(super) async fn answer(call: OpenCall) -> Response<ResponseBody> {
+    let mut run = StreamRun {
+        call,
+        ran: 0,
+        turned_away: 0,
+        reads: 0,
+    };
+    let resume_after = run.call.head.resume_after;
+    match run.open(resume_after).await {
+        Ok(stream) => {
+            let mut headers = run.call.shared.codec.caller_headers(&stream.headers);
+            // The stream may go on at another engine, whose part has another length.
+            headers.remove(CONTENT_LENGTH);
+            slog::info!(run.call.shared.log, "stream begun"; "event" => event::CALL_ENDED,
+                "request" => &run.call.head.request, "route" => &run.call.route().name,
+                "endpoint" => stream.endpoint.as_str(), "status" => stream.status.as_u16(),
+                "after_ms" => millis(boot_now().since(run.call.received_at)));
+            assemble(stream.status, headers, stream_events(run, stream))
+        }
+        Err(refusal) => refuse(&run.call.shared, Some(&run.call.head), refusal, run.call.received_at),
+    }
+}
+
+impl StreamRun {
+    /// Tells whether another engine may go on with the call.
+    pub(super) fn may_go_on(&self) -> bool {
+        let now = boot_now();
+        self.call.route().kind.may_repeat()
+            && self.ran < self.call.route().max_attempts
+            && now < self.call.until
+            && self.call.shared.spend_send(now, &self.call.service)
+    }
+
+    /// Returns how long an engine may be silent.
+    pub(super) fn silence_bound(&self) -> Duration {
+        let left = self.call.until.since(boot_now());
+        // A stream that nobody else can continue is waited for as long as its caller may be waiting.
+        if self.call.route().kind.may_repeat() && self.ran < self.call.route().max_attempts {
+            left.min(self.call.route().event_patience().mul_f64(SILENCE_PART))
+        } else {
+            left
+        }
+    }
+
+    /// Finds an engine that makes the tokens after an event.
+    pub(super) async fn open(&mut self, resume_after: Option<u64>) -> Result<OpenStream, CallRefusal> {
+        let mut tried: Vec<EndpointName> = Vec::new();
+        let mut read: Option<ReadPrompt> = None;
+        loop {
+            if read.is_none() {
+                read = self.read_if_split().await?;
+            }
+            let domain = read.as_ref().map(|read| &read.domain);
+            let now = boot_now();
+            let chosen = self.call.shared.choose_maker(now, &self.call.service, &tried, domain);
+            let Some(chosen) = chosen else {
+                return Err(self.give_up("no engine makes tokens", NO_ENDPOINT));
+            };
+            let guard = self.call.shared.begin_work(&chosen.name, self.maker_work());
+            let outcome = self.send_to(&chosen, read.as_ref(), resume_after).await;
+            match outcome {
+                AttemptOutcome::Answered(reply) => {
+                    if let Some(read) = &mut read {
+                        read.take();
+                    }
+                    self.ran += 1;
+                    let (parts, incoming) = reply.response.into_parts();
+                    if parts.status.is_server_error() && self.may_go_on() {
+                        self.call.shared.view().loads.note_failure(boot_now(), &chosen.name);
+                        read = None;
+                        tried.push(chosen.name);
+                        continue;
+                    }
+                    return Ok(OpenStream {
+                        endpoint: chosen.name,
+                        status: parts.status,
+                        headers: parts.headers,
+                        incoming,
+                        connection: reply.connection,
+                        guard,
+                    });
+                }
+                AttemptOutcome::NotRun { arrived } => {
+                    self.turned_away += 1;
+                    if arrived {
+                        // What was read may be gone or taken; another engine is not asked to fetch it in vain.
+                        read = None;
+                    }
+                    let is_free = !arrived || self.call.shared.spend_send(boot_now(), &self.call.service);
+                    if self.turned_away > MOST_TURNED_AWAY || !is_free {
+                        return Err(self.give_up("turned away", SOON));
+                    }
+                }
+                AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
+                    self.ran += 1;
+                    if !self.may_go_on() {
+                        let is_late = matches!(outcome, AttemptOutcome::TimedOut);
+                        return Err(if is_late {
+                            CallRefusal::TimedOut
+                        } else {
+                            CallRefusal::AnswerLost
+                        });
+                    }
+                    read = None;
+                }
+            }
+            tried.push(chosen.name);
+        }
+    }
+
+    /// Has the prompt read where the service's engines share the work by stages.
+    async fn read_if_split(&mut self) -> Result<Option<ReadPrompt>, CallRefusal> {
+        let Some(prompt) = &self.call.head.prompt else {
+            return Ok(None);
+        };
+        let now = boot_now();
+        if self
+            .call
+            .shared
+            .choose_reader(now, &self.call.service, &[], prompt)
+            .is_none()
+        {
+            return Ok(None);
+        }
+        let repeated = self.reads > 0;
+        self.reads += 1;
+        match read_prompt(&self.call, prompt, repeated).await {
+            Ok(read) => Ok(Some(read)),
+            // Once an engine may have run the call, "not run" is no longer true.
+            Err(CallRefusal::NotRun { .. }) if self.ran > 0 => Err(CallRefusal::AnswerLost),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    async fn send_to(
+        &self,
+        chosen: &ChosenEndpoint,
+        read: Option<&ReadPrompt>,
+        resume_after: Option<u64>,
+    ) -> AttemptOutcome {
+        let role = read.map_or(AttemptRole::Whole, |read| AttemptRole::MakeTokens {
+            reader: read.address,
+            handle: &read.handle,
+        });
+        send(&self.call, chosen, role, resume_after, self.silence_bound()).await
+    }
+
+    fn maker_work(&self) -> EndpointWork {
+        let prompt = self.call.head.prompt.as_ref();
+        EndpointWork {
+            unread_tokens: 0,
+            calls: 1,
+            held_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens + prompt.output_tokens),
+        }
+    }
+
+    const fn give_up(&self, reason: &'static str, retry_after: Duration) -> CallRefusal {
+        if self.ran == 0 {
+            not_run(reason, retry_after)
+        } else {
+            CallRefusal::AnswerLost
+        }
+    }
+}
