--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -34,7 +34,7 @@
 
 /// How much a token that has to be read counts against one that waits before it: reading a shared part once more takes
 /// time from every prompt that comes after, not only from this one.
-const READ_WEIGHT: f64 = 4.0;
+const READ_WEIGHT: f64 = 8.0;
 
 /// What an endpoint in another failure domain costs in the choice of a reader, in milliseconds: the way there and back.
 const OTHER_DOMAIN_MS: f64 = 3.0;
