Order reclaimable engines and keep a floor of lasting ones

Change: `ops/plan_pool` (floor of lasting engines a domain, reclaimable ones so that the loss of one domain leaves what the work needs; lasting ones given back all before the first call, later one domain at a time), `reading_need` (peak of unread tokens at the measured pace), `plan_stages` keeps makers on lasting engines and lets replaced ones go on, the leader tells all entries which engines rest before it orders them, a handle that one engine refused is offered to a second, a surplus of makers is changed after 1 s (a release had left 3 of 9 engines reading for 10 s).

--- a/crates/acacia-control/src/serving/codec.rs
+++ b/crates/acacia-control/src/serving/codec.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use acaciabay::core::name::EndpointName;
+use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::config::{ConfigFinding, ServingConfig};
 use acaciabay::core::serving::duty::FenceNumber;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
@@ -104,10 +104,25 @@
     pub stage: Option<EngineStage>,
 }
 
+/// How many endpoints of one kind there are to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The failure domain.
+    pub domain: DomainName,
+    /// How many.
+    pub desired: u32,
+    /// Whether the order is for those that the platform may take away.
+    pub reclaimable: bool,
+}
+
 /// Translates calls to the platform and to engines.
 pub trait PlatformCodec: fmt::Debug + Send + Sync + 'static {
     /// Reports the calls that began in a window.
     fn usage_call(&self, stamp: &DutyStamp, window: WindowNumber, counts: &CustomerCounts) -> OutboundCall;
+    /// Orders endpoints of one kind in one failure domain.
+    fn pool_call(&self, stamp: &DutyStamp, order: &PoolOrder) -> OutboundCall;
     /// Asks an engine for a report of itself.
     fn report_call(&self) -> OutboundCall;
     /// Reads that report.
--- a/crates/acacia-control/src/serving/duties.rs
+++ b/crates/acacia-control/src/serving/duties.rs
@@ -20,8 +20,9 @@
 use hyper::{Request, StatusCode};
 use tokio_util::sync::CancellationToken;
 
-use super::codec::{DutyStamp, OutboundCall};
+use super::codec::{DutyStamp, OutboundCall, PoolOrder};
 use super::hub::ServingHub;
+use super::pool_orders::PoolOrders;
 use super::stage_orders::StageOrders;
 use super::usage_windows::UsageWindows;
 
@@ -82,6 +83,52 @@
     }
 }
 
+/// One look of the holder at what is to be done: what its systems share.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DutyTurn<'holder> {
+    pub(super) now: BootTime,
+    pub(super) hub: &'holder Arc<ServingHub>,
+    pub(super) client: &'holder DutyClient,
+    pub(super) stamp: &'holder DutyStamp,
+}
+
+/// What a task needs that goes on after the look has ended.
+#[derive(Clone, Debug)]
+pub(super) struct OwnedTurn {
+    pub(super) hub: Arc<ServingHub>,
+    pub(super) client: DutyClient,
+    pub(super) stamp: DutyStamp,
+}
+
+impl DutyTurn<'_> {
+    pub(super) fn for_task(self) -> OwnedTurn {
+        OwnedTurn {
+            hub: Arc::clone(self.hub),
+            client: self.client.clone(),
+            stamp: self.stamp.clone(),
+        }
+    }
+}
+
+impl OwnedTurn {
+    /// Orders endpoints of the platform and tells whether it agrees.
+    pub(super) async fn send_pool_order(&self, order: &PoolOrder) -> bool {
+        let Some(address) = self.hub.settings.platform_address else {
+            return false;
+        };
+        let sent = self
+            .client
+            .send(address, self.hub.platform.pool_call(&self.stamp, order))
+            .await;
+        let is_accepted = matches!(&sent, Ok((status, _)) if status.is_success());
+        slog::info!(self.hub.log, "endpoints ordered"; "event" => event::POOL_ORDERED,
+            "service" => order.service.as_str(), "domain" => order.domain.as_str(),
+            "reclaimable" => order.reclaimable, "desired" => order.desired, "fence" => self.stamp.fence.0,
+            "accepted" => is_accepted, "answer" => ?sent.map(|(status, _)| status));
+        is_accepted
+    }
+}
+
 /// Does the duties while this process leads, until `stop` is cancelled.
 pub(super) async fn run_duties(hub: Arc<ServingHub>, stop: CancellationToken) {
     let client = DutyClient::new(&hub);
@@ -133,6 +180,7 @@
     };
     let mut windows = UsageWindows::default();
     let mut stages = StageOrders::default();
+    let mut pools = PoolOrders::default();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
@@ -146,7 +194,14 @@
         if !hub.group.may_act(now) || now.since(since) < wait {
             continue;
         }
-        windows.tick(now, hub, client, stamp).await;
-        stages.tick(now, hub, client, stamp);
+        let turn = DutyTurn {
+            now,
+            hub,
+            client,
+            stamp,
+        };
+        windows.tick(&turn).await;
+        pools.tick(&turn, &mut stages);
+        stages.tick(&turn);
     }
 }
--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -9,7 +9,8 @@
 use acacia_runtime::event;
 use acacia_settings::ServingControlSettings;
 use acacia_wire::endpoint_to_wire;
-use acacia_wire::generated::serving::EndpointNews;
+use acacia_wire::generated::serving::serving_frame::Body;
+use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
@@ -85,7 +86,7 @@
     pub(super) codec: Arc<dyn ControlCodec>,
     pub(super) platform: Arc<dyn PlatformCodec>,
     pub(super) log: Logger,
-    news: broadcast::Sender<Arc<EndpointNews>>,
+    news: broadcast::Sender<Arc<Body>>,
     soft: Mutex<ServingSoft>,
 }
 
@@ -113,7 +114,7 @@
     }
 
     /// Follows what endpoints say to this process.
-    pub(super) fn news(&self) -> broadcast::Receiver<Arc<EndpointNews>> {
+    pub(super) fn news(&self) -> broadcast::Receiver<Arc<Body>> {
         self.news.subscribe()
     }
 
@@ -159,7 +160,13 @@
         }
         let rows = vec![endpoint_to_wire(name, endpoint)];
         // Without a session there is nobody to tell; whoever connects gets all endpoints.
-        let _nobody = self.news.send(Arc::new(EndpointNews { rows }));
+        let _nobody = self.news.send(Arc::new(Body::News(EndpointNews { rows })));
+    }
+
+    /// Tells all sessions which engines carry out an order, before it is given: an entry that learned of it from the
+    /// engine's next report would send calls there in vain for a second.
+    pub(super) fn tell_resting(&self, engines: Vec<RestingEngine>) {
+        let _nobody = self.news.send(Arc::new(Body::Resting(RestingEngines { engines })));
     }
 
     /// Returns all endpoints, for a session that begins.
--- /dev/null
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -0,0 +1,178 @@
+//! Orders to the platform: how many endpoints of a service there are to be in each failure domain.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{DomainName, ServiceName};
+use acaciabay::core::serving::config::PoolSpec;
+use acaciabay::core::serving::endpoint_registry::EndpointPhase;
+use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
+use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
+use parking_lot::Mutex;
+
+use super::codec::PoolOrder;
+use super::duties::DutyTurn;
+use super::hub::{ServiceTraffic, ServingHub};
+use super::stage_orders::StageOrders;
+
+/// How often the pools are looked at.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// How long after the first look the endpoints that are there are taken for all: each reports within this time.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// How long to wait before an order that was refused, or got no answer, is given again.
+const REFUSED_PAUSE: Duration = Duration::from_secs(2);
+/// How much longer than an endpoint takes to start an order may remain without effect before it is given again: a call
+/// that got no answer may be carried out seconds late, and undo a newer one.
+const EFFECT_MARGIN: Duration = Duration::from_secs(6);
+/// How long after endpoints were given back others may be: those that replace what made tokens among them need
+/// the time of a change of stage.
+const GIVE_BACK_PAUSE: Duration = Duration::from_secs(5);
+
+type OrderKey = (ServiceName, DomainName, bool);
+
+#[derive(Clone, Copy, Debug)]
+struct GivenOrder {
+    desired: u32,
+    is_accepted: bool,
+    again_at: BootTime,
+}
+
+/// The orders of one holder.
+#[derive(Debug, Default)]
+pub(super) struct PoolOrders {
+    next_plan: BootTime,
+    started_at: Option<BootTime>,
+    needs: BTreeMap<ServiceName, ReadingNeed>,
+    next_give_back: BootTime,
+    given: Arc<Mutex<BTreeMap<OrderKey, GivenOrder>>>,
+}
+
+impl PoolOrders {
+    /// Orders what the work needs.
+    pub(super) fn tick(&mut self, turn: &DutyTurn<'_>, stages: &mut StageOrders) {
+        let now = turn.now;
+        if now < self.next_plan {
+            return;
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        let Some(config) = turn.hub.config() else { return };
+        let is_settled = now.since(*self.started_at.get_or_insert(now)) >= SETTLING_TIME;
+        for (service, spec) in &config.services {
+            let Some(pool) = &spec.pool else { continue };
+            let traffic = std::mem::take(turn.hub.soft().traffic.entry(service.clone()).or_default());
+            let need = self.needs.entry(service.clone()).or_default();
+            need.measure(now, measure_of(traffic), stages.wanted_makers(service));
+            if is_settled {
+                self.order_service(turn, stages, service, pool);
+            }
+        }
+    }
+
+    fn order_service(&mut self, turn: &DutyTurn<'_>, stages: &mut StageOrders, service: &ServiceName, pool: &PoolSpec) {
+        let now = turn.now;
+        let present = present_pools(turn.hub, service);
+        let total: u32 = present.values().map(|pool| pool.total()).sum();
+        let agreed = self.agreed(service);
+        let need = self.needs.entry(service.clone()).or_default();
+        need.start_with(total);
+        let view = PoolView {
+            agreed,
+            needed: need.needed(),
+            serving: total.saturating_sub(stages.resting_count(now)),
+            is_idle: !need.is_measured(),
+            may_give_back: now >= self.next_give_back,
+            present,
+        };
+        let domains: Vec<DomainName> = if pool.domain_prices.is_empty() {
+            view.present.keys().cloned().collect()
+        } else {
+            pool.domain_prices.keys().cloned().collect()
+        };
+        let wanted = plan_pool(pool, &domains, view.needed);
+        stages.expect(service, wanted.values().map(|pool| pool.total()).sum());
+        if view.is_idle && wanted.iter().any(|(domain, want)| view.lasting(domain) > want.lasting) {
+            // Whichever engines the platform takes back now need no change of stage.
+            stages.hold(now);
+        }
+        slog::debug!(turn.hub.log, "pool planned"; "event" => event::POOL_PLANNED, "service" => service.as_str(),
+            "needed" => view.needed, "serving" => view.serving, "idle" => view.is_idle, "wanted" => ?wanted,
+            "present" => ?view.present);
+        for change in plan_pool_changes(pool, &wanted, &view) {
+            let order = PoolOrder {
+                service: service.clone(),
+                domain: change.domain,
+                desired: change.desired,
+                reclaimable: change.reclaimable,
+            };
+            if self.give(turn, pool, order) && change.gives_back {
+                self.next_give_back = now + GIVE_BACK_PAUSE;
+                stages.hold(now);
+            }
+        }
+    }
+
+    /// Returns how many reclaimable endpoints the platform has agreed to, by failure domain.
+    fn agreed(&self, service: &ServiceName) -> BTreeMap<DomainName, u32> {
+        let given = self.given.lock();
+        let own = given
+            .iter()
+            .filter(|((known, _, reclaimable), order)| known == service && *reclaimable && order.is_accepted);
+        own.map(|((_, domain, _), order)| (domain.clone(), order.desired))
+            .collect()
+    }
+
+    /// Gives an order unless it was given lately; tells whether it was given.
+    fn give(&self, turn: &DutyTurn<'_>, pool: &PoolSpec, order: PoolOrder) -> bool {
+        let key = (order.service.clone(), order.domain.clone(), order.reclaimable);
+        let fresh = GivenOrder {
+            desired: order.desired,
+            is_accepted: false,
+            again_at: turn.now + pool.boot + EFFECT_MARGIN,
+        };
+        {
+            let mut given = self.given.lock();
+            let before = given.get(&key);
+            if before.is_some_and(|before| before.desired == order.desired && turn.now < before.again_at) {
+                return false;
+            }
+            given.insert(key.clone(), fresh);
+        }
+        let (turn, given) = (turn.for_task(), Arc::clone(&self.given));
+        tokio::spawn(async move {
+            let is_accepted = turn.send_pool_order(&order).await;
+            if let Some(given) = given.lock().get_mut(&key) {
+                given.is_accepted = is_accepted;
+                if !is_accepted {
+                    given.again_at = boot_now() + REFUSED_PAUSE;
+                }
+            }
+        });
+        true
+    }
+}
+
+fn measure_of(traffic: ServiceTraffic) -> ReadingMeasure {
+    ReadingMeasure {
+        unread_tokens: traffic.unread_tokens,
+        pace: traffic.pace_us as f64 / 1_000_000.0,
+    }
+}
+
+fn present_pools(hub: &ServingHub, service: &ServiceName) -> BTreeMap<DomainName, DomainPool> {
+    let soft = hub.soft();
+    let mut pools: BTreeMap<DomainName, DomainPool> = BTreeMap::new();
+    let rows = soft.registry.rows().map(|(_, endpoint)| endpoint);
+    for endpoint in rows.filter(|endpoint| endpoint.service == *service && endpoint.phase == EndpointPhase::Ready) {
+        let pool = pools.entry(endpoint.domain.clone()).or_default();
+        if endpoint.reclaimable {
+            pool.reclaimable += 1;
+        } else {
+            pool.lasting += 1;
+        }
+    }
+    pools
+}
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -104,7 +104,7 @@
     loop {
         let body = tokio::select! {
             received = news.recv() => match received {
-                Ok(news) => Body::News(news.as_ref().clone()),
+                Ok(news) => news.as_ref().clone(),
                 Err(RecvError::Lagged(_)) => Body::News(hub.all_endpoints()),
                 Err(RecvError::Closed) => return,
             },
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -1,6 +1,5 @@
 //! Usage windows: fixed in the log before they are first reported, so that every copy says the same.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_runtime::clock::{boot_now, wall_nanos};
@@ -12,8 +11,7 @@
 use hyper::StatusCode;
 use tokio::sync::oneshot;
 
-use super::codec::DutyStamp;
-use super::duties::DutyClient;
+use super::duties::{DutyTurn, OwnedTurn};
 use super::hub::ServingHub;
 
 /// Which part of the time until a window is due its counts may still arrive; the rest is for sending it again.
@@ -32,22 +30,23 @@
 
 impl UsageWindows {
     /// Fixes the windows that have ended and sends the oldest one that was not taken.
-    pub(super) async fn tick(&mut self, now: BootTime, hub: &Arc<ServingHub>, client: &DutyClient, stamp: &DutyStamp) {
-        seal_ended(hub).await;
-        self.send_oldest(now, hub, client, stamp);
+    pub(super) async fn tick(&mut self, turn: &DutyTurn<'_>) {
+        seal_ended(turn.hub).await;
+        self.send_oldest(turn);
     }
 
-    fn send_oldest(&mut self, now: BootTime, hub: &Arc<ServingHub>, client: &DutyClient, stamp: &DutyStamp) {
+    fn send_oldest(&mut self, turn: &DutyTurn<'_>) {
         if let Some(sending) = &mut self.sending {
             if sending.try_recv() == Err(oneshot::error::TryRecvError::Empty) {
                 return;
             }
             self.sending = None;
         }
-        if now < self.next_send {
+        if turn.now < self.next_send {
             return;
         }
-        let oldest = hub
+        let oldest = turn
+            .hub
             .group
             .read()
             .serving
@@ -57,10 +56,10 @@
         let Some((window, counts)) = oldest else { return };
         let (done, sending) = oneshot::channel();
         self.sending = Some(sending);
-        self.next_send = now + RESEND_PAUSE;
-        let (hub, client, stamp) = (Arc::clone(hub), client.clone(), stamp.clone());
+        self.next_send = turn.now + RESEND_PAUSE;
+        let turn = turn.for_task();
         tokio::spawn(async move {
-            send(&hub, &client, &stamp, window, &counts).await;
+            send(&turn, window, &counts).await;
             // The next tick takes a dropped sender for the end as well.
             let _ended = done.send(());
         });
@@ -96,7 +95,8 @@
     }
 }
 
-async fn send(hub: &ServingHub, client: &DutyClient, stamp: &DutyStamp, window: WindowNumber, counts: &CustomerCounts) {
+async fn send(turn: &OwnedTurn, window: WindowNumber, counts: &CustomerCounts) {
+    let OwnedTurn { hub, client, stamp } = turn;
     let Some(address) = hub.settings.platform_address else {
         return;
     };
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -20,9 +20,10 @@
     FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, split_frames, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
-use acaciabay::core::serving::endpoint_registry::{EndpointPhase, ReportEffect};
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, ReportEffect};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -186,12 +187,16 @@
             .map(|(name, work)| use_to_wire(name, work))
             .collect();
         let demands = std::mem::take(&mut view.demands);
+        let paces: BTreeMap<_, _> = demands
+            .keys()
+            .map(|service| (service.clone(), view.mean_pace_us(service)))
+            .collect();
         let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
             service: service.to_string(),
             calls: demand.calls,
             unread_tokens: demand.unread_tokens,
             output_tokens: demand.output_tokens,
-            pace_us: 0,
+            pace_us: paces.get(&service).copied().unwrap_or(0),
             wait_us: demand.wait_us,
         });
         let counts = view
@@ -252,6 +257,14 @@
                         self.news.notify_waiters();
                     }
                 }
+                Body::Resting(resting) => {
+                    let now = boot_now();
+                    let engines = resting.engines.into_iter().map(|engine| {
+                        let until = now + Duration::from_millis(engine.left_ms);
+                        (EndpointName::new(engine.name), EndpointBirth(engine.birth), until)
+                    });
+                    self.shared.view().loads.hear_resting(engines);
+                }
                 Body::Alive(_) => {}
                 Body::Renew(_) => return Err(std::io::ErrorKind::InvalidData.into()),
             }
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -25,7 +25,7 @@
 /// How much longer than expected an engine may take to read a prompt before another one is asked.
 const WAIT_FACTOR: f64 = 3.0;
 /// How much longer beside that: the time of a step of the engine, and of the network.
-const WAIT_MARGIN: Duration = Duration::from_millis(700);
+const WAIT_MARGIN: Duration = Duration::from_secs(1);
 /// Most engines that are asked to read one prompt.
 const MOST_READERS: usize = 3;
 /// The largest answer of an engine that has read a prompt.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -18,6 +18,7 @@
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
 use acaciabay::ops::place_call::{PlacementView, PromptPlace, place_plain, place_prompt, place_stream};
+use acaciabay::util::number::round_up;
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -62,6 +63,23 @@
     budgets: HashMap<ServiceName, SendBudget>,
 }
 
+impl EntryView {
+    /// Returns how many microseconds a service's engines take for a thousand tokens of a prompt, as measured; 0 if
+    /// nothing was.
+    pub(super) fn mean_pace_us(&self, service: &ServiceName) -> u64 {
+        let engines = self
+            .registry
+            .rows()
+            .filter(|(_, endpoint)| endpoint.service == *service);
+        let paces: Vec<f64> = engines.filter_map(|(name, _)| self.loads.measured_pace(name)).collect();
+        if paces.is_empty() {
+            return 0;
+        }
+        let mean_ms = paces.iter().sum::<f64>() / paces.len() as f64;
+        round_up(mean_ms * 1_000_000.0)
+    }
+}
+
 /// What the tasks of an entry share.
 #[derive(Debug)]
 pub(super) struct EntryShared {
@@ -295,7 +313,7 @@
     stage: EngineStage,
 ) -> Vec<Row<'view>> {
     let mut rows = view.registry.ready(now, service);
-    rows.retain(|(_, endpoint)| endpoint.stage == Some(stage));
+    rows.retain(|(name, endpoint)| endpoint.stage == Some(stage) && !view.loads.is_resting(now, name, endpoint));
     rows
 }
 
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -131,8 +131,8 @@
                 }
                 AttemptOutcome::NotRun { arrived } => {
                     self.turned_away += 1;
-                    if arrived {
-                        // What was read may be gone or taken; another engine is not asked to fetch it in vain.
+                    if arrived && self.turned_away > 1 {
+                        // One engine may be full or leaving; when a second one refuses, what was read is probably gone.
                         read = None;
                     }
                     let is_free = !arrived || self.call.shared.spend_send(boot_now(), &self.call.service);
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -114,6 +114,10 @@
     STARTS_SEALED = "E0330";
     /// An engine is to change its stage.
     STAGE_PLANNED = "E0331";
+    /// Endpoints were ordered of the platform.
+    POOL_ORDERED = "E0332";
+    /// What a service needs and has was compared.
+    POOL_PLANNED = "E0333";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::endpoint_registry::{EndpointBirth, ServingEndpoint};
 use super::part_memory::PartMemory;
 use super::prompt::PromptPart;
 use crate::core::clock::BootTime;
@@ -61,6 +62,7 @@
     memory: PartMemory,
     failures: u32,
     suspected_until: BootTime,
+    resting: Option<(EndpointBirth, BootTime)>,
     pace: Option<f64>,
 }
 
@@ -130,7 +132,12 @@
 
     /// Returns how many milliseconds the endpoint takes for a token of a prompt.
     pub fn pace(&self, name: &EndpointName) -> f64 {
-        self.rows.get(name).and_then(|row| row.pace).unwrap_or(FIRST_PACE)
+        self.measured_pace(name).unwrap_or(FIRST_PACE)
+    }
+
+    /// Returns the same, if it was measured.
+    pub fn measured_pace(&self, name: &EndpointName) -> Option<f64> {
+        self.rows.get(name).and_then(|row| row.pace)
     }
 
     /// Notes a failure that speaks against the endpoint.
@@ -156,6 +163,22 @@
         self.rows.get(name).is_some_and(|row| now < row.suspected_until)
     }
 
+    /// Takes over which engines carry out an order, each with its birth and until when.
+    pub fn hear_resting(&mut self, engines: impl IntoIterator<Item = (EndpointName, EndpointBirth, BootTime)>) {
+        for row in self.rows.values_mut() {
+            row.resting = None;
+        }
+        for (name, birth, until) in engines {
+            self.row(&name).resting = Some((birth, until));
+        }
+    }
+
+    /// Tells whether an engine carries out an order and takes no calls meanwhile.
+    pub fn is_resting(&self, now: BootTime, name: &EndpointName, endpoint: &ServingEndpoint) -> bool {
+        let resting = self.rows.get(name).and_then(|row| row.resting);
+        resting.is_some_and(|(birth, until)| birth == endpoint.birth && now < until)
+    }
+
     /// Forgets endpoints that are not in use any more.
     pub fn retain(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
         self.rows
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -5,7 +5,9 @@
 //! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
 //! * [`endpoint_load`] is the work that every endpoint still has before it.
 //! * [`event_stream`] cuts an answer into whole events.
+//! * [`stream_peak`] remembers how many streams ran at once.
 //! * [`start_counts`] counts the calls that began, by window and customer.
+//! * [`reading_need`] says how many endpoints reading takes.
 //! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
 //!
 //! `docs/design/machines.md` has the programs in which these parts meet.
@@ -18,6 +20,8 @@
 pub mod event_stream;
 pub mod part_memory;
 pub mod prompt;
+pub mod reading_need;
 pub mod send_budget;
 pub mod serving_state;
 pub mod start_counts;
+pub mod stream_peak;
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -6,5 +6,6 @@
 pub mod place_request;
 pub mod plan_deliveries;
 pub mod plan_members;
+pub mod plan_pool;
 pub mod plan_stages;
 pub mod route_request;
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -9,17 +9,9 @@
 use crate::core::name::{DomainName, EndpointName};
 use crate::core::serving::config::EngineSpec;
 use crate::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use crate::core::serving::stream_peak::StreamDemand;
 use crate::util::number::round_up;
 
-/// What the running streams of a service take, at the recent peak.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct StreamDemand {
-    /// Streams that run at once.
-    pub streams: f64,
-    /// Tokens of memory that they hold.
-    pub held_tokens: f64,
-}
-
 /// The part of an engine's slots and memory that streams may take: beyond it each token takes noticeably longer, and
 /// a burst would find no room.
 const FILL: f64 = 0.5;
@@ -48,25 +40,35 @@
     needed.clamp(least, engines - least)
 }
 
-/// Returns the engines to change so that `wanted` of them make tokens, at most `most` at once.
+/// An engine of the service.
+type Engine<'table> = (&'table EndpointName, &'table ServingEndpoint);
+
+/// Returns the engines to change so that `wanted` of them make tokens.
 ///
 /// Engines that make tokens stay spread over the failure domains: the next to become one is taken where there are
-/// fewest, the next to become a reader where there are most.
-pub fn plan_stages(engines: &[(&EndpointName, &ServingEndpoint)], wanted: usize, most: usize) -> Vec<StageChange> {
-    let mut decoders: Vec<_> = of_stage(engines, EngineStage::Decode);
-    let mut readers: Vec<_> = of_stage(engines, EngineStage::Prefill);
+/// fewest, the next to become a reader where there are most. They are lasting ones as far as there are any: what a
+/// reclaimable reader loses when it is taken away is read again elsewhere, while a stream breaks off. Where a
+/// reclaimable engine makes tokens and a lasting one reads, the lasting one is changed first and the other is then one
+/// too many.
+pub fn plan_stages(engines: &[Engine<'_>], wanted: usize) -> Vec<StageChange> {
+    let mut decoders = of_stage(engines, EngineStage::Decode);
+    let mut readers = of_stage(engines, EngineStage::Prefill);
+    let is_lasting = |(_, endpoint): &Engine<'_>| !endpoint.reclaimable;
+    let lasting_wanted = wanted.min(engines.iter().filter(|engine| is_lasting(engine)).count());
     let mut changes = Vec::new();
-    while changes.len() < most && decoders.len() != wanted {
+    loop {
         let counts = count_domains(engines, &decoders);
-        let count =
-            |(_, endpoint): &(&EndpointName, &ServingEndpoint)| counts.get(&endpoint.domain).copied().unwrap_or(0);
-        let (from, to, stage, place) = if decoders.len() > wanted {
-            // A reclaimable engine is better as a reader: what it loses when it is taken away is read again elsewhere.
-            let place = best_place(&decoders, |row| (row.1.reclaimable, count(row)));
+        let count = |(_, endpoint): &Engine<'_>| counts.get(&endpoint.domain).copied().unwrap_or(0);
+        let lasting_decoders = decoders.iter().filter(|engine| is_lasting(engine)).count();
+        let is_short = decoders.len() < wanted || lasting_decoders < lasting_wanted;
+        let (from, to, stage, place) = if is_short && readers.len() > 1 {
+            let place = best_place(&readers, |row| (is_lasting(row), usize::MAX - count(row)));
+            (&mut readers, &mut decoders, EngineStage::Decode, place)
+        } else if decoders.len() > wanted {
+            let place = best_place(&decoders, |row| (!is_lasting(row), count(row)));
             (&mut decoders, &mut readers, EngineStage::Prefill, place)
         } else {
-            let place = best_place(&readers, |row| (!row.1.reclaimable, usize::MAX - count(row)));
-            (&mut readers, &mut decoders, EngineStage::Decode, place)
+            break;
         };
         let Some(place) = place else { break };
         let row = from.remove(place);
@@ -76,20 +78,21 @@
             stage,
         });
     }
+    if changes.iter().any(|change| change.stage == EngineStage::Decode) {
+        // Engines go on making tokens until those that replace them can.
+        changes.retain(|change| change.stage == EngineStage::Decode);
+    }
     changes
 }
 
-fn of_stage<'table>(
-    engines: &[(&'table EndpointName, &'table ServingEndpoint)],
-    stage: EngineStage,
-) -> Vec<(&'table EndpointName, &'table ServingEndpoint)> {
+fn of_stage<'table>(engines: &[Engine<'table>], stage: EngineStage) -> Vec<Engine<'table>> {
     let rows = engines.iter().filter(|(_, endpoint)| endpoint.stage == Some(stage));
     rows.copied().collect()
 }
 
 fn count_domains<'table>(
-    engines: &[(&'table EndpointName, &'table ServingEndpoint)],
-    decoders: &[(&'table EndpointName, &'table ServingEndpoint)],
+    engines: &[Engine<'table>],
+    decoders: &[Engine<'table>],
 ) -> BTreeMap<&'table DomainName, usize> {
     let mut counts: BTreeMap<_, _> = engines.iter().map(|(_, endpoint)| (&endpoint.domain, 0)).collect();
     for (_, endpoint) in decoders {
