Let lasting engines bear a seventh of the need

Cause: on Himal the platform took the reclaimable engines of two domains back within 2 s, and 10 of 32 readers were left for 12 s.

--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -8,6 +8,7 @@
 
 use crate::core::name::DomainName;
 use crate::core::serving::config::PoolSpec;
+use crate::util::number::round_up;
 
 /// Endpoints of one failure domain by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -25,9 +26,9 @@
     }
 }
 
-/// Lasting endpoints of each failure domain where reclaimable ones are to be had: with three domains enough to make
-/// tokens and to read on while reclaimable ones are gone everywhere.
-const LASTING_FLOOR: u32 = 1;
+/// The part of what the work needs that lasting endpoints bear where reclaimable ones are to be had: enough to go on,
+/// slowly, while the platform has taken back those of two domains and has no others.
+const LASTING_PART: f64 = 0.14;
 /// The price up to which reclaimable endpoints are worth their reserve: with three domains half as many again are paid.
 const WORTHWHILE_PRICE: f64 = 0.6;
 
@@ -46,7 +47,8 @@
         }
         return pools;
     }
-    let lasting = LASTING_FLOOR.min(spec.most);
+    let borne = round_up(f64::from(needed) * LASTING_PART / f64::from(count));
+    let lasting = u32::try_from(borne).unwrap_or(u32::MAX).clamp(1, spec.most.max(1));
     let rest = needed.saturating_sub(lasting * count);
     let reclaimable = rest.div_ceil(count - 1);
     for domain in domains {
