Outlive a full disk and a changed settings file on core hosts

Ruled out: memory (2.6 MB of 256). Change: core processes read their seeds again on SIGHUP, like entries; a replica whose disk refuses bytes leaves the group, goes on answering endpoints, and starts over from the folder once a write succeeds. A failed sync still ends the process. A removed replica also asks the members it knew whether it was removed, since the seeds may have been exchanged.

--- a/crates/acacia-control/src/driver.rs
+++ b/crates/acacia-control/src/driver.rs
@@ -4,6 +4,7 @@
 //! next write together; that is what makes many writers cheap (`docs/BENCHMARKS.md`).
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -23,12 +24,15 @@
 use slog::Logger;
 use tokio::sync::oneshot;
 
-use crate::group::{GroupInput, GroupShared, GroupStatus, JoinAnswer, JoinCall, NotLeading, ProposalAnswer};
+use crate::daemon::random_number;
+use crate::group::{GroupInput, GroupShared, GroupStatus, JoinAnswer, JoinCall, NotLeading, ProposalAnswer, nobody};
 use crate::peer_links::PeerLinks;
 use crate::storage::DataFolder;
 
 /// How often time passes for the replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often a full disk is tried again.
+const SPACE_INTERVAL: Duration = Duration::from_millis(300);
 /// Most inputs that go into one write.
 const MOST_INPUTS: usize = 4_096;
 /// After how many applied entries the log is replaced by a snapshot.
@@ -127,12 +131,92 @@
                 self.replica.tick(boot_now());
                 self.replace_silent_voter();
             }
-            self.work_off()?;
+            if let Err(error) = self.work_off()
+                && !self.await_space(&error)?
+            {
+                return Ok(());
+            }
             self.answer_confirms();
             self.show_status();
         }
     }
 
+    /// Waits until the disk takes bytes again, then starts over from what it holds; returns whether to go on.
+    ///
+    /// A full disk refuses a write and loses nothing. Ending the process would end it again at each start until there is
+    /// space, and would take the process's other work with it: endpoints report here, entries hear of them here. What
+    /// was half written is cut off when the folder is read again, and the replica is as after a restart.
+    fn await_space(&mut self, error: &anyhow::Error) -> anyhow::Result<bool> {
+        if !is_disk_full(error) {
+            return Err(anyhow::anyhow!("{error:#}"));
+        }
+        slog::error!(self.log, "disk is full; this replica pauses"; "event" => event::DISK_FULL,
+            "error" => format!("{error:#}"));
+        self.leave_group();
+        loop {
+            if self.refuse_inputs(SPACE_INTERVAL) {
+                return Ok(false);
+            }
+            match self.start_over() {
+                Ok(()) => {
+                    slog::info!(self.log, "disk takes bytes again"; "event" => event::DISK_FULL,
+                        "index" => self.replica.log().last_index().0);
+                    return Ok(true);
+                }
+                Err(error) if is_disk_full(&error) => {}
+                Err(error) => return Err(error.context("failed to start over after the disk was full")),
+            }
+        }
+    }
+
+    /// Shows the tasks that this replica neither leads nor follows.
+    fn leave_group(&mut self) {
+        self.shared.set_lease(BootTime::default());
+        self.leading_since = None;
+        self.shared.status.send_modify(|status| {
+            status.leader = None;
+            status.leading_since = None;
+        });
+        for (_, (_, answer)) in std::mem::take(&mut self.waiting) {
+            let _gave_up = answer.sender.send(Err(nobody()));
+        }
+        self.identifies.clear();
+        self.confirms.clear();
+    }
+
+    /// Refuses what is asked for within a while; returns whether to stop.
+    fn refuse_inputs(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        loop {
+            match self
+                .inputs
+                .recv_timeout(until.saturating_duration_since(Instant::now()))
+            {
+                Ok(GroupInput::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
+                Err(RecvTimeoutError::Timeout) => return false,
+                Ok(GroupInput::Propose { answer, .. }) => {
+                    let _gave_up = answer.sender.send(Err(nobody()));
+                }
+                // Whoever waits for an answer to any of the others learns of it by the dropped sender.
+                Ok(_dropped) => {}
+            }
+        }
+    }
+
+    /// Reads the folder again, tries a write, and starts the replica anew.
+    fn start_over(&mut self) -> anyhow::Result<()> {
+        let stored = self.folder.load()?;
+        self.folder.append(Some(stored.restored.hard_state), None)?;
+        let state = state_of(&stored.snapshot).context("snapshot holds a state that this release cannot read")?;
+        self.hard_state = stored.restored.hard_state;
+        let replica = Replica::new(boot_now(), self.replica.id(), stored.restored, random_number()?);
+        self.replica = replica.with_policy(self.policy);
+        self.shared.version.send_replace(state.version());
+        *self.shared.state.write() = state;
+        self.applied_bytes = 0;
+        Ok(())
+    }
+
     /// Takes an input and all that have come since; returns whether to stop.
     fn take_inputs(&mut self, first: GroupInput) -> bool {
         let mut next = Some(first);
@@ -457,6 +541,12 @@
     Ok(state_from_bytes(snapshot.state.clone())?)
 }
 
+/// Tells whether a write failed because the disk has no space, which says nothing about what it holds already.
+fn is_disk_full(error: &anyhow::Error) -> bool {
+    let cause = error.chain().find_map(|cause| cause.downcast_ref::<std::io::Error>());
+    cause.is_some_and(|cause| matches!(cause.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded))
+}
+
 /// Says why a change of the members was refused.
 pub(crate) fn describe_refusal(refusal: &MemberRefusal) -> String {
     match refusal {
--- a/crates/acacia-control/src/serving/founding.rs
+++ b/crates/acacia-control/src/serving/founding.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use slog::Logger;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::daemon::random_number;
 use crate::storage::{DataFolder, FolderIdentity};
@@ -31,14 +32,13 @@
 /// Folders that are drawn at random have larger numbers than the founders' folders, which are numbered from 1.
 const FIRST_DRAWN_DISK: u64 = 1 << 16;
 
+/// The control addresses through which the group is found; they change while the process runs.
+pub(super) type SeedList = watch::Receiver<Vec<SocketAddr>>;
+
 /// Returns the peer addresses behind control addresses; all hosts have the same ports.
-pub(super) fn peer_addresses(settings: &ServingControlSettings) -> Vec<SocketAddr> {
+fn peer_addresses(settings: &ServingControlSettings, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let port = settings.peer_address.port();
-    let peers = settings
-        .seed_addresses
-        .iter()
-        .map(|seed| SocketAddr::new(seed.ip(), port));
-    peers.collect()
+    seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
 }
 
 /// Returns whom the folder belongs to. A founder's folder is filled; any other empty one draws its number.
@@ -49,7 +49,7 @@
     if let Some(identity) = folder.identity()? {
         return Ok(identity);
     }
-    let mut peers = peer_addresses(settings);
+    let mut peers = peer_addresses(settings, &settings.seed_addresses);
     peers.sort_unstable();
     peers.dedup();
     let place = peers.iter().position(|peer| *peer == settings.peer_address);
@@ -104,9 +104,15 @@
 }
 
 /// Asks for a place until there is one.
-pub(super) async fn await_place(settings: &ServingControlSettings, disk: DiskId, log: &Logger) -> (u64, ReplicaId) {
+pub(super) async fn await_place(
+    settings: &ServingControlSettings,
+    seeds: &SeedList,
+    disk: DiskId,
+    log: &Logger,
+) -> (u64, ReplicaId) {
     for round in 0_u32.. {
-        let reply = ask_all(settings, disk, None).await;
+        let peers = peer_addresses(settings, &seeds.borrow());
+        let reply = ask_all(settings, peers, disk, None).await;
         if let Some(reply) = &reply
             && reply.replica != 0
         {
@@ -114,7 +120,7 @@
         }
         if round % LOG_EVERY == 0 {
             slog::info!(log, "waiting to be admitted"; "event" => event::IDENTITY_AWAITED,
-                "seeds" => ?settings.seed_addresses, "reason" => ?reply);
+                "seeds" => ?*seeds.borrow(), "reason" => ?reply);
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
@@ -122,13 +128,28 @@
 }
 
 /// Tells whether the group says that this replica was removed; unknown where no leader can be reached.
-pub(super) async fn was_removed(settings: &ServingControlSettings, disk: DiskId, replica: ReplicaId) -> bool {
-    let reply = ask_all(settings, disk, Some(replica)).await;
+///
+/// The `members` that the replica knew are asked beside the seeds, which may have been exchanged or be down.
+pub(super) async fn was_removed(
+    settings: &ServingControlSettings,
+    seeds: &SeedList,
+    members: Vec<SocketAddr>,
+    disk: DiskId,
+    replica: ReplicaId,
+) -> bool {
+    let mut peers = peer_addresses(settings, &seeds.borrow());
+    peers.extend(members);
+    let reply = ask_all(settings, peers, disk, Some(replica)).await;
     reply.is_some_and(|reply| reply.removed)
 }
 
-/// Asks the seeds, and the leader that they name.
-async fn ask_all(settings: &ServingControlSettings, disk: DiskId, replica: Option<ReplicaId>) -> Option<JoinReply> {
+/// Asks replicas, and the leader that they name.
+async fn ask_all(
+    settings: &ServingControlSettings,
+    peers: Vec<SocketAddr>,
+    disk: DiskId,
+    replica: Option<ReplicaId>,
+) -> Option<JoinReply> {
     let request = JoinRequest {
         host: settings.peer_address.ip().to_string(),
         address: settings.peer_address.to_string(),
@@ -136,11 +157,8 @@
         replica: replica.map_or(0, |replica| replica.0),
     };
     let mut open = None;
-    for seed in peer_addresses(settings)
-        .into_iter()
-        .filter(|seed| *seed != settings.peer_address)
-    {
-        let mut reply = ask(seed, &request).await.ok();
+    for peer in peers.into_iter().filter(|peer| *peer != settings.peer_address) {
+        let mut reply = ask(peer, &request).await.ok();
         if let Some(leader) = reply.as_ref().and_then(|reply| reply.leader_address.parse().ok()) {
             reply = ask(leader, &request).await.ok();
         }
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -1,5 +1,6 @@
 //! Starting a control process, and its end.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 use super::codec::{ControlCodec, PlatformCodec};
 use super::control_http;
 use super::duties::run_duties;
-use super::founding::{await_place, open_identity, was_removed};
+use super::founding::{SeedList, await_place, open_identity, was_removed};
 use super::hub::ServingHub;
 use super::observer::observe_replicas;
 use super::peers::serve_peers;
@@ -45,6 +46,7 @@
     settings: ServingControlSettings,
     codec: Arc<dyn ControlCodec>,
     platform: Arc<dyn PlatformCodec>,
+    seeds: SeedList,
     stop: CancellationToken,
     page: MetricsPage,
     log: Logger,
@@ -57,13 +59,23 @@
         "peers" => %settings.peer_address, "control" => %settings.control_address,
         "seeds" => ?settings.seed_addresses, "founds" => settings.found_group);
     let identity = open_identity(&mut folder, &settings)?;
-    let Some(identity) = take_place(&mut folder, identity, &settings, &peers, &control, &stop, &log).await? else {
+    let Some(identity) = take_place(
+        &mut folder,
+        identity,
+        &settings,
+        &seeds,
+        (&peers, &control),
+        &stop,
+        &log,
+    )
+    .await?
+    else {
         return Ok(());
     };
     let (hub, driver) = open_group(settings, folder, identity, codec, platform, &log)?;
     let driving = spawn_driver(driver, stop.clone(), log.clone());
     let tasks = spawn_tasks(&hub, peers, control, metrics, &stop, page);
-    let removal = watch_removal(&hub, identity);
+    let removal = watch_removal(&hub, &seeds, identity);
     let outcome = tokio::select! {
         () = stop.cancelled() => Ok(()),
         () = removal => forget_group(&hub),
@@ -83,8 +95,8 @@
     folder: &mut DataFolder,
     identity: FolderIdentity,
     settings: &ServingControlSettings,
-    peers: &TcpListener,
-    control: &TcpListener,
+    seeds: &SeedList,
+    (peers, control): (&TcpListener, &TcpListener),
     stop: &CancellationToken,
     log: &Logger,
 ) -> anyhow::Result<Option<FolderIdentity>> {
@@ -93,7 +105,7 @@
     }
     let (group, replica) = tokio::select! {
         () = stop.cancelled() => return Ok(None),
-        place = await_place(settings, identity.disk, log) => place,
+        place = await_place(settings, seeds, identity.disk, log) => place,
         // Whoever connects meanwhile learns at once that this process cannot help, and tries another.
         () = refuse_all(peers) => return Ok(None),
         () = refuse_all(control) => return Ok(None),
@@ -211,7 +223,7 @@
 ///
 /// A replica that was frozen while another took its place hears of no leader any more and cannot know why. Without
 /// asking, its host would stay out of the group for good.
-async fn watch_removal(hub: &ServingHub, identity: FolderIdentity) {
+async fn watch_removal(hub: &ServingHub, seeds: &SeedList, identity: FolderIdentity) {
     let mut status = hub.group.status();
     loop {
         let lonely = async {
@@ -220,7 +232,7 @@
         };
         if tokio::time::timeout(LONELY_TIME, lonely).await.is_err()
             && let Some(replica) = identity.replica
-            && was_removed(&hub.settings, identity.disk, replica).await
+            && was_removed(&hub.settings, seeds, member_addresses(hub), identity.disk, replica).await
         {
             return;
         }
@@ -228,6 +240,13 @@
     }
 }
 
+fn member_addresses(hub: &ServingHub) -> Vec<SocketAddr> {
+    let status = hub.group.status();
+    let status = status.borrow();
+    let addresses = status.members.rows().filter_map(|(_, row)| row.address.parse().ok());
+    addresses.collect()
+}
+
 /// Empties the folder of a replica that the group has removed, so that the next start asks for a new place.
 fn forget_group(hub: &ServingHub) -> anyhow::Result<()> {
     slog::warn!(hub.log, "removed from the group"; "event" => event::IDENTITY_REVOKED);
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -90,6 +90,8 @@
     WINDOW_DELAYED = "E0313";
     /// A replica was removed from the group and gives its folder up.
     IDENTITY_REVOKED = "E0314";
+    /// The disk takes no more bytes, or takes them again.
+    DISK_FULL = "E0315";
     /// An endpoint has reported something new.
     ENDPOINT_CHANGED = "E0320";
     /// A report of an endpoint could not be used.
