Tell callers when the lease is expected

Ruled out: holding them (they are refused at once), and a shorter lease (it bears delayed heartbeats).

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, Response};
 
 use super::codec::{CallHead, HeadFault};
-use super::refusal::{CallRefusal, SOON, not_run};
+use super::refusal::{CallRefusal, lease_wait, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
 
@@ -103,7 +103,7 @@
     let (parts, body) = request.into_parts();
     let index = shared.view().index.clone();
     let Some(index) = index.filter(|_| shared.may_serve(received_at)) else {
-        return Err((None, not_run("no lease", SOON)));
+        return Err((None, not_run("no lease", lease_wait(shared.without_lease(received_at)))));
     };
     let bounds = index.config().bounds;
     let head = shared.codec.read_head(&parts, bounds.head_bytes);
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -122,7 +122,12 @@
     let mut tried = progress.tried.clone();
     tried.push(chosen.name.clone());
     let other = call.shared.choose_plain(now, &call.service, &tried, call.draw);
-    other.is_some() && call.shared.spend_send(now, &call.service)
+    let goes_on = other.is_some() && call.shared.spend_send(now, &call.service);
+    slog::info!(call.shared.log, "endpoint failed a call"; "event" => event::ATTEMPT_FAILED,
+        "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
+        "status" => reply.response.status().as_u16(), "other" => other.map(|other| other.name.to_string()),
+        "goes_on" => goes_on);
+    goes_on
 }
 
 /// Reads the rest of an answer that is not passed on, so that its connection can be used again.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -90,6 +90,7 @@
     pub(super) log: Logger,
     /// Cancelled once the process is to stop: it takes calls on, but asks callers to go elsewhere.
     pub(super) leaving: CancellationToken,
+    started_at: BootTime,
     lease: Arc<LeaseClock>,
     view: Mutex<EntryView>,
 }
@@ -103,6 +104,10 @@
         now.since_boot() < Duration::from_micros(self.0.load(Ordering::Acquire))
     }
 
+    fn end(&self) -> BootTime {
+        BootTime::from_boot(Duration::from_micros(self.0.load(Ordering::Acquire)))
+    }
+
     fn extend(&self, until: BootTime) {
         let micros = u64::try_from(until.since_boot().as_micros()).unwrap_or(u64::MAX);
         self.0.fetch_max(micros, Ordering::AcqRel);
@@ -148,6 +153,7 @@
             client: EndpointClient::new(options),
             log,
             leaving,
+            started_at: boot_now(),
             lease,
             view: Mutex::default(),
         }
@@ -162,6 +168,11 @@
         self.lease.is_valid(now)
     }
 
+    /// Returns how long the entry has been without a lease.
+    pub(super) fn without_lease(&self, now: BootTime) -> Duration {
+        now.since(self.lease.end().max(self.started_at))
+    }
+
     /// Extends the lease by a confirmation that was asked for at `asked_at`.
     pub(super) fn confirm_lease(&self, asked_at: BootTime) {
         self.lease
