Order reclaimable engines while endpoints still report

Change: what is known so far may already raise an order; giving back and changing stages wait until all have reported (2.5 s, twice the interval of reports). What was ordered meanwhile is not counted as what the operators started with.

--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -22,7 +22,7 @@
 /// How often the pools are looked at.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// How long after the first look the endpoints that are there are taken for all: each reports within this time.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// How long to wait before an order that was refused, or got no answer, is given again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 /// How much longer than an endpoint takes to start an order may remain without effect before it is given again: a call
@@ -66,25 +66,36 @@
             let traffic = std::mem::take(turn.hub.soft().traffic.entry(service.clone()).or_default());
             let need = self.needs.entry(service.clone()).or_default();
             need.measure(now, measure_of(traffic), stages.wanted_makers(service));
-            if is_settled {
-                self.order_service(turn, stages, service, pool);
-            }
+            self.order_service(turn, stages, service, pool, is_settled);
         }
     }
 
-    fn order_service(&mut self, turn: &DutyTurn<'_>, stages: &mut StageOrders, service: &ServiceName, pool: &PoolSpec) {
+    fn order_service(
+        &mut self,
+        turn: &DutyTurn<'_>,
+        stages: &mut StageOrders,
+        service: &ServiceName,
+        pool: &PoolSpec,
+        is_settled: bool,
+    ) {
         let now = turn.now;
         let present = present_pools(turn.hub, service);
         let total: u32 = present.values().map(|pool| pool.total()).sum();
         let agreed = self.agreed(service);
         let need = self.needs.entry(service.clone()).or_default();
-        need.start_with(total);
+        // What was ordered here meanwhile would be counted as what the operators have started with.
+        let ordered: u32 = agreed
+            .iter()
+            .map(|(domain, agreed)| reclaimable_in(&present, domain).min(*agreed))
+            .sum();
+        need.start_with(total.saturating_sub(ordered), is_settled);
         let view = PoolView {
             agreed,
             needed: need.needed(),
             serving: total.saturating_sub(stages.resting_count(now)),
             is_idle: !need.is_measured(),
-            may_give_back: now >= self.next_give_back,
+            may_give_back: is_settled && now >= self.next_give_back,
+            may_shrink: is_settled,
             present,
         };
         let domains: Vec<DomainName> = if pool.domain_prices.is_empty() {
@@ -155,6 +166,10 @@
     }
 }
 
+fn reclaimable_in(present: &BTreeMap<DomainName, DomainPool>, domain: &DomainName) -> u32 {
+    present.get(domain).map_or(0, |pool| pool.reclaimable)
+}
+
 fn measure_of(traffic: ServiceTraffic) -> ReadingMeasure {
     ReadingMeasure {
         unread_tokens: traffic.unread_tokens,
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -18,7 +18,7 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a new holder listens before it orders anything: every endpoint reports within this time, and by the few that
 /// are known first the wrong ones would be changed.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// How long endpoints that are given back take to report that they leave.
 const GIVING_BACK_TIME: Duration = Duration::from_secs(1);
 /// How long a surplus of engines that make tokens has to last before they read prompts.
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -35,15 +35,19 @@
     looked_at: Option<BootTime>,
     needed: u32,
     less_since: Option<BootTime>,
+    is_started: bool,
     is_measured: bool,
 }
 
 impl ReadingNeed {
-    /// Takes what the operators have started with for the need until something is measured.
-    pub const fn start_with(&mut self, endpoints: u32) {
-        if !self.is_measured && self.needed == 0 {
-            self.needed = endpoints + endpoints.div_ceil(START_RESERVE);
+    /// Takes what the operators have started with for the need until something is measured. `is_final` says that all
+    /// endpoints have reported; what is ordered meanwhile is not counted again after that.
+    pub const fn start_with(&mut self, endpoints: u32, is_final: bool) {
+        if self.is_measured || self.is_started {
+            return;
         }
+        self.needed = endpoints + endpoints.div_ceil(START_RESERVE);
+        self.is_started = is_final;
     }
 
     /// Takes a measurement. `makers` is how many engines make tokens beside those that read.
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -88,6 +88,8 @@
     pub serving: u32,
     /// Whether no call has come yet.
     pub is_idle: bool,
+    /// Whether all endpoints have reported, so that fewer may be ordered than were before.
+    pub may_shrink: bool,
     /// Whether endpoints may be given back now; after each time some are, a while has to pass.
     pub may_give_back: bool,
 }
@@ -128,7 +130,7 @@
         let have = view.present.get(domain).copied().unwrap_or_default();
         let room = spec.most.saturating_sub(have.lasting.max(want.lasting.min(spec.most)));
         let reclaimable = want.reclaimable.min(room);
-        if reclaimable != have.reclaimable {
+        if reclaimable > have.reclaimable || (view.may_shrink && reclaimable < have.reclaimable) {
             changes.push(change(domain, true, reclaimable, false));
         }
         let surplus = have.lasting.saturating_sub(want.lasting);
@@ -138,7 +140,7 @@
         } else {
             !has_given_back && view.serving >= view.needed + surplus
         };
-        if want.lasting > have.lasting {
+        if want.lasting > have.lasting && view.may_shrink {
             changes.push(change(domain, false, want.lasting, false));
         } else if surplus > 0 && view.may_give_back && is_replaced {
             has_given_back = true;
