Keep an engine that makes tokens in each failure domain

Cause: prompts read in a domain without an engine that makes tokens travel to another one, take twice as long and cost up to three times as much.

--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -1,6 +1,6 @@
 //! Plans which engines of a service read prompts and which make tokens, and has them ordered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use acacia_runtime::event;
@@ -97,7 +97,8 @@
         let stages = self.services.entry(service.clone()).or_default();
         stages.peak.see(now, present);
         let demand = stages.peak.demand();
-        let wanted = wanted_decoders(engines.len().max(stages.expected), spec, &demand);
+        let domains: BTreeSet<_> = engines.iter().map(|(_, endpoint)| &endpoint.domain).collect();
+        let wanted = wanted_decoders(engines.len().max(stages.expected), domains.len(), spec, &demand);
         stages.wanted_makers = wanted;
         let makers = engines.iter().filter(|(_, endpoint)| makes_tokens(endpoint)).count();
         if makers <= wanted {
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -16,9 +16,13 @@
 /// a burst would find no room.
 const FILL: f64 = 0.5;
 
-/// The least number of engines of each stage, on two failure domains, so that the loss of one engine stops nothing.
+/// The least number of engines of each stage, so that the loss of one engine stops nothing.
 const LEAST_OF_STAGE: usize = 2;
 
+/// The least number of engines for each one that makes tokens, where every failure domain has one: prompts then stay in
+/// the domain in which they were read.
+const ENGINES_PER_MAKER: usize = 4;
+
 /// An engine to change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageChange {
@@ -28,8 +32,8 @@
     pub stage: EngineStage,
 }
 
-/// Returns how many of `engines` engines should make tokens.
-pub fn wanted_decoders(engines: usize, spec: &EngineSpec, demand: &StreamDemand) -> usize {
+/// Returns how many of `engines` engines in `domains` failure domains should make tokens.
+pub fn wanted_decoders(engines: usize, domains: usize, spec: &EngineSpec, demand: &StreamDemand) -> usize {
     if engines < 2 {
         return engines;
     }
@@ -37,7 +41,8 @@
     let by_memory = demand.held_tokens / (FILL * spec.memory_tokens.max(1) as f64);
     let needed = usize::try_from(round_up(by_slots.max(by_memory))).unwrap_or(usize::MAX);
     let least = LEAST_OF_STAGE.min(engines / 2);
-    needed.clamp(least, engines - least)
+    let near = domains.min(engines / ENGINES_PER_MAKER);
+    needed.max(near).clamp(least, engines - least)
 }
 
 /// An engine of the service.
