--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -16,7 +16,7 @@
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
-use acaciabay::core::serving::start_counts::GatheredCounts;
+use acaciabay::core::serving::start_counts::GatheredRow;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::sync::broadcast;
@@ -26,6 +26,9 @@
 
 /// How many pieces of news a session may be behind before it starts over with all endpoints.
 const WAITING_NEWS: usize = 1_024;
+/// How long after the start of a process the endpoints that it knows are taken for all: they report about once a
+/// second, the first time up to two seconds after a group has begun to answer.
+const SETTLING_TIME: Duration = Duration::from_millis(3_800);
 /// After which silence an entry no longer counts as serving; its lease has ended long before.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
@@ -53,7 +56,8 @@
 pub(super) struct ServingSoft {
     pub(super) registry: EndpointRegistry,
     pub(super) entries: BTreeMap<HostName, EntryPresence>,
-    pub(super) counts: GatheredCounts,
+    /// What entries have counted and is not committed yet.
+    pub(super) starts: Vec<GatheredRow>,
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
     config: Option<Arc<ServingConfig>>,
 }
@@ -86,6 +90,7 @@
     pub(super) codec: Arc<dyn ControlCodec>,
     pub(super) platform: Arc<dyn PlatformCodec>,
     pub(super) log: Logger,
+    started_at: BootTime,
     news: broadcast::Sender<Arc<Body>>,
     soft: Mutex<ServingSoft>,
 }
@@ -104,11 +109,18 @@
             codec,
             platform,
             log,
+            started_at: boot_now(),
             news: broadcast::Sender::new(WAITING_NEWS),
             soft: Mutex::default(),
         }
     }
 
+    /// Tells whether every endpoint has had the time to report since this process started: by the few that are known
+    /// first, the wrong ones would be ordered.
+    pub(super) fn knows_endpoints(&self, now: BootTime) -> bool {
+        now.since(self.started_at) >= SETTLING_TIME
+    }
+
     pub(super) fn soft(&self) -> MutexGuard<'_, ServingSoft> {
         self.soft.lock()
     }
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -21,8 +21,6 @@
 
 /// How often the pools are looked at.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// How long after the first look the endpoints that are there are taken for all: each reports within this time.
-const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// How long to wait before an order that was refused, or got no answer, is given again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(2);
 /// How much longer than an endpoint takes to start an order may remain without effect before it is given again: a call
@@ -45,7 +43,6 @@
 #[derive(Debug, Default)]
 pub(super) struct PoolOrders {
     next_plan: BootTime,
-    started_at: Option<BootTime>,
     needs: BTreeMap<ServiceName, ReadingNeed>,
     next_give_back: BootTime,
     given: Arc<Mutex<BTreeMap<OrderKey, GivenOrder>>>,
@@ -60,7 +57,7 @@
         }
         self.next_plan = now + PLAN_INTERVAL;
         let Some(config) = turn.hub.config() else { return };
-        let is_settled = now.since(*self.started_at.get_or_insert(now)) >= SETTLING_TIME;
+        let is_settled = turn.hub.knows_endpoints(now);
         for (service, spec) in &config.services {
             let Some(pool) = &spec.pool else { continue };
             let traffic = std::mem::take(turn.hub.soft().traffic.entry(service.clone()).or_default());
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -11,11 +11,11 @@
 use acacia_wire::generated::serving::{
     RenewServing, ReplicaAddresses, ServingElsewhere, ServingFrame, ServingHello, ServingRenewed, serving_renewed,
 };
-use acacia_wire::generated::state::Nothing;
+use acacia_wire::generated::state::{Nothing, WindowCounts};
 use acacia_wire::{FrameReader, FrameWriter, counts_from_wire, patch_between, use_from_wire, use_to_wire};
 use acaciabay::core::name::HostName;
 use acaciabay::core::serving::config::ConfigNumber;
-use acaciabay::core::serving::start_counts::EntryStart;
+use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
@@ -181,6 +181,11 @@
     peer.map(|peer| peer.to_string()).unwrap_or_default()
 }
 
+fn gathered_row(entry: EntryStart, message: &WindowCounts) -> GatheredRow {
+    let (window, counts) = counts_from_wire(message.clone());
+    GatheredRow { entry, window, counts }
+}
+
 /// Notes what the entry has said, and returns how many entries serve and what the others have at the endpoints.
 fn take_presence(
     hub: &ServingHub,
@@ -190,11 +195,20 @@
     let now = boot_now();
     let host: HostName = hello.host.as_str().into();
     let start = EntryStart(hello.start);
+    let starts: Vec<GatheredRow> = request
+        .counts
+        .iter()
+        .map(|message| gathered_row(start, message))
+        .collect();
+    let news: Vec<GatheredRow> = {
+        let state = hub.group.read();
+        starts
+            .into_iter()
+            .filter(|row| state.serving.gathered.is_news(row))
+            .collect()
+    };
     let mut soft = hub.soft();
-    for message in &request.counts {
-        let (window, counts) = counts_from_wire(message.clone());
-        soft.counts.report(start, window, counts);
-    }
+    soft.starts.extend(news);
     for demand in &request.demands {
         let traffic = soft.traffic.entry(demand.service.as_str().into()).or_default();
         traffic.calls += demand.calls;
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -16,9 +16,6 @@
 
 /// How often the stages are looked at.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a new holder listens before it orders anything: every endpoint reports within this time, and by the few that
-/// are known first the wrong ones would be changed.
-const SETTLING_TIME: Duration = Duration::from_millis(2_500);
 /// How long endpoints that are given back take to report that they leave.
 const GIVING_BACK_TIME: Duration = Duration::from_secs(1);
 /// How long a surplus of engines that make tokens has to last before they read prompts.
@@ -39,7 +36,6 @@
 pub(super) struct StageOrders {
     next_plan: BootTime,
     hold_until: BootTime,
-    settled_at: Option<BootTime>,
     services: BTreeMap<ServiceName, ServiceStages>,
     orders: EngineOrders,
 }
@@ -50,8 +46,7 @@
     /// Orders what the running streams need.
     pub(super) fn tick(&mut self, turn: &DutyTurn<'_>) {
         let now = turn.now;
-        let settled_at = *self.settled_at.get_or_insert(now + SETTLING_TIME);
-        if now < self.next_plan.max(settled_at).max(self.hold_until) {
+        if now < self.next_plan.max(self.hold_until) || !turn.hub.knows_endpoints(now) {
             return;
         }
         self.next_plan = now + PLAN_INTERVAL;
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -31,6 +31,7 @@
 impl UsageWindows {
     /// Fixes the windows that have ended and sends the oldest one that was not taken.
     pub(super) async fn tick(&mut self, turn: &DutyTurn<'_>) {
+        gather(turn.hub).await;
         seal_ended(turn.hub).await;
         self.send_oldest(turn);
     }
@@ -72,6 +73,23 @@
         .max(1)
 }
 
+fn sealed_total(hub: &ServingHub, window: WindowNumber) -> Option<u64> {
+    let state = hub.group.read();
+    state.serving.sealed.get(&window).map(|counts| counts.values().sum())
+}
+
+/// Commits what entries have counted since the last look. Were it kept in memory until the window ends, all processes
+/// killed at once would take up to a whole window with them, and those calls would never be billed.
+async fn gather(hub: &ServingHub) {
+    let rows = std::mem::take(&mut hub.soft().starts);
+    if rows.is_empty() {
+        return;
+    }
+    let command = ServingCommand::GatherStarts { rows };
+    // Entries repeat their counts to the next leader.
+    let _not_leading = hub.group.propose(ControlCommand::Serving(command)).await;
+}
+
 async fn seal_ended(hub: &ServingHub) {
     let length = window_millis(hub);
     let wall_millis = wall_nanos() / 1_000_000;
@@ -83,15 +101,12 @@
     let first = if last_sealed == 0 { last_ripe } else { last_sealed + 1 };
     for window in first.max(last_ripe.saturating_sub(MOST_BEHIND))..=last_ripe {
         let window = WindowNumber(window);
-        let counts = hub.soft().counts.sums(window);
-        let total: u64 = counts.values().sum();
-        let command = ServingCommand::SealStarts { window, counts };
+        let command = ServingCommand::SealStarts { window };
         if hub.group.propose(ControlCommand::Serving(command)).await.is_err() {
             return;
         }
         slog::info!(hub.log, "usage window sealed"; "event" => event::STARTS_SEALED,
-            "window" => window.0, "calls" => total);
-        hub.soft().counts.forget_before(window);
+            "window" => window.0, "calls" => sealed_total(hub, window));
     }
 }
 
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -130,6 +130,11 @@
         "outcome" => ?outcome, "reason" => reason, "after_ms" => millis(boot_now().since(sent_at)),
         "report" => chosen.endpoint.sequence);
     metrics::counter!("acacia_attempts_failed_total").increment(1);
-    call.shared.view().loads.note_failure(boot_now(), &chosen.name);
+    let mut view = call.shared.view();
+    match outcome {
+        AttemptOutcome::NotRun { arrived: false } => view.loads.note_unreachable(boot_now(), &chosen.name),
+        _ => view.loads.note_failure(boot_now(), &chosen.name),
+    }
+    drop(view);
     outcome
 }
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -33,8 +33,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long the kernel may go on delivering to an endpoint that does not acknowledge.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long a connection attempt to an endpoint may take: in one region it takes milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a connection attempt to an endpoint may take: in one region it takes milliseconds, and a lost packet is sent
+/// again only after a second, which another endpoint does not need.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How many windows of counts are repeated to the leader: those that may still be open.
 const KEPT_WINDOWS: u64 = 4;
 
--- a/crates/acacia-wire/src/control_command.rs
+++ b/crates/acacia-wire/src/control_command.rs
@@ -16,7 +16,7 @@
 
 use crate::error::WireError;
 use crate::generated::state::{self, control_command::Command};
-use crate::serving_message::{counts_from_wire, counts_to_wire};
+use crate::serving_message::{gathered_from_wire, gathered_to_wire};
 use crate::table_row::{
     all, digest_from_wire, digest_to_wire, key_from_wire, key_to_wire, pool_from_wire, pool_to_wire, report_from_wire,
     report_to_wire, route_from_wire, route_key_from_wire, route_key_to_wire, route_to_wire,
@@ -96,7 +96,10 @@
             document: document.clone(),
         }),
         ServingCommand::AssumeDuties { holder } => Command::AssumeDuties(holder.to_string()),
-        ServingCommand::SealStarts { window, counts } => Command::SealStarts(counts_to_wire(*window, counts)),
+        ServingCommand::GatherStarts { rows } => Command::GatherStarts(state::GatherStarts {
+            rows: rows.iter().map(gathered_to_wire).collect(),
+        }),
+        ServingCommand::SealStarts { window } => Command::SealStarts(window.0),
         ServingCommand::SettleStarts { window } => Command::SettleStarts(window.0),
     }
 }
@@ -143,10 +146,12 @@
         Command::AssumeDuties(holder) => ControlCommand::Serving(ServingCommand::AssumeDuties {
             holder: holder.as_str().into(),
         }),
-        Command::SealStarts(message) => {
-            let (window, counts) = counts_from_wire(message);
-            ControlCommand::Serving(ServingCommand::SealStarts { window, counts })
-        }
+        Command::GatherStarts(gather) => ControlCommand::Serving(ServingCommand::GatherStarts {
+            rows: all(gather.rows, gathered_from_wire)?,
+        }),
+        Command::SealStarts(window) => ControlCommand::Serving(ServingCommand::SealStarts {
+            window: WindowNumber(window),
+        }),
         Command::SettleStarts(window) => ControlCommand::Serving(ServingCommand::SettleStarts {
             window: WindowNumber(window),
         }),
--- a/crates/acacia-wire/src/control_state.rs
+++ b/crates/acacia-wire/src/control_state.rs
@@ -74,7 +74,11 @@
         usage: usage_table_from_wire(message.usage.ok_or(WireError::missing("usage"))?),
         orders: OrderTable::restore(OrderNumber(message.last_order), all(&message.orders, order_from_wire)?),
         // A snapshot of an earlier release has none.
-        serving: message.serving.map(serving_state_from_wire).unwrap_or_default(),
+        serving: message
+            .serving
+            .map(serving_state_from_wire)
+            .transpose()?
+            .unwrap_or_default(),
     })
 }
 
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -6,7 +6,7 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::serving_state::ServingState;
-use acaciabay::core::serving::start_counts::{CustomerCounts, WindowNumber};
+use acaciabay::core::serving::start_counts::{CustomerCounts, EntryStart, GatheredCounts, GatheredRow, WindowNumber};
 use bytes::{Bytes, BytesMut};
 
 use crate::error::WireError;
@@ -31,6 +31,22 @@
     (WindowNumber(message.window), counts.collect())
 }
 
+pub(crate) fn gathered_to_wire(row: &GatheredRow) -> state::GatheredRow {
+    state::GatheredRow {
+        entry: row.entry.0,
+        counts: Some(counts_to_wire(row.window, &row.counts)),
+    }
+}
+
+pub(crate) fn gathered_from_wire(message: state::GatheredRow) -> Result<GatheredRow, WireError> {
+    let (window, counts) = counts_from_wire(message.counts.ok_or(WireError::missing("counts"))?);
+    Ok(GatheredRow {
+        entry: EntryStart(message.entry),
+        window,
+        counts,
+    })
+}
+
 /// Encodes what is known of an endpoint.
 pub fn endpoint_to_wire(name: &EndpointName, endpoint: &ServingEndpoint) -> serving::EndpointRow {
     let phase = match endpoint.phase {
@@ -158,16 +174,22 @@
         holder: state.duties.holder().map(ToString::to_string).unwrap_or_default(),
         sealed: sealed.map(|(window, counts)| counts_to_wire(*window, counts)).collect(),
         last_sealed: state.last_sealed.0,
+        gathered: state.gathered.rows().map(|row| gathered_to_wire(&row)).collect(),
     }
 }
 
-pub(crate) fn serving_state_from_wire(message: state::ServingState) -> ServingState {
+pub(crate) fn serving_state_from_wire(message: state::ServingState) -> Result<ServingState, WireError> {
+    let mut gathered = GatheredCounts::default();
+    for row in message.gathered {
+        gathered.report(&gathered_from_wire(row)?);
+    }
     let holder = (!message.holder.is_empty()).then(|| message.holder.as_str().into());
-    ServingState {
+    Ok(ServingState {
         config_number: ConfigNumber(message.config_number),
         document: message.document,
         duties: DutyTable::restored(FenceNumber(message.fence), holder),
         sealed: message.sealed.into_iter().map(counts_from_wire).collect(),
         last_sealed: WindowNumber(message.last_sealed),
-    }
+        gathered,
+    })
 }
--- a/crates/acaciabay/src/core/consensus/election.rs
+++ b/crates/acaciabay/src/core/consensus/election.rs
@@ -184,7 +184,9 @@
         self.lease_until = now;
         let next = self.log.last_index().next();
         let others = self.members.rows().map(|(id, _)| id).filter(|id| *id != self.id);
-        self.progress = others.map(|id| (id, FollowerProgress::starting_at(next))).collect();
+        self.progress = others
+            .map(|id| (id, FollowerProgress::starting_at(next, self.round)))
+            .collect();
         self.term_start = self.append_own(EntryPayload::Empty);
         self.start_round(now);
     }
--- a/crates/acaciabay/src/core/consensus/membership.rs
+++ b/crates/acaciabay/src/core/consensus/membership.rs
@@ -146,18 +146,23 @@
             replica: *id,
             voter: self.members.is_voter(*id),
             caught_up: progress.matched >= self.members_index && progress.matched.0 + PROMOTION_LAG >= self.commit.0,
-            silence: HEARTBEAT_INTERVAL
-                * u32::try_from(self.round - progress.round.min(self.round)).unwrap_or(u32::MAX),
+            silence: self.silence_of(progress),
         });
         states.collect()
     }
 
+    /// A member that was added a moment ago has answered no round yet, which is no silence of its own.
+    fn silence_of(&self, progress: &FollowerProgress) -> Duration {
+        let heard = progress.round.max(progress.since_round).min(self.round);
+        HEARTBEAT_INTERVAL * u32::try_from(self.round - heard).unwrap_or(u32::MAX)
+    }
+
     /// Keeps the leader's view of followers in step with the members.
     pub(super) fn adjust_progress(&mut self) {
         if self.role != ReplicaRole::Leader {
             return;
         }
-        let next = self.log.last_index().next();
+        let (next, round) = (self.log.last_index().next(), self.round);
         let others: Vec<ReplicaId> = self
             .members
             .rows()
@@ -168,7 +173,7 @@
         for id in others {
             self.progress
                 .entry(id)
-                .or_insert_with(|| FollowerProgress::starting_at(next));
+                .or_insert_with(|| FollowerProgress::starting_at(next, round));
         }
     }
 
--- a/crates/acaciabay/src/core/consensus/progress.rs
+++ b/crates/acaciabay/src/core/consensus/progress.rs
@@ -11,6 +11,8 @@
     pub(super) next: LogIndex,
     /// The latest round that it has answered.
     pub(super) round: u64,
+    /// The round in which the leader began to send to it.
+    pub(super) since_round: u64,
     /// Whether the follower's log is being searched for where it equals the leader's. Until it is found, one message
     /// goes out each round.
     pub(super) probing: bool,
@@ -19,11 +21,12 @@
 }
 
 impl FollowerProgress {
-    pub(super) const fn starting_at(next: LogIndex) -> Self {
+    pub(super) const fn starting_at(next: LogIndex, round: u64) -> Self {
         Self {
             matched: LogIndex(0),
             next,
             round: 0,
+            since_round: round,
             probing: true,
             snapshot: None,
         }
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -149,6 +149,14 @@
         row.suspected_until = now + suspicion.min(LONGEST_SUSPICION);
     }
 
+    /// Notes that an endpoint could not be reached at all. One that does not even take a connection is not well again
+    /// a moment later, and each further try costs a call the time of a connection attempt.
+    pub fn note_unreachable(&mut self, now: BootTime, name: &EndpointName) {
+        let row = self.row(name);
+        row.failures += 1;
+        row.suspected_until = now + LONGEST_SUSPICION;
+    }
+
     /// Notes an answer that speaks for the endpoint.
     pub fn note_success(&mut self, name: &EndpointName) {
         let row = self.row(name);
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -72,9 +72,9 @@
 
 /// How long an endpoint may be silent before nothing is sent to it while others are heard.
 ///
-/// Endpoints report about once a second; five missed reports are no accident. Silence alone does not prove that an
+/// Endpoints report about once a second; three missed reports are no accident. Silence alone does not prove that an
 /// endpoint is gone, since the path of its reports may be cut while the path to it is not.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(6);
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
 /// How long a row outlives the last report: as long as a late report of a left endpoint may still arrive.
 const ROW_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/acaciabay/src/core/serving/serving_state.rs
+++ b/crates/acaciabay/src/core/serving/serving_state.rs
@@ -6,7 +6,7 @@
 
 use super::config::ConfigNumber;
 use super::duty::{DutyTable, FenceNumber};
-use super::start_counts::{CustomerCounts, WindowNumber};
+use super::start_counts::{CustomerCounts, GatheredCounts, GatheredRow, WindowNumber};
 use crate::core::name::HostName;
 
 /// A change of the state.
@@ -24,12 +24,15 @@
         /// The host.
         holder: HostName,
     },
+    /// Keeps what entries have counted, so that it outlives all processes.
+    GatherStarts {
+        /// The rows that are new.
+        rows: Vec<GatheredRow>,
+    },
     /// Fixes the counts of a window, before they are first reported.
     SealStarts {
         /// The window.
         window: WindowNumber,
-        /// The counts.
-        counts: CustomerCounts,
     },
     /// Records that a window was taken by the platform.
     SettleStarts {
@@ -58,6 +61,8 @@
     pub document: Bytes,
     /// Who acts for the system.
     pub duties: DutyTable,
+    /// What entries have counted in windows that are not fixed yet.
+    pub gathered: GatheredCounts,
     /// Windows that are fixed and not taken yet.
     pub sealed: BTreeMap<WindowNumber, CustomerCounts>,
     /// The highest window that was ever fixed.
@@ -76,11 +81,18 @@
                 ServingOutcome::Config(self.config_number)
             }
             ServingCommand::AssumeDuties { holder } => ServingOutcome::Fence(self.duties.assume(holder)),
-            ServingCommand::SealStarts { window, counts } => {
+            ServingCommand::GatherStarts { rows } => {
+                for row in rows.iter().filter(|row| row.window > self.last_sealed) {
+                    self.gathered.report(row);
+                }
+                ServingOutcome::Done
+            }
+            ServingCommand::SealStarts { window } => {
                 // The first counts stand: a second report of the same window with others would be billed twice.
                 if *window > self.last_sealed {
                     self.last_sealed = *window;
-                    self.sealed.insert(*window, counts.clone());
+                    self.sealed.insert(*window, self.gathered.sums(*window));
+                    self.gathered.forget_up_to(*window);
                 }
                 ServingOutcome::Done
             }
--- a/crates/acaciabay/src/core/serving/start_counts.rs
+++ b/crates/acaciabay/src/core/serving/start_counts.rs
@@ -54,43 +54,72 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EntryStart(pub u64);
 
-/// The counts of all entries, as the leader has heard them.
+/// What one entry process has counted in one window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatheredRow {
+    /// The process.
+    pub entry: EntryStart,
+    /// The window.
+    pub window: WindowNumber,
+    /// Its counts so far.
+    pub counts: CustomerCounts,
+}
+
+/// The counts of all entries.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GatheredCounts {
-    windows: BTreeMap<WindowNumber, BTreeMap<(EntryStart, CustomerName), u64>>,
+    windows: BTreeMap<WindowNumber, BTreeMap<EntryStart, CustomerCounts>>,
 }
 
 impl GatheredCounts {
-    /// Takes a report; a lower count than one heard before is an old report.
-    pub fn report(
-        &mut self,
-        entry: EntryStart,
-        window: WindowNumber,
-        counts: impl IntoIterator<Item = (CustomerName, u64)>,
-    ) {
-        let known = self.windows.entry(window).or_default();
-        for (customer, count) in counts {
-            let held = known.entry((entry, customer)).or_default();
-            *held = (*held).max(count);
+    /// Takes a report; a lower count than one held is an old report.
+    pub fn report(&mut self, row: &GatheredRow) {
+        let held = self
+            .windows
+            .entry(row.window)
+            .or_default()
+            .entry(row.entry)
+            .or_default();
+        for (customer, count) in &row.counts {
+            let known = held.entry(customer.clone()).or_default();
+            *known = (*known).max(*count);
         }
     }
 
+    /// Tells whether a report says more than what is held.
+    pub fn is_news(&self, row: &GatheredRow) -> bool {
+        let held = self
+            .windows
+            .get(&row.window)
+            .and_then(|entries| entries.get(&row.entry));
+        let known = |customer| held.and_then(|held| held.get(customer)).copied().unwrap_or_default();
+        row.counts.iter().any(|(customer, count)| *count > known(customer))
+    }
+
     /// Returns the sums of a window.
     pub fn sums(&self, window: WindowNumber) -> CustomerCounts {
         let mut sums = CustomerCounts::new();
-        for ((_, customer), count) in self.windows.get(&window).into_iter().flatten() {
-            *sums.entry(customer.clone()).or_default() += count;
+        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
+            for (customer, count) in counts {
+                *sums.entry(customer.clone()).or_default() += count;
+            }
         }
         sums
     }
 
-    /// Returns the first window that anything was heard of.
-    pub fn first(&self) -> Option<WindowNumber> {
-        self.windows.keys().next().copied()
+    /// Returns all rows.
+    pub fn rows(&self) -> impl Iterator<Item = GatheredRow> {
+        self.windows.iter().flat_map(|(window, entries)| {
+            entries.iter().map(|(entry, counts)| GatheredRow {
+                entry: *entry,
+                window: *window,
+                counts: counts.clone(),
+            })
+        })
     }
 
-    /// Forgets windows before this one.
-    pub fn forget_before(&mut self, window: WindowNumber) {
-        self.windows = self.windows.split_off(&window);
+    /// Forgets a window and those before it.
+    pub fn forget_up_to(&mut self, window: WindowNumber) {
+        self.windows.retain(|known, _| *known > window);
     }
 }
