--- /dev/null
+++ b/crates/acaciabay/tests/serving/counts.rs
@@ -0,0 +1,72 @@
+//! Counts of calls that began.
+
+use std::collections::BTreeMap;
+
+use acaciabay::core::name::CustomerName;
+use acaciabay::core::serving::start_counts::{EntryStart, GatheredCounts, GatheredRow, StartCounts, WindowNumber};
+use proptest::prelude::*;
+
+use crate::fixtures::fixed_cases;
+
+fn row(entry: u64, window: u64, customer: &str, count: u64) -> GatheredRow {
+    GatheredRow {
+        entry: EntryStart(entry),
+        window: WindowNumber(window),
+        counts: BTreeMap::from([(CustomerName::new(customer), count)]),
+    }
+}
+
+/// Two entries that start in the same moment count for the same customer. If they passed for one, the higher count would
+/// stand for both and a part of the calls would never be billed.
+#[test]
+fn counts_of_two_entries_add_up() {
+    let mut gathered = GatheredCounts::default();
+
+    gathered.report(&row(1, 9, "c", 5));
+    gathered.report(&row(2, 9, "c", 7));
+
+    assert_eq!(gathered.sums(WindowNumber(9)), BTreeMap::from([("c".into(), 12)]));
+}
+
+#[test]
+fn a_window_begins_at_its_number_times_its_length() {
+    assert_eq!(WindowNumber::at(14_999, 5_000), WindowNumber(2));
+    assert_eq!(WindowNumber::at(15_000, 5_000), WindowNumber(3));
+    assert_eq!(WindowNumber(2).end_millis(5_000), 15_000);
+}
+
+#[test]
+fn an_entry_forgets_old_windows() {
+    let mut starts = StartCounts::default();
+    starts.count(WindowNumber(1), &"c".into());
+    starts.count(WindowNumber(5), &"c".into());
+
+    starts.forget_before(WindowNumber(2));
+
+    assert_eq!(
+        starts.windows().map(|(window, _)| window).collect::<Vec<_>>(),
+        [WindowNumber(5)]
+    );
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// Reports that come twice, late and in any order come to the last count of each entry, and only a report that says
+    /// more is news.
+    #[test]
+    fn any_order_comes_to_the_highest_counts(reports in prop::collection::vec((0_u64..3, 0_u64..20), 0..30)) {
+        let mut gathered = GatheredCounts::default();
+        let mut highest: BTreeMap<u64, u64> = BTreeMap::new();
+        for (entry, count) in reports {
+            let report = row(entry, 4, "c", count);
+            let held = highest.entry(entry).or_default();
+            prop_assert_eq!(gathered.is_news(&report), count > *held);
+            gathered.report(&report);
+            *held = (*held).max(count);
+        }
+        let expected: u64 = highest.values().sum();
+        let sums = gathered.sums(WindowNumber(4));
+        prop_assert_eq!(sums.values().sum::<u64>(), expected);
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -0,0 +1,144 @@
+//! What the tests of this folder are made of.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{DomainName, EndpointName};
+use acaciabay::core::serving::config::{
+    CallKind, CallRoute, CallerBounds, ConfigNumber, CustomerRow, EngineSpec, PoolSpec, RouteShare, ServiceSpec,
+    ServingConfig,
+};
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::prompt::{PartId, PromptPart, PromptShape};
+use acaciabay::util::digest::ContentDigest;
+use proptest::test_runner::{Config, RngSeed};
+
+pub(crate) fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+pub(crate) fn name(text: &str) -> EndpointName {
+    EndpointName::new(text)
+}
+
+pub(crate) fn domains(names: &[&str]) -> Vec<DomainName> {
+    names.iter().map(|name| DomainName::new(name)).collect()
+}
+
+pub(crate) fn endpoint(domain: &str) -> ServingEndpoint {
+    ServingEndpoint {
+        service: "llm".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        domain: domain.into(),
+        slots: 64,
+        phase: EndpointPhase::Ready,
+        stage: Some(EngineStage::Prefill),
+        reclaimable: false,
+        birth: EndpointBirth(1_000),
+        sequence: 1,
+    }
+}
+
+/// An endpoint with an address of its own.
+pub(crate) fn numbered(number: u8, domain: &str, stage: EngineStage) -> ServingEndpoint {
+    ServingEndpoint {
+        address: SocketAddr::from(([10, 0, 0, number], 8_000)),
+        stage: Some(stage),
+        ..endpoint(domain)
+    }
+}
+
+pub(crate) fn engine() -> EngineSpec {
+    EngineSpec {
+        slots: 64,
+        memory_tokens: 400_000,
+        hold: Duration::from_secs(5),
+        switch: Duration::from_secs(3),
+    }
+}
+
+pub(crate) fn pool(most: u32, reclaimable_price: Option<f64>) -> PoolSpec {
+    PoolSpec {
+        least: 1,
+        most,
+        boot: Duration::from_secs(4),
+        reclaimable_price,
+        domain_prices: BTreeMap::from([("a".into(), 1.0), ("b".into(), 0.8), ("c".into(), 1.25)]),
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str) -> CallRoute {
+    CallRoute {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        target_gap: None,
+        priority: 1,
+        shares: vec![share("app", 1)],
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+pub(crate) fn share(service: &str, weight: u64) -> RouteShare {
+    RouteShare {
+        service: service.into(),
+        weight,
+    }
+}
+
+pub(crate) fn customer(name: &str, keys: &[&str]) -> CustomerRow {
+    CustomerRow {
+        name: name.into(),
+        keys: keys.iter().map(ContentDigest::of).collect(),
+        priority: None,
+    }
+}
+
+pub(crate) fn config(routes: Vec<CallRoute>, customers: Vec<CustomerRow>) -> ServingConfig {
+    let service = ServiceSpec {
+        max_connections: 100,
+        engine: None,
+        pool: None,
+    };
+    ServingConfig {
+        number: ConfigNumber(1),
+        routes,
+        services: BTreeMap::from([("app".into(), service.clone()), ("other".into(), service)]),
+        bounds: CallerBounds {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        customers,
+    }
+}
+
+pub(crate) fn part(id: u64, tokens: u64) -> PromptPart {
+    PromptPart { id: PartId(id), tokens }
+}
+
+/// A prompt with a shared part and one of its own.
+pub(crate) fn prompt(shared: u64, own: u64) -> PromptShape {
+    PromptShape {
+        model: "m".to_owned(),
+        prompt_tokens: 13_000 + 3_000,
+        output_tokens: 10,
+        parts: vec![part(shared, 13_000), part(own, 3_000)],
+    }
+}
+
+/// The same cases in every run, so that a run has the same verdict each time.
+pub(crate) fn fixed_cases() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(9),
+        failure_persistence: None,
+        ..Config::with_cases(512)
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -0,0 +1,14 @@
+//! Serving by host and path: each decision against what it has to come to, and against naive versions.
+
+mod budget;
+mod config;
+mod counts;
+mod events;
+mod fixtures;
+mod members;
+mod placement;
+mod pools;
+mod prompts;
+mod registry;
+mod stages;
+mod state;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/members.rs
@@ -0,0 +1,240 @@
+//! Members of the control group that take each other's places.
+
+use std::time::Duration;
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::consensus::{
+    DiskId, FollowerState, HardState, LogIndex, MemberChange, MemberRow, MemberSet, MessageBody, QuorumPolicy, Replica,
+    ReplicaId, ReplicaLog, ReplicaMessage, ReplicaRole, RestoredReplica, Term,
+};
+use acaciabay::ops::plan_members::{LEARNER_SILENCE, VOTER_SILENCE, plan_members};
+
+use crate::fixtures::at;
+
+fn follower(replica: u64, voter: bool, silence: Duration) -> FollowerState {
+    FollowerState {
+        replica: ReplicaId(replica),
+        voter,
+        caught_up: true,
+        silence,
+    }
+}
+
+/// Returns a group of one that leads, and the time.
+fn lone_leader(policy: QuorumPolicy) -> (Replica, BootTime) {
+    let row = MemberRow {
+        host: "h1".into(),
+        address: "10.0.0.1:1".to_owned(),
+        disk: Some(DiskId(1)),
+        voter: true,
+    };
+    let members = MemberSet::new([(ReplicaId(1), row)], ReplicaId(1));
+    let restored = RestoredReplica {
+        hard_state: HardState {
+            term: Term(1),
+            vote: None,
+        },
+        log: ReplicaLog::after_snapshot(LogIndex(1), Term(1), members),
+    };
+    let mut replica = Replica::new(at(0), ReplicaId(1), restored, 7).with_policy(policy);
+    let mut now = at(0);
+    while replica.role() != ReplicaRole::Leader {
+        now = now + Duration::from_millis(20);
+        replica.tick(now);
+    }
+    settle(&mut replica);
+    (replica, now)
+}
+
+fn settle(replica: &mut Replica) {
+    for _ in 0..3 {
+        let _output = replica.take_output();
+        replica.note_synced();
+    }
+}
+
+/// A leader of many rounds admits a host that has come with an empty disk. The host has answered nothing yet; if it
+/// counted as silent since the first round, it would be removed in the same moment, for ever.
+#[test]
+fn a_new_member_is_not_silent() {
+    let (mut replica, mut now) = lone_leader(QuorumPolicy::default());
+    for _ in 0..2_000 {
+        now = now + Duration::from_millis(20);
+        replica.tick(now);
+        settle(&mut replica);
+    }
+    let change = MemberChange::Admit {
+        host: "h2".into(),
+        address: "10.0.0.2:1".to_owned(),
+        disk: DiskId(70_000),
+    };
+    replica.change_members(change).expect("nothing else changes");
+    settle(&mut replica);
+
+    let followers = replica.followers();
+
+    assert_eq!(followers.len(), 1);
+    assert!(followers[0].silence < VOTER_SILENCE, "{followers:?}");
+    assert_eq!(plan_members(&followers, 1, 5), None);
+}
+
+/// Three replicas that hear each other, but for those that are cut off.
+struct Trio {
+    replicas: Vec<Replica>,
+    now: BootTime,
+}
+
+impl Trio {
+    fn new(policy: QuorumPolicy) -> Self {
+        let row = |number: u64| MemberRow {
+            host: format!("h{number}").as_str().into(),
+            address: format!("10.0.0.{number}:1"),
+            disk: Some(DiskId(number)),
+            voter: true,
+        };
+        let members = MemberSet::new((1..=3).map(|number| (ReplicaId(number), row(number))), ReplicaId(3));
+        let replica = |number: u64| {
+            let restored = RestoredReplica {
+                hard_state: HardState {
+                    term: Term(1),
+                    vote: None,
+                },
+                log: ReplicaLog::after_snapshot(LogIndex(1), Term(1), members.clone()),
+            };
+            Replica::new(at(0), ReplicaId(number), restored, number).with_policy(policy)
+        };
+        Self {
+            replicas: (1..=3).map(replica).collect(),
+            now: at(0),
+        }
+    }
+
+    /// Lets time pass; messages to and from the replicas in `cut` are lost.
+    fn run(&mut self, millis: u64, cut: &[ReplicaId]) {
+        for _ in 0..millis / 20 {
+            self.now = self.now + Duration::from_millis(20);
+            let mut messages = Vec::new();
+            for replica in &mut self.replicas {
+                replica.tick(self.now);
+                let output = replica.take_output();
+                replica.note_synced();
+                messages.extend(output.early_messages);
+                messages.extend(output.messages);
+            }
+            for message in messages {
+                if cut.contains(&message.to) || cut.contains(&message.from) {
+                    continue;
+                }
+                let to = self.replicas.iter_mut().find(|replica| replica.id() == message.to);
+                to.expect("there are three").step(self.now, message);
+            }
+        }
+    }
+
+    fn leader(&mut self) -> &mut Replica {
+        let leader = self
+            .replicas
+            .iter_mut()
+            .find(|replica| replica.role() == ReplicaRole::Leader);
+        leader.expect("one leads")
+    }
+}
+
+/// Two disks may be lost at once, and only three hosts have a disk so far. An entry that counted on a majority of them,
+/// two, would be gone with both, although an operator was told that it is accepted.
+#[test]
+fn an_entry_counts_only_on_as_many_disks_as_the_policy_says() {
+    let policy = QuorumPolicy {
+        copies: 3,
+        voters: Some(5),
+    };
+    let mut trio = Trio::new(policy);
+    trio.run(4_000, &[]);
+    let leader = trio.leader().id();
+    let other = ReplicaId(leader.0 % 3 + 1);
+    trio.leader()
+        .propose(bytes::Bytes::from_static(b"x"))
+        .expect("it leads");
+    let proposed = trio.leader().log().last_index();
+
+    trio.run(400, &[other]);
+    let on_two_disks = trio.leader().delivered();
+    trio.run(400, &[]);
+    let on_three_disks = trio.leader().delivered();
+
+    assert!(on_two_disks < proposed);
+    assert!(on_three_disks >= proposed);
+}
+
+/// All voters that are wanted vote, and one more host has joined. If it voted too, losses that are allowed for could
+/// leave no majority.
+#[test]
+fn no_more_vote_than_are_wanted() {
+    let policy = QuorumPolicy {
+        copies: 1,
+        voters: Some(1),
+    };
+    let (mut replica, mut now) = lone_leader(policy);
+    let change = MemberChange::Admit {
+        host: "h2".into(),
+        address: "10.0.0.2:1".to_owned(),
+        disk: DiskId(70_000),
+    };
+    let (index, learner) = replica.change_members(change).expect("nothing else changes");
+    settle(&mut replica);
+
+    for round in 0..20 {
+        now = now + Duration::from_millis(100);
+        replica.tick(now);
+        let reply = MessageBody::AppendReply {
+            accepted: true,
+            index,
+            round,
+        };
+        let message = ReplicaMessage {
+            from: learner,
+            to: replica.id(),
+            term: replica.term(),
+            body: reply,
+        };
+        replica.step(now, message);
+        settle(&mut replica);
+    }
+
+    assert!(!replica.members().is_voter(learner));
+}
+
+/// A voter is gone for good and another host waits. If it stayed a voter, the loss of one more would stop the group.
+#[test]
+fn a_substitute_takes_the_place_of_the_longest_silent_voter() {
+    let short = VOTER_SILENCE;
+    let long = VOTER_SILENCE * 2;
+    let followers = [
+        follower(2, true, short),
+        follower(3, true, long),
+        follower(4, true, Duration::ZERO),
+        follower(6, false, Duration::ZERO),
+    ];
+
+    assert_eq!(plan_members(&followers, 5, 5), Some(ReplicaId(3)));
+}
+
+/// A voter is away for a while and nobody could take its place. Removing it would bring no copy back.
+#[test]
+fn a_silent_voter_stays_without_a_substitute() {
+    let silent = follower(2, true, VOTER_SILENCE * 10);
+    let behind = FollowerState {
+        caught_up: false,
+        ..follower(6, false, Duration::ZERO)
+    };
+
+    assert_eq!(plan_members(&[silent], 5, 5), None);
+    assert_eq!(plan_members(&[silent, behind], 5, 5), None);
+}
+
+#[test]
+fn a_learner_that_is_gone_is_removed() {
+    let gone = follower(6, false, LEARNER_SILENCE);
+
+    assert_eq!(plan_members(&[gone], 5, 5), Some(ReplicaId(6)));
+}
--- /dev/null
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -0,0 +1,140 @@
+//! How many endpoints are ordered.
+
+use std::collections::BTreeMap;
+
+use acaciabay::core::name::DomainName;
+use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
+use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
+use proptest::prelude::*;
+
+use crate::fixtures::{at, domains, fixed_cases, pool};
+
+fn both(lasting: u32, reclaimable: u32) -> DomainPool {
+    DomainPool { lasting, reclaimable }
+}
+
+fn same(pool: DomainPool) -> BTreeMap<DomainName, DomainPool> {
+    domains(&["a", "b", "c"])
+        .into_iter()
+        .map(|domain| (domain, pool))
+        .collect()
+}
+
+fn busy(present: DomainPool, needed: u32, serving: u32) -> PoolView {
+    PoolView {
+        present: same(present),
+        needed,
+        serving,
+        may_shrink: true,
+        may_give_back: true,
+        ..PoolView::default()
+    }
+}
+
+/// Without a price that makes it worthwhile, nothing that can be taken away is ordered.
+#[test]
+fn endpoints_last_where_others_are_not_cheaper() {
+    let wanted = plan_pool(&pool(6, None), &domains(&["a", "b", "c"]), 10);
+
+    let lasting: Vec<u32> = wanted.values().map(|pool| pool.lasting).collect();
+    assert_eq!(lasting, [3, 4, 3]);
+    assert!(wanted.values().all(|pool| pool.reclaimable == 0));
+}
+
+/// Which endpoints the platform takes back is its choice, and may be all that make tokens. Given back in all domains at
+/// once while calls come, callers would find no engine until others have changed their stage.
+#[test]
+fn lasting_endpoints_are_given_back_one_domain_at_a_time() {
+    let view = busy(both(3, 3), 9, 18);
+
+    let changes = plan_pool_changes(&pool(6, Some(0.2)), &same(both(1, 3)), &view);
+
+    assert_eq!(changes.iter().filter(|change| change.gives_back).count(), 1);
+}
+
+#[test]
+fn nothing_is_given_back_while_the_work_needs_it() {
+    let view = busy(both(3, 0), 9, 9);
+
+    let changes = plan_pool_changes(&pool(6, Some(0.2)), &same(both(1, 3)), &view);
+
+    assert!(changes.iter().all(|change| change.reclaimable && change.desired == 3));
+}
+
+/// Before the first call nobody is served, and all are given back at once, provided that the platform has agreed to what
+/// takes their place.
+#[test]
+fn an_idle_system_gives_back_at_once() {
+    let idle = PoolView {
+        is_idle: true,
+        ..busy(both(3, 0), 9, 9)
+    };
+    let agreed = PoolView {
+        agreed: domains(&["a", "b", "c"])
+            .into_iter()
+            .map(|domain| (domain, 3))
+            .collect(),
+        ..idle.clone()
+    };
+    let given_back = |view: &PoolView| {
+        let changes = plan_pool_changes(&pool(6, Some(0.2)), &same(both(1, 3)), view);
+        changes.iter().filter(|change| change.gives_back).count()
+    };
+
+    assert_eq!(given_back(&idle), 0);
+    assert_eq!(given_back(&agreed), 3);
+}
+
+#[test]
+fn the_need_rises_at_once_and_falls_late() {
+    let mut need = ReadingNeed::default();
+    need.start_with(9, true);
+    let measure = |tokens| ReadingMeasure {
+        unread_tokens: tokens,
+        pace: 0.02,
+    };
+    need.measure(at(0), measure(0), 2);
+    need.measure(at(500), measure(200_000), 2);
+    let risen = need.needed();
+
+    need.measure(at(1_000), measure(0), 2);
+    let after_a_pause = need.needed();
+    for second in 2..40 {
+        need.measure(at(second * 1_000), measure(0), 2);
+    }
+
+    assert!(risen > 9, "{risen}");
+    assert_eq!(after_a_pause, risen);
+    assert!(need.needed() < 5, "{}", need.needed());
+}
+
+#[test]
+fn what_operators_start_with_is_taken_for_the_need_with_a_reserve() {
+    let mut need = ReadingNeed::default();
+
+    need.start_with(9, true);
+    need.start_with(14, true);
+
+    assert_eq!(need.needed(), 14);
+    assert!(!need.is_measured());
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// The platform takes back all reclaimable endpoints of any one domain, and what is left does the work, as far as the
+    /// limits allow; no domain exceeds them.
+    #[test]
+    fn the_loss_of_one_domain_leaves_what_is_needed(needed in 0_u32..60, most in 2_u32..20) {
+        let names = domains(&["a", "b", "c"]);
+        let spec = pool(most, Some(0.2));
+        let wanted = plan_pool(&spec, &names, needed);
+        let total: u32 = wanted.values().map(|pool| pool.total()).sum();
+        for pool in wanted.values() {
+            prop_assert!(pool.total() <= most);
+            prop_assert!(pool.lasting >= 1);
+            let is_full = pool.total() == most;
+            prop_assert!(is_full || total - pool.reclaimable >= needed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/tests/serving/prompts.rs
@@ -0,0 +1,46 @@
+//! Which parts of prompts an endpoint is believed to keep.
+
+use acaciabay::core::serving::part_memory::PartMemory;
+use acaciabay::core::serving::prompt::PartId;
+use proptest::prelude::*;
+
+use crate::fixtures::{fixed_cases, part, prompt};
+
+#[test]
+fn only_the_parts_from_the_first_on_are_kept() {
+    let mut memory = PartMemory::default();
+    memory.note_read(&[part(2, 100), part(3, 100)], 1_000);
+
+    assert_eq!(memory.kept_tokens(&[part(1, 100), part(2, 100)]), 0);
+    assert_eq!(memory.kept_tokens(&[part(2, 100), part(1, 100), part(3, 100)]), 100);
+}
+
+#[test]
+fn requests_with_the_same_shared_parts_have_the_same_affinity() {
+    assert_eq!(prompt(7, 1).affinity(), Some(PartId(7)));
+    assert_eq!(prompt(7, 2).affinity(), Some(PartId(7)));
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// The memory holds what a list of uses would: the latest ones that fit.
+    #[test]
+    fn the_longest_unused_parts_go_first(uses in prop::collection::vec((0_u64..8, 1_u64..50), 1..60)) {
+        const CAPACITY: u64 = 120;
+        let mut memory = PartMemory::default();
+        let mut list: Vec<(u64, u64)> = Vec::new();
+        for (id, tokens) in uses {
+            memory.note_read(&[part(id, tokens)], CAPACITY);
+            list.retain(|known| known.0 != id);
+            list.push((id, tokens));
+            while list.iter().map(|known| known.1).sum::<u64>() > CAPACITY {
+                list.remove(0);
+            }
+        }
+        prop_assert_eq!(memory.tokens(), list.iter().map(|known| known.1).sum::<u64>());
+        for (id, tokens) in list {
+            prop_assert_eq!(memory.kept_tokens(&[part(id, tokens)]), tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -0,0 +1,126 @@
+//! Which engines read and which make tokens.
+
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
+use acaciabay::ops::plan_stages::{plan_stages, wanted_decoders};
+use proptest::prelude::*;
+
+use crate::fixtures::{at, engine, fixed_cases, name, numbered};
+
+type Rows = Vec<(EndpointName, ServingEndpoint)>;
+
+fn row(number: u8, domain: &str, stage: EngineStage, reclaimable: bool) -> (EndpointName, ServingEndpoint) {
+    let endpoint = ServingEndpoint {
+        reclaimable,
+        ..numbered(number, domain, stage)
+    };
+    (name(&format!("e{number}")), endpoint)
+}
+
+fn plan(rows: &Rows, wanted: usize) -> Vec<(String, EngineStage)> {
+    let engines: Vec<_> = rows.iter().map(|(name, endpoint)| (name, endpoint)).collect();
+    let changes = plan_stages(&engines, wanted).into_iter();
+    changes
+        .map(|change| (change.endpoint.to_string(), change.stage))
+        .collect()
+}
+
+fn demand(streams: f64) -> StreamDemand {
+    StreamDemand {
+        streams,
+        held_tokens: 0.0,
+    }
+}
+
+#[test]
+fn streams_decide_how_many_engines_make_tokens() {
+    assert_eq!(wanted_decoders(9, 1, &engine(), &demand(0.0)), 2);
+    assert_eq!(wanted_decoders(9, 1, &engine(), &demand(100.0)), 4);
+    assert_eq!(wanted_decoders(9, 1, &engine(), &demand(1_000.0)), 7);
+    assert_eq!(wanted_decoders(1, 1, &engine(), &demand(0.0)), 1);
+    assert_eq!(wanted_decoders(12, 3, &engine(), &demand(0.0)), 3);
+}
+
+/// Engines of a service are replaced by new ones that all make tokens. If that stayed, the few that read would have all
+/// prompts waiting before them.
+#[test]
+fn surplus_makers_become_readers_where_there_are_most() {
+    let rows = vec![
+        row(1, "a", EngineStage::Decode, false),
+        row(2, "a", EngineStage::Decode, false),
+        row(3, "b", EngineStage::Decode, false),
+        row(4, "b", EngineStage::Prefill, false),
+    ];
+
+    let changes = plan(&rows, 2);
+
+    assert_eq!(changes.len(), 1);
+    assert!(["e1", "e2"].contains(&changes[0].0.as_str()));
+    assert_eq!(changes[0].1, EngineStage::Prefill);
+}
+
+/// The engine that makes the tokens may be taken away at short notice, with every stream on it, while one that stays
+/// reads prompts. The one that stays is changed first, and the other goes on until then.
+#[test]
+fn lasting_engines_make_the_tokens() {
+    let rows = vec![
+        row(1, "a", EngineStage::Decode, true),
+        row(2, "b", EngineStage::Prefill, false),
+        row(3, "a", EngineStage::Prefill, true),
+    ];
+
+    assert_eq!(plan(&rows, 1), [("e2".to_owned(), EngineStage::Decode)]);
+}
+
+/// Streams come in bursts. If the engines followed each of them, they would be changing their stage for most of the time.
+#[test]
+fn a_peak_fades_slowly() {
+    let mut peak = StreamPeak::default();
+    peak.see(at(0), demand(100.0));
+
+    peak.see(at(2_000), demand(1.0));
+    assert!(peak.demand().streams > 80.0);
+
+    peak.see(at(40_000), demand(1.0));
+    assert!(peak.demand().streams < 3.0);
+}
+
+fn rows_strategy() -> impl Strategy<Value = Rows> {
+    let stage = prop_oneof![Just(EngineStage::Prefill), Just(EngineStage::Decode)];
+    prop::collection::vec((0_usize..3, stage, any::<bool>()), 2..14).prop_map(|engines| {
+        let domains = ["a", "b", "c"];
+        let rows = engines.into_iter().zip(1_u8..);
+        rows.map(|((domain, stage, reclaimable), number)| row(number, domains[domain], stage, reclaimable))
+            .collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// Carried out again and again, plans come to rest at the wanted number, and never take the last maker away before
+    /// another one makes tokens.
+    #[test]
+    fn plans_come_to_rest(mut rows in rows_strategy(), wanted in 1_usize..4) {
+        let wanted = wanted.min(rows.len() - 1);
+        let makers = |rows: &Rows| rows.iter().filter(|row| row.1.stage == Some(EngineStage::Decode)).count();
+        let mut rounds = 0;
+        loop {
+            let before = makers(&rows);
+            let changes = plan(&rows, wanted);
+            if changes.is_empty() {
+                break;
+            }
+            let leaving = changes.iter().filter(|change| change.1 == EngineStage::Prefill).count();
+            prop_assert!(before - leaving >= before.min(wanted));
+            for (name, stage) in changes {
+                let changed = rows.iter_mut().find(|row| row.0.as_str() == name).expect("it was planned");
+                changed.1.stage = Some(stage);
+            }
+            rounds += 1;
+            prop_assert!(rounds < 10, "plans go on for ever");
+        }
+        prop_assert_eq!(makers(&rows), wanted);
+    }
+}
