--- a/crates/acaciabay/tests/serving/config.rs
+++ b/crates/acaciabay/tests/serving/config.rs
@@ -127,7 +127,7 @@
             places.extend(std::iter::repeat_n(name, usize::try_from(*weight).expect("weights are small")));
         }
         let expected = places[usize::try_from(draw % total).expect("totals are small")];
-        prop_assert_eq!(split.pick_service(draw).map(|service| service.as_str()), Some(expected));
+        prop_assert_eq!(split.pick_service(draw).map(acaciabay::core::name::ServiceName::as_str), Some(expected));
     }
 
     /// Finding a route by the ends of the path agrees with looking at every route.
--- a/crates/acaciabay/tests/serving/fixtures.rs
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -24,7 +24,7 @@
 }
 
 pub(crate) fn domains(names: &[&str]) -> Vec<DomainName> {
-    names.iter().map(|name| DomainName::new(name)).collect()
+    names.iter().map(DomainName::new).collect()
 }
 
 pub(crate) fn endpoint(domain: &str) -> ServingEndpoint {
