--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_runtime::clock::boot_now;
+use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
-    RenewServing, ReplicaAddresses, ServingElsewhere, ServingFrame, ServingHello, ServingRenewed, serving_renewed,
+    RenewServing, ReplicaAddresses, ServingElsewhere, ServingFrame, ServingHello, ServingRenewed, SignOfLife,
+    serving_renewed,
 };
-use acacia_wire::generated::state::{Nothing, WindowCounts};
+use acacia_wire::generated::state::WindowCounts;
 use acacia_wire::{FrameReader, FrameWriter, counts_from_wire, patch_between, use_from_wire, use_to_wire};
 use acaciabay::core::name::HostName;
 use acaciabay::core::serving::config::ConfigNumber;
@@ -20,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::hub::{EntryPresence, ServingHub};
 
@@ -71,11 +73,17 @@
 }
 
 async fn write_frames(mut writer: FrameWriter<TcpStream>, mut waiting: mpsc::Receiver<Body>) -> std::io::Result<()> {
+    let mut next_sign = Instant::now();
     loop {
-        let body = match tokio::time::timeout(ALIVE_INTERVAL, waiting.recv()).await {
+        let body = match tokio::time::timeout_at(next_sign, waiting.recv()).await {
             Ok(Some(body)) => body,
             Ok(None) => return Ok(()),
-            Err(_elapsed) => Body::Alive(Nothing {}),
+            Err(_elapsed) => {
+                next_sign = Instant::now() + ALIVE_INTERVAL;
+                Body::Alive(SignOfLife {
+                    wall_ms: wall_nanos() / 1_000_000,
+                })
+            }
         };
         writer.feed(serving_frame(body)).await?;
         while let Ok(body) = waiting.try_recv() {
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -161,11 +161,16 @@
     Ok((Arc::new(hub), driver))
 }
 
+/// The number of replicas that vote where there are so many hosts, even if fewer losses are to be borne: a whole failure
+/// domain may go with the two of its hosts.
+const LEAST_VOTERS: usize = 5;
+
 /// An entry is on one disk more than may be lost, and enough replicas vote that a majority outlives the losses.
 const fn policy_for(tolerated_losses: usize) -> QuorumPolicy {
+    let needed = 2 * tolerated_losses + 1;
     QuorumPolicy {
         copies: tolerated_losses + 1,
-        voters: Some(2 * tolerated_losses + 1),
+        voters: Some(if needed > LEAST_VOTERS { needed } else { LEAST_VOTERS }),
     }
 }
 
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -102,15 +102,19 @@
 ) -> Result<OpenCall, RefusedCall> {
     let (parts, body) = request.into_parts();
     let index = shared.view().index.clone();
+    let largest_head = index
+        .as_ref()
+        .map_or(usize::MAX, |index| index.config().bounds.head_bytes);
+    let head = shared.codec.read_head(&parts, largest_head);
     let Some(index) = index.filter(|_| shared.may_serve(received_at)) else {
-        return Err((None, not_run("no lease", lease_wait(shared.without_lease(received_at)))));
+        let wait = lease_wait(shared.without_lease(received_at));
+        return Err((head.ok(), not_run("no lease", wait)));
     };
-    let bounds = index.config().bounds;
-    let head = shared.codec.read_head(&parts, bounds.head_bytes);
     let head = head.map_err(|fault| match fault {
         HeadFault::Malformed(reason) => (None, CallRefusal::BadHead(reason)),
         HeadFault::TooLarge => (None, CallRefusal::HeadTooLarge),
     })?;
+    let bounds = index.config().bounds;
     let admitted = match index.admit(&head.host, &head.path, head.key.as_deref()) {
         Ok(admitted) => admitted,
         Err(AccessRefusal::NoRoute) => return Err((Some(head), CallRefusal::NoRoute)),
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -115,6 +115,7 @@
         loop {
             let ended = self.use_session(address, &mut was_open).await;
             self.leader.lock().take_if(|leader| *leader == address);
+            self.shared.view().clock.forget(&address);
             if std::mem::take(&mut was_open) {
                 slog::warn!(self.shared.log, "session with a replica lost"; "event" => event::CONTROL_LOST,
                     "replica" => %address, "reason" => ended.err().map(|error| error.to_string()));
@@ -265,7 +266,7 @@
                     });
                     self.shared.view().loads.hear_resting(engines);
                 }
-                Body::Alive(_) => {}
+                Body::Alive(sign) => self.shared.view().clock.hear(boot_now(), address, sign.wall_ms),
                 Body::Renew(_) => return Err(std::io::ErrorKind::InvalidData.into()),
             }
         }
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -100,7 +100,10 @@
         };
         let left = call.until.since(now);
         if place.wait >= left {
-            return Err(not_run("prompt cannot be read in time", place.wait.min(left)));
+            return Err(not_run(
+                "prompt cannot be read in time",
+                place.wait.clamp(SOON, SOON.max(left)),
+            ));
         }
         let counts = repeated || !tried.is_empty();
         if counts && !call.shared.spend_send(now, &call.service) {
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -14,6 +14,7 @@
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
@@ -61,6 +62,7 @@
     pub(super) loads: LoadTable,
     pub(super) entries: u32,
     pub(super) starts: StartCounts,
+    pub(super) clock: GroupClock,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     budgets: HashMap<ServiceName, SendBudget>,
 }
@@ -226,8 +228,12 @@
         let length = u64::try_from(self.settings.usage_window.as_millis())
             .unwrap_or(u64::MAX)
             .max(1);
-        let window = WindowNumber::at(wall_nanos() / 1_000_000, length);
         let mut view = self.view();
+        let wall_millis = view
+            .clock
+            .wall_millis(boot_now())
+            .unwrap_or_else(|| wall_nanos() / 1_000_000);
+        let window = WindowNumber::at(wall_millis, length);
         view.starts.count(window, customer);
         view.starts
             .forget_before(WindowNumber(window.0.saturating_sub(KEPT_WINDOWS)));
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -6,6 +6,7 @@
 //! * [`endpoint_load`] is the work that every endpoint still has before it.
 //! * [`event_stream`] cuts an answer into whole events.
 //! * [`stream_peak`] remembers how many streams ran at once.
+//! * [`group_clock`] is the wall clock that most replicas agree on.
 //! * [`start_counts`] counts the calls that began, by window and customer.
 //! * [`reading_need`] says how many endpoints reading takes.
 //! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
@@ -18,6 +19,7 @@
 pub mod endpoint_load;
 pub mod endpoint_registry;
 pub mod event_stream;
+pub mod group_clock;
 pub mod part_memory;
 pub mod prompt;
 pub mod reading_need;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/clock.rs
@@ -0,0 +1,37 @@
+//! The wall clock that most replicas agree on.
+
+use std::net::SocketAddr;
+
+use acaciabay::core::serving::group_clock::GroupClock;
+
+use crate::fixtures::at;
+
+fn replica(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 1))
+}
+
+/// The wall clock of one replica jumps by two seconds. Believed, it would move calls into another window, and both windows
+/// would be billed wrongly.
+#[test]
+fn one_clock_that_jumps_changes_nothing() {
+    let mut clock = GroupClock::default();
+    for number in 1..=3 {
+        clock.hear(at(1_000), replica(number), 50_000);
+    }
+
+    clock.hear(at(2_000), replica(1), 53_000);
+
+    assert_eq!(clock.wall_millis(at(2_000)), Some(51_000));
+}
+
+#[test]
+fn two_clocks_that_disagree_are_not_believed() {
+    let mut clock = GroupClock::default();
+    clock.hear(at(0), replica(1), 50_000);
+    clock.hear(at(0), replica(2), 52_000);
+    clock.hear(at(0), replica(3), 50_000);
+
+    clock.forget(&replica(3));
+
+    assert_eq!(clock.wall_millis(at(0)), None);
+}
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Serving by host and path: each decision against what it has to come to, and against naive versions.
 
 mod budget;
+mod clock;
 mod config;
 mod counts;
 mod events;
