Let engines rest until they report what was ordered

Ruled out: lapsed handles (the refusals come within 50 ms, from 12 engines in the seconds after their orders). Change: an engine rests until it reports the stage that was ordered, at most 8 s longer than the change takes; entries are told which stage that is, so that they see it themselves. The test failed before (it did not build: the stage was not told).

--- a/crates/acacia-control/src/serving/engine_orders.rs
+++ b/crates/acacia-control/src/serving/engine_orders.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::generated::serving::RestingEngine;
+use acacia_wire::stage_to_wire;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
@@ -19,8 +20,9 @@
 
 /// How long an order without an answer may still be carried out; nothing else is ordered of that engine meanwhile.
 const DOUBT_TIME: Duration = Duration::from_secs(14);
-/// How long an engine that has accepted an order may report its earlier stage, beside the time of the change itself.
-const REPORT_DELAY: Duration = Duration::from_secs(3);
+/// How long an engine that has accepted an order may report its earlier stage, beside the time of the change itself: it
+/// first finishes what runs, which takes as long as the longest answer.
+const FINISHING_TIME: Duration = Duration::from_secs(8);
 /// How long the order itself and the work that is under way at the engine take before the change begins.
 const STEP_TIME: Duration = Duration::from_millis(500);
 /// How long to wait before an engine that has refused is ordered again.
@@ -53,7 +55,7 @@
                 .find(|(known, _)| known == name)
                 .map(|(_, endpoint)| endpoint);
             let shows = reported.is_some_and(|endpoint| endpoint.stage == Some(order.stage));
-            now < order.until && !(shows && now >= order.rests_until)
+            now < order.until && !shows
         });
         open.len() < before
     }
@@ -87,6 +89,7 @@
             name: name.to_string(),
             birth: order.birth.0,
             left_ms: u64::try_from(order.rests_until.since(now).as_millis()).unwrap_or(u64::MAX),
+            stage: stage_to_wire(order.stage).into(),
         });
         rows.collect()
     }
@@ -108,13 +111,14 @@
         let (change, address) = (change.clone(), endpoint.address);
         tokio::spawn(async move {
             let until = match send(&turn, &change, address).await {
-                OrderOutcome::Accepted => boot_now() + switch + REPORT_DELAY,
+                OrderOutcome::Accepted => boot_now() + switch + FINISHING_TIME,
                 OrderOutcome::Refused => boot_now() + REFUSED_PAUSE,
                 OrderOutcome::Open => return,
             };
             if let Some(order) = open.lock().get_mut(&change.endpoint) {
                 order.until = until;
-                order.rests_until = order.rests_until.min(until);
+                // It rests until it reports the new stage, however long it takes to finish what runs.
+                order.rests_until = until;
             }
         });
     }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -14,15 +14,18 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
-    EndpointNews, RenewServing, ServiceDemand, ServingFrame, ServingHello, ServingRenewed, serving_renewed,
+    EndpointNews, RenewServing, RestingEngine, ServiceDemand, ServingFrame, ServingHello, ServingRenewed,
+    serving_renewed,
 };
 use acacia_wire::{
-    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, split_frames, use_from_wire, use_to_wire,
+    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, split_frames, stage_from_wire,
+    use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
+use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, ReportEffect};
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -260,10 +263,10 @@
                 }
                 Body::Resting(resting) => {
                     let now = boot_now();
-                    let engines = resting.engines.into_iter().map(|engine| {
-                        let until = now + Duration::from_millis(engine.left_ms);
-                        (EndpointName::new(engine.name), EndpointBirth(engine.birth), until)
-                    });
+                    let engines = resting
+                        .engines
+                        .iter()
+                        .filter_map(|engine| resting_from_wire(now, engine));
                     self.shared.view().loads.hear_resting(engines);
                 }
                 Body::Alive(sign) => self.shared.view().clock.hear(boot_now(), address, sign.wall_ms),
@@ -350,6 +353,15 @@
     }
 }
 
+fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, RestingOrder)> {
+    let order = RestingOrder {
+        birth: EndpointBirth(engine.birth),
+        stage: stage_from_wire(engine.stage())?,
+        until: now + Duration::from_millis(engine.left_ms),
+    };
+    Some((EndpointName::new(&engine.name), order))
+}
+
 #[derive(Clone, Copy, Debug)]
 struct AskedRenewal {
     number: u64,
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -54,11 +54,7 @@
         EndpointPhase::Draining => serving::EndpointPhase::Draining,
         EndpointPhase::Gone => serving::EndpointPhase::Gone,
     };
-    let stage = match endpoint.stage {
-        None => serving::EngineStage::Unspecified,
-        Some(EngineStage::Prefill) => serving::EngineStage::Prefill,
-        Some(EngineStage::Decode) => serving::EngineStage::Decode,
-    };
+    let stage = endpoint.stage.map_or(serving::EngineStage::Unspecified, stage_to_wire);
     serving::EndpointRow {
         name: name.to_string(),
         service: endpoint.service.to_string(),
@@ -85,11 +81,7 @@
         serving::EndpointPhase::Gone => EndpointPhase::Gone,
         serving::EndpointPhase::Unspecified => return Err(WireError::missing("phase")),
     };
-    let stage = match message.stage() {
-        serving::EngineStage::Unspecified => None,
-        serving::EngineStage::Prefill => Some(EngineStage::Prefill),
-        serving::EngineStage::Decode => Some(EngineStage::Decode),
-    };
+    let stage = stage_from_wire(message.stage());
     let address = message.address.parse();
     let endpoint = ServingEndpoint {
         service: message.service.as_str().into(),
@@ -105,6 +97,23 @@
     Ok((message.name.as_str().into(), endpoint))
 }
 
+/// Encodes a stage.
+pub const fn stage_to_wire(stage: EngineStage) -> serving::EngineStage {
+    match stage {
+        EngineStage::Prefill => serving::EngineStage::Prefill,
+        EngineStage::Decode => serving::EngineStage::Decode,
+    }
+}
+
+/// Decodes a stage; nothing for an endpoint that runs no models.
+pub const fn stage_from_wire(stage: serving::EngineStage) -> Option<EngineStage> {
+    match stage {
+        serving::EngineStage::Unspecified => None,
+        serving::EngineStage::Prefill => Some(EngineStage::Prefill),
+        serving::EngineStage::Decode => Some(EngineStage::Decode),
+    }
+}
+
 /// Encodes work at an endpoint.
 pub fn use_to_wire(name: &EndpointName, work: EndpointWork) -> serving::EndpointUse {
     serving::EndpointUse {
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::endpoint_registry::{EndpointBirth, ServingEndpoint};
+use super::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
 use super::part_memory::PartMemory;
 use super::prompt::PromptPart;
 use crate::core::clock::BootTime;
@@ -55,6 +55,17 @@
 /// Prompts with fewer tokens say more about the network than about the engine.
 const LEAST_MEASURED: u64 = 1_000;
 
+/// An order that an engine is carrying out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestingOrder {
+    /// Which start of the engine it was given to.
+    pub birth: EndpointBirth,
+    /// What the engine reports once it is done.
+    pub stage: EngineStage,
+    /// When it is done at the latest.
+    pub until: BootTime,
+}
+
 #[derive(Clone, Debug, Default)]
 struct LoadRow {
     own: EndpointWork,
@@ -62,7 +73,7 @@
     memory: PartMemory,
     failures: u32,
     suspected_until: BootTime,
-    resting: Option<(EndpointBirth, BootTime)>,
+    resting: Option<RestingOrder>,
     pace: Option<f64>,
 }
 
@@ -171,20 +182,23 @@
         self.rows.get(name).is_some_and(|row| now < row.suspected_until)
     }
 
-    /// Takes over which engines carry out an order, each with its birth and until when.
-    pub fn hear_resting(&mut self, engines: impl IntoIterator<Item = (EndpointName, EndpointBirth, BootTime)>) {
+    /// Takes over which engines carry out an order.
+    pub fn hear_resting(&mut self, engines: impl IntoIterator<Item = (EndpointName, RestingOrder)>) {
         for row in self.rows.values_mut() {
             row.resting = None;
         }
-        for (name, birth, until) in engines {
-            self.row(&name).resting = Some((birth, until));
+        for (name, order) in engines {
+            self.row(&name).resting = Some(order);
         }
     }
 
-    /// Tells whether an engine carries out an order and takes no calls meanwhile.
+    /// Tells whether an engine carries out an order and takes no calls meanwhile. It has carried it out once it reports
+    /// the stage that was ordered.
     pub fn is_resting(&self, now: BootTime, name: &EndpointName, endpoint: &ServingEndpoint) -> bool {
         let resting = self.rows.get(name).and_then(|row| row.resting);
-        resting.is_some_and(|(birth, until)| birth == endpoint.birth && now < until)
+        resting.is_some_and(|order| {
+            order.birth == endpoint.birth && now < order.until && endpoint.stage != Some(order.stage)
+        })
     }
 
     /// Forgets endpoints that are not in use any more.
--- a/crates/acaciabay/tests/serving/placement.rs
+++ b/crates/acaciabay/tests/serving/placement.rs
@@ -1,8 +1,8 @@
 //! Where calls go.
 
 use acaciabay::core::name::{DomainName, EndpointName};
-use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
-use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable, RestingOrder};
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
 use acaciabay::ops::place_call::{PlacementView, place_plain, place_prompt, place_stream};
 use proptest::prelude::*;
 
@@ -113,6 +113,31 @@
     assert_ne!(near(&loads), Some(name("e2")));
 }
 
+/// An engine is ordered to read prompts and first finishes what runs, for longer than the change itself takes. Sent there
+/// by its last report, calls would be turned away until the next one.
+#[test]
+fn an_engine_rests_until_it_reports_what_was_ordered() {
+    let mut loads = LoadTable::default();
+    let making = numbered(1, "a", EngineStage::Decode);
+    let reading = numbered(1, "a", EngineStage::Prefill);
+    let order = RestingOrder {
+        birth: making.birth,
+        stage: EngineStage::Prefill,
+        until: at(11_000),
+    };
+
+    loads.hear_resting([(name("e"), order)]);
+
+    assert!(loads.is_resting(at(5_000), &name("e"), &making));
+    assert!(!loads.is_resting(at(5_000), &name("e"), &reading));
+    assert!(!loads.is_resting(at(11_000), &name("e"), &making));
+    let restarted = ServingEndpoint {
+        birth: EndpointBirth(2_000),
+        ..making
+    };
+    assert!(!loads.is_resting(at(5_000), &name("e"), &restarted));
+}
+
 #[test]
 fn what_is_done_is_no_load() {
     let mut loads = LoadTable::default();
