Let a usage window wait for entries that are cut off

A sixth of the edge machines had been cut off for 5.5 s at its end, and it was fixed 3.5 s after its end, while they were still away. Change: `ops/plan_windows`, free of I/O: a window is fixed early only if every live entry has reported since it ended, otherwise at 0.7 of the time until it is due. Its tests failed on the rule before (a window waits for an entry that is cut off).

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -69,6 +69,13 @@
         self.entries.len()
     }
 
+    /// Returns for how long the entry that was heard least lately has not reported.
+    pub(super) fn longest_silence(&mut self, now: BootTime) -> Duration {
+        self.live_entries(now);
+        let silences = self.entries.values().map(|row| now.since(row.heard_at));
+        silences.max().unwrap_or_default()
+    }
+
     /// Returns what all entries but one have at the endpoints.
     pub(super) fn uses_beside(&self, host: Option<&HostName>) -> BTreeMap<EndpointName, EndpointWork> {
         let mut sums: BTreeMap<EndpointName, EndpointWork> = BTreeMap::new();
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -8,19 +8,15 @@
 use acaciabay::core::control_state::ControlCommand;
 use acaciabay::core::serving::serving_state::ServingCommand;
 use acaciabay::core::serving::start_counts::{CustomerCounts, WindowNumber};
+use acaciabay::ops::plan_windows::{WindowClock, plan_windows};
 use hyper::StatusCode;
 use tokio::sync::oneshot;
 
 use super::duties::{DutyTurn, OwnedTurn};
 use super::hub::ServingHub;
 
-/// Which part of the time until a window is due its counts may still arrive; the rest is for sending it again.
-const GATHERING_PART: f64 = 0.35;
 /// How long to wait before a window is sent again.
 const RESEND_PAUSE: Duration = Duration::from_millis(500);
-/// Windows that are further behind than this were due long ago; a group that starts over does not report them.
-const MOST_BEHIND: u64 = 12;
-
 /// The windows of one holder.
 #[derive(Debug, Default)]
 pub(super) struct UsageWindows {
@@ -91,16 +87,14 @@
 }
 
 async fn seal_ended(hub: &ServingHub) {
-    let length = window_millis(hub);
-    let wall_millis = wall_nanos() / 1_000_000;
-    let gathering = hub.settings.usage_due.mul_f64(GATHERING_PART);
-    let ripe_millis = wall_millis.saturating_sub(u64::try_from(gathering.as_millis()).unwrap_or(u64::MAX));
-    // The window that contains the ripe moment has not ended by then; the one before it has.
-    let last_ripe = WindowNumber::at(ripe_millis, length).0.saturating_sub(1);
-    let last_sealed = hub.group.read().serving.last_sealed.0;
-    let first = if last_sealed == 0 { last_ripe } else { last_sealed + 1 };
-    for window in first.max(last_ripe.saturating_sub(MOST_BEHIND))..=last_ripe {
-        let window = WindowNumber(window);
+    let clock = WindowClock {
+        wall_millis: wall_nanos() / 1_000_000,
+        length_millis: window_millis(hub),
+        due: hub.settings.usage_due,
+    };
+    let last_sealed = hub.group.read().serving.last_sealed;
+    let silence = hub.soft().longest_silence(boot_now());
+    for window in plan_windows(&clock, last_sealed, silence) {
         let command = ServingCommand::SealStarts { window };
         if hub.group.propose(ControlCommand::Serving(command)).await.is_err() {
             return;
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -8,4 +8,5 @@
 pub mod plan_members;
 pub mod plan_pool;
 pub mod plan_stages;
+pub mod plan_windows;
 pub mod route_request;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -13,3 +13,4 @@
 mod registry;
 mod stages;
 mod state;
+mod windows;
