Split the driver by job and remove twins

Change: `driver/members` and `driver/space`, one `spawn_driver`, one `member_rows`; the unused functions are gone. No behaviour concerned.

--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -32,7 +32,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::driver::{DriverParts, GroupDriver};
+use crate::driver::{DriverParts, GroupDriver, spawn_driver};
 use crate::group::{GroupHandle, GroupInput, GroupShared};
 use crate::joining::await_identity;
 use crate::leader_tasks::run_leader_tasks;
@@ -337,18 +337,6 @@
     }
 }
 
-/// Runs the driver on a thread; when it fails, the whole process is told to stop.
-fn spawn_driver(driver: GroupDriver, stop: CancellationToken, log: Logger) -> JoinHandle<anyhow::Result<()>> {
-    tokio::task::spawn_blocking(move || {
-        let outcome = driver.run();
-        if let Err(error) = &outcome {
-            slog::error!(log, "replica stops"; "event" => event::FATAL, "error" => format!("{error:#}"));
-        }
-        stop.cancel();
-        outcome
-    })
-}
-
 fn serve(
     control: &Arc<Control>,
     token: ContentDigest,
--- /dev/null
+++ b/crates/acacia-control/src/driver/members.rs
@@ -0,0 +1,115 @@
+//! Hosts that ask for their place in the group, and voters that give theirs up.
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::consensus::{DiskId, MemberChange, MemberRefusal, ReplicaId, ReplicaRole};
+use acaciabay::core::name::HostName;
+use acaciabay::ops::plan_members::plan_members;
+use tokio::sync::oneshot;
+
+use super::GroupDriver;
+use crate::group::{JoinAnswer, JoinCall};
+
+impl GroupDriver {
+    /// Binds a member to the data folder that its host has come with, or says why not.
+    pub(super) fn identify(
+        &mut self,
+        host: &HostName,
+        disk: DiskId,
+        answer: oneshot::Sender<Result<ReplicaId, String>>,
+    ) {
+        let found = self.replica.members().on_host(host).map(|(id, row)| (id, row.disk));
+        let refusal = match found {
+            _ if self.replica.role() != ReplicaRole::Leader => String::new(),
+            None => format!("host `{host}` is not a member; run `acacia members add`"),
+            Some((id, Some(bound))) if bound == disk => {
+                let _gave_up = answer.send(Ok(id));
+                return;
+            }
+            Some((_, Some(_))) => {
+                format!("host `{host}` is bound to another data folder; run `acacia members replace`")
+            }
+            Some((replica, None)) => match self.replica.change_members(MemberChange::Bind { replica, disk }) {
+                Ok((index, _)) => {
+                    // Answered once it is committed: before that, another leader may bind another folder.
+                    self.identifies.insert(index, (replica, answer));
+                    return;
+                }
+                Err(refusal) => describe_refusal(&refusal),
+            },
+        };
+        let _gave_up = answer.send(Err(refusal));
+    }
+
+    /// Brings a host that asks for its place one step nearer to it; the host asks until it has it.
+    ///
+    /// A host whose folder is not the one that its member is bound to has lost its disk. Its member is removed first:
+    /// under its old number it would confirm entries that it has forgotten.
+    pub(super) fn answer_join(&mut self, request: JoinCall) -> JoinAnswer {
+        if !self.replica.may_act(boot_now()) {
+            return JoinAnswer::Elsewhere(self.not_leading());
+        }
+        if self.replica.is_changing() {
+            return JoinAnswer::Open;
+        }
+        let JoinCall {
+            host,
+            address,
+            disk,
+            replica,
+        } = request;
+        if let Some(replica) = replica {
+            let row = self.replica.members().get(replica);
+            return match row {
+                Some(row) if row.disk == Some(disk) => JoinAnswer::Member(replica),
+                Some(_) | None => JoinAnswer::Removed,
+            };
+        }
+        let found = self.replica.members().on_host(&host).map(|(id, row)| (id, row.disk));
+        let change = match found {
+            Some((id, Some(bound))) if bound == disk => return JoinAnswer::Member(id),
+            Some((replica, _)) => MemberChange::Remove { replica },
+            None => MemberChange::Admit { host, address, disk },
+        };
+        self.change_members(change, "a host asked for its place");
+        JoinAnswer::Open
+    }
+
+    /// Removes a voter that is silent while another member could take its place.
+    pub(super) fn replace_silent_voter(&mut self) {
+        let Some(wanted) = self.policy.voters else { return };
+        if self.replica.is_changing() || !self.replica.may_act(boot_now()) {
+            return;
+        }
+        let voters = self.replica.members().voters().count();
+        if let Some(replica) = plan_members(&self.replica.followers(), voters, wanted) {
+            self.change_members(MemberChange::Remove { replica }, "silent while a substitute waits");
+        }
+    }
+
+    fn change_members(&mut self, change: MemberChange, reason: &str) {
+        let text = format!("{change:?}");
+        match self.replica.change_members(change) {
+            Ok(_) => {
+                slog::info!(self.log, "member change proposed"; "event" => event::MEMBERS_CHANGED,
+                    "change" => text, "reason" => reason);
+            }
+            Err(refusal) => {
+                slog::warn!(self.log, "member change refused"; "event" => event::MEMBERS_CHANGED,
+                    "change" => text, "reason" => describe_refusal(&refusal));
+            }
+        }
+    }
+}
+
+/// Says why a change of the members was refused.
+pub(crate) fn describe_refusal(refusal: &MemberRefusal) -> String {
+    match refusal {
+        MemberRefusal::NotLeader(_) => "this replica does not lead".to_owned(),
+        MemberRefusal::Busy => "the change before is not committed yet; try again".to_owned(),
+        MemberRefusal::HostTaken(id) => format!("the host is member {} already", id.0),
+        MemberRefusal::NoSuchMember => "there is no such member".to_owned(),
+        MemberRefusal::OtherDisk(_) => "the member is bound to another data folder".to_owned(),
+        MemberRefusal::LastVoter => "the only voter cannot be removed".to_owned(),
+    }
+}
--- a/crates/acacia-control/src/driver/mod.rs
+++ b/crates/acacia-control/src/driver/mod.rs
@@ -1,10 +1,13 @@
 //! The thread that drives the replica: it does what [`Replica`] asks for, in the order that it asks for.
 //!
 //! It is a thread of its own because it waits for the disk. While it does, inputs collect, and all of them go into the
-//! next write together; that is what makes many writers cheap (`docs/BENCHMARKS.md`).
+//! next write together; that is what makes many writers cheap (`docs/BENCHMARKS.md`). [`members`] has its part in changes of
+//! the members, [`space`] what it does while the disk is full.
+
+mod members;
+mod space;
 
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -14,25 +17,24 @@
 use acacia_wire::{command_from_bytes, command_to_bytes, state_from_bytes, state_to_bytes};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::consensus::{
-    DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRefusal, QuorumPolicy, Replica, ReplicaId,
-    ReplicaOutput, ReplicaRole, ReplicaSnapshot, Term,
+    EntryPayload, HardState, LogEntry, LogIndex, QuorumPolicy, Replica, ReplicaId, ReplicaOutput, ReplicaRole,
+    ReplicaSnapshot, Term,
 };
 use acaciabay::core::control_state::ControlState;
-use acaciabay::core::name::HostName;
-use acaciabay::ops::plan_members::plan_members;
 use anyhow::Context;
 use slog::Logger;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
-use crate::daemon::random_number;
-use crate::group::{GroupInput, GroupShared, GroupStatus, JoinAnswer, JoinCall, NotLeading, ProposalAnswer, nobody};
+use crate::group::{GroupInput, GroupShared, GroupStatus, NotLeading, ProposalAnswer};
 use crate::peer_links::PeerLinks;
 use crate::storage::DataFolder;
 
+pub(crate) use members::describe_refusal;
+
 /// How often time passes for the replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// How often a full disk is tried again.
-const SPACE_INTERVAL: Duration = Duration::from_millis(300);
 /// Most inputs that go into one write.
 const MOST_INPUTS: usize = 4_096;
 /// After how many applied entries the log is replaced by a snapshot.
@@ -141,82 +143,6 @@
         }
     }
 
-    /// Waits until the disk takes bytes again, then starts over from what it holds; returns whether to go on.
-    ///
-    /// A full disk refuses a write and loses nothing. Ending the process would end it again at each start until there is
-    /// space, and would take the process's other work with it: endpoints report here, entries hear of them here. What
-    /// was half written is cut off when the folder is read again, and the replica is as after a restart.
-    fn await_space(&mut self, error: &anyhow::Error) -> anyhow::Result<bool> {
-        if !is_disk_full(error) {
-            return Err(anyhow::anyhow!("{error:#}"));
-        }
-        slog::error!(self.log, "disk is full; this replica pauses"; "event" => event::DISK_FULL,
-            "error" => format!("{error:#}"));
-        self.leave_group();
-        loop {
-            if self.refuse_inputs(SPACE_INTERVAL) {
-                return Ok(false);
-            }
-            match self.start_over() {
-                Ok(()) => {
-                    slog::info!(self.log, "disk takes bytes again"; "event" => event::DISK_FULL,
-                        "index" => self.replica.log().last_index().0);
-                    return Ok(true);
-                }
-                Err(error) if is_disk_full(&error) => {}
-                Err(error) => return Err(error.context("failed to start over after the disk was full")),
-            }
-        }
-    }
-
-    /// Shows the tasks that this replica neither leads nor follows.
-    fn leave_group(&mut self) {
-        self.shared.set_lease(BootTime::default());
-        self.leading_since = None;
-        self.shared.status.send_modify(|status| {
-            status.leader = None;
-            status.leading_since = None;
-        });
-        for (_, (_, answer)) in std::mem::take(&mut self.waiting) {
-            let _gave_up = answer.sender.send(Err(nobody()));
-        }
-        self.identifies.clear();
-        self.confirms.clear();
-    }
-
-    /// Refuses what is asked for within a while; returns whether to stop.
-    fn refuse_inputs(&self, patience: Duration) -> bool {
-        let until = Instant::now() + patience;
-        loop {
-            match self
-                .inputs
-                .recv_timeout(until.saturating_duration_since(Instant::now()))
-            {
-                Ok(GroupInput::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
-                Err(RecvTimeoutError::Timeout) => return false,
-                Ok(GroupInput::Propose { answer, .. }) => {
-                    let _gave_up = answer.sender.send(Err(nobody()));
-                }
-                // Whoever waits for an answer to any of the others learns of it by the dropped sender.
-                Ok(_dropped) => {}
-            }
-        }
-    }
-
-    /// Reads the folder again, tries a write, and starts the replica anew.
-    fn start_over(&mut self) -> anyhow::Result<()> {
-        let stored = self.folder.load()?;
-        self.folder.append(Some(stored.restored.hard_state), None)?;
-        let state = state_of(&stored.snapshot).context("snapshot holds a state that this release cannot read")?;
-        self.hard_state = stored.restored.hard_state;
-        let replica = Replica::new(boot_now(), self.replica.id(), stored.restored, random_number()?);
-        self.replica = replica.with_policy(self.policy);
-        self.shared.version.send_replace(state.version());
-        *self.shared.state.write() = state;
-        self.applied_bytes = 0;
-        Ok(())
-    }
-
     /// Takes an input and all that have come since; returns whether to stop.
     fn take_inputs(&mut self, first: GroupInput) -> bool {
         let mut next = Some(first);
@@ -259,91 +185,6 @@
         }
     }
 
-    /// Binds a member to the data folder that its host has come with, or says why not.
-    fn identify(&mut self, host: &HostName, disk: DiskId, answer: oneshot::Sender<Result<ReplicaId, String>>) {
-        let found = self.replica.members().on_host(host).map(|(id, row)| (id, row.disk));
-        let refusal = match found {
-            _ if self.replica.role() != ReplicaRole::Leader => String::new(),
-            None => format!("host `{host}` is not a member; run `acacia members add`"),
-            Some((id, Some(bound))) if bound == disk => {
-                let _gave_up = answer.send(Ok(id));
-                return;
-            }
-            Some((_, Some(_))) => {
-                format!("host `{host}` is bound to another data folder; run `acacia members replace`")
-            }
-            Some((replica, None)) => match self.replica.change_members(MemberChange::Bind { replica, disk }) {
-                Ok((index, _)) => {
-                    // Answered once it is committed: before that, another leader may bind another folder.
-                    self.identifies.insert(index, (replica, answer));
-                    return;
-                }
-                Err(refusal) => describe_refusal(&refusal),
-            },
-        };
-        let _gave_up = answer.send(Err(refusal));
-    }
-
-    /// Brings a host that asks for its place one step nearer to it; the host asks until it has it.
-    ///
-    /// A host whose folder is not the one that its member is bound to has lost its disk. Its member is removed first:
-    /// under its old number it would confirm entries that it has forgotten.
-    fn answer_join(&mut self, request: JoinCall) -> JoinAnswer {
-        if !self.replica.may_act(boot_now()) {
-            return JoinAnswer::Elsewhere(self.not_leading());
-        }
-        if self.replica.is_changing() {
-            return JoinAnswer::Open;
-        }
-        let JoinCall {
-            host,
-            address,
-            disk,
-            replica,
-        } = request;
-        if let Some(replica) = replica {
-            let row = self.replica.members().get(replica);
-            return match row {
-                Some(row) if row.disk == Some(disk) => JoinAnswer::Member(replica),
-                Some(_) | None => JoinAnswer::Removed,
-            };
-        }
-        let found = self.replica.members().on_host(&host).map(|(id, row)| (id, row.disk));
-        let change = match found {
-            Some((id, Some(bound))) if bound == disk => return JoinAnswer::Member(id),
-            Some((replica, _)) => MemberChange::Remove { replica },
-            None => MemberChange::Admit { host, address, disk },
-        };
-        self.change_members(change, "a host asked for its place");
-        JoinAnswer::Open
-    }
-
-    /// Removes a voter that is silent while another member could take its place.
-    fn replace_silent_voter(&mut self) {
-        let Some(wanted) = self.policy.voters else { return };
-        if self.replica.is_changing() || !self.replica.may_act(boot_now()) {
-            return;
-        }
-        let voters = self.replica.members().voters().count();
-        if let Some(replica) = plan_members(&self.replica.followers(), voters, wanted) {
-            self.change_members(MemberChange::Remove { replica }, "silent while a substitute waits");
-        }
-    }
-
-    fn change_members(&mut self, change: MemberChange, reason: &str) {
-        let text = format!("{change:?}");
-        match self.replica.change_members(change) {
-            Ok(_) => {
-                slog::info!(self.log, "member change proposed"; "event" => event::MEMBERS_CHANGED,
-                    "change" => text, "reason" => reason);
-            }
-            Err(refusal) => {
-                slog::warn!(self.log, "member change refused"; "event" => event::MEMBERS_CHANGED,
-                    "change" => text, "reason" => describe_refusal(&refusal));
-            }
-        }
-    }
-
     /// Does what the replica wants done until it wants nothing more.
     fn work_off(&mut self) -> anyhow::Result<()> {
         loop {
@@ -541,20 +382,18 @@
     Ok(state_from_bytes(snapshot.state.clone())?)
 }
 
-/// Tells whether a write failed because the disk has no space, which says nothing about what it holds already.
-fn is_disk_full(error: &anyhow::Error) -> bool {
-    let cause = error.chain().find_map(|cause| cause.downcast_ref::<std::io::Error>());
-    cause.is_some_and(|cause| matches!(cause.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded))
-}
-
-/// Says why a change of the members was refused.
-pub(crate) fn describe_refusal(refusal: &MemberRefusal) -> String {
-    match refusal {
-        MemberRefusal::NotLeader(_) => "this replica does not lead".to_owned(),
-        MemberRefusal::Busy => "the change before is not committed yet; try again".to_owned(),
-        MemberRefusal::HostTaken(id) => format!("the host is member {} already", id.0),
-        MemberRefusal::NoSuchMember => "there is no such member".to_owned(),
-        MemberRefusal::OtherDisk(_) => "the member is bound to another data folder".to_owned(),
-        MemberRefusal::LastVoter => "the only voter cannot be removed".to_owned(),
-    }
+/// Runs the driver on a thread; when it fails, the whole process is told to stop.
+pub(crate) fn spawn_driver(
+    driver: GroupDriver,
+    stop: CancellationToken,
+    log: Logger,
+) -> JoinHandle<anyhow::Result<()>> {
+    tokio::task::spawn_blocking(move || {
+        let outcome = driver.run();
+        if let Err(error) = &outcome {
+            slog::error!(log, "replica stops"; "event" => event::FATAL, "error" => format!("{error:#}"));
+        }
+        stop.cancel();
+        outcome
+    })
 }
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -27,7 +27,7 @@
 use super::observer::observe_replicas;
 use super::peers::serve_peers;
 use crate::daemon::random_number;
-use crate::driver::{DriverParts, GroupDriver};
+use crate::driver::{DriverParts, GroupDriver, spawn_driver};
 use crate::group::{GroupHandle, GroupInput, GroupShared};
 use crate::peer_links::PeerLinks;
 use crate::storage::{DataFolder, FolderIdentity, forget_replica};
@@ -174,21 +174,6 @@
     }
 }
 
-fn spawn_driver(
-    driver: GroupDriver,
-    stop: CancellationToken,
-    log: Logger,
-) -> tokio::task::JoinHandle<anyhow::Result<()>> {
-    tokio::task::spawn_blocking(move || {
-        let outcome = driver.run();
-        if let Err(error) = &outcome {
-            slog::error!(log, "replica stops"; "event" => event::FATAL, "error" => format!("{error:#}"));
-        }
-        stop.cancel();
-        outcome
-    })
-}
-
 fn spawn_tasks(
     hub: &Arc<ServingHub>,
     peers: TcpListener,
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -201,12 +201,6 @@
         })
     }
 
-    /// Forgets endpoints that are not in use any more.
-    pub fn retain(&mut self, is_known: impl Fn(&EndpointName) -> bool) {
-        self.rows
-            .retain(|name, row| is_known(name) || row.own != EndpointWork::default());
-    }
-
     fn row(&mut self, name: &EndpointName) -> &mut LoadRow {
         self.rows.entry(name.clone()).or_default()
     }
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -133,11 +133,6 @@
         self.rows.get(name).map(|row| &row.endpoint)
     }
 
-    /// Returns how long an endpoint has not been heard of.
-    pub fn silence(&self, now: BootTime, name: &EndpointName) -> Option<Duration> {
-        self.rows.get(name).map(|row| now.since(row.heard_at))
-    }
-
     /// Returns all endpoints.
     pub fn rows(&self) -> impl Iterator<Item = (&EndpointName, &ServingEndpoint)> {
         self.rows.iter().map(|(name, row)| (name, &row.endpoint))
--- a/crates/acaciabay/src/core/serving/send_budget.rs
+++ b/crates/acaciabay/src/core/serving/send_budget.rs
@@ -51,12 +51,6 @@
         true
     }
 
-    /// Notes a second send that could not be avoided.
-    pub fn force(&mut self, now: BootTime, bound: &SendBound) {
-        self.forget(now, bound);
-        self.repeats.push_back(now);
-    }
-
     fn forget(&mut self, now: BootTime, bound: &SendBound) {
         for times in [&mut self.calls, &mut self.repeats] {
             while times.front().is_some_and(|first| now.since(*first) >= bound.window) {
--- a/crates/acaciabay/src/core/serving/start_counts.rs
+++ b/crates/acaciabay/src/core/serving/start_counts.rs
@@ -16,11 +16,6 @@
     pub const fn at(unix_millis: u64, length_millis: u64) -> Self {
         Self(unix_millis / length_millis)
     }
-
-    /// Returns when the window ends, in milliseconds since 1970.
-    pub const fn end_millis(self, length_millis: u64) -> u64 {
-        (self.0 + 1) * length_millis
-    }
 }
 
 /// Counts by customer.
--- a/crates/acaciabay/tests/serving/counts.rs
+++ b/crates/acaciabay/tests/serving/counts.rs
@@ -32,7 +32,6 @@
 fn a_window_begins_at_its_number_times_its_length() {
     assert_eq!(WindowNumber::at(14_999, 5_000), WindowNumber(2));
     assert_eq!(WindowNumber::at(15_000, 5_000), WindowNumber(3));
-    assert_eq!(WindowNumber(2).end_millis(5_000), 15_000);
 }
 
 #[test]
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -169,8 +169,7 @@
     pub async fn wait_voter(&self, index: usize) {
         let operator = self.operator();
         wait_until(&format!("{} votes", control_name(index)), || async {
-            let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
-            let rows = members["members"].as_array()?.clone();
+            let rows = member_rows(&operator).await?;
             rows.iter()
                 .any(|row| row["host"] == control_name(index) && row["voter"] == true)
                 .then_some(())
@@ -197,8 +196,7 @@
     pub async fn leader(&self) -> usize {
         let operator = self.operator();
         wait_until("a replica leads", || async {
-            let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
-            let rows = members["members"].as_array()?.clone();
+            let rows = member_rows(&operator).await?;
             let host = rows.iter().find(|row| row["leader"] == true)?["host"]
                 .as_str()?
                 .to_owned();
@@ -501,3 +499,9 @@
     let third = middle.wrapping_add(high.wrapping_mul(31));
     Ipv4Addr::new(127, 1 + third % 250, low, u8::try_from(1 + number % 250).unwrap_or(1))
 }
+
+/// Returns the members of the group as an operator sees them.
+async fn member_rows(operator: &OperatorClient) -> Option<Vec<Value>> {
+    let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
+    members["members"].as_array().cloned()
+}
