Leave a silent engine before another one goes on

Cause: read in the code: where an engine fell silent, the connection to it stayed open until the next engine had begun to answer. One that is only slow would have worked on beside it for that time, which callers pay and the users forbid. Change: the connection is closed before another engine is asked.

--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -48,7 +48,8 @@
 #[derive(Debug)]
 struct EventState {
     run: StreamRun,
-    stream: OpenStream,
+    /// The engine that streams; nothing while another one is looked for.
+    stream: Option<OpenStream>,
     cutter: EventCutter,
     last_id: Option<u64>,
     events: usize,
@@ -59,7 +60,7 @@
     let state = EventState {
         last_id: run.call.head.resume_after,
         run,
-        stream,
+        stream: Some(stream),
         cutter: EventCutter::default(),
         events: 0,
     };
@@ -89,7 +90,10 @@
     async fn next(&mut self) -> Piece {
         loop {
             let bound = self.run.silence_bound();
-            match tokio::time::timeout(bound, self.stream.incoming.frame()).await {
+            let Some(stream) = &mut self.stream else {
+                return Piece::Broken;
+            };
+            match tokio::time::timeout(bound, stream.incoming.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let events = self.cutter.push(&data);
@@ -126,11 +130,15 @@
 
     /// Lets another engine go on after the last whole event; tells whether one does.
     async fn go_on(&mut self, reason: &str) -> bool {
+        // Closed before another engine is asked: one that is only slow would otherwise work on beside it.
+        let Some(OpenStream { endpoint, .. }) = self.stream.take() else {
+            return false;
+        };
         let call = &self.run.call;
-        call.shared.view().loads.note_failure(boot_now(), &self.stream.endpoint);
+        call.shared.view().loads.note_failure(boot_now(), &endpoint);
         let may_go_on = self.run.may_go_on();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => self.stream.endpoint.as_str(), "reason" => reason,
+            "request" => &call.head.request, "endpoint" => endpoint.as_str(), "reason" => reason,
             "events" => self.events, "last_id" => self.last_id, "goes_on" => may_go_on);
         if !may_go_on {
             return false;
@@ -140,7 +148,7 @@
             Ok(stream) if stream.status.is_success() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
                     "endpoint" => stream.endpoint.as_str(), "after" => self.last_id);
-                self.stream = stream;
+                self.stream = Some(stream);
                 self.cutter = EventCutter::default();
                 true
             }
@@ -158,12 +166,13 @@
     }
 
     async fn finish(self) {
+        let Some(stream) = self.stream else { return };
         let call = &self.run.call;
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
-            "endpoint" => self.stream.endpoint.as_str(), "events" => self.events,
+            "endpoint" => stream.endpoint.as_str(), "events" => self.events,
             "after_ms" => millis(boot_now().since(call.received_at)));
-        call.shared.view().loads.note_success(&self.stream.endpoint);
-        drop(self.stream.guard);
-        self.stream.connection.give_back(call).await;
+        call.shared.view().loads.note_success(&stream.endpoint);
+        drop(stream.guard);
+        stream.connection.give_back(call).await;
     }
 }
