Say that an entry stops when it is asked to

Change: the line is written when the stop is asked for. Edge machines and control hosts did so already.

--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -137,8 +137,13 @@
         let entry = Arc::clone(&entry);
         move |request| answer_caller(Arc::clone(&entry), request)
     };
-    serve_http(listeners.callers, bounds, stop, answer).await;
-    slog::info!(log, "entry stopping"; "event" => event::STOPPING);
+    // Said when the process is asked to stop, since finishing what callers have begun may take minutes.
+    let asked = stop.clone();
+    let announce = async {
+        asked.cancelled().await;
+        slog::info!(log, "entry stopping"; "event" => event::STOPPING);
+    };
+    tokio::join!(serve_http(listeners.callers, bounds, stop, answer), announce);
     after_callers.cancel();
     for task in [admin, endpoints, watching] {
         let _panicked = task.await;
