Keep a session with every replica that any replica names

Cause: the logs show that it opened a session with core-cremona-2 at -8.4433 and that the session ended at -8.4428, without a line of its own. Two hosts were joining; a replica that had not heard of the second one yet was the last to say who votes, and the entry believed the last word. core-cremona-2 became the leader at 9.1 s, and this entry never asked it.

Beside it: replicas that are cut off may name each other as the leader. An entry that asks each four times a second in the same order then never asks the real one. After 0.6 s without a confirmation all are asked now.

Change: what replicas say is kept for each of them and its union is used; the decision stands in the library (`replica_board`). A session that is given up has a log line.

Tests: a_replica_that_is_behind_ends_no_session and replicas_that_name_each_other_do_not_hide_the_leader fail with the last word and the named leader alone (seen), pass now.

--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions with the replicas of the control group: the lease, the configuration, the endpoints.
 //!
 //! The entry keeps a session with every replica that votes, since each tells what endpoints report to it. It asks the
-//! leader alone for its lease; while it does not know who leads, it asks all.
+//! leader alone for its lease; while it does not know who leads, it asks all ([`ReplicaBoard`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,6 +27,7 @@
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, ReportEffect};
+use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -39,8 +40,6 @@
 /// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
 /// other of the endpoints' load is never older than two of them.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a leader may take to answer before all replicas are asked.
-const RENEWAL_PATIENCE: Duration = Duration::from_millis(600);
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long the kernel may go on trying to deliver.
@@ -56,8 +55,9 @@
     shared: Arc<EntryShared>,
     /// Identifies this start of the process.
     start: u64,
-    leader: Mutex<Option<SocketAddr>>,
-    replicas: watch::Sender<BTreeSet<SocketAddr>>,
+    replicas: Mutex<ReplicaBoard>,
+    /// Tells that a replica has said who votes.
+    heard_voters: Notify,
     seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Wakes the sessions when a newer configuration was announced.
     news: Notify,
@@ -68,8 +68,8 @@
         Self {
             shared,
             start,
-            leader: Mutex::default(),
-            replicas: watch::Sender::default(),
+            replicas: Mutex::default(),
+            heard_voters: Notify::new(),
             seeds,
             news: Notify::new(),
         }
@@ -77,15 +77,19 @@
 
     /// Keeps the sessions until `stop` is cancelled.
     pub(super) async fn keep_sessions(self: Arc<Self>, stop: CancellationToken) {
-        let mut replicas = self.replicas.subscribe();
         let mut seeds = self.seeds.clone();
         let mut sessions: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
         loop {
-            let wanted = self.wanted_replicas(&replicas.borrow_and_update(), &seeds.borrow_and_update());
+            let heard = self.heard_voters.notified();
+            let wanted = self.wanted_replicas(&seeds.borrow_and_update());
             sessions.retain(|address, session| {
                 let keep = wanted.contains(address);
                 if !keep {
                     session.abort();
+                    self.replicas.lock().lose(*address);
+                    self.shared.view().clock.forget(address);
+                    slog::info!(self.shared.log, "session with a replica given up"; "event" => event::CONTROL_LOST,
+                        "replica" => %address, "reason" => "no replica names it");
                 }
                 keep
             });
@@ -96,7 +100,7 @@
             }
             tokio::select! {
                 () = stop.cancelled() => break,
-                Ok(()) = replicas.changed() => {}
+                () = heard => {}
                 Ok(()) = seeds.changed() => {}
             }
         }
@@ -105,19 +109,19 @@
         }
     }
 
-    /// The voters, once a replica has named them, and the seeds besides: after every voter was replaced, the seeds are
-    /// the only way back.
-    fn wanted_replicas(&self, voters: &BTreeSet<SocketAddr>, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
+    /// The voters that replicas name, and the seeds besides: after every voter was replaced, the seeds are the only way
+    /// back.
+    fn wanted_replicas(&self, seeds: &[SocketAddr]) -> BTreeSet<SocketAddr> {
         let port = self.shared.settings.peer_port;
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
-        voters.iter().copied().chain(seeds).collect()
+        self.replicas.lock().wanted(seeds)
     }
 
     async fn keep_session(self: Arc<Self>, address: SocketAddr) {
         let mut was_open = false;
         loop {
             let ended = self.use_session(address, &mut was_open).await;
-            self.leader.lock().take_if(|leader| *leader == address);
+            self.replicas.lock().lose(address);
             self.shared.view().clock.forget(&address);
             if std::mem::take(&mut was_open) {
                 slog::warn!(self.shared.log, "session with a replica lost"; "event" => event::CONTROL_LOST,
@@ -157,13 +161,13 @@
     ) -> std::io::Result<()> {
         let mut number = 0;
         loop {
-            let leads = self.leader.lock().is_none_or(|leader| leader == address);
             let now = boot_now();
             let waiting = asked.lock().as_ref().map(|asked| now.since(asked.at));
-            if waiting.is_some_and(|waiting| waiting >= RENEWAL_PATIENCE) {
+            if waiting.is_some_and(|waiting| waiting >= LEADER_PATIENCE) {
                 self.doubt_leader(address);
             }
-            if leads && waiting.is_none_or(|waiting| waiting >= RENEWAL_PATIENCE) {
+            let should_ask = self.replicas.lock().should_ask(now, address);
+            if should_ask && waiting.is_none_or(|waiting| waiting >= LEADER_PATIENCE) {
                 number += 1;
                 *asked.lock() = Some(AskedRenewal { number, at: now });
                 writer.send(self.renewal(number)).await?;
@@ -177,7 +181,7 @@
 
     /// Asks all replicas again where the one that was taken for the leader does not answer.
     fn doubt_leader(&self, address: SocketAddr) {
-        if self.leader.lock().take_if(|leader| *leader == address).is_some() {
+        if self.replicas.lock().doubt(address) {
             slog::info!(self.shared.log, "leader does not answer"; "event" => event::CONTROL_LOST,
                 "replica" => %address);
         }
@@ -233,27 +237,21 @@
                 Body::Renewed(renewed) => {
                     let answered = asked.lock().take_if(|asked| asked.number == renewed.request);
                     if let Some(answered) = answered {
-                        *self.leader.lock() = Some(address);
+                        self.replicas.lock().note_confirmed(boot_now(), address);
                         self.take_renewal(answered.at, renewed)?;
                     }
                 }
                 Body::Elsewhere(elsewhere) => {
                     *asked.lock() = None;
                     let named: Option<SocketAddr> = elsewhere.leader_address.parse().ok();
-                    let mut leader = self.leader.lock();
-                    if *leader == Some(address) || leader.is_none() {
-                        *leader = named.filter(|named| *named != address);
-                    }
+                    self.replicas.lock().hear_elsewhere(address, named);
                 }
                 Body::News(news) => self.take_news(&news),
                 Body::Replicas(replicas) => {
                     let voters: BTreeSet<_> = replicas.addresses.iter().filter_map(|text| text.parse().ok()).collect();
                     if !voters.is_empty() {
-                        self.replicas.send_if_modified(|known| {
-                            let is_new = *known != voters;
-                            *known = voters;
-                            is_new
-                        });
+                        self.replicas.lock().hear_voters(address, voters);
+                        self.heard_voters.notify_one();
                     }
                 }
                 Body::NewerConfig(number) => {
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -7,6 +7,7 @@
 //! * [`event_stream`] cuts an answer into whole events.
 //! * [`stream_peak`] remembers how many streams ran at once.
 //! * [`group_clock`] is the wall clock that most replicas agree on.
+//! * [`replica_board`] says which replicas an entry hears, and which it asks.
 //! * [`start_counts`] counts the calls that began, by window and customer.
 //! * [`reading_need`] says how many endpoints reading takes.
 //! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
@@ -23,6 +24,7 @@
 pub mod part_memory;
 pub mod prompt;
 pub mod reading_need;
+pub mod replica_board;
 pub mod send_budget;
 pub mod serving_state;
 pub mod start_counts;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod pools;
 mod prompts;
 mod registry;
+mod replicas;
 mod stages;
 mod state;
 mod windows;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/replicas.rs
@@ -0,0 +1,91 @@
+//! Which replicas an entry hears and asks.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use acaciabay::core::serving::replica_board::ReplicaBoard;
+
+use crate::fixtures::at;
+
+fn replica(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn replicas(numbers: impl IntoIterator<Item = u8>) -> BTreeSet<SocketAddr> {
+    numbers.into_iter().map(replica).collect()
+}
+
+/// Two hosts join the group while an entry starts. A replica that has not heard of the second one yet is the last to say
+/// who votes. The entry would leave the second one for good, and refuse everything once that one leads: one entry machine
+/// served nobody for 21 s.
+#[test]
+fn a_replica_that_is_behind_ends_no_session() {
+    let mut board = ReplicaBoard::default();
+
+    board.hear_voters(replica(1), replicas(1..=5));
+    board.hear_voters(replica(2), replicas(1..=4));
+
+    assert_eq!(board.wanted([]), replicas(1..=5));
+}
+
+/// A host of the group was replaced. The entry need not try its old address for ever.
+#[test]
+fn a_replica_that_has_left_is_forgotten_once_nobody_names_it() {
+    let mut board = ReplicaBoard::default();
+    board.hear_voters(replica(1), replicas(1..=3));
+    board.hear_voters(replica(3), replicas(1..=3));
+
+    board.lose(replica(3));
+    board.hear_voters(replica(1), replicas([1, 2, 4]));
+
+    assert_eq!(board.wanted([]), replicas([1, 2, 4]));
+}
+
+/// All sessions are cut for a while and the seeds have been exchanged for hosts that are down. The entry must find back to
+/// those that it knew.
+#[test]
+fn replicas_are_known_while_no_session_is_open() {
+    let mut board = ReplicaBoard::default();
+    board.hear_voters(replica(1), replicas(1..=3));
+
+    board.lose(replica(1));
+
+    assert_eq!(board.wanted([replica(9)]), replicas([1, 2, 3, 9]));
+}
+
+/// Two replicas are cut off from the three others, and one of them goes on naming the other as the leader. An entry that
+/// asks each replica four times a second, always in the same order, would ask these two in turn and never the leader: its
+/// callers would be refused for as long as the cut lasts.
+#[test]
+fn replicas_that_name_each_other_do_not_hide_the_leader() {
+    let mut board = ReplicaBoard::default();
+    board.note_confirmed(at(0), replica(1));
+    let mut asked_leader_at = None;
+
+    for tick in 0..12 {
+        let now = tick * 250;
+        // The old leader knows that it leads no more; its follower does not.
+        if board.should_ask(at(now + 10), replica(1)) {
+            board.hear_elsewhere(replica(1), None);
+        }
+        if board.should_ask(at(now + 20), replica(2)) {
+            board.hear_elsewhere(replica(2), Some(replica(1)));
+        }
+        if asked_leader_at.is_none() && board.should_ask(at(now + 30), replica(3)) {
+            asked_leader_at = Some(now);
+        }
+    }
+
+    assert_eq!(asked_leader_at, Some(750));
+}
+
+/// While the leader answers, the others are not asked: each question costs every replica time.
+#[test]
+fn only_the_leader_is_asked_while_it_answers() {
+    let mut board = ReplicaBoard::default();
+
+    board.note_confirmed(at(0), replica(1));
+
+    assert!(board.should_ask(at(250), replica(1)));
+    assert!(!board.should_ask(at(250), replica(2)));
+}
