Take no second send for an engine that was not reached

Ruled out: a budget that is too small (0.2 of the calls and the slack), and answers of engines (22 of the 437 failures).

Change: only a send that an engine got makes the next one a second send.

--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -92,6 +92,8 @@
     repeated: bool,
 ) -> Result<ReadPrompt, CallRefusal> {
     let mut tried: Vec<EndpointName> = Vec::new();
+    // An engine that was not reached has got nothing, so the next send is still the first one.
+    let mut arrived = repeated;
     while tried.len() < MOST_READERS {
         let now = boot_now();
         let found = call.shared.choose_reader(now, &call.service, &tried, prompt);
@@ -106,19 +108,30 @@
                 wait.clamp(SOON, SOON.max(left)),
             ));
         }
-        let counts = repeated || !tried.is_empty();
-        if counts && !call.shared.spend_send(now, &call.service) {
+        if arrived && !call.shared.spend_send(now, &call.service) {
             return Err(not_run("no second send left", SOON));
         }
-        if let Some(read) = read_at(call, prompt, &reader).await {
-            return Ok(read);
+        match read_at(call, prompt, &reader).await {
+            ReadOutcome::Read(read) => return Ok(read),
+            ReadOutcome::NotReached => {}
+            ReadOutcome::Failed => arrived = true,
         }
         tried.push(reader.engine.name);
     }
     Err(not_run("engines did not read the prompt", SOON))
 }
 
-async fn read_at(call: &OpenCall, prompt: &PromptShape, reader: &ChosenReader) -> Option<ReadPrompt> {
+/// What asking one engine to read a prompt came to.
+#[derive(Debug)]
+enum ReadOutcome {
+    Read(ReadPrompt),
+    /// The engine has got nothing of the call.
+    NotReached,
+    /// The engine has got the call and has not read the prompt, as far as is known.
+    Failed,
+}
+
+async fn read_at(call: &OpenCall, prompt: &PromptShape, reader: &ChosenReader) -> ReadOutcome {
     let ChosenReader {
         engine: chosen,
         place,
@@ -146,10 +159,16 @@
         patience,
     )
     .await;
-    let AttemptOutcome::Answered(reply) = outcome else {
-        return None;
+    let reply = match outcome {
+        AttemptOutcome::Answered(reply) => reply,
+        AttemptOutcome::NotRun { arrived: false } => return ReadOutcome::NotReached,
+        AttemptOutcome::NotRun { arrived: true } | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
+            return ReadOutcome::Failed;
+        }
+    };
+    let Some(handle) = take_handle(call, chosen, *reply).await else {
+        return ReadOutcome::Failed;
     };
-    let handle = take_handle(call, chosen, *reply).await?;
     let took = boot_now().since(began_at);
     slog::info!(call.shared.log, "prompt read"; "event" => event::PROMPT_READ, "request" => &call.head.request,
         "endpoint" => chosen.name.as_str(), "tokens" => prompt.prompt_tokens, "unread" => place.unread_tokens,
@@ -161,7 +180,7 @@
     view.loads.note_pace(&chosen.name, queued + place.unread_tokens, took);
     view.loads.note_success(&chosen.name);
     drop(view);
-    Some(ReadPrompt {
+    ReadOutcome::Read(ReadPrompt {
         address: chosen.endpoint.address,
         handle,
         domain: chosen.endpoint.domain.clone(),
