--- /dev/null
+++ b/crates/acaciabay/tests/naive/placement.rs
@@ -0,0 +1,102 @@
+//! Placement against a full scan.
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::endpoint::{
+    EndpointIncarnation, EndpointRow, EndpointState, EndpointTable, EndpointWork, REPORT_TIMEOUT,
+};
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::table::{EndpointPattern, PoolRow, RouteTarget};
+use acaciabay::ops::place_request::{OwnLoad, OwnSends, PlacementRequest, place_request};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::{check, pool_row};
+
+fn endpoint(used: u32, heard_at: BootTime, state: EndpointState) -> EndpointRow {
+    EndpointRow {
+        incarnation: EndpointIncarnation(1),
+        sequence: 1,
+        address: "127.0.0.1:1".parse().expect("it is an address"),
+        domain: "d".into(),
+        work: EndpointWork::Models(vec!["m".into()]),
+        state,
+        running: 0,
+        slots: 100,
+        pieces_used: used,
+        pieces: 10,
+        heard_at,
+    }
+}
+
+/// The naive placement scans everything with perfect knowledge: whoever is picked takes work, is not tried yet, and has
+/// room if anyone has; without a prefix, the pick is never the fullest of several.
+#[test]
+fn placement_picks_only_what_a_full_scan_allows() {
+    let row = (0..12_u32, 0..4_u64, any::<bool>(), 0..6_u32);
+    let all = (
+        prop::collection::vec(row, 0..8),
+        prop::collection::btree_set(0..8_usize, 0..3),
+        any::<u64>(),
+        any::<bool>(),
+    );
+    check(2_000, &all, |(rows, tried, seed, with_prefix)| {
+        let now = BootTime::from_millis(100_000);
+        let name = |number: usize| EndpointName::new(format!("e{number}"));
+        let (mut table, mut sends) = (EndpointTable::default(), OwnSends::new());
+        for (number, (used, age, drains, own)) in rows.iter().enumerate() {
+            let heard_at = BootTime::from_millis(100_000 - age * 1_000);
+            let state = if *drains {
+                EndpointState::Draining
+            } else {
+                EndpointState::Ready
+            };
+            table.report(&name(number), endpoint(*used, heard_at, state));
+            sends.insert(
+                name(number),
+                OwnLoad {
+                    requests: *own,
+                    pieces: *own,
+                    reported: 0,
+                },
+            );
+        }
+        let tried: Vec<EndpointName> = tried.into_iter().map(name).collect();
+        let pool = pool_row(0, 0);
+        let pool = PoolRow {
+            endpoints: vec![EndpointPattern("e*".to_owned())],
+            ..pool
+        };
+        let target = RouteTarget::Model("m".into());
+        let prefix: &[u8] = if with_prefix { b"prefix" } else { b"" };
+        let request = PlacementRequest {
+            pool: &pool,
+            target: &target,
+            prefix,
+            pieces: 1,
+            tried: &tried,
+        };
+
+        let picked = place_request(now, &mut StdRng::seed_from_u64(seed), &table, &sends, request);
+
+        let load = |number: usize| rows[number].0 + rows[number].3;
+        let takes_work = |number: &usize| {
+            let (_, age, drains, _) = rows[*number];
+            !drains && u128::from(age) * 1_000 < REPORT_TIMEOUT.as_millis() && !tried.contains(&name(*number))
+        };
+        let allowed: Vec<usize> = (0..rows.len()).filter(takes_work).collect();
+        let roomy: Vec<usize> = allowed.iter().copied().filter(|number| load(*number) < 10).collect();
+        let allowed = if roomy.is_empty() { allowed } else { roomy };
+        let Some((picked, _)) = picked else {
+            prop_assert!(allowed.is_empty(), "nothing was picked although {:?} may be", allowed);
+            return Ok(());
+        };
+        prop_assert!(
+            allowed.iter().any(|number| name(*number) == *picked),
+            "{} is not among {:?}",
+            picked,
+            allowed
+        );
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/acaciabay/tests/naive/tables.rs
@@ -0,0 +1,70 @@
+//! Tables against one number for each content.
+
+use acaciabay::core::table::{PoolRow, PoolTable, TableEdit, TableNumber};
+use acaciabay::util::digest::ContentDigest;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+use crate::{check, pool_row};
+
+/// The naive table: every accepted content under its number, from the first on.
+#[test]
+fn tables_accept_what_one_number_for_each_content_accepts() {
+    let writes = prop::collection::vec((0..4_u64, prop::collection::btree_set(0..4_usize, 0..4)), 1..30);
+    check(500, &writes, |writes| {
+        let (mut table, mut naive) = (PoolTable::default(), vec![BTreeSet::new()]);
+        for (back, names) in writes {
+            let current = naive.len() as u64 - 1;
+            let expected = current.saturating_sub(back);
+            let wanted: Vec<PoolRow> = names.iter().map(|name| pool_row(*name, 0)).collect();
+            let digest = ContentDigest::of(format!("{names:?}"));
+            let edit = table.edit_towards(TableNumber(expected), digest, wanted);
+
+            let accepted = table
+                .apply(&edit)
+                .map(|number| number.0)
+                .map_err(|conflict| conflict.current.0);
+
+            let resent = naive.get(usize::try_from(expected + 1).unwrap_or(0)) == Some(&names);
+            let right = if resent {
+                Ok(expected + 1)
+            } else if expected == current {
+                naive.push(names);
+                Ok(current + 1)
+            } else {
+                Err(current)
+            };
+            prop_assert_eq!(accepted, right);
+            let held: BTreeSet<String> = table.rows().map(|row| row.name.to_string()).collect();
+            let listed: BTreeSet<String> = naive
+                .last()
+                .into_iter()
+                .flatten()
+                .map(|name| format!("pool-{name}"))
+                .collect();
+            prop_assert_eq!(held, listed);
+        }
+        Ok(())
+    });
+}
+
+/// A follower that gets each accepted difference, in order, holds the same rows.
+#[test]
+fn followers_of_a_table_hold_the_same_rows() {
+    let writes = prop::collection::vec(prop::collection::btree_map(0..6_usize, 0..3_usize, 0..5), 1..20);
+    check(300, &writes, |writes| {
+        let (mut table, mut follower) = (PoolTable::default(), PoolTable::default());
+        for (number, rows) in (0..).zip(writes) {
+            let wanted: Vec<PoolRow> = rows
+                .iter()
+                .map(|(name, endpoints)| pool_row(*name, *endpoints))
+                .collect();
+            let edit: TableEdit<PoolRow> =
+                table.edit_towards(TableNumber(number), ContentDigest::of(number.to_be_bytes()), wanted);
+            let number = table.apply(&edit).expect("the edit names the present number");
+            follower.follow(number, &edit.upserts, &edit.removals);
+            prop_assert!(table.rows().eq(follower.rows()));
+        }
+        Ok(())
+    });
+}
