--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -12,8 +12,8 @@
 use hyper::{Response, StatusCode};
 
 use super::call::{OpenCall, millis};
+use super::choice::ChosenEndpoint;
 use super::codec::{AttemptHead, AttemptRole};
-use super::shared::ChosenEndpoint;
 
 /// How much earlier than the endpoint closes it a connection is given up, so that no request crosses the close.
 const KEEP_MARGIN: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -0,0 +1,126 @@
+//! Which endpoint a call of this entry goes to: the library's decisions over what the entry knows.
+
+use std::net::SocketAddr;
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
+use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
+use acaciabay::ops::place_prompt::{PromptEngines, PromptPlace, place_prompt};
+
+use super::shared::{EntryShared, EntryView};
+
+/// An endpoint that a call is sent to.
+#[derive(Clone, Debug)]
+pub(super) struct ChosenEndpoint {
+    pub(super) name: EndpointName,
+    pub(super) endpoint: ServingEndpoint,
+}
+
+/// An engine that reads a prompt.
+#[derive(Clone, Debug)]
+pub(super) struct ChosenReader {
+    pub(super) engine: ChosenEndpoint,
+    pub(super) place: PromptPlace,
+    /// Where the engine may copy shared parts from.
+    pub(super) copy_from: Option<SocketAddr>,
+}
+
+impl EntryShared {
+    /// Chooses an endpoint for a plain call.
+    pub(super) fn choose_plain(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        draw: u64,
+    ) -> Option<ChosenEndpoint> {
+        let view = self.view();
+        let candidates = untried(view.registry.ready(now, service), tried);
+        let name = place_plain(&self.placement(now, &view), &candidates, draw)?;
+        chosen(&candidates, &name)
+    }
+
+    /// Chooses an engine that reads a prompt.
+    pub(super) fn choose_reader(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        prompt: &PromptShape,
+    ) -> Option<ChosenReader> {
+        let view = self.view();
+        let readers = untried(of_stage(&view, now, service, EngineStage::Prefill), tried);
+        let mut keepers = view.registry.answering(now, service);
+        keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
+        let spec = view.engine(service);
+        let engines = PromptEngines {
+            readers: &readers,
+            keepers: &keepers,
+            link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
+        };
+        let place = place_prompt(&self.placement(now, &view), &engines, prompt)?;
+        let copy_from = place.copy_from.as_ref().and_then(|name| chosen(&keepers, name));
+        Some(ChosenReader {
+            engine: chosen(&readers, &place.endpoint)?,
+            copy_from: copy_from.map(|keeper| keeper.endpoint.address),
+            place,
+        })
+    }
+
+    /// Chooses an engine that makes tokens.
+    pub(super) fn choose_maker(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        tried: &[EndpointName],
+        reader_domain: Option<&DomainName>,
+    ) -> Option<ChosenEndpoint> {
+        let memory = self.engine_memory(service);
+        let view = self.view();
+        let mut candidates = of_stage(&view, now, service, EngineStage::Decode);
+        if candidates.is_empty() {
+            // A service whose endpoints name no stage does both at once.
+            candidates = view.registry.ready(now, service);
+            candidates.retain(|(_, endpoint)| endpoint.stage.is_none());
+        }
+        let candidates = untried(candidates, tried);
+        let name = place_stream(&self.placement(now, &view), &candidates, memory, reader_domain)?;
+        chosen(&candidates, &name)
+    }
+
+    fn placement<'view>(&'view self, now: BootTime, view: &'view EntryView) -> PlacementView<'view> {
+        PlacementView {
+            now,
+            domain: &self.domain,
+            loads: &view.loads,
+        }
+    }
+}
+
+type Row<'view> = (&'view EndpointName, &'view ServingEndpoint);
+
+fn of_stage<'view>(
+    view: &'view EntryView,
+    now: BootTime,
+    service: &'view ServiceName,
+    stage: EngineStage,
+) -> Vec<Row<'view>> {
+    let mut rows = view.registry.ready(now, service);
+    rows.retain(|(name, endpoint)| endpoint.stage == Some(stage) && !view.loads.is_resting(now, name, endpoint));
+    rows
+}
+
+fn untried<'view>(mut rows: Vec<Row<'view>>, tried: &[EndpointName]) -> Vec<Row<'view>> {
+    rows.retain(|(name, _)| !tried.contains(name));
+    rows
+}
+
+fn chosen(rows: &[Row<'_>], name: &EndpointName) -> Option<ChosenEndpoint> {
+    let row = rows.iter().find(|(known, _)| *known == name)?;
+    Some(ChosenEndpoint {
+        name: row.0.clone(),
+        endpoint: row.1.clone(),
+    })
+}
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -13,9 +13,10 @@
 
 use super::attempt::{AttemptOutcome, EndpointReply, send};
 use super::call::{OpenCall, millis, refuse};
+use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
 use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
-use super::shared::{ChosenEndpoint, LoadGuard};
+use super::shared::LoadGuard;
 use super::stream_body::pass_through;
 
 /// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -18,9 +18,10 @@
 
 use super::attempt::{AttemptOutcome, EndpointReply, send};
 use super::call::{OpenCall, millis};
+use super::choice::{ChosenEndpoint, ChosenReader};
 use super::codec::AttemptRole;
 use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
-use super::shared::{ChosenEndpoint, ChosenReader, EntryShared};
+use super::shared::EntryShared;
 
 /// How much longer than expected an engine may take to read a prompt before another one is asked.
 const WAIT_FACTOR: f64 = 3.0;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -13,11 +13,12 @@
 
 use super::attempt::{AttemptOutcome, KeptConnection, send};
 use super::call::{OpenCall, millis, refuse};
+use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
 use super::plain_call::assemble;
 use super::prompt_read::{ReadPrompt, read_prompt};
 use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
-use super::shared::{ChosenEndpoint, LoadGuard};
+use super::shared::LoadGuard;
 use super::stream_body::stream_events;
 
 /// Most engines that are asked in vain before a call is given up.
--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -24,12 +24,12 @@
     pub loads: &'table LoadTable,
 }
 
-/// What another failure domain costs in the choice of an endpoint that makes tokens, as a part of its slots: the prompt
-/// takes twice as long on its way there.
-const OTHER_DOMAIN_SLOTS: f64 = 0.15;
-
-/// What a recent failure costs in slots: more than all of them.
-const SUSPECT_SLOTS: f64 = 8.0;
+/// What speaks against an endpoint beside its load, as a part of its slots: in another failure domain the prompt takes
+/// twice as long on its way there; a recent failure costs more than all slots.
+const SLOT_PENALTY: EndpointPenalty = EndpointPenalty {
+    other_domain: 0.15,
+    suspect: 8.0,
+};
 
 /// Chooses where tokens are made. `reader_domain` is where the prompt was read, if it was read elsewhere.
 pub fn place_stream(
@@ -39,11 +39,12 @@
     reader_domain: Option<&DomainName>,
 ) -> Option<EndpointName> {
     let wanted = reader_domain.unwrap_or(view.domain);
-    let scored = candidates.iter().map(|(name, endpoint)| {
+    let scored = candidates.iter().map(|candidate| {
+        let (name, endpoint) = *candidate;
         let work = view.loads.work(name);
         let slots = work.calls as f64 / f64::from(endpoint.slots.max(1));
         let memory = work.held_tokens as f64 / memory_tokens.max(1) as f64;
-        (slots.max(memory) + slot_penalty(view, name, endpoint, wanted), *name)
+        (slots.max(memory) + SLOT_PENALTY.of(view, *candidate, wanted), name)
     });
     let best = scored.min_by(|one, other| one.0.total_cmp(&other.0));
     best.map(|(_, name)| name.clone())
@@ -51,26 +52,31 @@
 
 /// Chooses where a plain call goes; `draw` spreads calls over endpoints that are equally good.
 pub fn place_plain(view: &PlacementView<'_>, candidates: &[Candidate<'_>], draw: u64) -> Option<EndpointName> {
-    let scored = candidates.iter().map(|(name, endpoint)| {
+    let scored = candidates.iter().map(|candidate| {
+        let (name, endpoint) = *candidate;
         let work = view.loads.work(name);
         let used = work.calls as f64 / f64::from(endpoint.slots.max(1));
         let spread = rendezvous::combine(draw, rendezvous::seed(name.as_str().as_bytes()));
-        (used + slot_penalty(view, name, endpoint, view.domain), spread, *name)
+        (used + SLOT_PENALTY.of(view, *candidate, view.domain), spread, name)
     });
     let best = scored.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
     best.map(|(_, _, name)| name.clone())
 }
 
-fn slot_penalty(view: &PlacementView<'_>, name: &EndpointName, endpoint: &ServingEndpoint, wanted: &DomainName) -> f64 {
-    let far = if endpoint.domain == *wanted {
-        0.0
-    } else {
-        OTHER_DOMAIN_SLOTS
-    };
-    let suspect = if view.loads.is_suspected(view.now, name) {
-        SUSPECT_SLOTS
-    } else {
-        0.0
-    };
-    far + suspect
+/// What speaks against an endpoint beside its load, in the unit in which its load is counted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndpointPenalty {
+    /// It is in another failure domain than the one wanted.
+    pub(super) other_domain: f64,
+    /// It has failed lately.
+    pub(super) suspect: f64,
+}
+
+impl EndpointPenalty {
+    /// Returns what speaks against an endpoint when one in `wanted` would be best.
+    pub(super) fn of(self, view: &PlacementView<'_>, (name, endpoint): Candidate<'_>, wanted: &DomainName) -> f64 {
+        let is_far = endpoint.domain != *wanted;
+        let is_suspected = view.loads.is_suspected(view.now, name);
+        f64::from(u8::from(is_far)) * self.other_domain + f64::from(u8::from(is_suspected)) * self.suspect
+    }
 }
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -10,7 +10,7 @@
 use crate::core::serving::config::MemoryLink;
 use crate::core::serving::endpoint_registry::ServingEndpoint;
 use crate::core::serving::prompt::PromptShape;
-use crate::ops::place_call::{Candidate, PlacementView};
+use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView};
 use crate::util::number::round_up;
 use crate::util::rendezvous;
 
@@ -41,12 +41,12 @@
 /// How much longer a copy from another failure domain takes; the users' protocol says so.
 const FAR_COPY_FACTOR: f64 = 2.0;
 
-/// What an endpoint in another failure domain costs in the choice of a reader, in milliseconds: the way there and back.
-const OTHER_DOMAIN_MS: f64 = 3.0;
-
-/// What an endpoint that has failed lately costs in the choice of a reader, in milliseconds: more than any queue that
-/// callers wait for, so that it is used only if there is no other.
-const SUSPECT_MS: f64 = 60_000.0;
+/// What speaks against a reader beside its queue, in milliseconds: in another failure domain the way there and back; after
+/// a failure more than any queue that callers wait for, so that it is used only if there is no other.
+const READER_PENALTY: EndpointPenalty = EndpointPenalty {
+    other_domain: 3.0,
+    suspect: 60_000.0,
+};
 
 /// The engines of a service that a prompt is placed at.
 #[derive(Clone, Copy, Debug)]
@@ -186,10 +186,11 @@
         view: &PlacementView<'_>,
         link: Option<&MemoryLink>,
         prompt: &PromptShape,
-        (name, endpoint): Candidate<'_>,
+        reader: Candidate<'_>,
         source: Option<Candidate<'_>>,
         homes: &Homes<'_>,
     ) -> Self {
+        let (name, endpoint) = reader;
         let kept = view.loads.kept_tokens(name, &prompt.parts) as f64;
         let shared: u64 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
         let missing = (shared as f64 - kept).max(0.0);
@@ -210,7 +211,7 @@
         Self {
             unread_tokens,
             wait_ms: (queued + unread_tokens) * pace + copy_ms,
-            cost_ms: read_ms + copy_ms + homes.penalty_ms(name) + reader_penalty(view, name, endpoint),
+            cost_ms: read_ms + copy_ms + homes.penalty_ms(name) + READER_PENALTY.of(view, reader, view.domain),
         }
     }
 }
@@ -223,17 +224,3 @@
     };
     COPY_SETUP_MS + factor * link.copy_ms(tokens)
 }
-
-fn reader_penalty(view: &PlacementView<'_>, name: &EndpointName, endpoint: &ServingEndpoint) -> f64 {
-    let far = if endpoint.domain == *view.domain {
-        0.0
-    } else {
-        OTHER_DOMAIN_MS
-    };
-    let suspect = if view.loads.is_suspected(view.now, name) {
-        SUSPECT_MS
-    } else {
-        0.0
-    };
-    far + suspect
-}
