Acknowledge leaving only where the endpoint is known

What the code allows: an endpoint that started while the group was cut has reported to one half only; asked by it to note that it leaves, the other half acknowledged and told nobody, because it had nothing to tell.

Change: such a call is answered 503, so that the endpoint asks another replica. Test: leaving_is_acknowledged_only_where_the_endpoint_is_known got 200 before and gets 503 now.

--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -58,10 +58,18 @@
     if is_cut_off(hub) {
         return CUT_OFF;
     }
+    if !hub.knows(name) {
+        return UNKNOWN;
+    }
     hub.take_leave(name, birth);
     ControlAnswer::Done
 }
 
+/// The answer to an endpoint that leaves and that this process has never heard of, as after its own start or while the
+/// endpoint's reports reach another part of the group only. It cannot tell entries of it; acknowledged, the endpoint would
+/// go on getting calls until it is gone. Another replica that knows it can be asked.
+const UNKNOWN: ControlAnswer = ControlAnswer::Unavailable("this replica does not know the endpoint");
+
 /// The answer to an endpoint that leaves, of a process that is cut off from the group: the entries would not hear of
 /// it, and the endpoint would go away under calls that it could still have told another replica about.
 const CUT_OFF: ControlAnswer = ControlAnswer::Unavailable("this replica knows no leader");
--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -144,6 +144,11 @@
         effect
     }
 
+    /// Tells whether this process has heard of an endpoint.
+    pub(super) fn knows(&self, name: &EndpointName) -> bool {
+        self.soft().registry.get(name).is_some()
+    }
+
     /// Notes that an endpoint has told this process that it leaves, and passes that on.
     pub(super) fn take_leave(&self, name: &EndpointName, birth: Option<EndpointBirth>) -> ReportEffect {
         let effect = self.soft().registry.leave(name, birth);
