Leave each election round its time after the first retry

Since the retry after 0.12 to 0.42 s, a candidate whose votes take longer (busy machine, slow disk) drops them and asks anew, in every round.

Change: only the first retry is quick; after that each round has the whole election timeout, as before. A former leader keeps the quick pace for 1.5 s while it only asks, not while it stands.

Test: a_replica_that_goes_on_standing_in_vain_leaves_each_round_its_time failed before (seen) and passes; 24 consensus tests with 20,000 schedules pass.

--- a/crates/acaciabay/src/core/consensus/election.rs
+++ b/crates/acaciabay/src/core/consensus/election.rs
@@ -6,7 +6,7 @@
 use super::message::{MessageBody, ReplicaMessage};
 use super::progress::FollowerProgress;
 use super::replica::{Replica, ReplicaRole};
-use super::timing::RETRY_TIMEOUT;
+use super::timing::{ELECTION_TIMEOUT, RETRY_TIMEOUT};
 use crate::core::clock::BootTime;
 
 impl Replica {
@@ -14,7 +14,14 @@
         if now < self.election_due || !self.members.is_voter(self.id) {
             return;
         }
-        self.stand_within(now, RETRY_TIMEOUT);
+        let is_returning = now < self.returns_until && self.role != ReplicaRole::Candidate;
+        let range = if self.stood_in_vain == 0 || is_returning {
+            RETRY_TIMEOUT
+        } else {
+            ELECTION_TIMEOUT
+        };
+        self.stand_within(now, range);
+        self.stood_in_vain += 1;
         self.role = ReplicaRole::PreCandidate;
         self.leader = None;
         self.grants.clear();
@@ -199,6 +206,7 @@
         self.role = ReplicaRole::Leader;
         self.leader = Some(self.id);
         self.returns_until = BootTime::default();
+        self.stood_in_vain = 0;
         self.note_term_leader(self.id);
         self.round = 0;
         self.rounds.clear();
--- a/crates/acaciabay/src/core/consensus/replica.rs
+++ b/crates/acaciabay/src/core/consensus/replica.rs
@@ -114,6 +114,8 @@
     pub(super) promised_to: Option<ReplicaId>,
     /// Until then this replica, which led before it started, stands again and again.
     pub(super) returns_until: BootTime,
+    /// How often it has stood since it last knew a leader.
+    pub(super) stood_in_vain: u32,
     pub(super) progress: BTreeMap<ReplicaId, FollowerProgress>,
     pub(super) term_start: LogIndex,
     pub(super) round: u64,
@@ -155,6 +157,7 @@
             promise_until: now + LEADER_LEASE,
             promised_to: hard_state.leader,
             returns_until: BootTime::default(),
+            stood_in_vain: 0,
             progress: BTreeMap::new(),
             term_start: LogIndex(0),
             round: 0,
--- a/crates/acaciabay/src/core/consensus/replication.rs
+++ b/crates/acaciabay/src/core/consensus/replication.rs
@@ -16,6 +16,7 @@
         }
         self.note_term_leader(from);
         self.returns_until = BootTime::default();
+        self.stood_in_vain = 0;
         self.reset_election(now);
         self.promise_until = self.promise_until.max(now + LEADER_LEASE);
         self.promised_to = Some(from);
--- a/crates/acaciabay/tests/consensus/starts.rs
+++ b/crates/acaciabay/tests/consensus/starts.rs
@@ -127,6 +127,27 @@
     assert!(stood_at[1] - stood_at[0] < 420, "{stood_at:?}");
 }
 
+/// The disks of all replicas are slow, so that votes take longer to come than a candidate waits in its second round. If it
+/// went on at that pace, it would drop every vote that is on its way, and nobody would ever lead.
+#[test]
+fn a_replica_that_goes_on_standing_in_vain_leaves_each_round_its_time() {
+    let mut replica = started(at(0), 2, Some(LEADER));
+    let mut stood_at = Vec::new();
+
+    for now in 0..6_000 {
+        replica.tick(at(now));
+        let output = replica.take_output();
+        replica.note_synced();
+        let mut bodies = output.messages.iter().map(|message| &message.body);
+        if bodies.any(|body| matches!(body, MessageBody::VoteRequest { .. })) {
+            stood_at.push(now);
+        }
+    }
+
+    let pauses: Vec<_> = stood_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses[1..].iter().all(|pause| *pause >= 900), "{pauses:?}");
+}
+
 /// A replica starts again while the leader runs on, and another replica that cannot hear the leader stands. If the first
 /// one helped it, there would be two leaders, and two orders at one endpoint.
 #[test]
