Let a word of leaving concern the start that it names

Cause: entries and replicas each had the rule that `gone` counts also with an old number, and both applied it to whatever start they held. An endpoint may start again under its name: a replica that was cut off and still told of the earlier start would have taken the later one out for good, because leaving is never undone within a start. And a replica that knew the earlier start only passed on its birth when the later one left.

Change: one copy of the rule, in the registry (`hear`), with the birth that the word names; leaving with a later birth than the one held is kept and passed on with that birth. Found by reading the change for twin logic.

Test: a_late_word_that_an_earlier_start_has_left_harms_no_later_one failed on the merged rule as it stood (Changed in place of Old), passes now; leaving_is_passed_on_for_the_start_that_leaves keeps what worked before by accident. 80 tests of the library's serving part pass.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -158,13 +158,7 @@
 
     /// Takes what an endpoint has said to another replica.
     pub(super) fn hear_report(&self, name: &EndpointName, endpoint: ServingEndpoint) {
-        let phase = endpoint.phase;
-        let mut soft = self.soft();
-        if soft.registry.report(boot_now(), name, endpoint) == ReportEffect::Old
-            && phase == acaciabay::core::serving::endpoint_registry::EndpointPhase::Gone
-        {
-            soft.registry.leave(name, None);
-        }
+        self.soft().registry.hear(boot_now(), name, endpoint);
     }
 
     fn pass_on(&self, name: &EndpointName, effect: ReportEffect) {
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -26,7 +26,7 @@
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::RestingOrder;
-use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, ReportEffect};
+use acaciabay::core::serving::endpoint_registry::{EndpointBirth, ReportEffect};
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -345,12 +345,7 @@
                 }
             };
             let phase = endpoint.phase;
-            let mut effect = view.registry.report(now, &name, endpoint);
-            if effect == ReportEffect::Old && phase == EndpointPhase::Gone {
-                // Leaving carries no number of its own.
-                effect = view.registry.leave(&name, None);
-            }
-            if effect == ReportEffect::Changed {
+            if view.registry.hear(now, &name, endpoint) == ReportEffect::Changed {
                 slog::info!(self.shared.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
                     "endpoint" => name.as_str(), "phase" => ?phase, "sequence" => row.sequence, "birth" => row.birth);
             }
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -112,12 +112,24 @@
         }
     }
 
-    /// Notes that an endpoint has left; a birth below the one held names an earlier start.
+    /// Takes what another process tells of an endpoint. That a start has left counts also with an old number, since leaving
+    /// carries none of its own; it says nothing about a later start.
+    pub fn hear(&mut self, now: BootTime, name: &EndpointName, endpoint: ServingEndpoint) -> ReportEffect {
+        let (phase, birth) = (endpoint.phase, endpoint.birth);
+        match self.report(now, name, endpoint) {
+            ReportEffect::Old if phase == EndpointPhase::Gone => self.leave(name, Some(birth)),
+            effect => effect,
+        }
+    }
+
+    /// Notes that an endpoint has left; a birth below the one held names an earlier start, one above it a start whose
+    /// reports have not come here.
     pub fn leave(&mut self, name: &EndpointName, birth: Option<EndpointBirth>) -> ReportEffect {
         match self.rows.get_mut(name) {
             Some(row) if birth.is_none_or(|birth| birth >= row.endpoint.birth) => {
                 let changed = row.endpoint.phase != EndpointPhase::Gone;
                 row.endpoint.phase = EndpointPhase::Gone;
+                row.endpoint.birth = birth.unwrap_or(row.endpoint.birth);
                 if changed {
                     ReportEffect::Changed
                 } else {
--- a/crates/acaciabay/tests/serving/registry.rs
+++ b/crates/acaciabay/tests/serving/registry.rs
@@ -121,6 +121,36 @@
     assert_eq!(ready.len(), 1);
 }
 
+/// A replica that was cut off still tells that an earlier start of an endpoint has left, while the endpoint has started
+/// again under its name. Believed for the later start, that would take a sound endpoint out for good.
+#[test]
+fn a_late_word_that_an_earlier_start_has_left_harms_no_later_one() {
+    let mut registry = EndpointRegistry::default();
+    registry.report(at(0), &name("e"), report(2, 1, EndpointPhase::Ready));
+
+    let effect = registry.hear(at(0), &name("e"), report(1, 9, EndpointPhase::Gone));
+
+    assert_eq!(effect, ReportEffect::Old);
+    assert_eq!(registry.ready(at(0), &"llm".into()).len(), 1);
+}
+
+/// An endpoint has started again and says to a replica that has not heard of that start yet that it leaves. What this
+/// replica passes on must name the later start, or those who know it would go on sending calls there.
+#[test]
+fn leaving_is_passed_on_for_the_start_that_leaves() {
+    let mut replica = EndpointRegistry::default();
+    replica.report(at(0), &name("e"), report(1, 9, EndpointPhase::Ready));
+    let mut entry = EndpointRegistry::default();
+    entry.report(at(0), &name("e"), report(2, 4, EndpointPhase::Ready));
+
+    replica.leave(&name("e"), Some(EndpointBirth(2)));
+    let told = replica.get(&name("e")).expect("it is known").clone();
+    let effect = entry.hear(at(0), &name("e"), told);
+
+    assert_eq!(effect, ReportEffect::Changed);
+    assert!(entry.ready(at(0), &"llm".into()).is_empty());
+}
+
 /// An endpoint that leaves takes no new calls, but other engines may still copy from it what it has read.
 #[test]
 fn an_endpoint_that_leaves_still_answers() {
