Do once what each call did more than once

Found by reading the change, behaviour as before: - A streamed call placed its prompt twice, the first time only to learn whether any engine reads prompts; `has_readers` answers that. - For each endpoint all others were scanned for the same address, which is quadratic (20,000 comparisons a look at 145 endpoints, three looks a call); the latest birth at each address is now gathered once a look. - Two tests of starts.rs had one loop twice, and two had another; both stand once. - `Homes` is `PartHomes`, as types name their role in two words.

The gain in processor time was not measured.

--- a/crates/acacia-entry/src/serving/choice.rs
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -42,6 +42,11 @@
         chosen(&candidates, &name)
     }
 
+    /// Tells whether the engines of a service share the work by stages, so that one of them reads prompts.
+    pub(super) fn has_readers(&self, now: BootTime, service: &ServiceName) -> bool {
+        !of_stage(&self.view(), now, service, EngineStage::Prefill).is_empty()
+    }
+
     /// Chooses an engine that reads a prompt.
     pub(super) fn choose_reader(
         &self,
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -163,13 +163,7 @@
         let Some(prompt) = &self.call.head.prompt else {
             return Ok(None);
         };
-        let now = boot_now();
-        if self
-            .call
-            .shared
-            .choose_reader(now, &self.call.service, &[], prompt)
-            .is_none()
-        {
+        if !self.call.shared.has_readers(boot_now(), &self.call.service) {
             return Ok(None);
         }
         let repeated = self.reads > 0;
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -4,7 +4,7 @@
 //! number that rises; a report with a lower pair than the one held is old. Without that order, a late `ready` would
 //! undo a `draining`, and calls would be sent to an endpoint that is about to leave.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -176,11 +176,12 @@
         service: &'registry ServiceName,
         is_wanted: impl Fn(EndpointPhase) -> bool,
     ) -> Vec<(&'registry EndpointName, &'registry ServingEndpoint)> {
+        let youngest = self.youngest_by_address();
         let wanted: Vec<_> = self
             .rows
             .iter()
             .filter(|(_, row)| row.endpoint.service == *service && is_wanted(row.endpoint.phase))
-            .filter(|(_, row)| self.holds_address(&row.endpoint))
+            .filter(|(_, row)| youngest.get(&row.endpoint.address) == Some(&row.endpoint.birth))
             .collect();
         let heard = |row: &RegistryRow| now.since(row.heard_at) < SILENCE_LIMIT;
         let any_heard = wanted.iter().any(|(_, row)| heard(row));
@@ -197,9 +198,14 @@
         self.rows.retain(|_, row| now.since(row.heard_at) < ROW_LIFETIME);
     }
 
-    fn holds_address(&self, endpoint: &ServingEndpoint) -> bool {
-        let mut others = self.rows.values().map(|row| &row.endpoint);
-        !others.any(|other| other.address == endpoint.address && other.birth > endpoint.birth)
+    /// Returns the latest birth at each address.
+    fn youngest_by_address(&self) -> HashMap<SocketAddr, EndpointBirth> {
+        let mut youngest = HashMap::with_capacity(self.rows.len());
+        for RegistryRow { endpoint, .. } in self.rows.values() {
+            let birth = youngest.entry(endpoint.address).or_insert(endpoint.birth);
+            *birth = endpoint.birth.max(*birth);
+        }
+        youngest
     }
 }
 
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -78,7 +78,7 @@
     engines: &PromptEngines<'_>,
     prompt: &PromptShape,
 ) -> Option<PromptPlace> {
-    let homes = Homes::of(engines.readers, prompt);
+    let homes = PartHomes::of(engines.readers, prompt);
     let keepers = LikelyKeepers::of(view, engines, prompt);
     let scored = engines.readers.iter().map(|reader| {
         let source = keepers.beside(reader.0);
@@ -97,9 +97,9 @@
 
 /// The engines on which entries agree for a shared part, the first one first.
 #[derive(Debug)]
-struct Homes<'table>(Vec<&'table EndpointName>);
+struct PartHomes<'table>(Vec<&'table EndpointName>);
 
-impl<'table> Homes<'table> {
+impl<'table> PartHomes<'table> {
     fn of(readers: &[Candidate<'table>], prompt: &PromptShape) -> Self {
         let Some(part) = prompt.affinity() else {
             return Self(Vec::new());
@@ -188,7 +188,7 @@
         prompt: &PromptShape,
         reader: Candidate<'_>,
         source: Option<Candidate<'_>>,
-        homes: &Homes<'_>,
+        homes: &PartHomes<'_>,
     ) -> Self {
         let (name, endpoint) = reader;
         let kept = view.loads.kept_tokens(name, &prompt.parts) as f64;
--- a/crates/acaciabay/tests/consensus/starts.rs
+++ b/crates/acaciabay/tests/consensus/starts.rs
@@ -1,5 +1,7 @@
 //! Replicas that start again, alone or all together.
 
+use std::collections::BTreeSet;
+
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::consensus::{
     AppendRequest, DiskId, HardState, LogIndex, MemberRow, MemberSet, MessageBody, Replica, ReplicaId, ReplicaLog,
@@ -60,23 +62,29 @@
     replies.any(|body| matches!(body, MessageBody::VoteReply { granted: true, .. }))
 }
 
-/// Runs replicas that reach each other at once until one leads; returns when.
+/// Lets a millisecond pass for replicas that reach each other at once; returns what they stored.
+fn pass_time(replicas: &mut [Replica], now: u64) -> Vec<(ReplicaId, HardState)> {
+    let (mut messages, mut stored) = (Vec::new(), Vec::new());
+    for replica in replicas.iter_mut() {
+        replica.tick(at(now));
+        let output = replica.take_output();
+        replica.note_synced();
+        stored.extend(output.hard_state.map(|state| (replica.id(), state)));
+        messages.extend([output.early_messages, output.messages].concat());
+    }
+    for message in messages {
+        let receiver = replicas.iter_mut().find(|replica| replica.id() == message.to);
+        if let Some(receiver) = receiver {
+            receiver.step(at(now), message);
+        }
+    }
+    stored
+}
+
+/// Runs replicas until one leads; returns when.
 fn run_until_leader(replicas: &mut [Replica], from: u64) -> u64 {
     for now in from..from + 5_000 {
-        let mut messages = Vec::new();
-        for replica in replicas.iter_mut() {
-            replica.tick(at(now));
-            let output = replica.take_output();
-            replica.note_synced();
-            messages.extend(output.early_messages);
-            messages.extend(output.messages);
-        }
-        for message in messages {
-            let receiver = replicas.iter_mut().find(|replica| replica.id() == message.to);
-            if let Some(receiver) = receiver {
-                receiver.step(at(now), message);
-            }
-        }
+        pass_time(replicas, now);
         if replicas.iter().any(|replica| replica.role() == ReplicaRole::Leader) {
             return now;
         }
@@ -84,6 +92,21 @@
     panic!("nobody leads");
 }
 
+/// Lets a replica be for so many milliseconds whom nobody answers; returns when it asked for votes.
+fn stand_unheard(replica: &mut Replica, millis: u64) -> Vec<u64> {
+    let mut stood_at = Vec::new();
+    for now in 0..millis {
+        replica.tick(at(now));
+        let output = replica.take_output();
+        replica.note_synced();
+        let mut bodies = output.messages.iter().map(|message| &message.body);
+        if bodies.any(|body| matches!(body, MessageBody::VoteRequest { .. })) {
+            stood_at.push(now);
+        }
+    }
+    stood_at
+}
+
 /// All processes of the group are killed at once and start again. Each must assume that it confirmed a lease just before,
 /// and callers are refused until there is a leader. The one that led knows that its own lease ended with its process.
 #[test]
@@ -111,17 +134,8 @@
 #[test]
 fn a_replica_that_stood_in_vain_stands_again_soon() {
     let mut replica = started(at(0), 2, Some(LEADER));
-    let mut stood_at = Vec::new();
 
-    for now in 0..2_000 {
-        replica.tick(at(now));
-        let output = replica.take_output();
-        replica.note_synced();
-        let mut bodies = output.messages.iter().map(|message| &message.body);
-        if bodies.any(|body| matches!(body, MessageBody::VoteRequest { .. })) {
-            stood_at.push(now);
-        }
-    }
+    let stood_at = stand_unheard(&mut replica, 2_000);
 
     assert!((900..1_300).contains(&stood_at[0]), "{stood_at:?}");
     assert!(stood_at[1] - stood_at[0] < 420, "{stood_at:?}");
@@ -132,17 +146,8 @@
 #[test]
 fn a_replica_that_goes_on_standing_in_vain_leaves_each_round_its_time() {
     let mut replica = started(at(0), 2, Some(LEADER));
-    let mut stood_at = Vec::new();
 
-    for now in 0..6_000 {
-        replica.tick(at(now));
-        let output = replica.take_output();
-        replica.note_synced();
-        let mut bodies = output.messages.iter().map(|message| &message.body);
-        if bodies.any(|body| matches!(body, MessageBody::VoteRequest { .. })) {
-            stood_at.push(now);
-        }
-    }
+    let stood_at = stand_unheard(&mut replica, 6_000);
 
     let pauses: Vec<_> = stood_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
     assert!(pauses[1..].iter().all(|pause| *pause >= 900), "{pauses:?}");
@@ -202,22 +207,11 @@
     let elected_at = run_until_leader(&mut replicas, 0);
     let leader = replicas.iter().find(|replica| replica.role() == ReplicaRole::Leader);
     let leader = leader.map(Replica::id);
-    let mut stored = Vec::new();
-    for now in elected_at..elected_at + 300 {
-        let mut messages = Vec::new();
-        for replica in &mut replicas {
-            replica.tick(at(now));
-            let output = replica.take_output();
-            replica.note_synced();
-            stored.extend(output.hard_state.map(|state| (replica.id(), state.leader)));
-            messages.extend([output.early_messages, output.messages].concat());
-        }
-        for message in messages {
-            let place = usize::try_from(message.to.0 - 1).expect("the number is small");
-            replicas[place].step(at(now), message);
-        }
-    }
+    let stored: Vec<_> = (elected_at..elected_at + 300)
+        .flat_map(|now| pass_time(&mut replicas, now))
+        .collect();
 
-    let knowing: std::collections::BTreeSet<_> = stored.iter().filter(|row| row.1 == leader).map(|row| row.0).collect();
+    let told = stored.iter().filter(|(_, state)| state.leader == leader);
+    let knowing: BTreeSet<_> = told.map(|(replica, _)| *replica).collect();
     assert_eq!(knowing.len(), 5);
 }
