--- a/crates/acaciabay/tests/consensus/simulation.rs
+++ b/crates/acaciabay/tests/consensus/simulation/mod.rs
@@ -1,11 +1,16 @@
 //! A group of replicas in simulated time, with a network and disks that fail, judged against one plain list.
+//!
+//! Here time passes and messages travel; `faults` is what befalls hosts, `judge` what has to hold all the while.
+
+mod faults;
+mod judge;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::consensus::{
-    DiskId, EntryPayload, HardState, LogEntry, LogIndex, MemberChange, MemberRow, MemberSet, Replica, ReplicaId,
-    ReplicaMessage, ReplicaOutput, ReplicaRole, ReplicaSnapshot, Term,
+    DiskId, HardState, LogIndex, MemberRow, MemberSet, Replica, ReplicaId, ReplicaMessage, ReplicaOutput,
+    ReplicaSnapshot, Term,
 };
 use bytes::Bytes;
 use rand::rngs::StdRng;
@@ -16,9 +21,6 @@
 
 /// Time passes in steps of this length.
 const STEP_MILLIS: u64 = 10;
-/// How long the group gets to recover at the end: rounds in which an operator takes the next step of a repair.
-const SETTLE_ROUNDS: u32 = 8;
-const SETTLE_MILLIS: u64 = 1_500;
 /// Clock rates differ by up to half a percent either way, well within what the leases allow for.
 const RATE_SPREAD: f64 = 0.005;
 
@@ -120,10 +122,6 @@
         simulation
     }
 
-    pub(crate) fn acknowledged(&self) -> usize {
-        self.acknowledged.len()
-    }
-
     pub(crate) fn act(&mut self, action: &Action) -> Verdict {
         let count = self.hosts.len();
         match action {
@@ -145,61 +143,6 @@
         Ok(())
     }
 
-    /// Ends all faults and checks that every replica comes to hold the one list with everything acknowledged in it.
-    pub(crate) fn heal_and_settle(&mut self) -> Verdict {
-        self.cuts.clear();
-        self.network_is_whole = true;
-        for host in &mut self.hosts {
-            host.paused_until = 0;
-            host.dies_in_write = None;
-        }
-        self.restart_all();
-        for _ in 0..SETTLE_ROUNDS {
-            self.run(SETTLE_MILLIS)?;
-            self.repair()?;
-            self.propose()?;
-        }
-        self.run(3 * SETTLE_MILLIS)?;
-        self.check_settled()
-    }
-
-    fn check_settled(&self) -> Verdict {
-        let list = self.committed_list();
-        for (_, value) in &self.acknowledged {
-            if !list.contains(value) {
-                return Err(format!("value {value} was acknowledged and is lost"));
-            }
-        }
-        let leader = self
-            .hosts
-            .iter()
-            .find(|host| self.may_act(host))
-            .ok_or("no leader after healing")?;
-        let members = leader
-            .running
-            .as_ref()
-            .map(Replica::members)
-            .ok_or("leader does not run")?;
-        for host in self
-            .hosts
-            .iter()
-            .filter(|host| host.id.is_some_and(|id| members.get(id).is_some()))
-        {
-            if host.applied != list {
-                let held = &host.applied;
-                return Err(format!(
-                    "{} holds {held:?} in place of {list:?}; its leader: {leader:?}",
-                    host.name
-                ));
-            }
-        }
-        Ok(())
-    }
-
-    fn committed_list(&self) -> Vec<u64> {
-        self.truth.values().filter_map(|(_, value)| *value).collect()
-    }
-
     fn run(&mut self, millis: u64) -> Verdict {
         let until = self.now + millis;
         while self.now < until {
@@ -234,40 +177,6 @@
         BootTime::from_millis(host.clock_start + elapsed)
     }
 
-    fn may_act(&self, host: &Host) -> bool {
-        let index = self
-            .hosts
-            .iter()
-            .position(|other| std::ptr::eq(other, host))
-            .unwrap_or(0);
-        host.running
-            .as_ref()
-            .is_some_and(|replica| replica.may_act(self.local_time(index)))
-    }
-
-    /// At any moment one replica at most believes that it may act, paused ones included, and it knows all that was
-    /// acknowledged.
-    fn check_leaders(&self) -> Verdict {
-        let acting: Vec<&Host> = self.hosts.iter().filter(|host| self.may_act(host)).collect();
-        if acting.len() > 1 {
-            let names: Vec<&str> = acting.iter().map(|host| host.name.as_str()).collect();
-            return Err(format!("at {} both believe that they lead: {names:?}", self.now));
-        }
-        for host in acting {
-            if let Some((index, value)) = self
-                .acknowledged
-                .iter()
-                .find(|(_, value)| !host.applied.contains(value))
-            {
-                return Err(format!(
-                    "{} leads without {value}, acknowledged at {index:?}",
-                    host.name
-                ));
-            }
-        }
-        Ok(())
-    }
-
     fn deliver(&mut self) -> Verdict {
         let (now, waiting) = (self.now, std::mem::take(&mut self.network));
         for delivery in waiting {
@@ -371,27 +280,6 @@
         }
     }
 
-    fn apply(&mut self, index: usize, entry: &LogEntry) -> Verdict {
-        let value = match &entry.payload {
-            EntryPayload::Command(bytes) => Some(decode_value(bytes)),
-            EntryPayload::Empty | EntryPayload::Members(_) => None,
-        };
-        let known = self.truth.entry(entry.index).or_insert((entry.term, value));
-        if *known != (entry.term, value) {
-            return Err(format!(
-                "two entries at {:?}: {known:?} and {:?}",
-                entry.index,
-                (entry.term, value)
-            ));
-        }
-        self.hosts[index].applied.extend(value);
-        // Only the replica that took a proposal answers the one who made it, but any replica's word would be true.
-        if let Some(value) = self.waiting.remove(&(entry.term, entry.index)) {
-            self.acknowledged.push((entry.index, value));
-        }
-        Ok(())
-    }
-
     fn propose(&mut self) -> Verdict {
         let start = self.random.random_range(0..self.hosts.len());
         for offset in 0..self.hosts.len() {
@@ -411,96 +299,6 @@
         }
         Ok(())
     }
-
-    fn kill(&mut self, index: usize) {
-        self.hosts[index].running = None;
-        self.hosts[index].dies_in_write = None;
-    }
-
-    fn restart_all(&mut self) {
-        for index in 0..self.hosts.len() {
-            let now = self.local_time(index);
-            let seed = self.random.random();
-            let host = &mut self.hosts[index];
-            if let (None, Some(id)) = (&host.running, host.id) {
-                host.applied = decode_state(&host.disk.snapshot.state);
-                host.running = Some(Replica::new(now, id, host.disk.restore(), seed));
-            }
-        }
-    }
-
-    fn isolate(&mut self, index: usize) {
-        for other in 0..self.hosts.len() {
-            self.cuts.insert((index, other));
-            self.cuts.insert((other, index));
-        }
-    }
-
-    fn compact(&mut self, index: usize) {
-        let host = &mut self.hosts[index];
-        let Some(replica) = &mut host.running else { return };
-        let snapshot = replica.snapshot_at_delivered(encode_state(&host.applied));
-        if snapshot.index > host.disk.base() {
-            let index = snapshot.index;
-            host.disk.compact(snapshot);
-            replica.compact(index);
-        }
-    }
-
-    fn lose_disk(&mut self, index: usize) {
-        let all_vote = self.hosts.iter().all(|host| {
-            let members = host.running.as_ref().map(Replica::members);
-            members.is_some_and(|members| host.id.is_some_and(|id| members.is_voter(id)))
-        });
-        if self.lost_disk.is_some() || !all_vote {
-            return;
-        }
-        self.kill(index);
-        let host = &mut self.hosts[index];
-        host.id = None;
-        host.disk = SimulatedDisk::default();
-        host.disk_id = DiskId(self.random.random_range(1_000..u64::MAX));
-        host.applied.clear();
-        self.lost_disk = Some(index);
-    }
-
-    /// Takes the next step of a repair at whichever replica leads: remove the old member, admit a new one, bind it.
-    fn repair(&mut self) -> Verdict {
-        let Some(lost) = self.lost_disk else { return Ok(()) };
-        let leads = |host: &Host| {
-            host.running
-                .as_ref()
-                .is_some_and(|replica| replica.role() == ReplicaRole::Leader)
-        };
-        let Some(leader) = self.hosts.iter().position(leads) else {
-            return Ok(());
-        };
-        let (name, disk) = (self.hosts[lost].name.clone(), self.hosts[lost].disk_id);
-        let Some(replica) = &mut self.hosts[leader].running else {
-            return Ok(());
-        };
-        let host = name.as_str().into();
-        let present = replica.members().on_host(&host).map(|(id, row)| (id, row.disk));
-        let change = match present {
-            Some((replica, Some(bound))) if bound != disk => MemberChange::Remove { replica },
-            Some((replica, _)) => MemberChange::Bind { replica, disk },
-            None => MemberChange::Add {
-                host,
-                address: String::new(),
-            },
-        };
-        let binds = matches!(change, MemberChange::Bind { .. });
-        if let Ok((_, id)) = replica.change_members(change)
-            && binds
-        {
-            let now = self.local_time(lost);
-            self.hosts[lost].id = Some(id);
-            let restored = self.hosts[lost].disk.restore();
-            self.hosts[lost].running = Some(Replica::new(now, id, restored, id.0));
-            self.lost_disk = None;
-        }
-        self.process(leader)
-    }
 }
 
 fn host_name(index: usize) -> String {
--- a/crates/test-support/src/cluster.rs
+++ b/crates/test-support/src/cluster.rs
@@ -15,70 +15,14 @@
 use tempfile::TempDir;
 
 use crate::caller::Caller;
+use crate::cluster_shape::{ClusterShape, ProgramPaths};
 use crate::program::Program;
 use crate::relay::Relay;
-use crate::wait::wait_until;
 
 pub(crate) const OPERATOR_TOKEN: &str = "test-operator-token";
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Where the binaries are; only the crate that builds them knows.
-#[derive(Clone, Copy, Debug)]
-pub struct ProgramPaths {
-    /// `acacia-control`
-    pub control: &'static str,
-    /// `acacia-entry`
-    pub entry: &'static str,
-    /// `acacia-standin`
-    pub standin: &'static str,
-}
-
-/// How many processes of each kind a cluster has.
-#[derive(Clone, Debug)]
-pub struct ClusterShape {
-    /// Replicas of the control group.
-    pub controls: usize,
-    /// Entries.
-    pub entries: usize,
-    /// Model engines.
-    pub engines: usize,
-    /// Booking services.
-    pub bookings: usize,
-    /// Tokens that an engine generates a second for each request.
-    pub decode_rate: u32,
-    /// Whether endpoints check fencing numbers.
-    pub checks_fencing: bool,
-    /// Fields that replace those of every entry's settings.
-    pub entry_settings: Value,
-    /// Fields that replace those of every control host's settings.
-    pub control_settings: Value,
-    /// Fields that replace those of every endpoint's settings.
-    pub endpoint_settings: Value,
-    /// Whether there is a platform interface that takes usage windows, as the last endpoint.
-    pub platform: bool,
-    /// Whether connections to control replicas pass relays that can cut them.
-    pub relays: bool,
-}
-
-impl Default for ClusterShape {
-    fn default() -> Self {
-        Self {
-            controls: 1,
-            entries: 2,
-            engines: 1,
-            bookings: 1,
-            decode_rate: 500,
-            checks_fencing: true,
-            entry_settings: json!({}),
-            control_settings: json!({}),
-            endpoint_settings: json!({}),
-            platform: false,
-            relays: false,
-        }
-    }
-}
-
 /// Processes of one system, with the files that they were started from.
 #[derive(Debug)]
 pub struct TestCluster {
@@ -165,46 +109,6 @@
         }
     }
 
-    /// Waits until a control host votes.
-    pub async fn wait_voter(&self, index: usize) {
-        let operator = self.operator();
-        wait_until(&format!("{} votes", control_name(index)), || async {
-            let rows = member_rows(&operator).await?;
-            rows.iter()
-                .any(|row| row["host"] == control_name(index) && row["voter"] == true)
-                .then_some(())
-        })
-        .await;
-    }
-
-    /// Waits until a control host is ready.
-    pub async fn wait_ready(&self, index: usize) {
-        let admin = self.control_address(index, 2);
-        wait_until(&format!("{} is ready", control_name(index)), || async move {
-            let request = FetchRequest::new(&Method::GET, "/readyz");
-            fetch_json(admin, request, ANSWER_TIMEOUT)
-                .await
-                .ok()?
-                .status
-                .is_success()
-                .then_some(())
-        })
-        .await;
-    }
-
-    /// Returns which control host leads.
-    pub async fn leader(&self) -> usize {
-        let operator = self.operator();
-        wait_until("a replica leads", || async {
-            let rows = member_rows(&operator).await?;
-            let host = rows.iter().find(|row| row["leader"] == true)?["host"]
-                .as_str()?
-                .to_owned();
-            (0..self.shape.controls).find(|index| control_name(*index) == host)
-        })
-        .await
-    }
-
     /// Starts a control replica (again).
     pub fn start_control(&mut self, index: usize) {
         let settings = self.write_settings(&control_name(index), &self.control_settings(index));
@@ -326,38 +230,6 @@
             .expect("the table comes into force");
     }
 
-    /// Waits until every entry that runs has joined and serves.
-    pub async fn wait_entries(&self) {
-        for index in (0..self.entries.len()).filter(|index| self.entries[*index].is_some()) {
-            let admin = self.entry_address(index, 2);
-            wait_until(&format!("entry-{} serves", index + 1), || async move {
-                let request = FetchRequest::new(&Method::GET, "/readyz");
-                fetch_json(admin, request, ANSWER_TIMEOUT)
-                    .await
-                    .ok()?
-                    .status
-                    .is_success()
-                    .then_some(())
-            })
-            .await;
-        }
-    }
-
-    /// Waits until every entry knows every endpoint and has its share of every pool.
-    pub async fn wait_endpoints(&self) {
-        for index in 0..self.entries.len() {
-            let admin = self.entry_address(index, 2);
-            for endpoint in 0..self.shape.engines + self.shape.bookings {
-                let name = self.endpoint_name(endpoint);
-                wait_until(&format!("entry-{} knows `{name}`", index + 1), || {
-                    knows(admin, name.clone())
-                })
-                .await;
-            }
-            wait_until(&format!("entry-{} has its shares", index + 1), || has_shares(admin)).await;
-        }
-    }
-
     /// Returns a caller at one of the entries.
     pub fn caller(&self, entry: usize, key: &IssuedKey) -> Caller {
         Caller::new(self.entry_address(entry, 0), key.secret.clone())
@@ -474,22 +346,6 @@
     format!("control-{}", index + 1)
 }
 
-async fn knows(admin: SocketAddr, endpoint: String) -> Option<()> {
-    let request = FetchRequest::new(&Method::GET, "/endpoints");
-    let answer = fetch_json(admin, request, ANSWER_TIMEOUT).await.ok()?;
-    let rows = answer.body["endpoints"].as_array()?;
-    rows.iter()
-        .any(|row| row["endpoint"] == endpoint && row["takes_work"] == true)
-        .then_some(())
-}
-
-async fn has_shares(admin: SocketAddr) -> Option<()> {
-    let request = FetchRequest::new(&Method::GET, "/shares");
-    let answer = fetch_json(admin, request, ANSWER_TIMEOUT).await.ok()?;
-    let rows = answer.body["shares"].as_array()?.clone();
-    rows.iter().all(|row| row["granted"] == true).then_some(())
-}
-
 /// Draws a loopback address that no other cluster of this or another test process uses.
 fn next_address() -> Ipv4Addr {
     static CLUSTERS: AtomicU16 = AtomicU16::new(0);
@@ -499,9 +355,3 @@
     let third = middle.wrapping_add(high.wrapping_mul(31));
     Ipv4Addr::new(127, 1 + third % 250, low, u8::try_from(1 + number % 250).unwrap_or(1))
 }
-
-/// Returns the members of the group as an operator sees them.
-async fn member_rows(operator: &OperatorClient) -> Option<Vec<Value>> {
-    let members = operator.expect(Method::GET, "/v1/members", None).await.ok()?;
-    members["members"].as_array().cloned()
-}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -8,12 +8,15 @@
 mod caller;
 mod cluster;
 mod cluster_settings;
+mod cluster_shape;
+mod cluster_waits;
 mod program;
 mod relay;
 mod wait;
 
 pub use caller::{Caller, StreamedAnswer};
-pub use cluster::{ClusterShape, ProgramPaths, TestCluster};
+pub use cluster::TestCluster;
+pub use cluster_shape::{ClusterShape, ProgramPaths};
 pub use program::Program;
 pub use relay::Relay;
 pub use wait::wait_until;
