Acknowledge an admission that is sent again

Cause: the client sends again what got no answer, relying on every write being recognised by its content; admissions were not.

Change: an admission of a member at the address that it has is acknowledged with its number. Another address is refused as before.

Left: removals and replacements that are sent again are not recognised; a replacement sent twice would replace the new member once more.

--- a/crates/acacia-control/src/operator_members.rs
+++ b/crates/acacia-control/src/operator_members.rs
@@ -47,21 +47,24 @@
         let message = "expected `host` and `address` (an IP address with a port)";
         return Err(OperatorRefusal::new(StatusCode::BAD_REQUEST, "bad_member", message));
     };
-    let replica = change(
-        control,
-        MemberChange::Add {
-            host: host.into(),
-            address: address.to_owned(),
-        },
-    )
-    .await?;
+    let admission = MemberChange::Add {
+        host: host.into(),
+        address: address.to_owned(),
+    };
+    let replica = match change(control, admission).await {
+        Ok(replica) => replica,
+        // The answer to the same admission was lost, and the operator's client has sent it again.
+        Err(MemberRefusal::HostTaken(replica)) if address_of(control, replica).as_deref() == Some(address) => replica,
+        Err(refusal) => return Err(refusal_of(control, &refusal)),
+    };
     Ok(json!({"host": host, "replica": replica.0}))
 }
 
 pub(crate) async fn remove_member(control: &Control, host: &str) -> OperatorAnswer {
     control.group.confirm().await?;
     let (replica, _) = find(control, host)?;
-    change(control, MemberChange::Remove { replica }).await?;
+    let removed = change(control, MemberChange::Remove { replica }).await;
+    removed.map_err(|refusal| refusal_of(control, &refusal))?;
     Ok(json!({"host": host, "removed": replica.0}))
 }
 
@@ -69,15 +72,14 @@
 pub(crate) async fn replace_member(control: &Control, host: &str) -> OperatorAnswer {
     control.group.confirm().await?;
     let (old, address) = find(control, host)?;
-    change(control, MemberChange::Remove { replica: old }).await?;
-    let replica = change(
-        control,
-        MemberChange::Add {
-            host: host.into(),
-            address,
-        },
-    )
-    .await?;
+    let removed = change(control, MemberChange::Remove { replica: old }).await;
+    removed.map_err(|refusal| refusal_of(control, &refusal))?;
+    let admission = MemberChange::Add {
+        host: host.into(),
+        address,
+    };
+    let admitted = change(control, admission).await;
+    let replica = admitted.map_err(|refusal| refusal_of(control, &refusal))?;
     Ok(json!({"host": host, "removed": old.0, "replica": replica.0}))
 }
 
@@ -94,17 +96,22 @@
 }
 
 /// Makes a change as soon as the one before it is committed.
-async fn change(control: &Control, change: MemberChange) -> Result<ReplicaId, OperatorRefusal> {
+async fn change(control: &Control, change: MemberChange) -> Result<ReplicaId, MemberRefusal> {
     let give_up = boot_now() + BUSY_TIMEOUT;
     loop {
         match control.group.change_members(change.clone()).await {
             Ok(replica) => return Ok(replica),
             Err(MemberRefusal::Busy) if boot_now() < give_up => tokio::time::sleep(BUSY_PAUSE).await,
-            Err(refusal) => return Err(refusal_of(control, &refusal)),
+            Err(refusal) => return Err(refusal),
         }
     }
 }
 
+fn address_of(control: &Control, replica: ReplicaId) -> Option<String> {
+    let status = control.group.status().borrow().clone();
+    status.members.get(replica).map(|row| row.address.clone())
+}
+
 fn refusal_of(control: &Control, refusal: &MemberRefusal) -> OperatorRefusal {
     match refusal {
         MemberRefusal::NotLeader(_) => {
--- a/tests/testsuite/planned_changes.rs
+++ b/tests/testsuite/planned_changes.rs
@@ -209,3 +209,28 @@
     assert!(noticed < Duration::from_secs(5), "it took {noticed:?}");
     assert_eq!(cluster.record(0).await.runs.len(), before);
 }
+
+/// The answer to an admission is lost, so the operator's client sends it again. Refused the second time, it would tell the
+/// operator that the host could not be admitted, although it is a member.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_admission_that_is_sent_again_is_acknowledged_again() {
+    let cluster = cluster(ClusterShape {
+        controls: 2,
+        entries: 0,
+        engines: 0,
+        bookings: 0,
+        ..ClusterShape::default()
+    });
+    let operator = cluster.operator();
+    let address = cluster.control_address(1, 0).to_string();
+    let admission = json!({"host": "control-2", "address": address});
+    let other = json!({"host": "control-2", "address": "127.0.0.9:1"});
+
+    let first = operator.expect(Method::POST, "/v1/members", Some(&admission)).await;
+    let second = operator.expect(Method::POST, "/v1/members", Some(&admission)).await;
+    let elsewhere = operator.expect(Method::POST, "/v1/members", Some(&other)).await;
+
+    let first = first.expect("the host can be admitted");
+    assert_eq!(second.expect("it is acknowledged again"), first);
+    assert!(elsewhere.is_err(), "another address is another admission");
+}
