--- a/crates/acaciabay/tests/serving/pools.rs
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -85,6 +85,35 @@
     assert_eq!(desired, [("a", 9), ("b", 6), ("c", 9)]);
 }
 
+/// A burst comes while one domain has just lost its reclaimable endpoints. The plan for so much work wants more lasting
+/// endpoints and fewer reclaimable ones; given back before the lasting ones serve, the reclaimable ones are missed at the
+/// peak, and callers are turned away for seconds.
+#[test]
+fn kinds_are_not_exchanged_while_fewer_serve_than_are_needed() {
+    let mut view = busy(both(1, 5), 31, 13);
+    view.present.insert("b".into(), both(1, 0));
+
+    let changes = plan_pool_changes(&pool(6, Some(0.15)), &same(both(2, 4)), &view);
+
+    assert!(
+        changes
+            .iter()
+            .all(|change| !change.reclaimable || change.domain.as_str() == "b"),
+        "{changes:?}"
+    );
+}
+
+/// The work has become less, and every domain has two endpoints too many. Given back everywhere at once, more than the
+/// surplus would be gone.
+#[test]
+fn no_more_reclaimable_endpoints_are_given_back_than_can_be_spared() {
+    let view = busy(both(1, 5), 15, 18);
+
+    let changes = plan_pool_changes(&pool(6, Some(0.15)), &same(both(1, 3)), &view);
+
+    assert_eq!(changes.len(), 1, "{changes:?}");
+}
+
 #[test]
 fn nothing_is_given_back_while_the_work_needs_it() {
     let view = busy(both(3, 0), 9, 9);
