Measure the pace of engines without what waits before a prompt

The pace that the entries report to the leader was a mean of times that contain queues which the entry had not heard of, and started at six times the true value. So the need rose with lateness, and the plan for the larger need exchanged kinds at the peak.

Change: the entries report the median pace of prompts that met no queue; a median moves by a fixed part, so that a kept part or an unknown queue does not pull it. Placing goes on with the pace that it had.

Tests: tests/serving/paces.rs; with the mean over all readings in its place waiting_in_a_queue_is_not_taken_for_reading fails (the pace rises fivefold).

--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -198,7 +198,7 @@
         let demands = std::mem::take(&mut view.demands);
         let paces: BTreeMap<_, _> = demands
             .keys()
-            .map(|service| (service.clone(), view.mean_pace_us(service)))
+            .map(|service| (service.clone(), view.own_pace_us(service)))
             .collect();
         let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
             service: service.to_string(),
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -8,7 +8,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::name::{DomainName, EndpointName};
-use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::endpoint_load::{EndpointWork, ReadingTime};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_prompt::PromptPlace;
 use bytes::Bytes;
@@ -178,7 +178,12 @@
     metrics::histogram!("acacia_prompt_read_seconds").record(took.as_secs_f64());
     metrics::histogram!("acacia_prompt_wait_error_seconds").record(took.as_secs_f64() - place.wait.as_secs_f64());
     let mut view = call.shared.view();
-    view.loads.note_pace(&chosen.name, queued + place.unread_tokens, took);
+    let reading = ReadingTime {
+        queued,
+        unread: place.unread_tokens,
+        took,
+    };
+    view.loads.note_reading(&chosen.name, reading);
     view.loads.note_success(&chosen.name);
     drop(view);
     ReadOutcome::Read(ReadPrompt {
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -73,19 +73,17 @@
         spec.engine
     }
 
-    /// Returns how many microseconds a service's engines take for a thousand tokens of a prompt, as measured; 0 if
-    /// nothing was.
-    pub(super) fn mean_pace_us(&self, service: &ServiceName) -> u64 {
+    /// Returns how many microseconds a service's engines take for a thousand tokens of a prompt by themselves, the median
+    /// over the engines that were measured; 0 if none was.
+    pub(super) fn own_pace_us(&self, service: &ServiceName) -> u64 {
         let engines = self
             .registry
             .rows()
             .filter(|(_, endpoint)| endpoint.service == *service);
-        let paces: Vec<f64> = engines.filter_map(|(name, _)| self.loads.measured_pace(name)).collect();
-        if paces.is_empty() {
-            return 0;
-        }
-        let mean_ms = paces.iter().sum::<f64>() / paces.len() as f64;
-        round_up(mean_ms * 1_000_000.0)
+        let mut paces: Vec<f64> = engines.filter_map(|(name, _)| self.loads.own_pace(name)).collect();
+        paces.sort_unstable_by(f64::total_cmp);
+        let median_ms = paces.get(paces.len() / 2).copied().unwrap_or(0.0);
+        round_up(median_ms * 1_000_000.0)
     }
 }
 
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -75,6 +75,41 @@
     suspected_until: BootTime,
     resting: Option<RestingOrder>,
     pace: Option<f64>,
+    own_pace: Option<MedianPace>,
+}
+
+/// The median of an engine's pace while nothing waited before the prompt, in milliseconds for a token.
+///
+/// Each measurement moves it by the same part, upwards or downwards: prompts whose parts the engine kept although nobody
+/// knew, or that met a queue nobody knew of, are off by a multiple, and a mean would follow them.
+#[derive(Clone, Copy, Debug)]
+struct MedianPace(f64);
+
+impl MedianPace {
+    /// The part of itself by which one measurement moves it.
+    const STEP: f64 = 0.05;
+
+    fn after(before: Option<Self>, measured: f64) -> Self {
+        let Some(Self(pace)) = before else {
+            return Self(measured);
+        };
+        Self(if measured > pace {
+            pace * (1.0 + Self::STEP)
+        } else {
+            pace / (1.0 + Self::STEP)
+        })
+    }
+}
+
+/// What an engine took to read a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadingTime {
+    /// Tokens that it had before it.
+    pub queued: u64,
+    /// Tokens of the prompt that it had not read before.
+    pub unread: u64,
+    /// From the send to the answer.
+    pub took: Duration,
 }
 
 /// The load of all endpoints that this entry has dealt with.
@@ -131,24 +166,30 @@
     }
 
     /// Notes how long an endpoint took for a prompt.
-    pub fn note_pace(&mut self, name: &EndpointName, tokens: u64, took: Duration) {
+    pub fn note_reading(&mut self, name: &EndpointName, reading: ReadingTime) {
+        let tokens = reading.queued + reading.unread;
         if tokens < LEAST_MEASURED {
             return;
         }
-        let measured = took.as_secs_f64() * 1_000.0 / tokens as f64;
+        let measured = reading.took.as_secs_f64() * 1_000.0 / tokens as f64;
         let row = self.row(name);
         let before = row.pace.unwrap_or(FIRST_PACE);
         row.pace = Some(before + PACE_STEP * (measured - before));
+        if reading.queued == 0 {
+            row.own_pace = Some(MedianPace::after(row.own_pace, measured));
+        }
     }
 
     /// Returns how many milliseconds the endpoint takes for a token of a prompt.
     pub fn pace(&self, name: &EndpointName) -> f64 {
-        self.measured_pace(name).unwrap_or(FIRST_PACE)
+        self.rows.get(name).and_then(|row| row.pace).unwrap_or(FIRST_PACE)
     }
 
-    /// Returns the same, if it was measured.
-    pub fn measured_pace(&self, name: &EndpointName) -> Option<f64> {
-        self.rows.get(name).and_then(|row| row.pace)
+    /// Returns how many milliseconds the endpoint takes for a token of a prompt when nothing waits before it, if that was
+    /// measured. Under overload nothing is: the time that prompts wait would be taken for work, and endpoints ordered for
+    /// it.
+    pub fn own_pace(&self, name: &EndpointName) -> Option<f64> {
+        self.rows.get(name).and_then(|row| row.own_pace).map(|pace| pace.0)
     }
 
     /// Notes a failure that speaks against the endpoint.
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -132,7 +132,7 @@
 ) -> Vec<PoolChange> {
     let mut changes = Vec::new();
     let mut has_given_back = false;
-    let mut spare = spare_endpoints(view);
+    let mut dispensable = dispensable_endpoints(view);
     let lacking = lacking_endpoints(wanted, view);
     for (domain, want) in wanted {
         let have = view.present.get(domain).copied().unwrap_or_default();
@@ -145,11 +145,11 @@
         let reclaimable = want.reclaimable.saturating_add(share).min(room);
         // Nothing is given up in one domain while another lacks what it should have, nor while the work needs it.
         let given_up = have.reclaimable.saturating_sub(reclaimable);
-        let may_shrink = view.may_shrink && lacking.count == 0 && given_up <= spare;
+        let may_shrink = view.may_shrink && lacking.count == 0 && given_up <= dispensable;
         if reclaimable > have.reclaimable {
             changes.push(change(domain, true, reclaimable, false));
         } else if given_up > 0 && may_shrink {
-            spare -= given_up;
+            dispensable -= given_up;
             changes.push(change(domain, true, reclaimable, false));
         }
         let surplus = have.lasting.saturating_sub(want.lasting);
@@ -157,13 +157,13 @@
         let is_replaced = if view.is_idle {
             agreed >= reclaimable
         } else {
-            !has_given_back && surplus <= spare
+            !has_given_back && surplus <= dispensable
         };
         if want.lasting > have.lasting && view.may_shrink {
             changes.push(change(domain, false, want.lasting, false));
         } else if surplus > 0 && view.may_give_back && is_replaced {
             has_given_back = true;
-            spare = spare.saturating_sub(surplus);
+            dispensable = dispensable.saturating_sub(surplus);
             changes.push(change(domain, false, want.lasting, true));
         }
     }
@@ -173,7 +173,7 @@
 /// Returns how many endpoints can be done without. Under a shortage that is none, whatever the plan says: the kinds that
 /// it would exchange for each other take seconds to start, and callers would wait for them. Before the first call nobody
 /// does.
-const fn spare_endpoints(view: &PoolView) -> u32 {
+const fn dispensable_endpoints(view: &PoolView) -> u32 {
     if view.is_idle {
         u32::MAX
     } else {
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod fixtures;
 mod members;
+mod paces;
 mod placement;
 mod pools;
 mod prompts;
