Let engines be busy reading for 0.7 of their time

Cause: 0.45 was a reserve on top of a peak that is remembered for 15 s and of a reserve for the loss of domains; with a pace that contains no queue the three together pay for engines that never read.

--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -12,8 +12,8 @@
 const PEAK_STEP: f64 = 0.4;
 /// How long a smaller need has to last before endpoints are given back.
 const SHRINK_TIME: Duration = Duration::from_secs(10);
-/// The part of their time that engines should be busy reading: prompts come in bursts of twice the mean.
-const READING_FILL: f64 = 0.45;
+/// The part of their time that engines should be busy reading, at the peak that is remembered.
+const READING_FILL: f64 = 0.7;
 
 /// The reserve at the start, as one in this many: no engine has read a shared part yet, and until each is read once
 /// reading takes about twice as long as later.
