Let a long stream that may not run twice go on from a copy

Cause: of clerk-helpdesk, whose answers take 4 to 8 s, may not be run again and have one attempt, every thirteenth was cut or ended in silence, when its engine was taken back, died or went dark. Engines can send the memory of a run to a second one as it grows, and the run can go on there.

Change: streams that may not be repeated and whose answer is long against the prompt are copied to another maker, a lasting one in another failure domain where there is one. When the stream breaks off, or is silent for 0.6 of its caller's patience, the keeper goes on after the last whole event.

--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -1,5 +1,6 @@
 //! Calls whose answer is a stream of events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::ResponseBody;
@@ -11,7 +12,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 
-use super::attempt::{AttemptOutcome, KeptConnection, send};
+use super::attempt::{AttemptOrder, AttemptOutcome, KeptConnection, send};
 use super::call::{OpenCall, millis, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
@@ -45,6 +46,8 @@
     pub(super) incoming: Incoming,
     pub(super) connection: KeptConnection,
     pub(super) guard: LoadGuard,
+    /// The engine that keeps a copy of the run, if any does.
+    pub(super) keeper: Option<ChosenEndpoint>,
 }
 
 /// Answers a call.
@@ -81,11 +84,12 @@
             && self.call.shared.spend_send(now, &self.call.service)
     }
 
-    /// Returns how long an engine may be silent.
-    pub(super) fn silence_bound(&self) -> Duration {
+    /// Returns how long an engine may be silent; `has_copy` tells whether another one can go on with the run.
+    pub(super) fn silence_bound(&self, has_copy: bool) -> Duration {
         let left = self.call.until.since(boot_now());
+        let may_repeat = self.call.route().kind.may_repeat() && self.ran < self.call.route().max_attempts;
         // A stream that nobody else can continue is waited for as long as its caller may be waiting.
-        if self.call.route().kind.may_repeat() && self.ran < self.call.route().max_attempts {
+        if may_repeat || has_copy {
             left.min(self.call.route().event_patience().mul_f64(SILENCE_PART))
         } else {
             left
@@ -107,7 +111,14 @@
                 return Err(self.give_up("no engine makes tokens", NO_ENDPOINT));
             };
             let guard = self.call.shared.begin_work(&chosen.name, self.maker_work());
-            let outcome = self.send_to(&chosen, read.as_ref(), resume_after).await;
+            let keeper = self.call.shared.choose_keeper(now, &self.call, &chosen);
+            let role = read
+                .as_ref()
+                .map_or(AttemptRole::Whole, |read| AttemptRole::MakeTokens {
+                    reader: read.address,
+                    handle: &read.handle,
+                });
+            let outcome = self.send_to(&chosen, role, resume_after, keeper.as_ref()).await;
             match outcome {
                 AttemptOutcome::Answered(reply) => {
                     if let Some(read) = &mut read {
@@ -128,6 +139,7 @@
                         incoming,
                         connection: reply.connection,
                         guard,
+                        keeper,
                     });
                 }
                 AttemptOutcome::NotRun { arrived } => {
@@ -176,17 +188,56 @@
         }
     }
 
+    /// Lets the engine that keeps a copy of the run go on with it after an event.
+    ///
+    /// The platform has taken the first engine back, or it has died. The caller of a stream that may not be run again would
+    /// see it break off; going on from the copy is the same run, and what the copy lacks is read again. Before the first
+    /// event there may be no copy yet, and another engine would run the call a second time.
+    pub(super) async fn go_on_from(&mut self, keeper: Option<ChosenEndpoint>, after: u64) -> Option<OpenStream> {
+        let keeper = keeper?;
+        let (shared, now) = (Arc::clone(&self.call.shared), boot_now());
+        if now >= self.call.until {
+            return None;
+        }
+        let keeper = shared.still_ready(now, &self.call.service, &keeper.name)?;
+        if !shared.spend_send(now, &self.call.service) {
+            return None;
+        }
+        let guard = shared.begin_work(&keeper.name, self.maker_work());
+        let next = shared.choose_keeper(now, &self.call, &keeper);
+        let request = self.call.head.request.clone();
+        let role = AttemptRole::GoOnFromCopy { request: &request };
+        let AttemptOutcome::Answered(reply) = self.send_to(&keeper, role, Some(after), next.as_ref()).await else {
+            return None;
+        };
+        let (parts, incoming) = reply.response.into_parts();
+        slog::info!(shared.log, "stream goes on from a copy"; "event" => event::STREAM_RESUMED, "request" => request,
+            "endpoint" => keeper.name.as_str(), "after" => after, "status" => parts.status.as_u16());
+        metrics::counter!("acacia_streams_resumed_from_copies_total").increment(1);
+        parts.status.is_success().then_some(OpenStream {
+            endpoint: keeper.name,
+            status: parts.status,
+            headers: parts.headers,
+            incoming,
+            connection: reply.connection,
+            guard,
+            keeper: next,
+        })
+    }
+
     async fn send_to(
         &self,
         chosen: &ChosenEndpoint,
-        read: Option<&ReadPrompt>,
+        role: AttemptRole<'_>,
         resume_after: Option<u64>,
+        keeper: Option<&ChosenEndpoint>,
     ) -> AttemptOutcome {
-        let role = read.map_or(AttemptRole::Whole, |read| AttemptRole::MakeTokens {
-            reader: read.address,
-            handle: &read.handle,
-        });
-        send(&self.call, chosen, role, resume_after, self.silence_bound()).await
+        let order = AttemptOrder {
+            role,
+            resume_after,
+            copy_to: keeper.map(|keeper| keeper.endpoint.address),
+        };
+        send(&self.call, chosen, order, self.silence_bound(false)).await
     }
 
     fn maker_work(&self) -> EndpointWork {
