Fill at once what the platform refuses, with lasting endpoints

The gap stayed: an order of the same number was not given again before its ten seconds were over although it had had its effect long since, and lasting endpoints were ordered only when the measured need had grown. Eight engines met the burst at 18 s. And each later leader took the endpoints for a system that has just started and added half of them as a reserve (32 needed where 18 is the most).

Change: an order whose endpoints have been there counts as done, so that their loss is answered at the next look; what the platform refuses and the work of the last seconds misses is ordered as lasting endpoints, evenly, where there is room; no reserve where calls run already; the lower quartile of the pace (in a burst the median meets queues that nobody has heard of yet).

Tests: lasting_endpoints_fill_what_the_platform_refuses, a_refusal_that_is_not_missed_is_not_filled, a_later_leader_adds_no_reserve.

--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::serving::config::PoolSpec;
 use acaciabay::core::serving::endpoint_registry::EndpointPhase;
 use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
+use acaciabay::ops::fill_gap::fill_gap;
 use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
 use parking_lot::Mutex;
 
@@ -37,6 +38,8 @@
     desired: u32,
     is_accepted: bool,
     is_refused: bool,
+    /// Whether as many endpoints as were ordered have been there since.
+    has_come: bool,
     again_at: BootTime,
 }
 
@@ -79,19 +82,22 @@
         let now = turn.now;
         let present = present_pools(turn.hub, service);
         let total: u32 = present.values().map(|pool| pool.total()).sum();
+        self.note_arrivals(service, &present);
         let (agreed, refused) = (self.agreed(service), self.refused(service));
+        let has_calls = !turn.hub.soft().uses_beside(None).is_empty();
         let need = self.needs.entry(service.clone()).or_default();
         // What was ordered here meanwhile would be counted as what the operators have started with.
         let ordered: u32 = agreed
             .iter()
             .map(|(domain, agreed)| reclaimable_in(&present, domain).min(*agreed))
             .sum();
-        need.start_with(total.saturating_sub(ordered), is_settled);
+        need.start_with(total.saturating_sub(ordered), is_settled, has_calls);
         let readers = need.readers();
         let view = PoolView {
             agreed,
             refused,
             needed: need.needed(),
+            busy: need.present(),
             serving: total.saturating_sub(stages.resting_count(now)),
             is_idle: !need.is_measured(),
             may_give_back: is_settled && now >= self.next_give_back,
@@ -110,8 +116,10 @@
             stages.hold(now);
         }
         slog::debug!(turn.hub.log, "pool planned"; "event" => event::POOL_PLANNED, "service" => service.as_str(),
-            "needed" => view.needed, "serving" => view.serving, "idle" => view.is_idle, "wanted" => ?wanted,
+            "needed" => view.needed, "serving" => view.serving, "idle" => view.is_idle,
+            "readers" => readers, "wanted" => ?wanted,
             "present" => ?view.present);
+        let wanted = fill_gap(pool, &wanted, &view);
         for change in plan_pool_changes(pool, &wanted, &view) {
             let order = PoolOrder {
                 service: service.clone(),
@@ -126,6 +134,16 @@
         }
     }
 
+    /// Notes which orders have had their effect.
+    fn note_arrivals(&self, service: &ServiceName, present: &BTreeMap<DomainName, DomainPool>) {
+        let mut given = self.given.lock();
+        for ((_, domain, reclaimable), order) in given.iter_mut().filter(|((known, ..), _)| known == service) {
+            let pool = present.get(domain).copied().unwrap_or_default();
+            let count = if *reclaimable { pool.reclaimable } else { pool.lasting };
+            order.has_come |= order.is_accepted && count >= order.desired;
+        }
+    }
+
     /// Returns how many reclaimable endpoints the platform has agreed to, by failure domain.
     fn agreed(&self, service: &ServiceName) -> BTreeMap<DomainName, u32> {
         let given = self.given.lock();
@@ -152,12 +170,16 @@
             desired: order.desired,
             is_accepted: false,
             is_refused: false,
+            has_come: false,
             again_at: turn.now + pool.boot + EFFECT_MARGIN,
         };
         {
             let mut given = self.given.lock();
             let before = given.get(&key);
-            if before.is_some_and(|before| before.desired == order.desired && turn.now < before.again_at) {
+            // Endpoints that were there and are gone were taken back or have died: the order has had its effect, and only
+            // a new one brings others.
+            let is_open = |before: &GivenOrder| turn.now < before.again_at && !before.has_come;
+            if before.is_some_and(|before| before.desired == order.desired && is_open(before)) {
                 return false;
             }
             let is_refused = before.is_some_and(|before| before.is_refused);
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -75,28 +75,31 @@
     suspected_until: BootTime,
     resting: Option<RestingOrder>,
     pace: Option<f64>,
-    own_pace: Option<MedianPace>,
+    own_pace: Option<QuartilePace>,
 }
 
-/// The median of an engine's pace while nothing waited before the prompt, in milliseconds for a token.
+/// The lower quartile of an engine's pace while nothing was known to wait before the prompt, in milliseconds for a token.
 ///
-/// Each measurement moves it by the same part, upwards or downwards: prompts whose parts the engine kept although nobody
-/// knew, or that met a queue nobody knew of, are off by a multiple, and a mean would follow them.
+/// Each measurement moves it by a fixed part, upwards or downwards: prompts whose parts the engine kept although nobody
+/// knew are off by a multiple, and a mean would follow them. In a burst most prompts meet a queue that their entry has not
+/// heard of yet, and the median would.
 #[derive(Clone, Copy, Debug)]
-struct MedianPace(f64);
+struct QuartilePace(f64);
 
-impl MedianPace {
-    /// The part of itself by which one measurement moves it.
-    const STEP: f64 = 0.05;
+impl QuartilePace {
+    /// The part by which a measurement above raises it.
+    const RISE: f64 = 0.02;
+    /// The part by which a measurement below lowers it; three times as much, so that a quarter of them lie below.
+    const FALL: f64 = 0.06;
 
     fn after(before: Option<Self>, measured: f64) -> Self {
         let Some(Self(pace)) = before else {
             return Self(measured);
         };
         Self(if measured > pace {
-            pace * (1.0 + Self::STEP)
+            pace * (1.0 + Self::RISE)
         } else {
-            pace / (1.0 + Self::STEP)
+            pace / (1.0 + Self::FALL)
         })
     }
 }
@@ -176,7 +179,7 @@
         let before = row.pace.unwrap_or(FIRST_PACE);
         row.pace = Some(before + PACE_STEP * (measured - before));
         if reading.queued == 0 {
-            row.own_pace = Some(MedianPace::after(row.own_pace, measured));
+            row.own_pace = Some(QuartilePace::after(row.own_pace, measured));
         }
     }
 
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -35,6 +35,7 @@
     readers: f64,
     looked_at: Option<BootTime>,
     needed: u32,
+    present: u32,
     less_since: Option<BootTime>,
     is_started: bool,
     is_measured: bool,
@@ -42,12 +43,18 @@
 
 impl ReadingNeed {
     /// Takes what the operators have started with for the need until something is measured. `is_final` says that all
-    /// endpoints have reported; what is ordered meanwhile is not counted again after that.
-    pub const fn start_with(&mut self, endpoints: u32, is_final: bool) {
+    /// endpoints have reported; what is ordered meanwhile is not counted again after that. `has_calls` says that calls run
+    /// already: another leader planned before this one, and its reserve is among the endpoints.
+    pub const fn start_with(&mut self, endpoints: u32, is_final: bool, has_calls: bool) {
         if self.is_measured || self.is_started {
             return;
         }
-        self.needed = endpoints + endpoints.div_ceil(START_RESERVE);
+        let reserve = if has_calls {
+            0
+        } else {
+            endpoints.div_ceil(START_RESERVE)
+        };
+        self.needed = endpoints + reserve;
         self.is_started = is_final;
     }
 
@@ -68,6 +75,7 @@
         let wanted = u32::try_from(round_up(self.readers))
             .unwrap_or(u32::MAX)
             .saturating_add(makers);
+        self.present = wanted;
         let is_less = wanted < self.needed;
         let less_since = if is_less {
             Some(*self.less_since.get_or_insert(now))
@@ -85,6 +93,11 @@
         self.needed
     }
 
+    /// Returns how many endpoints the work of the last seconds needs; 0 until it was measured.
+    pub const fn present(&self) -> u32 {
+        self.present
+    }
+
     /// Returns how many engines reading needs at present, without those that make tokens.
     pub const fn readers(&self) -> f64 {
         self.readers
--- /dev/null
+++ b/crates/acaciabay/src/ops/fill_gap.rs
@@ -0,0 +1,53 @@
+//! Which lasting endpoints stand in for reclaimable ones that the platform does not give.
+//!
+//! The platform takes all reclaimable endpoints of a failure domain at once, often in a burst, and may refuse others for
+//! ten seconds and more. Lasting ones start within seconds. They are ordered where there is room, evenly, so that room is
+//! left for reclaimable ones when these can be had again; the plan for calm times then gives them back.
+
+use std::collections::BTreeMap;
+
+use crate::core::name::DomainName;
+use crate::core::serving::config::PoolSpec;
+use crate::ops::plan_pool::{DomainPool, PoolView};
+
+/// Returns what is wanted in each failure domain while the platform refuses some of it.
+pub fn fill_gap(
+    spec: &PoolSpec,
+    wanted: &BTreeMap<DomainName, DomainPool>,
+    view: &PoolView,
+) -> BTreeMap<DomainName, DomainPool> {
+    let mut filled = wanted.clone();
+    if view.is_idle || view.refused.is_empty() {
+        return filled;
+    }
+    let mut coming: BTreeMap<&DomainName, DomainPool> = wanted
+        .iter()
+        .map(|(domain, want)| (domain, coming_pool(domain, *want, view)))
+        .collect();
+    let total: u32 = coming.values().map(|pool| pool.total()).sum();
+    for _ in total..view.busy {
+        let with_room = coming.iter_mut().filter(|(_, pool)| pool.total() < spec.most);
+        let Some((domain, pool)) = with_room.min_by_key(|(_, pool)| pool.total()) else {
+            break;
+        };
+        pool.lasting += 1;
+        if let Some(want) = filled.get_mut(*domain) {
+            want.lasting = want.lasting.max(pool.lasting);
+        }
+    }
+    filled
+}
+
+/// Returns what a failure domain will have once the orders of the plan are carried out.
+fn coming_pool(domain: &DomainName, want: DomainPool, view: &PoolView) -> DomainPool {
+    let have = view.present.get(domain).copied().unwrap_or_default();
+    let reclaimable = if view.refused.contains(domain) {
+        have.reclaimable
+    } else {
+        want.reclaimable.max(have.reclaimable)
+    };
+    DomainPool {
+        lasting: want.lasting.max(have.lasting),
+        reclaimable,
+    }
+}
--- a/crates/acaciabay/tests/serving/paces.rs
+++ b/crates/acaciabay/tests/serving/paces.rs
@@ -58,7 +58,7 @@
     let mut loads = LoadTable::default();
     loads.note_reading(&name("e"), reading(0, 10));
 
-    for _ in 0..40 {
+    for _ in 0..80 {
         loads.note_reading(&name("e"), reading(0, 30));
     }
 
--- a/crates/acaciabay/tests/serving/pools.rs
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -4,6 +4,7 @@
 
 use acaciabay::core::name::DomainName;
 use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
+use acaciabay::ops::fill_gap::fill_gap;
 use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
 use proptest::prelude::*;
 
@@ -24,6 +25,7 @@
     PoolView {
         present: same(present),
         needed,
+        busy: needed,
         serving,
         may_shrink: true,
         may_give_back: true,
@@ -114,6 +116,32 @@
     assert_eq!(changes.len(), 1, "{changes:?}");
 }
 
+/// Two of three domains are taken back in a burst, and the platform has no others to give for ten seconds. Lasting ones
+/// start in four; without them eight endpoints do the work of twelve, and callers are turned away until the platform has
+/// reclaimable ones again.
+#[test]
+fn lasting_endpoints_fill_what_the_platform_refuses() {
+    let mut view = busy(both(1, 0), 12, 8);
+    view.present.insert("a".into(), both(1, 5));
+    view.refused.extend(["b".into(), "c".into()]);
+
+    let wanted = fill_gap(&pool(6, Some(0.15)), &same(both(1, 5)), &view);
+
+    let lasting: Vec<u32> = wanted.values().map(|pool| pool.lasting).collect();
+    assert_eq!(lasting, [1, 3, 3]);
+}
+
+/// One domain is refused, and the others have what the work needs: nothing is paid for in its place.
+#[test]
+fn a_refusal_that_is_not_missed_is_not_filled() {
+    let mut view = busy(both(1, 5), 12, 13);
+    view.present.insert("b".into(), both(1, 0));
+    view.refused.insert("b".into());
+    let wanted = same(both(1, 5));
+
+    assert_eq!(fill_gap(&pool(6, Some(0.15)), &wanted, &view), wanted);
+}
+
 #[test]
 fn nothing_is_given_back_while_the_work_needs_it() {
     let view = busy(both(3, 0), 9, 9);
@@ -150,7 +178,7 @@
 #[test]
 fn the_need_rises_at_once_and_falls_late() {
     let mut need = ReadingNeed::default();
-    need.start_with(9, true);
+    need.start_with(9, true, false);
     let measure = |tokens| ReadingMeasure {
         unread_tokens: tokens,
         pace: 0.02,
@@ -174,13 +202,24 @@
 fn what_operators_start_with_is_taken_for_the_need_with_a_reserve() {
     let mut need = ReadingNeed::default();
 
-    need.start_with(9, true);
-    need.start_with(14, true);
+    need.start_with(9, true, false);
+    need.start_with(14, true, false);
 
     assert_eq!(need.needed(), 14);
     assert!(!need.is_measured());
 }
 
+/// The leader dies in the middle of a day, and another one plans. Taken for a system that has just started, the endpoints
+/// would get a reserve once more with every leader, and be paid for until the next calm.
+#[test]
+fn a_later_leader_adds_no_reserve() {
+    let mut need = ReadingNeed::default();
+
+    need.start_with(18, true, true);
+
+    assert_eq!(need.needed(), 18);
+}
+
 proptest! {
     #![proptest_config(fixed_cases())]
 
