Read short prompts where their answers are made

Cause: clerk-helpdesk asks with 220 tokens and waited behind verdicts of 9,190 at the readers: in a burst its first event came after a second, though reading it takes one millisecond.

Change: a prompt that a maker reads within the detour to a reader and back (by the pace that the entry has measured, at half the speed) is sent to the maker whole; it also saves a call and a copy.

Test: a_short_prompt_is_read_where_its_answer_is_made.

--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -22,12 +22,13 @@
     use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::EndpointName;
+use acaciabay::core::name::{EndpointName, ServiceName};
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, ReportEffect};
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
+use acaciabay::util::number::round_up;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -35,7 +36,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::shared::EntryShared;
+use super::shared::{EntryShared, EntryView};
 
 /// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
 /// other of the endpoints' load is never older than two of them.
@@ -198,7 +199,7 @@
         let demands = std::mem::take(&mut view.demands);
         let paces: BTreeMap<_, _> = demands
             .keys()
-            .map(|service| (service.clone(), view.own_pace_us(service)))
+            .map(|service| (service.clone(), pace_us(&view, service)))
             .collect();
         let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
             service: service.to_string(),
@@ -353,6 +354,13 @@
     }
 }
 
+/// Returns how many microseconds a service's engines take for a thousand tokens of a prompt; 0 if nothing was measured.
+fn pace_us(view: &EntryView, service: &ServiceName) -> u64 {
+    const US_IN_THOUSAND_MS: f64 = 1_000_000.0;
+    view.own_pace(service)
+        .map_or(0, |pace| round_up(pace * US_IN_THOUSAND_MS))
+}
+
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, RestingOrder)> {
     let order = RestingOrder {
         birth: EndpointBirth(engine.birth),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -18,7 +18,6 @@
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
-use acaciabay::util::number::round_up;
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -73,17 +72,16 @@
         spec.engine
     }
 
-    /// Returns how many microseconds a service's engines take for a thousand tokens of a prompt by themselves, the median
-    /// over the engines that were measured; 0 if none was.
-    pub(super) fn own_pace_us(&self, service: &ServiceName) -> u64 {
+    /// Returns how many milliseconds a service's engines take for a token of a prompt by themselves, the median over the
+    /// engines that were measured.
+    pub(super) fn own_pace(&self, service: &ServiceName) -> Option<f64> {
         let engines = self
             .registry
             .rows()
             .filter(|(_, endpoint)| endpoint.service == *service);
         let mut paces: Vec<f64> = engines.filter_map(|(name, _)| self.loads.own_pace(name)).collect();
         paces.sort_unstable_by(f64::total_cmp);
-        let median_ms = paces.get(paces.len() / 2).copied().unwrap_or(0.0);
-        round_up(median_ms * 1_000_000.0)
+        paces.get(paces.len() / 2).copied()
     }
 }
 
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::ops::split_call::is_read_by_maker;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -175,7 +176,8 @@
         let Some(prompt) = &self.call.head.prompt else {
             return Ok(None);
         };
-        if !self.call.shared.has_readers(boot_now(), &self.call.service) {
+        let pace = self.call.shared.view().own_pace(&self.call.service);
+        if is_read_by_maker(prompt, pace) || !self.call.shared.has_readers(boot_now(), &self.call.service) {
             return Ok(None);
         }
         let repeated = self.reads > 0;
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -13,3 +13,4 @@
 pub mod plan_stages;
 pub mod plan_windows;
 pub mod route_request;
+pub mod split_call;
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -3,8 +3,10 @@
 use acaciabay::core::name::{DomainName, EndpointName};
 use acaciabay::core::serving::endpoint_load::LoadTable;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::PlacementView;
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlace, place_prompt};
+use acaciabay::ops::split_call::is_read_by_maker;
 
 use crate::fixtures::{EngineRows, at, candidates, link, name, numbered, prompt, rows, unread};
 
@@ -157,6 +159,21 @@
     assert_ne!(place.copy_from, Some(home));
 }
 
+/// Short questions come in the same burst as long prompts. Had they their prompts read apart, they would wait behind the
+/// long ones, for a second where their own reading takes one millisecond.
+#[test]
+fn a_short_prompt_is_read_where_its_answer_is_made() {
+    let shape = |tokens| PromptShape {
+        prompt_tokens: tokens,
+        ..prompt(5, 99)
+    };
+
+    assert!(is_read_by_maker(&shape(220), Some(0.005)));
+    assert!(!is_read_by_maker(&shape(9_000), Some(0.005)));
+    assert!(!is_read_by_maker(&shape(220), Some(0.05)));
+    assert!(!is_read_by_maker(&shape(220), None));
+}
+
 /// A prompt has no part that others share. There is nothing to copy, and any engine will do.
 #[test]
 fn a_prompt_of_its_own_is_copied_from_nowhere() {
