Take no engine from the streams that reading does not need

Makers above the plan were ordered to read one second after the plan fell, with 15 readers of which 3 were busy; such an engine takes no calls until its longest stream has ended, up to ten seconds, and the streams that are left become slower (41 ms an event with few, 74 ms at 43 streams a maker).

Change: of the engines that make tokens beyond the plan only those change that reading needs, counted so that a failure domain may be lost.

Test: makers_that_reading_does_not_need_go_on (three of nine stayed before).

--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -96,16 +96,17 @@
         stages.peak.see(now, present);
         let demand = stages.peak.demand();
         let domains: BTreeSet<_> = engines.iter().map(|(_, endpoint)| &endpoint.domain).collect();
+        let makers = engines.iter().filter(|(_, endpoint)| makes_tokens(endpoint)).count();
         let work = StageWork {
             present: engines.len(),
             expected: stages.expected,
+            makers: if is_idle { 0 } else { makers },
             domains: domains.len(),
             demand,
             readers: stages.readers,
         };
         let wanted = wanted_decoders(&work, spec);
         stages.wanted_makers = wanted;
-        let makers = engines.iter().filter(|(_, endpoint)| makes_tokens(endpoint)).count();
         if makers <= wanted {
             stages.surplus_since = None;
         }
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -43,6 +43,8 @@
     pub present: usize,
     /// Engines that there are to be; some of them may not have started yet.
     pub expected: usize,
+    /// Engines that make tokens now; 0 while no call runs, when a change costs nobody anything.
+    pub makers: usize,
     /// Failure domains that the engines are in.
     pub domains: usize,
     /// What the running streams take.
@@ -76,7 +78,21 @@
     let near = (*domains)
         .min(engines / ENGINES_PER_MAKER)
         .max(engines / ENGINES_PER_IDLE_MAKER);
-    needed.max(near).clamp(least, engines - least)
+    let wanted = needed.max(near).clamp(least, engines - least);
+    wanted.max(spared_makers(work))
+}
+
+/// Returns how many of the engines that make tokens may go on although fewer would do.
+///
+/// An engine that changes takes no calls until its longest stream has ended and the change is made, and in the next burst
+/// of streams it is missed, while all the streams become slower and the longest come too late. So only those change that
+/// reading needs, also when a failure domain is lost.
+fn spared_makers(work: &StageWork) -> usize {
+    let domains = work.domains.max(2) as f64;
+    let readers = work.readers * domains / (domains - 1.0);
+    let readers = usize::try_from(round_up(readers)).unwrap_or(usize::MAX);
+    let least = LEAST_OF_STAGE.min(work.present / 2);
+    work.makers.min(work.present.saturating_sub(readers.max(least)))
 }
 
 /// An engine of the service.
--- a/crates/acaciabay/tests/serving/stages.rs
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -37,6 +37,7 @@
     StageWork {
         present,
         expected: 0,
+        makers: 0,
         domains,
         demand: demand(streams),
         readers,
@@ -66,6 +67,23 @@
     assert!((3..=4).contains(&makers), "{makers}");
 }
 
+/// A burst of streams has passed, and nine of eighteen engines make tokens where three would do. Reading has all that it
+/// needs; taken from the streams, the engines would be missing in the next burst, and its longest answers come too late.
+#[test]
+fn makers_that_reading_does_not_need_go_on() {
+    let spared = |readers| {
+        let work = StageWork {
+            makers: 9,
+            ..work(18, 3, 60.0, readers)
+        };
+        wanted_decoders(&work, &engine())
+    };
+
+    assert_eq!(spared(4.0), 9);
+    assert_eq!(spared(8.0), 6);
+    assert_eq!(spared(14.0), 3);
+}
+
 /// The same burst while engines that were ordered have not started yet: those that are to come do no work.
 #[test]
 fn engines_that_have_not_started_do_no_work() {
