Refuse calls that an entry which stops could not end

Change: from 2.9 s on calls are refused as not run, until connections are no longer taken.

Test: stopping::calls_are_refused_before_their_answers_would_be_cut.

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, Response};
 
 use super::codec::{CallHead, HeadFault};
-use super::refusal::{CallRefusal, lease_wait, not_run};
+use super::refusal::{CallRefusal, SOON, lease_wait, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
 
@@ -114,6 +114,9 @@
         HeadFault::Malformed(reason) => (None, CallRefusal::BadHead(reason)),
         HeadFault::TooLarge => (None, CallRefusal::HeadTooLarge),
     })?;
+    if !shared.takes_calls(received_at) {
+        return Err((Some(head), not_run("entry is stopping", SOON)));
+    }
     let bounds = index.config().bounds;
     let admitted = match index.admit(&head.host, &head.path, head.key.as_deref()) {
         Ok(admitted) => admitted,
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -18,6 +18,7 @@
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
+use acaciabay::core::serving::stop_phase::StopPhase;
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -96,6 +97,7 @@
     /// Cancelled once the process is to stop: it takes calls on, but asks callers to go elsewhere.
     pub(super) leaving: CancellationToken,
     started_at: BootTime,
+    stop_phase: Mutex<StopPhase>,
     lease: Arc<LeaseClock>,
     view: Mutex<EntryView>,
 }
@@ -159,6 +161,7 @@
             log,
             leaving,
             started_at: boot_now(),
+            stop_phase: Mutex::default(),
             lease,
             view: Mutex::default(),
         }
@@ -184,6 +187,16 @@
             .extend(asked_at + self.settings.key_withdrawal.mul_f64(LEASE_PART));
     }
 
+    /// Notes that the process was asked to stop.
+    pub(super) fn ask_stop(&self, now: BootTime) {
+        self.stop_phase.lock().ask(now);
+    }
+
+    /// Tells whether a new call is taken, as far as the process is not about to end.
+    pub(super) fn takes_calls(&self, now: BootTime) -> bool {
+        self.stop_phase.lock().takes_calls(now)
+    }
+
     /// Tells whether callers should be sent here.
     pub(super) fn is_ready(&self, now: BootTime) -> bool {
         let view = self.view();
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -94,6 +94,7 @@
         move |request| call::answer(Arc::clone(&answering), request),
     ));
     stop.cancelled().await;
+    shared.ask_stop(boot_now());
     slog::info!(log, "entry stopping"; "event" => event::STOPPING);
     tokio::time::sleep(ACCEPTING_TIME.min(grace / 2)).await;
     closing.cancel();
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -28,4 +28,5 @@
 pub mod send_budget;
 pub mod serving_state;
 pub mod start_counts;
+pub mod stop_phase;
 pub mod stream_peak;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -16,4 +16,5 @@
 mod replicas;
 mod stages;
 mod state;
+mod stopping;
 mod windows;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/stopping.rs
@@ -0,0 +1,19 @@
+//! What an entry takes that was asked to stop.
+
+use acaciabay::core::serving::stop_phase::StopPhase;
+
+use crate::fixtures::at;
+
+/// An entry is stopped while so few others are ready that the balancer goes on sending callers to it. A long answer that
+/// begins after three of its eight seconds is cut when the process ends, and its caller has to ask again.
+#[test]
+fn calls_are_refused_before_their_answers_would_be_cut() {
+    let mut phase = StopPhase::default();
+
+    assert!(phase.takes_calls(at(60_000)));
+    phase.ask(at(60_000));
+    phase.ask(at(62_000));
+
+    assert!(phase.takes_calls(at(62_500)));
+    assert!(!phase.takes_calls(at(63_000)));
+}
