Measure the pace a service at a time, by its fastest tenth

Change: one pace a service and entry, that of the fastest tenth of prompts before which nothing is known to wait (it rises by 0.5% a reading at most); the leader takes the median of the entries.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -32,11 +32,16 @@
 /// After which silence an entry no longer counts as serving; its lease has ended long before.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
+/// Microseconds for a thousand tokens in a millisecond for one.
+const US_IN_THOUSAND_MS: f64 = 1_000_000.0;
+
 /// What an entry has said last.
 #[derive(Clone, Debug)]
 pub(super) struct EntryPresence {
     pub(super) heard_at: BootTime,
     pub(super) uses: Vec<(EndpointName, EndpointWork)>,
+    /// How many microseconds engines take for a thousand tokens of a prompt, as the entry measures it.
+    pub(super) paces_us: BTreeMap<ServiceName, u64>,
 }
 
 /// What callers asked of a service, over all entries.
@@ -45,8 +50,6 @@
     pub(super) calls: u64,
     pub(super) unread_tokens: u64,
     pub(super) output_tokens: u64,
-    /// Microseconds for a thousand tokens of a prompt, as the entries measure it.
-    pub(super) pace_us: u64,
     /// The longest wait before a prompt is read that an entry has expected since the last look.
     pub(super) wait_us: u64,
 }
@@ -69,6 +72,17 @@
         self.entries.len()
     }
 
+    /// Returns how many milliseconds the engines of a service take for a token of a prompt: the median over the entries; 0
+    /// while none has measured it.
+    pub(super) fn pace_ms(&self, service: &ServiceName) -> f64 {
+        let known = self.entries.values().filter_map(|row| row.paces_us.get(service));
+        let mut paces: Vec<u64> = known.copied().filter(|pace| *pace > 0).collect();
+        paces.sort_unstable();
+        paces
+            .get(paces.len() / 2)
+            .map_or(0.0, |pace| *pace as f64 / US_IN_THOUSAND_MS)
+    }
+
     /// Returns for how long the entry that was heard least lately has not reported.
     pub(super) fn longest_silence(&mut self, now: BootTime) -> Duration {
         self.live_entries(now);
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -17,7 +17,7 @@
 
 use super::codec::PoolOrder;
 use super::duties::DutyTurn;
-use super::hub::{ServiceTraffic, ServingHub};
+use super::hub::ServingHub;
 use super::stage_orders::StageOrders;
 
 /// How often the pools are looked at.
@@ -64,9 +64,9 @@
         let is_settled = turn.hub.knows_endpoints(now);
         for (service, spec) in &config.services {
             let Some(pool) = &spec.pool else { continue };
-            let traffic = std::mem::take(turn.hub.soft().traffic.entry(service.clone()).or_default());
+            let measure = take_measure(turn.hub, service);
             let need = self.needs.entry(service.clone()).or_default();
-            need.measure(now, measure_of(traffic), stages.wanted_makers(service));
+            need.measure(now, measure, stages.wanted_makers(service));
             self.order_service(turn, stages, service, pool, is_settled);
         }
     }
@@ -117,7 +117,7 @@
         }
         slog::debug!(turn.hub.log, "pool planned"; "event" => event::POOL_PLANNED, "service" => service.as_str(),
             "needed" => view.needed, "serving" => view.serving, "idle" => view.is_idle,
-            "readers" => readers, "wanted" => ?wanted,
+            "readers" => readers, "pace_ms" => turn.hub.soft().pace_ms(service), "wanted" => ?wanted,
             "present" => ?view.present);
         let wanted = fill_gap(pool, &wanted, &view);
         for change in plan_pool_changes(pool, &wanted, &view) {
@@ -204,10 +204,13 @@
     present.get(domain).map_or(0, |pool| pool.reclaimable)
 }
 
-fn measure_of(traffic: ServiceTraffic) -> ReadingMeasure {
+/// Takes what was asked of a service since the last look.
+fn take_measure(hub: &ServingHub, service: &ServiceName) -> ReadingMeasure {
+    let mut soft = hub.soft();
+    let traffic = std::mem::take(soft.traffic.entry(service.clone()).or_default());
     ReadingMeasure {
         unread_tokens: traffic.unread_tokens,
-        pace: traffic.pace_us as f64 / 1_000_000.0,
+        pace: soft.pace_ms(service),
     }
 }
 
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -233,15 +233,24 @@
         traffic.calls += demand.calls;
         traffic.unread_tokens += demand.unread_tokens;
         traffic.output_tokens += demand.output_tokens;
-        traffic.pace_us = if demand.pace_us > 0 {
-            demand.pace_us
-        } else {
-            traffic.pace_us
-        };
         traffic.wait_us = traffic.wait_us.max(demand.wait_us);
     }
     let uses = request.uses.iter().map(use_from_wire).collect();
-    soft.entries.insert(host.clone(), EntryPresence { heard_at: now, uses });
+    let known = soft.entries.remove(&host);
+    // A service for which nothing was asked since the last word is not named in this one.
+    let mut paces_us = known.map(|row| row.paces_us).unwrap_or_default();
+    paces_us.extend(
+        request
+            .demands
+            .iter()
+            .map(|row| (row.service.as_str().into(), row.pace_us)),
+    );
+    let presence = EntryPresence {
+        heard_at: now,
+        uses,
+        paces_us,
+    };
+    soft.entries.insert(host.clone(), presence);
     let entries = u32::try_from(soft.live_entries(now)).unwrap_or(u32::MAX);
     let others = soft.uses_beside(Some(&host));
     let others = others.iter().map(|(name, work)| use_to_wire(name, *work));
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -8,8 +8,9 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::name::{DomainName, EndpointName};
-use acaciabay::core::serving::endpoint_load::{EndpointWork, ReadingTime};
+use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::reading_pace::ReadingTime;
 use acaciabay::ops::place_prompt::PromptPlace;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -178,7 +179,7 @@
         unread: place.unread_tokens,
         took,
     };
-    view.loads.note_reading(&chosen.name, reading);
+    view.note_reading(&call.service, &chosen.name, reading);
     view.loads.note_success(&chosen.name);
     drop(view);
     ReadOutcome::Read(ReadPrompt {
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -16,6 +16,7 @@
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::reading_pace::{ReadingPace, ReadingTime};
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
 use acaciabay::core::serving::stop_phase::StopPhase;
@@ -63,6 +64,7 @@
     pub(super) starts: StartCounts,
     pub(super) clock: GroupClock,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
+    paces: BTreeMap<ServiceName, ReadingPace>,
     budgets: HashMap<ServiceName, SendBudget>,
 }
 
@@ -73,16 +75,15 @@
         spec.engine
     }
 
-    /// Returns how many milliseconds a service's engines take for a token of a prompt by themselves, the median over the
-    /// engines that were measured.
+    /// Notes how long an engine of a service took for a prompt.
+    pub(super) fn note_reading(&mut self, service: &ServiceName, engine: &EndpointName, reading: ReadingTime) {
+        self.loads.note_reading(engine, reading);
+        self.paces.entry(service.clone()).or_default().note(reading);
+    }
+
+    /// Returns how many milliseconds a service's engines take for a token of a prompt by themselves, if that was measured.
     pub(super) fn own_pace(&self, service: &ServiceName) -> Option<f64> {
-        let engines = self
-            .registry
-            .rows()
-            .filter(|(_, endpoint)| endpoint.service == *service);
-        let mut paces: Vec<f64> = engines.filter_map(|(name, _)| self.loads.own_pace(name)).collect();
-        paces.sort_unstable_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied()
+        self.paces.get(service).and_then(|pace| pace.get())
     }
 }
 
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -9,6 +9,7 @@
 use super::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
 use super::part_memory::PartMemory;
 use super::prompt::PromptPart;
+use super::reading_pace::ReadingTime;
 use crate::core::clock::BootTime;
 use crate::core::name::EndpointName;
 
@@ -52,8 +53,6 @@
 const FIRST_PACE: f64 = 0.02;
 /// How much one measurement moves the pace.
 const PACE_STEP: f64 = 0.1;
-/// Prompts with fewer tokens say more about the network than about the engine.
-const LEAST_MEASURED: u64 = 1_000;
 
 /// An order that an engine is carrying out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,44 +74,6 @@
     suspected_until: BootTime,
     resting: Option<RestingOrder>,
     pace: Option<f64>,
-    own_pace: Option<QuartilePace>,
-}
-
-/// The lower quartile of an engine's pace while nothing was known to wait before the prompt, in milliseconds for a token.
-///
-/// Each measurement moves it by a fixed part, upwards or downwards: prompts whose parts the engine kept although nobody
-/// knew are off by a multiple, and a mean would follow them. In a burst most prompts meet a queue that their entry has not
-/// heard of yet, and the median would.
-#[derive(Clone, Copy, Debug)]
-struct QuartilePace(f64);
-
-impl QuartilePace {
-    /// The part by which a measurement above raises it.
-    const RISE: f64 = 0.02;
-    /// The part by which a measurement below lowers it; three times as much, so that a quarter of them lie below.
-    const FALL: f64 = 0.06;
-
-    fn after(before: Option<Self>, measured: f64) -> Self {
-        let Some(Self(pace)) = before else {
-            return Self(measured);
-        };
-        Self(if measured > pace {
-            pace * (1.0 + Self::RISE)
-        } else {
-            pace / (1.0 + Self::FALL)
-        })
-    }
-}
-
-/// What an engine took to read a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReadingTime {
-    /// Tokens that it had before it.
-    pub queued: u64,
-    /// Tokens of the prompt that it had not read before.
-    pub unread: u64,
-    /// From the send to the answer.
-    pub took: Duration,
 }
 
 /// The load of all endpoints that this entry has dealt with.
@@ -170,17 +131,10 @@
 
     /// Notes how long an endpoint took for a prompt.
     pub fn note_reading(&mut self, name: &EndpointName, reading: ReadingTime) {
-        let tokens = reading.queued + reading.unread;
-        if tokens < LEAST_MEASURED {
-            return;
-        }
-        let measured = reading.took.as_secs_f64() * 1_000.0 / tokens as f64;
+        let Some(measured) = reading.pace() else { return };
         let row = self.row(name);
         let before = row.pace.unwrap_or(FIRST_PACE);
         row.pace = Some(before + PACE_STEP * (measured - before));
-        if reading.queued == 0 {
-            row.own_pace = Some(QuartilePace::after(row.own_pace, measured));
-        }
     }
 
     /// Returns how many milliseconds the endpoint takes for a token of a prompt.
@@ -188,13 +142,6 @@
         self.rows.get(name).and_then(|row| row.pace).unwrap_or(FIRST_PACE)
     }
 
-    /// Returns how many milliseconds the endpoint takes for a token of a prompt when nothing waits before it, if that was
-    /// measured. Under overload nothing is: the time that prompts wait would be taken for work, and endpoints ordered for
-    /// it.
-    pub fn own_pace(&self, name: &EndpointName) -> Option<f64> {
-        self.rows.get(name).and_then(|row| row.own_pace).map(|pace| pace.0)
-    }
-
     /// Notes a failure that speaks against the endpoint.
     pub fn note_failure(&mut self, now: BootTime, name: &EndpointName) {
         let row = self.row(name);
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -24,6 +24,7 @@
 pub mod part_memory;
 pub mod prompt;
 pub mod reading_need;
+pub mod reading_pace;
 pub mod replica_board;
 pub mod send_budget;
 pub mod serving_state;
