Hold readers for bursts, and fill a gap that has used up the reserve

And where the platform refuses as many domains as the plan holds a reserve for, nothing bears the loss of another.

Change: in the sharing of engines reading counts twice what it was of late: streams grow over seconds, prompts come at once. Where two domains are refused, the reclaimable endpoints of the largest domain that is left do not count when the gap is filled.

--- a/crates/acaciabay/src/ops/fill_gap.rs
+++ b/crates/acaciabay/src/ops/fill_gap.rs
@@ -8,7 +8,7 @@
 
 use crate::core::name::DomainName;
 use crate::core::serving::config::PoolSpec;
-use crate::ops::plan_pool::{DomainPool, PoolView};
+use crate::ops::plan_pool::{DomainPool, LOST_DOMAINS, PoolView};
 
 /// Returns what is wanted in each failure domain while the platform refuses some of it.
 pub fn fill_gap(
@@ -25,7 +25,7 @@
         .map(|(domain, want)| (domain, coming_pool(domain, *want, view)))
         .collect();
     let total: u32 = coming.values().map(|pool| pool.total()).sum();
-    for _ in total..view.busy {
+    for _ in total.saturating_sub(endangered_endpoints(&coming, view))..view.busy {
         let with_room = coming.iter_mut().filter(|(_, pool)| pool.total() < spec.most);
         let Some((domain, pool)) = with_room.min_by_key(|(_, pool)| pool.total()) else {
             break;
@@ -38,6 +38,19 @@
     filled
 }
 
+/// Returns how many of the endpoints that are left cannot be counted on.
+///
+/// While the platform refuses as many domains as the plan holds a reserve for, that reserve is used up: the loss of one
+/// more domain would leave only what is filled now, since lasting endpoints take seconds to start.
+fn endangered_endpoints(coming: &BTreeMap<&DomainName, DomainPool>, view: &PoolView) -> u32 {
+    let refused = u32::try_from(view.refused.len()).unwrap_or(u32::MAX);
+    if refused < LOST_DOMAINS {
+        return 0;
+    }
+    let left = coming.iter().filter(|(domain, _)| !view.refused.contains(**domain));
+    left.map(|(_, pool)| pool.reclaimable).max().unwrap_or(0)
+}
+
 /// Returns what a failure domain will have once the orders of the plan are carried out.
 fn coming_pool(domain: &DomainName, want: DomainPool, view: &PoolView) -> DomainPool {
     let have = view.present.get(domain).copied().unwrap_or_default();
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -34,7 +34,7 @@
 const WORTHWHILE_PRICE: f64 = 0.3;
 /// How many domains may lose all their reclaimable endpoints before others can be had: the platform takes them back in
 /// one domain after the other within seconds, and has none for ten seconds and more.
-const LOST_DOMAINS: u32 = 2;
+pub(super) const LOST_DOMAINS: u32 = 2;
 
 /// Returns how many endpoints are wanted in each failure domain when the work needs `needed` of them.
 pub fn plan_pool(spec: &PoolSpec, domains: &[DomainName], needed: u32) -> BTreeMap<DomainName, DomainPool> {
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -16,6 +16,10 @@
 /// a burst would find no room.
 const FILL: f64 = 0.5;
 
+/// How much more than of late there may be to read a moment later. Streams grow over seconds, prompts come at once, and a
+/// change of stage takes seconds.
+const BURST: f64 = 2.0;
+
 /// The least number of engines of each stage, so that the loss of one engine stops nothing.
 const LEAST_OF_STAGE: usize = 2;
 
@@ -68,8 +72,9 @@
     let by_memory = demand.held_tokens / (FILL * spec.memory_tokens.max(1) as f64);
     let makers = by_slots.max(by_memory);
     let present = work.present as f64;
-    let shared = if makers + work.readers > present {
-        present * makers / (makers + work.readers)
+    let readers = BURST * work.readers;
+    let shared = if makers + readers > present {
+        present * makers / (makers + readers)
     } else {
         makers
     };
@@ -89,7 +94,7 @@
 /// reading needs, also when a failure domain is lost.
 fn spared_makers(work: &StageWork) -> usize {
     let domains = work.domains.max(2) as f64;
-    let readers = work.readers * domains / (domains - 1.0);
+    let readers = BURST * work.readers * domains / (domains - 1.0);
     let readers = usize::try_from(round_up(readers)).unwrap_or(usize::MAX);
     let least = LEAST_OF_STAGE.min(work.present / 2);
     work.makers.min(work.present.saturating_sub(readers.max(least)))
