--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -1,6 +1,5 @@
 //! Calls whose answer is a stream of events.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::ResponseBody;
@@ -190,44 +189,7 @@
         }
     }
 
-    /// Lets the engine that keeps a copy of the run go on with it after an event.
-    ///
-    /// The platform has taken the first engine back, or it has died. The caller of a stream that may not be run again would
-    /// see it break off; going on from the copy is the same run, and what the copy lacks is read again. Before the first
-    /// event there may be no copy yet, and another engine would run the call a second time.
-    pub(super) async fn go_on_from(&mut self, keeper: Option<ChosenEndpoint>, after: u64) -> Option<OpenStream> {
-        let keeper = keeper?;
-        let (shared, now) = (Arc::clone(&self.call.shared), boot_now());
-        if now >= self.call.until {
-            return None;
-        }
-        let keeper = shared.still_ready(now, &self.call.service, &keeper.name)?;
-        if !shared.spend_send(now, &self.call.service) {
-            return None;
-        }
-        let guard = shared.begin_work(&keeper.name, self.maker_work());
-        let next = shared.choose_keeper(now, &self.call, &keeper);
-        let request = self.call.head.request.clone();
-        let role = AttemptRole::GoOnFromCopy { request: &request };
-        let AttemptOutcome::Answered(reply) = self.send_to(&keeper, role, Some(after), next.as_ref()).await else {
-            return None;
-        };
-        let (parts, incoming) = reply.response.into_parts();
-        slog::info!(shared.log, "stream goes on from a copy"; "event" => event::STREAM_RESUMED, "request" => request,
-            "endpoint" => keeper.name.as_str(), "after" => after, "status" => parts.status.as_u16());
-        metrics::counter!("acacia_streams_resumed_from_copies_total").increment(1);
-        parts.status.is_success().then_some(OpenStream {
-            endpoint: keeper.name,
-            status: parts.status,
-            headers: parts.headers,
-            incoming,
-            connection: reply.connection,
-            guard,
-            keeper: next,
-        })
-    }
-
-    async fn send_to(
+    pub(super) async fn send_to(
         &self,
         chosen: &ChosenEndpoint,
         role: AttemptRole<'_>,
@@ -242,7 +204,7 @@
         send(&self.call, chosen, order, self.silence_bound(false)).await
     }
 
-    fn maker_work(&self) -> EndpointWork {
+    pub(super) fn maker_work(&self) -> EndpointWork {
         let prompt = self.call.head.prompt.as_ref();
         EndpointWork {
             unread_tokens: 0,
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -27,8 +27,7 @@
 const HOMES: usize = 3;
 
 /// What another home than the first costs in the choice of a reader, in milliseconds of its queue. A part is copied only
-/// from where it was read before, so its first readers must not scatter: at 20 ms shared parts were read again 1.5 times
-/// as often as without copies, at 800 ms a third as often, and at 3,000 ms a quarter as often, but more prompts were late.
+/// from where it was read before: if its first readers scatter, several read it before any can copy it.
 const OTHER_HOME_MS: f64 = 800.0;
 
 /// What an engine costs that is no home of the part, in milliseconds: about as long as callers wait, so that it is used
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -28,7 +28,7 @@
 const ENGINES_PER_MAKER: usize = 4;
 
 /// One engine in this many makes tokens even if few streams run: traffic that begins at once would find too few, and each
-/// change takes seconds. Prompts of thousands of tokens and answers of tens keep about one in twenty busy.
+/// change takes seconds.
 const ENGINES_PER_IDLE_MAKER: usize = 16;
 
 /// An engine to change.
