Take back the copies of long streams

What the copies cost the makers was not measured apart.

Change: reverted, with its tests; a run that goes on elsewhere is left for a maker that is known to leave (the platform can move the memory then).

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a call to one endpoint.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use acacia_http::{ConnectionChoice, FinishedConnection};
@@ -61,44 +60,21 @@
     }
 }
 
-/// What one send asks of an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AttemptOrder<'call> {
-    pub(super) role: AttemptRole<'call>,
-    /// The last event that the caller has.
-    pub(super) resume_after: Option<u64>,
-    /// The engine that gets copies of the memory of the run.
-    pub(super) copy_to: Option<SocketAddr>,
-}
-
-impl<'call> AttemptOrder<'call> {
-    /// Asks for the answer from its beginning, without copies.
-    pub(super) const fn plain(role: AttemptRole<'call>) -> Self {
-        Self {
-            role,
-            resume_after: None,
-            copy_to: None,
-        }
-    }
-}
-
 /// Sends a call and waits for the head of the answer, at most for `patience`.
 pub(super) async fn send(
     call: &OpenCall,
     chosen: &ChosenEndpoint,
-    order: AttemptOrder<'_>,
+    role: AttemptRole<'_>,
+    resume_after: Option<u64>,
     patience: Duration,
 ) -> AttemptOutcome {
-    let role = order.role;
     let sent_at = boot_now();
     let attempt = AttemptHead {
         endpoint: &chosen.name,
-        address: chosen.endpoint.address,
         customer: call.customer(),
         time_left: call.time_left(sent_at),
         role,
-        resume_after: order.resume_after,
-        copy_to: order.copy_to,
+        resume_after,
         priority: call.admitted.priority(),
     };
     let mut request = call
--- a/crates/acacia-entry/src/serving/choice.rs
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -7,10 +7,8 @@
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
-use acaciabay::ops::place_copy::{is_worth_copying, place_copy};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlace, place_prompt};
 
-use super::call::OpenCall;
 use super::shared::{EntryShared, EntryView};
 
 /// An endpoint that a call is sent to.
@@ -97,37 +95,6 @@
         chosen(&candidates, &name)
     }
 
-    /// Chooses an engine that keeps a copy of the memory of a call which runs at `maker`; nothing if the call is not one
-    /// whose memory is copied.
-    pub(super) fn choose_keeper(
-        &self,
-        now: BootTime,
-        call: &OpenCall,
-        maker: &ChosenEndpoint,
-    ) -> Option<ChosenEndpoint> {
-        let prompt = call.head.prompt.as_ref()?;
-        let view = self.view();
-        let spec = view.engine(&call.service)?;
-        if !spec.copies_streams || !is_worth_copying(call.route().kind, prompt) {
-            return None;
-        }
-        let candidates = of_stage(&view, now, &call.service, EngineStage::Decode);
-        let maker = (&maker.name, &maker.endpoint);
-        let name = place_copy(&self.placement(now, &view), &candidates, spec.memory_tokens, maker)?;
-        chosen(&candidates, &name)
-    }
-
-    /// Returns an engine that makes tokens as it is known now, if it still takes calls.
-    pub(super) fn still_ready(
-        &self,
-        now: BootTime,
-        service: &ServiceName,
-        name: &EndpointName,
-    ) -> Option<ChosenEndpoint> {
-        let view = self.view();
-        chosen(&of_stage(&view, now, service, EngineStage::Decode), name)
-    }
-
     fn placement<'view>(&'view self, now: BootTime, view: &'view EntryView) -> PlacementView<'view> {
         PlacementView {
             now,
--- a/crates/acacia-entry/src/serving/codec.rs
+++ b/crates/acacia-entry/src/serving/codec.rs
@@ -58,11 +58,6 @@
         /// Under which handle it is kept there.
         handle: &'call str,
     },
-    /// To go on with a run of which this endpoint keeps a copy.
-    GoOnFromCopy {
-        /// The request that was run.
-        request: &'call str,
-    },
 }
 
 /// What one send says beside what the caller has said.
@@ -70,8 +65,6 @@
 pub struct AttemptHead<'call> {
     /// The endpoint; any other that may have its address by now refuses.
     pub endpoint: &'call EndpointName,
-    /// Where the endpoint is reached.
-    pub address: SocketAddr,
     /// The customer whose key the caller has sent.
     pub customer: Option<&'call CustomerName>,
     /// How long the endpoint may work.
@@ -80,8 +73,6 @@
     pub role: AttemptRole<'call>,
     /// The last event that the caller has, where the stream goes on.
     pub resume_after: Option<u64>,
-    /// Where the endpoint sends copies of the memory of the run, so that another can go on with it.
-    pub copy_to: Option<SocketAddr>,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
 }
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -13,7 +13,6 @@
 mod plain_call;
 mod prompt_read;
 mod refusal;
-mod run_copy;
 mod shared;
 mod start;
 mod stream_body;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -11,7 +11,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
-use super::attempt::{AttemptOrder, AttemptOutcome, EndpointReply, send};
+use super::attempt::{AttemptOutcome, EndpointReply, send};
 use super::call::{OpenCall, millis, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
@@ -60,7 +60,7 @@
         };
         let guard = call.shared.begin_work(&chosen.name, one_call());
         let patience = call.until.since(now);
-        let outcome = send(call, &chosen, AttemptOrder::plain(AttemptRole::Whole), patience).await;
+        let outcome = send(call, &chosen, AttemptRole::Whole, None, patience).await;
         match outcome {
             AttemptOutcome::Answered(reply) => {
                 if may_go_elsewhere(call, &progress, &chosen, &reply) {
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -17,7 +17,7 @@
 use hyper::Request;
 use hyper::header::HOST;
 
-use super::attempt::{AttemptOrder, AttemptOutcome, EndpointReply, send};
+use super::attempt::{AttemptOutcome, EndpointReply, send};
 use super::call::{OpenCall, millis};
 use super::choice::{ChosenEndpoint, ChosenReader};
 use super::codec::AttemptRole;
@@ -154,8 +154,14 @@
     // Noted before the answer: calls that come meanwhile with the same parts belong there as well.
     let memory = call.shared.engine_memory(&call.service);
     call.shared.view().loads.note_read(&chosen.name, &prompt.parts, memory);
-    let role = AttemptRole::ReadPrompt { copy_from: *copy_from };
-    let outcome = send(call, chosen, AttemptOrder::plain(role), patience).await;
+    let outcome = send(
+        call,
+        chosen,
+        AttemptRole::ReadPrompt { copy_from: *copy_from },
+        None,
+        patience,
+    )
+    .await;
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
         AttemptOutcome::NotRun { arrived: false } => return ReadOutcome::NotReached,
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -11,7 +11,6 @@
 
 use super::attempt::KeptConnection;
 use super::call::{OpenCall, millis};
-use super::choice::ChosenEndpoint;
 use super::shared::LoadGuard;
 use super::stream_call::{OpenStream, StreamRun};
 
@@ -90,10 +89,10 @@
 impl EventState {
     async fn next(&mut self) -> Piece {
         loop {
+            let bound = self.run.silence_bound();
             let Some(stream) = &mut self.stream else {
                 return Piece::Broken;
             };
-            let bound = self.run.silence_bound(stream.keeper.is_some());
             match tokio::time::timeout(bound, stream.incoming.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -132,7 +131,7 @@
     /// Lets another engine go on after the last whole event; tells whether one does.
     async fn go_on(&mut self, reason: &str) -> bool {
         // Closed before another engine is asked: one that is only slow would otherwise work on beside it.
-        let Some(OpenStream { endpoint, keeper, .. }) = self.stream.take() else {
+        let Some(OpenStream { endpoint, .. }) = self.stream.take() else {
             return false;
         };
         let call = &self.run.call;
@@ -140,10 +139,9 @@
         let may_go_on = self.run.may_go_on();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => endpoint.as_str(), "reason" => reason,
-            "events" => self.events, "last_id" => self.last_id, "goes_on" => may_go_on,
-            "copied" => keeper.is_some());
+            "events" => self.events, "last_id" => self.last_id, "goes_on" => may_go_on);
         if !may_go_on {
-            return self.go_on_from(keeper).await;
+            return false;
         }
         let (request, log) = (call.head.request.clone(), call.shared.log.clone());
         match self.run.open(self.last_id).await {
@@ -167,16 +165,6 @@
         }
     }
 
-    /// Lets the engine that keeps a copy of the run go on; tells whether it does.
-    async fn go_on_from(&mut self, keeper: Option<ChosenEndpoint>) -> bool {
-        let Some(last_id) = self.last_id.filter(|_| self.events > 0) else {
-            return false;
-        };
-        self.stream = self.run.go_on_from(keeper, last_id).await;
-        self.cutter = EventCutter::default();
-        self.stream.is_some()
-    }
-
     async fn finish(self) {
         let Some(stream) = self.stream else { return };
         let call = &self.run.call;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -12,7 +12,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 
-use super::attempt::{AttemptOrder, AttemptOutcome, KeptConnection, send};
+use super::attempt::{AttemptOutcome, KeptConnection, send};
 use super::call::{OpenCall, millis, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
@@ -46,8 +46,6 @@
     pub(super) incoming: Incoming,
     pub(super) connection: KeptConnection,
     pub(super) guard: LoadGuard,
-    /// The engine that keeps a copy of the run, if any does.
-    pub(super) keeper: Option<ChosenEndpoint>,
 }
 
 /// Answers a call.
@@ -84,12 +82,11 @@
             && self.call.shared.spend_send(now, &self.call.service)
     }
 
-    /// Returns how long an engine may be silent; `has_copy` tells whether another one can go on with the run.
-    pub(super) fn silence_bound(&self, has_copy: bool) -> Duration {
+    /// Returns how long an engine may be silent.
+    pub(super) fn silence_bound(&self) -> Duration {
         let left = self.call.until.since(boot_now());
-        let may_repeat = self.call.route().kind.may_repeat() && self.ran < self.call.route().max_attempts;
         // A stream that nobody else can continue is waited for as long as its caller may be waiting.
-        if may_repeat || has_copy {
+        if self.call.route().kind.may_repeat() && self.ran < self.call.route().max_attempts {
             left.min(self.call.route().event_patience().mul_f64(SILENCE_PART))
         } else {
             left
@@ -111,14 +108,7 @@
                 return Err(self.give_up("no engine makes tokens", NO_ENDPOINT));
             };
             let guard = self.call.shared.begin_work(&chosen.name, self.maker_work());
-            let keeper = self.call.shared.choose_keeper(now, &self.call, &chosen);
-            let role = read
-                .as_ref()
-                .map_or(AttemptRole::Whole, |read| AttemptRole::MakeTokens {
-                    reader: read.address,
-                    handle: &read.handle,
-                });
-            let outcome = self.send_to(&chosen, role, resume_after, keeper.as_ref()).await;
+            let outcome = self.send_to(&chosen, read.as_ref(), resume_after).await;
             match outcome {
                 AttemptOutcome::Answered(reply) => {
                     if let Some(read) = &mut read {
@@ -139,7 +129,6 @@
                         incoming,
                         connection: reply.connection,
                         guard,
-                        keeper,
                     });
                 }
                 AttemptOutcome::NotRun { arrived } => {
@@ -189,22 +178,20 @@
         }
     }
 
-    pub(super) async fn send_to(
+    async fn send_to(
         &self,
         chosen: &ChosenEndpoint,
-        role: AttemptRole<'_>,
+        read: Option<&ReadPrompt>,
         resume_after: Option<u64>,
-        keeper: Option<&ChosenEndpoint>,
     ) -> AttemptOutcome {
-        let order = AttemptOrder {
-            role,
-            resume_after,
-            copy_to: keeper.map(|keeper| keeper.endpoint.address),
-        };
-        send(&self.call, chosen, order, self.silence_bound(false)).await
+        let role = read.map_or(AttemptRole::Whole, |read| AttemptRole::MakeTokens {
+            reader: read.address,
+            handle: &read.handle,
+        });
+        send(&self.call, chosen, role, resume_after, self.silence_bound()).await
     }
 
-    pub(super) fn maker_work(&self) -> EndpointWork {
+    fn maker_work(&self) -> EndpointWork {
         let prompt = self.call.head.prompt.as_ref();
         EndpointWork {
             unread_tokens: 0,
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -116,8 +116,6 @@
     pub switch: Duration,
     /// How engines copy what they have read to each other, where they can.
     pub link: Option<MemoryLink>,
-    /// Whether they copy the memory of a stream to a second engine while it runs.
-    pub copies_streams: bool,
 }
 
 /// How fast the memory of prompts moves from one engine to another.
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -4,7 +4,6 @@
 pub mod divide_pool;
 pub mod fill_gap;
 pub mod place_call;
-pub mod place_copy;
 pub mod place_prompt;
 pub mod place_request;
 pub mod plan_deliveries;
