--- a/crates/acacia-entry/src/serving/choice.rs
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -1,7 +1,5 @@
 //! Which endpoint a call of this entry goes to: the library's decisions over what the entry knows.
 
-use std::net::SocketAddr;
-
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
@@ -24,7 +22,7 @@
     pub(super) engine: ChosenEndpoint,
     pub(super) place: PromptPlace,
     /// Where the engine may copy shared parts from.
-    pub(super) copy_from: Option<SocketAddr>,
+    pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
 impl EntryShared {
@@ -69,7 +67,7 @@
         let copy_from = place.copy_from.as_ref().and_then(|name| chosen(&keepers, name));
         Some(ChosenReader {
             engine: chosen(&readers, &place.endpoint)?,
-            copy_from: copy_from.map(|keeper| keeper.endpoint.address),
+            copy_from,
             place,
         })
     }
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -11,7 +11,7 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::reading_pace::ReadingTime;
-use acaciabay::ops::place_prompt::PromptPlace;
+use acaciabay::ops::place_prompt::{PromptPlace, is_source_lost};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -157,7 +157,9 @@
     let outcome = send(
         call,
         chosen,
-        AttemptRole::ReadPrompt { copy_from: *copy_from },
+        AttemptRole::ReadPrompt {
+            copy_from: copy_from.as_ref().map(|source| source.endpoint.address),
+        },
         None,
         patience,
     )
@@ -186,6 +188,13 @@
         took,
     };
     view.note_reading(&call.service, &chosen.name, reading);
+    if let Some(source) = copy_from
+        && is_source_lost(&source.endpoint, place.wait, took)
+    {
+        slog::info!(call.shared.log, "copy source is gone"; "event" => event::ATTEMPT_FAILED,
+            "request" => &call.head.request, "endpoint" => source.name.as_str(), "took_ms" => millis(took));
+        view.loads.note_unreachable(boot_now(), &source.name);
+    }
     view.loads.note_success(&chosen.name);
     drop(view);
     ReadOutcome::Read(ReadPrompt {
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -8,7 +8,7 @@
 
 use crate::core::name::EndpointName;
 use crate::core::serving::config::MemoryLink;
-use crate::core::serving::endpoint_registry::ServingEndpoint;
+use crate::core::serving::endpoint_registry::{EndpointPhase, ServingEndpoint};
 use crate::core::serving::prompt::PromptShape;
 use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView};
 use crate::util::number::round_up;
@@ -71,6 +71,19 @@
     pub copy_from: Option<EndpointName>,
 }
 
+/// How much longer than expected a prompt that was to be copied may take before its source counts as gone. An engine
+/// that waits for a copy in vain loses a few hundred milliseconds, then reads by itself.
+const LOST_SOURCE_DELAY: Duration = Duration::from_millis(150);
+
+/// Tells whether the engine that a prompt was copied from is probably gone, by how long the prompt took.
+///
+/// An engine that leaves is copied from until it is gone, and its last word is believed for seconds after that: meanwhile
+/// every prompt that is sent for its parts would wait in vain. A source that stays is not judged so, since the reader may
+/// have been slow.
+pub fn is_source_lost(source: &ServingEndpoint, expected: Duration, took: Duration) -> bool {
+    source.phase != EndpointPhase::Ready && took > expected + LOST_SOURCE_DELAY
+}
+
 /// Chooses where a prompt is read.
 pub fn place_prompt(
     view: &PlacementView<'_>,
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -1,11 +1,13 @@
 //! Where prompts are read, and what is copied instead of being read.
 
+use std::time::Duration;
+
 use acaciabay::core::name::{DomainName, EndpointName};
 use acaciabay::core::serving::endpoint_load::LoadTable;
-use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::PlacementView;
-use acaciabay::ops::place_prompt::{PromptEngines, PromptPlace, place_prompt};
+use acaciabay::ops::place_prompt::{PromptEngines, PromptPlace, is_source_lost, place_prompt};
 use acaciabay::ops::split_call::is_read_by_maker;
 
 use crate::fixtures::{EngineRows, at, candidates, link, name, numbered, prompt, rows, unread};
@@ -145,6 +147,30 @@
     assert_eq!(place.copy_from, Some(leaving));
 }
 
+/// A domain was taken back seconds ago. Its engines are gone, but what they said last still counts, and every prompt with
+/// a part that they kept waits 300 ms for a copy that does not come. One such wait tells the entry.
+#[test]
+fn an_engine_that_left_is_not_copied_from_once_a_copy_was_waited_for_in_vain() {
+    let all = rows(7, EngineStage::Prefill);
+    let mut loads = LoadTable::default();
+    let home = place_copying(&loads, &all, 5).endpoint;
+    let readers: EngineRows = all.iter().filter(|(name, _)| *name != home).cloned().collect();
+    let leaving = ServingEndpoint {
+        phase: EndpointPhase::Draining,
+        ..numbered(1, "a", EngineStage::Prefill)
+    };
+    let (expected, in_vain) = (Duration::from_millis(40), Duration::from_millis(305));
+
+    assert!(is_source_lost(&leaving, expected, in_vain));
+    loads.note_unreachable(at(0), &home);
+    let place = place_with(&loads, &readers, &all, true, 5);
+
+    assert_ne!(place.copy_from, Some(home));
+    assert!(!is_source_lost(&leaving, expected, Duration::from_millis(60)));
+    let staying = numbered(1, "a", EngineStage::Prefill);
+    assert!(!is_source_lost(&staying, expected, in_vain));
+}
+
 /// The engine that kept a part has just failed. A copy from it would have to be waited for in vain.
 #[test]
 fn nothing_is_copied_from_an_engine_that_has_failed() {
