Decide in the library what became of an order for endpoints

Cause: when an order may be given again stood in the control crate between locks and tasks, without a test, and the unit of a pace on the wire stood in both programs.

Change: GivenOrder moves to the library with its times; the pace is converted beside the message. No behaviour changes, but that an entry's unmeasured pace no longer overwrites one that it has told before.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -32,16 +32,13 @@
 /// After which silence an entry no longer counts as serving; its lease has ended long before.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
-/// Microseconds for a thousand tokens in a millisecond for one.
-const US_IN_THOUSAND_MS: f64 = 1_000_000.0;
-
 /// What an entry has said last.
 #[derive(Clone, Debug)]
 pub(super) struct EntryPresence {
     pub(super) heard_at: BootTime,
     pub(super) uses: Vec<(EndpointName, EndpointWork)>,
-    /// How many microseconds engines take for a thousand tokens of a prompt, as the entry measures it.
-    pub(super) paces_us: BTreeMap<ServiceName, u64>,
+    /// How many milliseconds engines take for a token of a prompt, as the entry measures it.
+    pub(super) paces: BTreeMap<ServiceName, f64>,
 }
 
 /// What callers asked of a service, over all entries.
@@ -75,12 +72,10 @@
     /// Returns how many milliseconds the engines of a service take for a token of a prompt: the median over the entries; 0
     /// while none has measured it.
     pub(super) fn pace_ms(&self, service: &ServiceName) -> f64 {
-        let known = self.entries.values().filter_map(|row| row.paces_us.get(service));
-        let mut paces: Vec<u64> = known.copied().filter(|pace| *pace > 0).collect();
-        paces.sort_unstable();
-        paces
-            .get(paces.len() / 2)
-            .map_or(0.0, |pace| *pace as f64 / US_IN_THOUSAND_MS)
+        let known = self.entries.values().filter_map(|row| row.paces.get(service));
+        let mut paces: Vec<f64> = known.copied().collect();
+        paces.sort_unstable_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(0.0)
     }
 
     /// Returns for how long the entry that was heard least lately has not reported.
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::name::{DomainName, ServiceName};
 use acaciabay::core::serving::config::PoolSpec;
 use acaciabay::core::serving::endpoint_registry::EndpointPhase;
+use acaciabay::core::serving::given_order::GivenOrder;
 use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
 use acaciabay::ops::fill_gap::fill_gap;
 use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
@@ -22,27 +23,12 @@
 
 /// How often the pools are looked at.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// How long to wait before an order that was refused, or got no answer, is given again.
-const REFUSED_PAUSE: Duration = Duration::from_secs(2);
-/// How much longer than an endpoint takes to start an order may remain without effect before it is given again: a call
-/// that got no answer may be carried out seconds late, and undo a newer one.
-const EFFECT_MARGIN: Duration = Duration::from_secs(6);
 /// How long after endpoints were given back others may be: those that replace what made tokens among them need
 /// the time of a change of stage.
 const GIVE_BACK_PAUSE: Duration = Duration::from_secs(5);
 
 type OrderKey = (ServiceName, DomainName, bool);
 
-#[derive(Clone, Copy, Debug)]
-struct GivenOrder {
-    desired: u32,
-    is_accepted: bool,
-    is_refused: bool,
-    /// Whether as many endpoints as were ordered have been there since.
-    has_come: bool,
-    again_at: BootTime,
-}
-
 /// The orders of one holder.
 #[derive(Debug, Default)]
 pub(super) struct PoolOrders {
@@ -139,67 +125,53 @@
         let mut given = self.given.lock();
         for ((_, domain, reclaimable), order) in given.iter_mut().filter(|((known, ..), _)| known == service) {
             let pool = present.get(domain).copied().unwrap_or_default();
-            let count = if *reclaimable { pool.reclaimable } else { pool.lasting };
-            order.has_come |= order.is_accepted && count >= order.desired;
+            order.note_present(if *reclaimable { pool.reclaimable } else { pool.lasting });
         }
     }
 
     /// Returns how many reclaimable endpoints the platform has agreed to, by failure domain.
     fn agreed(&self, service: &ServiceName) -> BTreeMap<DomainName, u32> {
         let given = self.given.lock();
-        let own = given
-            .iter()
-            .filter(|((known, _, reclaimable), order)| known == service && *reclaimable && order.is_accepted);
-        own.map(|((_, domain, _), order)| (domain.clone(), order.desired))
+        let own = given.iter().filter(|(key, _)| is_reclaimable_of(key, service));
+        own.filter_map(|((_, domain, _), order)| Some((domain.clone(), order.agreed()?)))
             .collect()
     }
 
     /// Returns the failure domains in which the platform has lately refused reclaimable endpoints.
     fn refused(&self, service: &ServiceName) -> BTreeSet<DomainName> {
         let given = self.given.lock();
-        let refused = given
-            .iter()
-            .filter(|((known, _, reclaimable), order)| known == service && *reclaimable && order.is_refused);
+        let own = given.iter().filter(|(key, _)| is_reclaimable_of(key, service));
+        let refused = own.filter(|(_, order)| order.is_refused());
         refused.map(|((_, domain, _), _)| domain.clone()).collect()
     }
 
     /// Gives an order unless it was given lately; tells whether it was given.
     fn give(&self, turn: &DutyTurn<'_>, pool: &PoolSpec, order: PoolOrder) -> bool {
         let key = (order.service.clone(), order.domain.clone(), order.reclaimable);
-        let fresh = GivenOrder {
-            desired: order.desired,
-            is_accepted: false,
-            is_refused: false,
-            has_come: false,
-            again_at: turn.now + pool.boot + EFFECT_MARGIN,
-        };
         {
             let mut given = self.given.lock();
             let before = given.get(&key);
-            // Endpoints that were there and are gone were taken back or have died: the order has had its effect, and only
-            // a new one brings others.
-            let is_open = |before: &GivenOrder| turn.now < before.again_at && !before.has_come;
-            if before.is_some_and(|before| before.desired == order.desired && is_open(before)) {
+            if before.is_some_and(|before| before.is_open(turn.now, order.desired)) {
                 return false;
             }
-            let is_refused = before.is_some_and(|before| before.is_refused);
-            given.insert(key.clone(), GivenOrder { is_refused, ..fresh });
+            let fresh = GivenOrder::give(turn.now, order.desired, pool.boot, before);
+            given.insert(key.clone(), fresh);
         }
         let (turn, given) = (turn.for_task(), Arc::clone(&self.given));
         tokio::spawn(async move {
             let is_accepted = turn.send_pool_order(&order).await;
             if let Some(given) = given.lock().get_mut(&key) {
-                given.is_accepted = is_accepted;
-                given.is_refused = !is_accepted;
-                if !is_accepted {
-                    given.again_at = boot_now() + REFUSED_PAUSE;
-                }
+                given.hear_answer(boot_now(), is_accepted);
             }
         });
         true
     }
 }
 
+fn is_reclaimable_of((known, _, reclaimable): &OrderKey, service: &ServiceName) -> bool {
+    known == service && *reclaimable
+}
+
 fn reclaimable_in(present: &BTreeMap<DomainName, DomainPool>, domain: &DomainName) -> u32 {
     present.get(domain).map_or(0, |pool| pool.reclaimable)
 }
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -13,7 +13,9 @@
     SignOfLife, serving_renewed,
 };
 use acacia_wire::generated::state::WindowCounts;
-use acacia_wire::{FrameReader, FrameWriter, counts_from_wire, patch_between, use_from_wire, use_to_wire};
+use acacia_wire::{
+    FrameReader, FrameWriter, counts_from_wire, pace_from_wire, patch_between, use_from_wire, use_to_wire,
+};
 use acaciabay::core::name::HostName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
@@ -238,17 +240,13 @@
     let uses = request.uses.iter().map(use_from_wire).collect();
     let known = soft.entries.remove(&host);
     // A service for which nothing was asked since the last word is not named in this one.
-    let mut paces_us = known.map(|row| row.paces_us).unwrap_or_default();
-    paces_us.extend(
-        request
-            .demands
-            .iter()
-            .map(|row| (row.service.as_str().into(), row.pace_us)),
-    );
+    let mut paces = known.map(|row| row.paces).unwrap_or_default();
+    let measured = request.demands.iter();
+    paces.extend(measured.filter_map(|row| Some((row.service.as_str().into(), pace_from_wire(row.pace_us)?))));
     let presence = EntryPresence {
         heard_at: now,
         uses,
-        paces_us,
+        paces,
     };
     soft.entries.insert(host.clone(), presence);
     let entries = u32::try_from(soft.live_entries(now)).unwrap_or(u32::MAX);
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -18,17 +18,16 @@
     serving_renewed,
 };
 use acacia_wire::{
-    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, split_frames, stage_from_wire,
-    use_from_wire, use_to_wire,
+    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, pace_to_wire, split_frames,
+    stage_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::{EndpointName, ServiceName};
+use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, ReportEffect};
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
-use acaciabay::util::number::round_up;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -36,7 +35,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::shared::{EntryShared, EntryView};
+use super::shared::EntryShared;
 
 /// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
 /// other of the endpoints' load is never older than two of them.
@@ -199,7 +198,7 @@
         let demands = std::mem::take(&mut view.demands);
         let paces: BTreeMap<_, _> = demands
             .keys()
-            .map(|service| (service.clone(), pace_us(&view, service)))
+            .map(|service| (service.clone(), pace_to_wire(view.own_pace(service))))
             .collect();
         let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
             service: service.to_string(),
@@ -354,13 +353,6 @@
     }
 }
 
-/// Returns how many microseconds a service's engines take for a thousand tokens of a prompt; 0 if nothing was measured.
-fn pace_us(view: &EntryView, service: &ServiceName) -> u64 {
-    const US_IN_THOUSAND_MS: f64 = 1_000_000.0;
-    view.own_pace(service)
-        .map_or(0, |pace| round_up(pace * US_IN_THOUSAND_MS))
-}
-
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, RestingOrder)> {
     let order = RestingOrder {
         birth: EndpointBirth(engine.birth),
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -7,6 +7,7 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::serving_state::ServingState;
 use acaciabay::core::serving::start_counts::{CustomerCounts, EntryStart, GatheredCounts, GatheredRow, WindowNumber};
+use acaciabay::util::number::round_up;
 use bytes::{Bytes, BytesMut};
 
 use crate::error::WireError;
@@ -202,3 +203,16 @@
         gathered,
     })
 }
+
+/// Microseconds for a thousand tokens that one millisecond for each token makes.
+const US_FOR_THOUSAND_TOKENS: f64 = 1_000_000.0;
+
+/// Converts the pace of a service, in milliseconds for a token of a prompt; 0 stands for one that was not measured.
+pub fn pace_to_wire(pace: Option<f64>) -> u64 {
+    pace.map_or(0, |pace| round_up(pace * US_FOR_THOUSAND_TOKENS))
+}
+
+/// Converts it back.
+pub fn pace_from_wire(pace_us: u64) -> Option<f64> {
+    (pace_us > 0).then(|| pace_us as f64 / US_FOR_THOUSAND_TOKENS)
+}
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -20,6 +20,7 @@
 pub mod endpoint_load;
 pub mod endpoint_registry;
 pub mod event_stream;
+pub mod given_order;
 pub mod group_clock;
 pub mod part_memory;
 pub mod prompt;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -6,6 +6,7 @@
 mod counts;
 mod events;
 mod fixtures;
+mod given;
 mod members;
 mod paces;
 mod placement;
