Keep HTTP heads and connecting in one place each

Cause: the adapter held 60 lines that translate no name of the platform (headers of one connection, the size of a head, how long a connection is kept, the path of a target), and three modules connected to other processes by the same lines under three copies of one constant; the HTTP client did so a fourth time.

Change: message_head.rs and connect_within in acacia-http, the time that an attempt may take beside the frames in acacia-wire. control_link keeps its own (another time, no user timeout). No behaviour changes.

--- a/crates/acacia-control/src/peer_links.rs
+++ b/crates/acacia-control/src/peer_links.rs
@@ -3,19 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use acacia_http::connect_within;
 use acacia_wire::generated::replica::Hello;
 use acacia_wire::generated::replica::peer_frame::Frame;
-use acacia_wire::{message_to_wire, split_frames};
+use acacia_wire::{CONNECT_TIMEOUT, message_to_wire, split_frames};
 use acaciabay::core::consensus::{MemberSet, ReplicaId, ReplicaMessage};
-use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 /// How many messages may wait for one replica. What does not fit is dropped; replication finds out and sends it again.
 const WAITING_MESSAGES: usize = 1_024;
-/// How long a connection attempt may take: many times the way between regions. A host that is just being started does not
-/// answer, and the system asks it again only after a second; a new attempt finds it sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long the kernel may go on trying to deliver; a longer silence means that the connection is lost.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long to wait before connecting again.
@@ -115,8 +112,7 @@
     hello: &Hello,
     waiting: &mut mpsc::Receiver<ReplicaMessage>,
 ) -> std::io::Result<()> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    acacia_http::prepare_socket(&stream, USER_TIMEOUT)?;
+    let stream = connect_within(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
     let (_reader, mut writer) = split_frames(stream);
     writer.send(Frame::Hello(hello.clone())).await?;
     while let Some(message) = waiting.recv().await {
--- a/crates/acacia-control/src/serving/observer.rs
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -7,22 +7,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::prepare_socket;
+use acacia_http::connect_within;
 use acacia_runtime::event;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello};
-use acacia_wire::{endpoint_from_wire, split_frames};
-use tokio::net::TcpStream;
+use acacia_wire::{CONNECT_TIMEOUT, endpoint_from_wire, split_frames};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use super::hub::ServingHub;
 use super::session::ALIVE_INTERVAL;
 
-/// How long a connection attempt may take: many times the way between regions. A host that is just being started does not
-/// answer, and the system asks it again only after a second; a new attempt finds it sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long the kernel may go on trying to deliver.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// After how long without a frame the connection counts as lost: three missed signs of life.
@@ -75,8 +71,7 @@
 }
 
 async fn use_session(hub: &ServingHub, address: &str) -> std::io::Result<()> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    prepare_socket(&stream, USER_TIMEOUT)?;
+    let stream = connect_within(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
     let (mut reader, mut writer) = split_frames(stream);
     let hello = ServingHello {
         host: hub.settings.host.clone(),
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::prepare_socket;
+use acacia_http::connect_within;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::generated::replica::peer_frame::Frame;
@@ -18,8 +18,8 @@
     serving_renewed,
 };
 use acacia_wire::{
-    FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, pace_to_wire, split_frames,
-    stage_from_wire, use_from_wire, use_to_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, pace_to_wire,
+    split_frames, stage_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
@@ -40,9 +40,6 @@
 /// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
 /// other of the endpoints' load is never older than two of them.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a connection attempt may take: many times the way between regions. A host that is just being started does not
-/// answer, and the system asks it again only after a second; a new attempt finds it sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long the kernel may go on trying to deliver.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// After how long without a frame a session counts as lost; replicas send one every half second.
@@ -133,8 +130,7 @@
     }
 
     async fn use_session(&self, address: SocketAddr, was_open: &mut bool) -> std::io::Result<()> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-        prepare_socket(&stream, USER_TIMEOUT)?;
+        let stream = connect_within(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
         let (reader, mut writer) = split_frames(stream);
         let settings = &self.shared.settings;
         let hello = ServingHello {
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, ToSocketAddrs};
 
 use crate::watched_stream::{WatchedStream, WriteGuard, WrittenBytes};
 
@@ -202,8 +202,12 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> anyhow::Result<OpenConnection> {
-        let stream = tokio::time::timeout(self.options.connect_timeout, TcpStream::connect(address)).await??;
-        prepare_socket(&stream, self.options.user_timeout)?;
+        let ClientOptions {
+            connect_timeout,
+            user_timeout,
+            ..
+        } = self.options;
+        let stream = connect_within(address, connect_timeout, user_timeout).await?;
         let written = WrittenBytes::default();
         let watched = WatchedStream::new(stream, written.clone(), self.options.guard.clone());
         let (sender, connection) = handshake(TokioIo::new(watched)).await?;
@@ -244,6 +248,22 @@
     }
 }
 
+/// Connects, and sets the options that find a silent connection. Without a bound of its own an attempt hangs for minutes
+/// where the other host does not answer.
+///
+/// # Errors
+///
+/// Fails when the time has passed, the other end refuses, or the system refuses an option.
+pub async fn connect_within(
+    address: impl ToSocketAddrs,
+    connect_timeout: Duration,
+    user_timeout: Duration,
+) -> std::io::Result<TcpStream> {
+    let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await??;
+    prepare_socket(&stream, user_timeout)?;
+    Ok(stream)
+}
+
 /// Sets the options that find a silent connection: keepalive while it is idle, a user timeout while data is under way.
 ///
 /// # Errors
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -3,13 +3,16 @@
 mod body;
 mod client;
 mod fetch;
+mod message_head;
 mod server;
 mod watched_stream;
 
 pub use body::{BodyRefusal, ResponseBody, empty_body, full_body, json_response, read_body, text_response};
 pub use client::{
-    ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure, prepare_socket,
+    ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure, connect_within,
+    prepare_socket,
 };
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
+pub use message_head::{head_size, keep_alive, path_of, without_hop_headers};
 pub use server::{ServerBounds, listen, serve_http, serve_http_within};
 pub use watched_stream::WriteGuard;
--- a/crates/acacia-wire/src/frame.rs
+++ b/crates/acacia-wire/src/frame.rs
@@ -1,5 +1,7 @@
 //! Frames on a connection between two of our processes: a length, then one `PeerFrame`.
 
+use std::time::Duration;
+
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::io::{AsyncRead, AsyncWrite, ReadHalf, WriteHalf};
@@ -12,6 +14,10 @@
 /// A snapshot travels in one frame; the bound keeps a wrong length from taking all memory.
 pub const LARGEST_FRAME: usize = 256 * 1024 * 1024;
 
+/// How long a connection attempt to another of our processes may take: many times the way between regions. A host that is
+/// just being started does not answer, and the system asks it again only after a second; a new attempt finds it sooner.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Reads frames from a connection.
 #[derive(Debug)]
 pub struct FrameReader<S> {
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -20,7 +20,7 @@
     call_from_wire, call_to_wire,
 };
 pub use error::WireError;
-pub use frame::{FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
+pub use frame::{CONNECT_TIMEOUT, FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
 pub use replica_message::{
     entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire, message_from_wire, message_to_wire,
     snapshot_from_wire, snapshot_to_wire,
