Name the need of the last seconds, and take measurements out of comments

Cause: ReadingNeed::present and PoolView::busy were two names for one number, beside a field that holds the present endpoints; whether calls run was found by summing the work at every endpoint, twice a second; two comments of elections told how long they take; the module page did not name three new modules.

No behaviour changes.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -85,6 +85,11 @@
         silences.max().unwrap_or_default()
     }
 
+    /// Tells whether any entry has a call at an endpoint.
+    pub(super) fn has_calls(&self) -> bool {
+        self.entries.values().any(|row| !row.uses.is_empty())
+    }
+
     /// Returns what all entries but one have at the endpoints.
     pub(super) fn uses_beside(&self, host: Option<&HostName>) -> BTreeMap<EndpointName, EndpointWork> {
         let mut sums: BTreeMap<EndpointName, EndpointWork> = BTreeMap::new();
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -70,7 +70,7 @@
         let total: u32 = present.values().map(|pool| pool.total()).sum();
         self.note_arrivals(service, &present);
         let (agreed, refused) = (self.agreed(service), self.refused(service));
-        let has_calls = !turn.hub.soft().uses_beside(None).is_empty();
+        let has_calls = turn.hub.soft().has_calls();
         let need = self.needs.entry(service.clone()).or_default();
         // What was ordered here meanwhile would be counted as what the operators have started with.
         let ordered: u32 = agreed
@@ -83,7 +83,7 @@
             agreed,
             refused,
             needed: need.needed(),
-            busy: need.present(),
+            needed_now: need.needed_now(),
             serving: total.saturating_sub(stages.resting_count(now)),
             is_idle: !need.is_measured(),
             may_give_back: is_settled && now >= self.next_give_back,
--- a/crates/acaciabay/src/core/consensus/replica.rs
+++ b/crates/acaciabay/src/core/consensus/replica.rs
@@ -134,8 +134,8 @@
     /// It has forgotten whether it confirmed a lease just before it stopped, so it neither votes nor stands for one
     /// whole lease; otherwise a second leader could be elected while the first still holds its lease. The wait ends when
     /// the leader of its term stands for election, which proves that it holds no lease any more. The leader of that term
-    /// itself need not wait at all: what it was as a leader has ended with its process. After all processes were killed
-    /// at once, the group has a leader a fifth of a second after its start, and one second after it with the whole wait.
+    /// itself need not wait at all: what it was as a leader has ended with its process. So after all processes were killed
+    /// at once, the group has a leader again before the wait of the others is over.
     pub fn new(now: BootTime, id: ReplicaId, restored: RestoredReplica, seed: u64) -> Self {
         let RestoredReplica { hard_state, log } = restored;
         let (members_index, members) = log.latest_members();
--- a/crates/acaciabay/src/core/consensus/timing.rs
+++ b/crates/acaciabay/src/core/consensus/timing.rs
@@ -19,10 +19,10 @@
 /// nobody stands while a lease may run; the random part keeps two followers from standing at the same moment.
 pub const ELECTION_TIMEOUT: Range<Duration> = Duration::from_millis(900)..Duration::from_millis(1_300);
 
-/// How long a replica that has stood in vain for the first time waits before it stands again; after that it leaves each
-/// round the whole election timeout, or replicas with slow disks would never have the time to answer. Two that stood at the same moment split the
-/// votes; where three of five replicas are left, one vote more or less decides, and a whole election timeout would be
-/// lost: 2.1 s from a start to a leader in place of 1.0 s.
+/// How long a replica that has stood in vain for the first time waits before it stands again. Two that stood at the same
+/// moment split the votes; where three of five replicas are left, one vote more or less decides, and a whole election
+/// timeout would be lost. After that it leaves each round the whole election timeout, or replicas with slow disks would
+/// never have the time to answer.
 pub(super) const RETRY_TIMEOUT: Range<Duration> = Duration::from_millis(120)..Duration::from_millis(420);
 
 /// How long a replica that led before it started again waits before it stands, and between two tries. Long enough for
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -9,7 +9,9 @@
 //! * [`group_clock`] is the wall clock that most replicas agree on.
 //! * [`replica_board`] says which replicas an entry hears, and which it asks.
 //! * [`start_counts`] counts the calls that began, by window and customer.
-//! * [`reading_need`] says how many endpoints reading takes.
+//! * [`reading_pace`] says how fast engines read, [`reading_need`] how many endpoints that takes.
+//! * [`given_order`] is what became of an order for endpoints.
+//! * [`stop_phase`] says what an entry still takes that was asked to stop.
 //! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
 //!
 //! `docs/design/machines.md` has the programs in which these parts meet.
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -35,7 +35,7 @@
     readers: f64,
     looked_at: Option<BootTime>,
     needed: u32,
-    present: u32,
+    needed_now: u32,
     less_since: Option<BootTime>,
     is_started: bool,
     is_measured: bool,
@@ -75,7 +75,7 @@
         let wanted = u32::try_from(round_up(self.readers))
             .unwrap_or(u32::MAX)
             .saturating_add(makers);
-        self.present = wanted;
+        self.needed_now = wanted;
         let is_less = wanted < self.needed;
         let less_since = if is_less {
             Some(*self.less_since.get_or_insert(now))
@@ -94,8 +94,8 @@
     }
 
     /// Returns how many endpoints the work of the last seconds needs; 0 until it was measured.
-    pub const fn present(&self) -> u32 {
-        self.present
+    pub const fn needed_now(&self) -> u32 {
+        self.needed_now
     }
 
     /// Returns how many engines reading needs at present, without those that make tokens.
--- a/crates/acaciabay/src/core/serving/reading_pace.rs
+++ b/crates/acaciabay/src/core/serving/reading_pace.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Prompts with fewer tokens say more about the network than about the engine.
-pub(super) const LEAST_MEASURED: u64 = 1_000;
+const LEAST_MEASURED: u64 = 1_000;
 
 /// What an engine took to read a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -91,7 +91,7 @@
     /// Endpoints that the work needs.
     pub needed: u32,
     /// Endpoints that the work of the last seconds needs, without what is held beside them.
-    pub busy: u32,
+    pub needed_now: u32,
     /// Endpoints that serve: present, and not carrying out an order.
     pub serving: u32,
     /// Whether no call has come yet.
--- a/crates/acaciabay/tests/serving/pools.rs
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -25,7 +25,7 @@
     PoolView {
         present: same(present),
         needed,
-        busy: needed,
+        needed_now: needed,
         serving,
         may_shrink: true,
         may_give_back: true,
