--- a/crates/acaciabay/tests/serving/registry.rs
+++ b/crates/acaciabay/tests/serving/registry.rs
@@ -44,6 +44,19 @@
     assert!(registry.ready(at(10), &"llm".into()).is_empty());
 }
 
+/// An endpoint has told one replica that it leaves, and has gone on reporting to another until it stopped. What the first
+/// one tells has an old number; dropped as old, it would leave callers with an endpoint that is gone.
+#[test]
+fn word_of_leaving_counts_also_with_an_old_number() {
+    let mut entry = EndpointRegistry::default();
+    entry.hear(at(0), &name("e"), report(1, 9, EndpointPhase::Ready));
+
+    let effect = entry.hear(at(10), &name("e"), report(1, 5, EndpointPhase::Gone));
+
+    assert_eq!(effect, ReportEffect::Changed);
+    assert!(entry.ready(at(10), &"llm".into()).is_empty());
+}
+
 /// An endpoint starts again under the name that it had, and its counts start anew. If only the numbers were compared, its
 /// reports would be dropped as old until they passed the last one of the start before.
 #[test]
