Log the way of a configuration to each entry

New lines: told of a newer configuration (E0227), asked for it (E0228), an answer dropped (E0229); at the leader what was sent, whole or as a change, with bytes and the time to answer (E0334), and when the connection had taken it (E0335). An applied configuration says how long ago it was told, asked for and read; a refused call says by which number, the highest known and how old the confirmation was. Metrics beside: acacia_config_in_force_seconds, acacia_renewals_late_total, acacia_config_bytes_sent_total.

Milliseconds of a duration are now made in one place (whole_millis).

--- a/crates/acacia-control/src/serving/engine_orders.rs
+++ b/crates/acacia-control/src/serving/engine_orders.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
 use acaciabay::ops::plan_stages::StageChange;
+use acaciabay::util::number::whole_millis;
 use hyper::StatusCode;
 use parking_lot::Mutex;
 
@@ -88,7 +89,7 @@
         let rows = resting.map(|(name, order)| RestingEngine {
             name: name.to_string(),
             birth: order.birth.0,
-            left_ms: u64::try_from(order.rests_until.since(now).as_millis()).unwrap_or(u64::MAX),
+            left_ms: whole_millis(order.rests_until.since(now)),
             stage: stage_to_wire(order.stage).into(),
         });
         rows.collect()
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -16,9 +16,11 @@
 use acacia_wire::{
     FrameReader, FrameWriter, counts_from_wire, pace_from_wire, patch_between, use_from_wire, use_to_wire,
 };
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::HostName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
@@ -44,7 +46,7 @@
     let (frames, waiting) = mpsc::channel(WAITING_FRAMES);
     let ended = tokio::select! {
         ended = read_frames(reader, &hub, &hello, frames.clone()) => ended,
-        ended = write_frames(writer, waiting) => ended,
+        ended = write_frames(writer, waiting, &hub, &hello) => ended,
         () = send_news(&hub, frames) => Ok(()),
     };
     slog::info!(hub.log, "session ended"; "event" => event::SESSION_ENDED,
@@ -56,7 +58,7 @@
     mut reader: FrameReader<TcpStream>,
     hub: &Arc<ServingHub>,
     hello: &ServingHello,
-    frames: mpsc::Sender<Body>,
+    frames: mpsc::Sender<WaitingFrame>,
 ) -> std::io::Result<()> {
     // What this entry was sent last on this connection, as the base of the next change.
     let mut sent = SentDocument::default();
@@ -66,7 +68,7 @@
         };
         if let Body::Renew(request) = body {
             let answer = answer_renewal(hub, hello, request, &mut sent).await;
-            if frames.send(answer).await.is_err() {
+            if frames.send(WaitingFrame::new(boot_now(), answer)).await.is_err() {
                 return Ok(());
             }
         }
@@ -74,40 +76,76 @@
     Ok(())
 }
 
-async fn write_frames(mut writer: FrameWriter<TcpStream>, mut waiting: mpsc::Receiver<Body>) -> std::io::Result<()> {
+/// A frame that waits to be written.
+#[derive(Debug)]
+struct WaitingFrame {
+    body: Body,
+    since: BootTime,
+}
+
+impl WaitingFrame {
+    const fn new(since: BootTime, body: Body) -> Self {
+        Self { body, since }
+    }
+
+    /// Returns the number of the configuration that the frame carries, if it does.
+    fn carried_config(&self) -> Option<u64> {
+        match &self.body {
+            Body::Renewed(renewed) => renewed.content.as_ref().map(|_| renewed.config_number),
+            _ => None,
+        }
+    }
+}
+
+async fn write_frames(
+    mut writer: FrameWriter<TcpStream>,
+    mut waiting: mpsc::Receiver<WaitingFrame>,
+    hub: &ServingHub,
+    hello: &ServingHello,
+) -> std::io::Result<()> {
     let mut next_sign = Instant::now();
     loop {
-        let body = match tokio::time::timeout_at(next_sign, waiting.recv()).await {
-            Ok(Some(body)) => body,
+        let frame = match tokio::time::timeout_at(next_sign, waiting.recv()).await {
+            Ok(Some(frame)) => frame,
             Ok(None) => return Ok(()),
             Err(_elapsed) => {
                 next_sign = Instant::now() + ALIVE_INTERVAL;
-                Body::Alive(SignOfLife {
-                    wall_ms: wall_nanos() / 1_000_000,
-                })
+                WaitingFrame::new(boot_now(), sign_of_life())
             }
         };
-        writer.feed(serving_frame(body)).await?;
-        while let Ok(body) = waiting.try_recv() {
-            writer.feed(serving_frame(body)).await?;
+        let mut carried = frame.carried_config().map(|number| (number, frame.since));
+        writer.feed(serving_frame(frame.body)).await?;
+        while let Ok(frame) = waiting.try_recv() {
+            carried = carried.or(frame.carried_config().map(|number| (number, frame.since)));
+            writer.feed(serving_frame(frame.body)).await?;
         }
         writer.flush().await?;
+        if let Some((number, since)) = carried {
+            slog::info!(hub.log, "configuration written"; "event" => event::CONFIG_WRITTEN, "entry" => &hello.host,
+                "number" => number, "waited_ms" => whole_millis(boot_now().since(since)));
+        }
     }
 }
 
+fn sign_of_life() -> Body {
+    Body::Alive(SignOfLife {
+        wall_ms: wall_nanos() / 1_000_000,
+    })
+}
+
 pub(super) const fn serving_frame(body: Body) -> Frame {
     Frame::Serving(ServingFrame { body: Some(body) })
 }
 
 /// Sends what is new until the session ends: endpoints, replicas, the number of the configuration.
-async fn send_news(hub: &Arc<ServingHub>, frames: mpsc::Sender<Body>) {
+async fn send_news(hub: &Arc<ServingHub>, frames: mpsc::Sender<WaitingFrame>) {
     let mut news = hub.news();
     let mut numbers = hub.group.serving_numbers();
     let mut status = hub.group.status();
     let mut addresses = Vec::new();
     let mut led = false;
     let first = Body::News(hub.all_endpoints());
-    if frames.send(first).await.is_err() {
+    if frames.send(WaitingFrame::new(boot_now(), first)).await.is_err() {
         return;
     }
     numbers.mark_changed();
@@ -126,10 +164,9 @@
                     (status.leading_since.is_some(), voter_addresses(&status.members))
                 };
                 // Entries without a lease refuse everything: told of the leader, they need not find it by asking.
-                if std::mem::replace(&mut led, leads) != leads
-                    && leads
-                    && frames.send(Body::Leads(Leadership {})).await.is_err()
-                {
+                let leads_now = std::mem::replace(&mut led, leads) != leads && leads;
+                let word = WaitingFrame::new(boot_now(), Body::Leads(Leadership {}));
+                if leads_now && frames.send(word).await.is_err() {
                     return;
                 }
                 if voters == addresses {
@@ -140,7 +177,7 @@
             },
             else => return,
         };
-        if frames.send(body).await.is_err() {
+        if frames.send(WaitingFrame::new(boot_now(), body)).await.is_err() {
             return;
         }
     }
@@ -167,6 +204,7 @@
     request: RenewServing,
     sent: &mut SentDocument,
 ) -> Body {
+    let read_at = boot_now();
     if hub.group.confirm().await.is_err() {
         return Body::Elsewhere(ServingElsewhere {
             request: request.request,
@@ -186,6 +224,16 @@
             serving_renewed::Content::Document(document.clone())
         }
     });
+    if let Some(content) = &content {
+        let (base, bytes) = match content {
+            serving_renewed::Content::Document(document) => (None, document.len()),
+            serving_renewed::Content::Patch(patch) => (Some(patch.base_number), patch.middle.len()),
+        };
+        slog::info!(hub.log, "configuration sent"; "event" => event::CONFIG_SENT, "entry" => &hello.host,
+            "number" => number.0, "held" => held.0, "base" => base, "bytes" => bytes, "asked" => request.request,
+            "answer_ms" => whole_millis(boot_now().since(read_at)));
+        metrics::counter!("acacia_config_bytes_sent_total").increment(bytes as u64);
+    }
     *sent = SentDocument { number, document };
     Body::Renewed(ServingRenewed {
         request: request.request,
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -9,6 +9,7 @@
 use acaciabay::core::serving::serving_state::ServingCommand;
 use acaciabay::core::serving::start_counts::{CustomerCounts, WindowNumber};
 use acaciabay::ops::plan_windows::{WindowClock, plan_windows};
+use acaciabay::util::number::whole_millis;
 use hyper::StatusCode;
 use tokio::sync::oneshot;
 
@@ -64,9 +65,7 @@
 }
 
 fn window_millis(hub: &ServingHub) -> u64 {
-    u64::try_from(hub.settings.usage_window.as_millis())
-        .unwrap_or(u64::MAX)
-        .max(1)
+    whole_millis(hub.settings.usage_window).max(1)
 }
 
 fn sealed_total(hub: &ServingHub, window: WindowNumber) -> Option<u64> {
--- a/crates/acacia-entry/src/endpoint_http.rs
+++ b/crates/acacia-entry/src/endpoint_http.rs
@@ -7,6 +7,7 @@
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::name::EndpointName;
+use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
@@ -111,7 +112,7 @@
             "pieces_used": row.pieces_used,
             "pieces": row.pieces,
             "own_sends": view.sends.get(name).map_or(0, |own| own.requests),
-            "report_age_ms": u64::try_from(now.since(row.heard_at).as_millis()).unwrap_or(u64::MAX),
+            "report_age_ms": whole_millis(now.since(row.heard_at)),
         })
     });
     json!({"endpoints": rows.collect::<Vec<_>>()})
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -6,12 +6,13 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
+use acaciabay::util::number::whole_millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
-use super::call::{OpenCall, millis};
+use super::call::OpenCall;
 use super::choice::ChosenEndpoint;
 use super::codec::{AttemptHead, AttemptRole};
 
@@ -127,7 +128,7 @@
     let (outcome, reason) = outcome;
     slog::info!(call.shared.log, "attempt failed"; "event" => event::ATTEMPT_FAILED, "request" => &call.head.request,
         "endpoint" => chosen.name.as_str(), "address" => %chosen.endpoint.address, "role" => ?role,
-        "outcome" => ?outcome, "reason" => reason, "after_ms" => millis(boot_now().since(sent_at)),
+        "outcome" => ?outcome, "reason" => reason, "after_ms" => whole_millis(boot_now().since(sent_at)),
         "report" => chosen.endpoint.sequence);
     metrics::counter!("acacia_attempts_failed_total").increment(1);
     let mut view = call.shared.view();
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::name::{CustomerName, ServiceName};
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
+use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -82,17 +83,19 @@
     received_at: BootTime,
 ) -> Response<ResponseBody> {
     let request = head.map(|head| head.request.as_str());
+    let now = boot_now();
+    let (number, told) = {
+        let view = shared.view();
+        (view.number, view.told)
+    };
     slog::info!(shared.log, "call refused"; "event" => event::CALL_REFUSED, "request" => request,
         "path" => head.map(|head| head.path.as_str()), "refusal" => ?refusal,
-        "after_ms" => millis(boot_now().since(received_at)));
+        "config" => number.0, "told" => told.0, "confirmed_ms" => whole_millis(shared.confirmed_ago(received_at)),
+        "after_ms" => whole_millis(now.since(received_at)));
     metrics::counter!("acacia_calls_refused_total", "reason" => refusal.reason()).increment(1);
     shared.codec.write_refusal(request, &refusal)
 }
 
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 type RefusedCall = (Option<CallHead>, CallRefusal);
 
 async fn open(
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -28,6 +28,7 @@
 use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, ReportEffect};
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -159,14 +160,16 @@
         let mut number = 0;
         loop {
             let now = boot_now();
-            let waiting = asked.lock().as_ref().map(|asked| now.since(asked.at));
-            if waiting.is_some_and(|waiting| waiting >= LEADER_PATIENCE) {
-                self.doubt_leader(address);
+            let waiting = *asked.lock();
+            let overdue = waiting.filter(|asked| now.since(asked.at) >= LEADER_PATIENCE);
+            if let Some(asked) = overdue {
+                self.doubt_leader(now, address, asked);
             }
             let should_ask = self.replicas.lock().should_ask(now, address);
-            if should_ask && waiting.is_none_or(|waiting| waiting >= LEADER_PATIENCE) {
+            if should_ask && (waiting.is_none() || overdue.is_some()) {
                 number += 1;
                 *asked.lock() = Some(AskedRenewal { number, at: now });
+                self.log_ask(now, address, number);
                 writer.send(self.renewal(number)).await?;
             }
             tokio::select! {
@@ -177,13 +180,45 @@
     }
 
     /// Asks all replicas again where the one that was taken for the leader does not answer.
-    fn doubt_leader(&self, address: SocketAddr) {
+    fn doubt_leader(&self, now: BootTime, address: SocketAddr, asked: AskedRenewal) {
         if self.replicas.lock().doubt(address) {
             slog::info!(self.shared.log, "leader does not answer"; "event" => event::CONTROL_LOST,
-                "replica" => %address);
+                "replica" => %address, "asked" => asked.number, "waited_ms" => whole_millis(now.since(asked.at)));
         }
     }
 
+    /// Notes that a replica has told the number of a committed configuration; tells whether it is news.
+    fn take_told(&self, address: SocketAddr, number: ConfigNumber) -> bool {
+        let mut view = self.shared.view();
+        if number <= view.number {
+            return false;
+        }
+        if number > view.told {
+            view.told = number;
+            view.told_at = boot_now();
+            slog::info!(self.shared.log, "newer configuration announced"; "event" => event::CONFIG_TOLD,
+                "number" => number.0, "held" => view.number.0, "replica" => %address);
+        }
+        true
+    }
+
+    fn log_ask(&self, now: BootTime, address: SocketAddr, asked: u64) {
+        let view = self.shared.view();
+        if view.told > view.number {
+            slog::info!(self.shared.log, "newer configuration asked for"; "event" => event::CONFIG_ASKED,
+                "asked" => asked, "told" => view.told.0, "held" => view.number.0, "replica" => %address,
+                "told_ms" => whole_millis(now.since(view.told_at)));
+        }
+    }
+
+    fn log_late(&self, address: SocketAddr, renewed: &ServingRenewed, waiting: Option<AskedRenewal>) {
+        metrics::counter!("acacia_renewals_late_total").increment(1);
+        slog::info!(self.shared.log, "answer dropped, asked again since"; "event" => event::RENEWAL_LATE,
+            "answers" => renewed.request, "waiting_for" => waiting.map(|asked| asked.number),
+            "number" => renewed.config_number, "bytes" => content_bytes(renewed.content.as_ref()),
+            "replica" => %address);
+    }
+
     fn renewal(&self, number: u64) -> Frame {
         let mut view = self.shared.view();
         let uses = view
@@ -232,11 +267,14 @@
             };
             match body {
                 Body::Renewed(renewed) => {
-                    let answered = asked.lock().take_if(|asked| asked.number == renewed.request);
-                    if let Some(answered) = answered {
-                        self.replicas.lock().note_confirmed(boot_now(), address);
-                        self.take_renewal(answered.at, renewed)?;
-                    }
+                    let waiting = *asked.lock();
+                    let Some(answered) = waiting.filter(|asked| asked.number == renewed.request) else {
+                        self.log_late(address, &renewed, waiting);
+                        continue;
+                    };
+                    *asked.lock() = None;
+                    self.replicas.lock().note_confirmed(boot_now(), address);
+                    self.take_renewal(answered.at, renewed)?;
                 }
                 Body::Elsewhere(elsewhere) => {
                     *asked.lock() = None;
@@ -252,7 +290,7 @@
                     }
                 }
                 Body::NewerConfig(number) => {
-                    if ConfigNumber(number) > self.shared.view().number {
+                    if self.take_told(address, ConfigNumber(number)) {
                         self.news.notify_waiters();
                     }
                 }
@@ -281,7 +319,7 @@
     fn take_renewal(&self, asked_at: BootTime, renewed: ServingRenewed) -> std::io::Result<()> {
         let number = ConfigNumber(renewed.config_number);
         if let Some(content) = renewed.content {
-            self.take_config(number, content)?;
+            self.take_config(asked_at, number, content)?;
         }
         let mut view = self.shared.view();
         // A renewal that was overtaken by one from another replica confirms nothing that is newer.
@@ -295,7 +333,14 @@
         Ok(())
     }
 
-    fn take_config(&self, number: ConfigNumber, content: serving_renewed::Content) -> std::io::Result<()> {
+    fn take_config(
+        &self,
+        asked_at: BootTime,
+        number: ConfigNumber,
+        content: serving_renewed::Content,
+    ) -> std::io::Result<()> {
+        let arrived_at = boot_now();
+        let bytes = content_bytes(Some(&content));
         let (held, base) = {
             let view = self.shared.view();
             (view.number, view.document.clone())
@@ -321,8 +366,15 @@
             view.number = number;
             view.document = document;
             view.index = Some(index);
+            let now = boot_now();
+            let told_at = Some(view.told_at).filter(|_| view.told > held);
             slog::info!(self.shared.log, "configuration applied"; "event" => event::SERVING_CONFIG_APPLIED,
-                "number" => number.0, "before" => held.0);
+                "number" => number.0, "before" => held.0, "bytes" => bytes,
+                "told_ms" => told_at.map(|told_at| whole_millis(now.since(told_at))),
+                "asked_ms" => whole_millis(now.since(asked_at)), "read_ms" => whole_millis(now.since(arrived_at)));
+            if let Some(told_at) = told_at {
+                metrics::histogram!("acacia_config_in_force_seconds").record(now.since(told_at).as_secs_f64());
+            }
         }
         Ok(())
     }
@@ -349,6 +401,14 @@
     }
 }
 
+fn content_bytes(content: Option<&serving_renewed::Content>) -> usize {
+    match content {
+        Some(serving_renewed::Content::Document(document)) => document.len(),
+        Some(serving_renewed::Content::Patch(patch)) => patch.middle.len(),
+        None => 0,
+    }
+}
+
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, RestingOrder)> {
     let order = RestingOrder {
         birth: EndpointBirth(engine.birth),
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -5,6 +5,7 @@
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::util::number::whole_millis;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -12,7 +13,7 @@
 use hyper::{Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, EndpointReply, send};
-use super::call::{OpenCall, millis, refuse};
+use super::call::{OpenCall, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
 use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
@@ -42,7 +43,7 @@
         Ok((response, endpoint)) => {
             slog::info!(call.shared.log, "call answered"; "event" => event::CALL_ENDED,
                 "request" => &call.head.request, "route" => &call.route().name, "endpoint" => endpoint.as_str(),
-                "status" => response.status().as_u16(), "after_ms" => millis(boot_now().since(call.received_at)));
+                "status" => response.status().as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
             metrics::histogram!("acacia_call_seconds").record(boot_now().since(call.received_at).as_secs_f64());
             response
         }
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -12,13 +12,14 @@
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::reading_pace::ReadingTime;
 use acaciabay::ops::place_prompt::{PromptPlace, is_source_lost};
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
 
 use super::attempt::{AttemptOutcome, EndpointReply, send};
-use super::call::{OpenCall, millis};
+use super::call::OpenCall;
 use super::choice::{ChosenEndpoint, ChosenReader};
 use super::codec::AttemptRole;
 use super::refusal::{CallRefusal, NO_ENDPOINT, SOON, not_run};
@@ -178,7 +179,7 @@
     slog::info!(call.shared.log, "prompt read"; "event" => event::PROMPT_READ, "request" => &call.head.request,
         "endpoint" => chosen.name.as_str(), "tokens" => prompt.prompt_tokens, "unread" => place.unread_tokens,
         "queued" => queued, "copied_from" => place.copy_from.as_ref().map(EndpointName::as_str),
-        "expected_ms" => millis(place.wait), "took_ms" => millis(took));
+        "expected_ms" => whole_millis(place.wait), "took_ms" => whole_millis(took));
     metrics::histogram!("acacia_prompt_read_seconds").record(took.as_secs_f64());
     metrics::histogram!("acacia_prompt_wait_error_seconds").record(took.as_secs_f64() - place.wait.as_secs_f64());
     let mut view = call.shared.view();
@@ -192,7 +193,7 @@
         && is_source_lost(&source.endpoint, place.wait, took)
     {
         slog::info!(call.shared.log, "copy source is gone"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => source.name.as_str(), "took_ms" => millis(took));
+            "request" => &call.head.request, "endpoint" => source.name.as_str(), "took_ms" => whole_millis(took));
         view.loads.note_unreachable(boot_now(), &source.name);
     }
     view.loads.note_success(&chosen.name);
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -20,6 +20,7 @@
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
 use acaciabay::core::serving::stop_phase::StopPhase;
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -56,6 +57,9 @@
     pub(super) index: Option<Arc<ConfigIndex>>,
     pub(super) document: Bytes,
     pub(super) number: ConfigNumber,
+    /// The highest number that a replica has said to be committed, and when it said so first.
+    pub(super) told: ConfigNumber,
+    pub(super) told_at: BootTime,
     pub(super) registry: EndpointRegistry,
     /// Whether a replica has told all endpoints that it knows.
     pub(super) heard_endpoints: bool,
@@ -177,6 +181,12 @@
         self.lease.is_valid(now)
     }
 
+    /// Returns how long ago the confirmation was asked for that the lease stands on.
+    pub(super) fn confirmed_ago(&self, now: BootTime) -> Duration {
+        let lease = self.settings.key_withdrawal.mul_f64(LEASE_PART);
+        (now + lease).since(self.lease.end())
+    }
+
     /// Returns how long the entry has been without a lease.
     pub(super) fn without_lease(&self, now: BootTime) -> Duration {
         now.since(self.lease.end().max(self.started_at))
@@ -240,9 +250,7 @@
     /// Counts a call that began to run.
     pub(super) fn count_start(&self, customer: Option<&CustomerName>) {
         let Some(customer) = customer else { return };
-        let length = u64::try_from(self.settings.usage_window.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1);
+        let length = whole_millis(self.settings.usage_window).max(1);
         let mut view = self.view();
         let wall_millis = view
             .clock
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -4,13 +4,14 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::serving::event_stream::EventCutter;
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
 use super::attempt::KeptConnection;
-use super::call::{OpenCall, millis};
+use super::call::OpenCall;
 use super::shared::LoadGuard;
 use super::stream_call::{OpenStream, StreamRun};
 
@@ -170,7 +171,7 @@
         let call = &self.run.call;
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
             "endpoint" => stream.endpoint.as_str(), "events" => self.events,
-            "after_ms" => millis(boot_now().since(call.received_at)));
+            "after_ms" => whole_millis(boot_now().since(call.received_at)));
         call.shared.view().loads.note_success(&stream.endpoint);
         drop(stream.guard);
         stream.connection.give_back(call).await;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -8,12 +8,13 @@
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::ops::split_call::is_read_by_maker;
+use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, KeptConnection, send};
-use super::call::{OpenCall, millis, refuse};
+use super::call::{OpenCall, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
 use super::plain_call::assemble;
@@ -65,7 +66,7 @@
             slog::info!(run.call.shared.log, "stream begun"; "event" => event::CALL_ENDED,
                 "request" => &run.call.head.request, "route" => &run.call.route().name,
                 "endpoint" => stream.endpoint.as_str(), "status" => stream.status.as_u16(),
-                "after_ms" => millis(boot_now().since(run.call.received_at)));
+                "after_ms" => whole_millis(boot_now().since(run.call.received_at)));
             assemble(stream.status, headers, stream_events(run, stream))
         }
         Err(refusal) => refuse(&run.call.shared, Some(&run.call.head), refusal, run.call.received_at),
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -61,6 +61,12 @@
     PROMPT_READ = "E0225";
     /// The settings were read again.
     SETTINGS_RELOADED = "E0226";
+    /// An entry was told that a newer configuration is committed.
+    CONFIG_TOLD = "E0227";
+    /// An entry has asked the leader while it knows of a newer configuration.
+    CONFIG_ASKED = "E0228";
+    /// An answer came after the entry had asked again.
+    RENEWAL_LATE = "E0229";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -120,6 +126,10 @@
     POOL_ORDERED = "E0332";
     /// What a service needs and has was compared.
     POOL_PLANNED = "E0333";
+    /// An entry was answered with a configuration that it does not hold.
+    CONFIG_SENT = "E0334";
+    /// The connection to an entry has taken all of a configuration.
+    CONFIG_WRITTEN = "E0335";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-settings/src/table_document.rs
+++ b/crates/acacia-settings/src/table_document.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use acaciabay::core::table::{EndpointPattern, PoolKind, PoolRow, RouteRow, RouteTarget, TableRow};
+use acaciabay::util::number::whole_millis;
 use serde_json::{Value, json};
 
 use crate::finding::Findings;
@@ -122,7 +123,7 @@
 }
 
 fn route_to_json(row: &RouteRow) -> Value {
-    let deadline = u64::try_from(row.deadline.as_millis()).unwrap_or(u64::MAX);
+    let deadline = whole_millis(row.deadline);
     let (field, target) = match &row.target {
         RouteTarget::Model(model) => ("model", model.as_str()),
         RouteTarget::Service(service) => ("service", service.as_str()),
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -14,6 +14,7 @@
 use acaciabay::core::share_table::PoolDemand;
 use acaciabay::core::usage::UsageReport;
 use acaciabay::util::digest::ContentDigest;
+use acaciabay::util::number::whole_millis;
 
 use crate::control_command::{
     claim_end_from_wire, claim_end_to_wire, claim_key_from_wire, claim_key_to_wire, holder_from_wire, holder_to_wire,
@@ -316,7 +317,7 @@
         slots: row.slots,
         pieces_used: row.pieces_used,
         pieces: row.pieces,
-        age_ms: u64::try_from(now.since(row.heard_at).as_millis()).unwrap_or(u64::MAX),
+        age_ms: whole_millis(now.since(row.heard_at)),
     }
 }
 
--- a/crates/acacia-wire/src/table_row.rs
+++ b/crates/acacia-wire/src/table_row.rs
@@ -8,6 +8,7 @@
 use acaciabay::core::table::{EndpointPattern, PoolKind, PoolRow, RouteRow, RouteTarget, TableNumber};
 use acaciabay::core::usage::{UsageFigures, UsageReport};
 use acaciabay::util::digest::ContentDigest;
+use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 
 use crate::error::WireError;
@@ -45,7 +46,7 @@
         customer: row.customer.to_string(),
         target: Some(target_to_wire(&row.target)),
         pool: row.pool.to_string(),
-        deadline_ms: u64::try_from(row.deadline.as_millis()).unwrap_or(u64::MAX),
+        deadline_ms: whole_millis(row.deadline),
     }
 }
 
--- a/crates/acaciabay/src/ops/plan_windows.rs
+++ b/crates/acaciabay/src/ops/plan_windows.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::core::serving::start_counts::WindowNumber;
+use crate::util::number::whole_millis;
 
 /// After which part of the time until a window is due it is fixed if every entry has reported since it ended.
 const EARLY_PART: f64 = 0.35;
@@ -43,7 +44,7 @@
 impl WindowClock {
     /// Returns the number of the last window that had ended this long ago.
     fn ended_before(&self, ago: Duration) -> u64 {
-        let millis = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
+        let millis = whole_millis(ago);
         let moment = self.wall_millis.saturating_sub(millis);
         // The window that contains that moment had not ended by then; the one before it had.
         WindowNumber::at(moment, self.length_millis.max(1)).0.saturating_sub(1)
