Send of a configuration what has changed, wherever it stands

Cause: a change was sent as one middle between an equal start and an equal end. Every configuration has its number at the start and its limits at the end, so the middle of almost every change was the whole document.

Now: a delta of kept and inserted bytes (fastcdc finds the chunks), made once for all entries, in time that grows with the length alone. Tests: naive::deltas (the old way fails both bounds by construction: one middle spans both changes); every delta gives its target, for any bytes.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a control process share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::start_counts::GatheredRow;
+use acaciabay::util::byte_delta::ByteDelta;
+use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::sync::broadcast;
@@ -32,6 +34,9 @@
 /// After which silence an entry no longer counts as serving; its lease has ended long before.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
+/// How many deltas between configurations are kept: entries are behind by one change, a few of them by more.
+const KNOWN_DELTAS: usize = 8;
+
 /// What an entry has said last.
 #[derive(Clone, Debug)]
 pub(super) struct EntryPresence {
@@ -114,6 +119,15 @@
     started_at: BootTime,
     news: broadcast::Sender<Arc<Body>>,
     soft: Mutex<ServingSoft>,
+    deltas: Mutex<VecDeque<KnownDelta>>,
+}
+
+/// What turns one configuration into a later one.
+#[derive(Debug)]
+struct KnownDelta {
+    base: ConfigNumber,
+    target: ConfigNumber,
+    delta: Arc<ByteDelta>,
 }
 
 impl ServingHub {
@@ -133,6 +147,7 @@
             started_at: boot_now(),
             news: broadcast::Sender::new(WAITING_NEWS),
             soft: Mutex::default(),
+            deltas: Mutex::default(),
         }
     }
 
@@ -238,6 +253,26 @@
         }
     }
 
+    /// Returns what turns one configuration into another. All entries need the same deltas, so each is made once.
+    pub(super) fn delta_between(
+        &self,
+        (base, base_document): (ConfigNumber, &Bytes),
+        (target, target_document): (ConfigNumber, &Bytes),
+    ) -> Arc<ByteDelta> {
+        let mut deltas = self.deltas.lock();
+        if let Some(known) = deltas.iter().find(|known| (known.base, known.target) == (base, target)) {
+            return Arc::clone(&known.delta);
+        }
+        let delta = Arc::new(ByteDelta::between(base_document, target_document));
+        deltas.truncate(KNOWN_DELTAS - 1);
+        deltas.push_front(KnownDelta {
+            base,
+            target,
+            delta: Arc::clone(&delta),
+        });
+        delta
+    }
+
     /// Returns the control address of the leader, which has the same ports as this process.
     pub(super) fn leader_control_address(&self) -> Option<SocketAddr> {
         let status = self.group.status();
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -14,7 +14,7 @@
 };
 use acacia_wire::generated::state::WindowCounts;
 use acacia_wire::{
-    FrameReader, FrameWriter, counts_from_wire, pace_from_wire, patch_between, use_from_wire, use_to_wire,
+    FrameReader, FrameWriter, counts_from_wire, delta_to_wire, pace_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::HostName;
@@ -22,6 +22,7 @@
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
+use prost::Message;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc;
@@ -219,7 +220,8 @@
     let held = ConfigNumber(request.config_number);
     let content = (held != number).then(|| {
         if held == sent.number && held != ConfigNumber(0) {
-            serving_renewed::Content::Patch(patch_between(held.0, &sent.document, &document))
+            let delta = hub.delta_between((held, &sent.document), (number, &document));
+            serving_renewed::Content::Delta(delta_to_wire(held, &delta))
         } else {
             serving_renewed::Content::Document(document.clone())
         }
@@ -227,7 +229,7 @@
     if let Some(content) = &content {
         let (base, bytes) = match content {
             serving_renewed::Content::Document(document) => (None, document.len()),
-            serving_renewed::Content::Patch(patch) => (Some(patch.base_number), patch.middle.len()),
+            serving_renewed::Content::Delta(delta) => (Some(delta.base_number), delta.encoded_len()),
         };
         slog::info!(hub.log, "configuration sent"; "event" => event::CONFIG_SENT, "entry" => &hello.host,
             "number" => number.0, "held" => held.0, "base" => base, "bytes" => bytes, "asked" => request.request,
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -18,7 +18,7 @@
     serving_renewed,
 };
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, apply_patch, counts_to_wire, endpoint_from_wire, pace_to_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, counts_to_wire, delta_from_wire, endpoint_from_wire, pace_to_wire,
     split_frames, stage_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
@@ -31,6 +31,7 @@
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use parking_lot::Mutex;
+use prost::Message;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
@@ -350,10 +351,13 @@
         }
         let document: Bytes = match content {
             serving_renewed::Content::Document(document) => document,
-            serving_renewed::Content::Patch(patch) if ConfigNumber(patch.base_number) == held => {
-                apply_patch(&base, &patch).map_err(std::io::Error::other)?
+            serving_renewed::Content::Delta(delta) => {
+                let (base_number, delta) = delta_from_wire(delta).map_err(std::io::Error::other)?;
+                if base_number != held {
+                    return Err(std::io::Error::other("change of another configuration"));
+                }
+                delta.apply(&base).map_err(std::io::Error::other)?
             }
-            serving_renewed::Content::Patch(_) => return Err(std::io::Error::other("change of another configuration")),
         };
         let config = self.shared.codec.read_config(&document).map_err(|findings| {
             slog::error!(self.shared.log, "configuration cannot be read"; "event" => event::CONFIG_UNREADABLE,
@@ -404,7 +408,7 @@
 fn content_bytes(content: Option<&serving_renewed::Content>) -> usize {
     match content {
         Some(serving_renewed::Content::Document(document)) => document.len(),
-        Some(serving_renewed::Content::Patch(patch)) => patch.middle.len(),
+        Some(serving_renewed::Content::Delta(delta)) => delta.encoded_len(),
         None => 0,
     }
 }
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -27,8 +27,8 @@
 };
 
 pub use serving_message::{
-    apply_patch, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire, pace_from_wire, pace_to_wire,
-    patch_between, stage_from_wire, stage_to_wire, use_from_wire, use_to_wire,
+    counts_from_wire, counts_to_wire, delta_from_wire, delta_to_wire, endpoint_from_wire, endpoint_to_wire,
+    pace_from_wire, pace_to_wire, stage_from_wire, stage_to_wire, use_from_wire, use_to_wire,
 };
 
 /// The types made from the `.proto` files.
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -7,10 +7,11 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::serving_state::ServingState;
 use acaciabay::core::serving::start_counts::{CustomerCounts, EntryStart, GatheredCounts, GatheredRow, WindowNumber};
+use acaciabay::util::byte_delta::{ByteDelta, DeltaPiece};
 use acaciabay::util::number::round_up;
-use bytes::{Bytes, BytesMut};
 
 use crate::error::WireError;
+use crate::generated::serving::delta_piece;
 use crate::generated::{serving, state};
 
 /// Encodes the counts of a window.
@@ -135,44 +136,41 @@
     (message.name.as_str().into(), work)
 }
 
-/// Returns what turns one document into another.
-///
-/// Operators change a route or a key at a time in a document of many; sending the changed middle alone keeps the
-/// traffic to the entries small.
-pub fn patch_between(base_number: u64, base: &[u8], target: &Bytes) -> serving::DocumentPatch {
-    let start = base
-        .iter()
-        .zip(target.iter())
-        .take_while(|(one, other)| one == other)
-        .count();
-    let rest = base.len().min(target.len()) - start;
-    let ends = base.iter().rev().zip(target.iter().rev());
-    let end = ends.take(rest).take_while(|(one, other)| one == other).count();
-    serving::DocumentPatch {
-        base_number,
-        kept_start: start as u64,
-        kept_end: end as u64,
-        middle: target.slice(start..target.len() - end),
+/// Encodes what turns a configuration into a later one.
+pub fn delta_to_wire(base: ConfigNumber, delta: &ByteDelta) -> serving::DocumentDelta {
+    let pieces = delta.pieces().iter().map(|piece| {
+        let piece = match piece {
+            DeltaPiece::Kept { start, length } => delta_piece::Piece::Kept(serving::KeptBytes {
+                start: *start as u64,
+                length: *length as u64,
+            }),
+            DeltaPiece::Inserted(bytes) => delta_piece::Piece::Inserted(bytes.clone()),
+        };
+        serving::DeltaPiece { piece: Some(piece) }
+    });
+    serving::DocumentDelta {
+        base_number: base.0,
+        pieces: pieces.collect(),
     }
 }
 
-/// Applies a change to the document that it was made against.
+/// Decodes what turns a configuration into a later one, and the number of the earlier one.
 ///
 /// # Errors
 ///
-/// Fails when the change does not fit the document.
-pub fn apply_patch(base: &[u8], patch: &serving::DocumentPatch) -> Result<Bytes, WireError> {
-    let misfit = || WireError::invalid("patch");
-    let start = usize::try_from(patch.kept_start).map_err(|_source| misfit())?;
-    let end = usize::try_from(patch.kept_end).map_err(|_source| misfit())?;
-    if start.checked_add(end).is_none_or(|kept| kept > base.len()) {
-        return Err(misfit());
-    }
-    let mut document = BytesMut::with_capacity(start + patch.middle.len() + end);
-    document.extend_from_slice(&base[..start]);
-    document.extend_from_slice(&patch.middle);
-    document.extend_from_slice(&base[base.len() - end..]);
-    Ok(document.freeze())
+/// Fails when a piece is missing or impossible.
+pub fn delta_from_wire(message: serving::DocumentDelta) -> Result<(ConfigNumber, ByteDelta), WireError> {
+    let place = |number: u64| usize::try_from(number).map_err(|_source| WireError::invalid("kept"));
+    let pieces = message.pieces.into_iter().map(|message| match message.piece {
+        Some(delta_piece::Piece::Kept(kept)) => Ok(DeltaPiece::Kept {
+            start: place(kept.start)?,
+            length: place(kept.length)?,
+        }),
+        Some(delta_piece::Piece::Inserted(bytes)) => Ok(DeltaPiece::Inserted(bytes)),
+        None => Err(WireError::missing("piece")),
+    });
+    let pieces: Result<Vec<_>, WireError> = pieces.collect();
+    Ok((ConfigNumber(message.base_number), ByteDelta::from_pieces(pieces?)))
 }
 
 pub(crate) fn serving_state_to_wire(state: &ServingState) -> state::ServingState {
--- a/crates/acaciabay/tests/naive/main.rs
+++ b/crates/acaciabay/tests/naive/main.rs
@@ -1,6 +1,7 @@
 //! Deciding code beside versions that are slow and obviously right, over inputs drawn from a fixed seed.
 
 mod claims;
+mod deltas;
 mod orders;
 mod placement;
 mod queue;
