Take every answer to a renewal, and send a configuration once on a connection

Cause: an entry that has no answer within 0.6 s asks again under a new number, and dropped the answer to the older question with the configuration in it. The leader had noted that configuration as sent, found that the entry held another, and sent the whole document, which takes longer: 1 MB on a link of 1.2 MB a second. So every answer was one to an older question, and none was ever taken: overload that keeps itself up. The class: work that is thrown away for being late, and asked for again at once.

Why this works: a connection keeps the order and loses nothing while it lasts. What the leader has put on it will be held before anything that follows, so it sends each configuration once on a connection, as a change of the one before, whatever the entry says that it holds; and the entry takes each answer, for the time of its own question. A further question costs a small answer, not a document.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -14,11 +14,11 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
+use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::start_counts::GatheredRow;
 use acaciabay::util::byte_delta::ByteDelta;
-use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::sync::broadcast;
@@ -254,20 +254,17 @@
     }
 
     /// Returns what turns one configuration into another. All entries need the same deltas, so each is made once.
-    pub(super) fn delta_between(
-        &self,
-        (base, base_document): (ConfigNumber, &Bytes),
-        (target, target_document): (ConfigNumber, &Bytes),
-    ) -> Arc<ByteDelta> {
+    pub(super) fn delta_between(&self, base: &HeldConfig, target: &HeldConfig) -> Arc<ByteDelta> {
         let mut deltas = self.deltas.lock();
-        if let Some(known) = deltas.iter().find(|known| (known.base, known.target) == (base, target)) {
+        let wanted = (base.number, target.number);
+        if let Some(known) = deltas.iter().find(|known| (known.base, known.target) == wanted) {
             return Arc::clone(&known.delta);
         }
-        let delta = Arc::new(ByteDelta::between(base_document, target_document));
+        let delta = Arc::new(ByteDelta::between(&base.document, &target.document));
         deltas.truncate(KNOWN_DELTAS - 1);
         deltas.push_front(KnownDelta {
-            base,
-            target,
+            base: base.number,
+            target: target.number,
             delta: Arc::clone(&delta),
         });
         delta
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -2,7 +2,8 @@
 //! themselves, and sessions with the entries.
 //!
 //! * `founding` finds or founds the group, `peers` takes connections of entries and replicas.
-//! * `hub` is what the tasks share; `session` serves one entry or replica, `observer` listens to the other replicas.
+//! * `hub` is what the tasks share; `session` serves one entry or replica, `renewals` answers
+//!   entries, `observer` listens to the other replicas.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
 //! * `duties` does what one process at a time may do, through a [`PlatformCodec`]: `usage_windows`, `stage_orders`
 //!   with `engine_orders`, `pool_orders`.
@@ -18,6 +19,7 @@
 mod observer;
 mod peers;
 mod pool_orders;
+mod renewals;
 mod session;
 mod stage_orders;
 mod start;
--- a/crates/acacia-control/src/serving/observer.rs
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -78,6 +78,7 @@
         domain: hub.settings.failure_domain.clone(),
         start: 0,
         entry: false,
+        takes_deltas: false,
     };
     writer.send(Frame::ServingHello(hello)).await?;
     while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -86,7 +86,7 @@
     let now = boot_now();
     let (number, told) = {
         let view = shared.view();
-        (view.number, view.told)
+        (view.held.number, view.told)
     };
     slog::info!(shared.log, "call refused"; "event" => event::CALL_REFUSED, "request" => request,
         "path" => head.map(|head| head.path.as_str()), "refusal" => ?refusal,
--- /dev/null
+++ b/crates/acacia-entry/src/serving/config_intake.rs
@@ -0,0 +1,109 @@
+//! Taking the configurations that replicas send.
+
+use std::io;
+use std::sync::Arc;
+
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::content_from_wire;
+use acacia_wire::generated::serving::{ServingRenewed, serving_renewed};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::config_chain::{HeldConfig, TakenConfig};
+use acaciabay::core::serving::config_index::ConfigIndex;
+use acaciabay::core::serving::renewal_ledger::RenewalLedger;
+use acaciabay::util::number::whole_millis;
+use prost::Message;
+
+use super::shared::EntryShared;
+
+/// What is open and known on one connection to a replica.
+#[derive(Debug, Default)]
+pub(super) struct ReplicaSession {
+    pub(super) renewals: RenewalLedger<HeldConfig>,
+    taken: TakenConfig,
+}
+
+/// A configuration that an answer has brought or confirmed.
+#[derive(Debug)]
+pub(super) struct ConfigArrival {
+    pub(super) config: HeldConfig,
+    /// When the question was asked that was answered.
+    pub(super) asked_at: BootTime,
+    arrived_at: BootTime,
+    /// The length of the content that came with the answer.
+    pub(super) bytes: usize,
+}
+
+impl ReplicaSession {
+    /// Takes an answer to a renewal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer does not follow from what came before; the session has to begin anew.
+    pub(super) fn take(&mut self, now: BootTime, renewed: &ServingRenewed) -> io::Result<ConfigArrival> {
+        let asked = self.renewals.answer(renewed.request);
+        let asked = asked.ok_or_else(|| io::Error::other("answer to a renewal that is not open"))?;
+        let bytes = content_bytes(renewed.content.as_ref());
+        let content = renewed.content.clone().map(content_from_wire).transpose();
+        let number = ConfigNumber(renewed.config_number);
+        let taken = self.taken.take(number, content.map_err(io::Error::other)?, &asked.held);
+        Ok(ConfigArrival {
+            config: taken.map_err(io::Error::other)?.clone(),
+            asked_at: asked.asked_at,
+            arrived_at: now,
+            bytes,
+        })
+    }
+}
+
+impl EntryShared {
+    /// Serves by a configuration from now on, unless a newer one is held.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be read.
+    pub(super) fn install_config(&self, arrival: &ConfigArrival) -> io::Result<()> {
+        let number = arrival.config.number;
+        let before = self.view().held.number;
+        if number <= before {
+            return Ok(());
+        }
+        let config = self.codec.read_config(&arrival.config.document).map_err(|findings| {
+            slog::error!(self.log, "configuration cannot be read"; "event" => event::CONFIG_UNREADABLE,
+                "number" => number.0, "findings" => ?findings);
+            io::Error::other("configuration cannot be read")
+        })?;
+        let index = Arc::new(ConfigIndex::new(config));
+        let mut view = self.view();
+        if number <= view.held.number {
+            return Ok(());
+        }
+        view.held = arrival.config.clone();
+        view.index = Some(index);
+        let told_at = Some(view.told_at).filter(|_| view.told > before);
+        drop(view);
+        self.log_installed(arrival, before, told_at);
+        Ok(())
+    }
+
+    fn log_installed(&self, arrival: &ConfigArrival, before: ConfigNumber, told_at: Option<BootTime>) {
+        let now = boot_now();
+        slog::info!(self.log, "configuration applied"; "event" => event::SERVING_CONFIG_APPLIED,
+            "number" => arrival.config.number.0, "before" => before.0, "bytes" => arrival.bytes,
+            "told_ms" => told_at.map(|told_at| whole_millis(now.since(told_at))),
+            "asked_ms" => whole_millis(now.since(arrival.asked_at)),
+            "read_ms" => whole_millis(now.since(arrival.arrived_at)));
+        if let Some(told_at) = told_at {
+            metrics::histogram!("acacia_config_in_force_seconds").record(now.since(told_at).as_secs_f64());
+        }
+    }
+}
+
+fn content_bytes(content: Option<&serving_renewed::Content>) -> usize {
+    match content {
+        Some(serving_renewed::Content::Document(document)) => document.len(),
+        Some(serving_renewed::Content::Delta(delta)) => delta.encoded_len(),
+        None => 0,
+    }
+}
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -15,28 +15,25 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
     EndpointNews, RenewServing, RestingEngine, ServiceDemand, ServingFrame, ServingHello, ServingRenewed,
-    serving_renewed,
 };
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, counts_to_wire, delta_from_wire, endpoint_from_wire, pace_to_wire,
-    split_frames, stage_from_wire, use_from_wire, use_to_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, counts_to_wire, endpoint_from_wire, pace_to_wire, split_frames,
+    stage_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
-use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::RestingOrder;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, ReportEffect};
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
 use acaciabay::util::number::whole_millis;
-use bytes::Bytes;
 use parking_lot::Mutex;
-use prost::Message;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::config_intake::{ConfigArrival, ReplicaSession};
 use super::shared::EntryShared;
 
 /// How often the lease is renewed: a dozen renewals fit into the shortest lease in use, and what entries tell each
@@ -140,15 +137,16 @@
             domain: settings.failure_domain.clone(),
             start: self.start,
             entry: true,
+            takes_deltas: true,
         };
         writer.send(Frame::ServingHello(hello)).await?;
         *was_open = true;
         slog::info!(self.shared.log, "session with a replica opened"; "event" => event::CONTROL_FOUND,
             "replica" => %address);
-        let asked = Mutex::new(None);
+        let session = Mutex::new(ReplicaSession::default());
         tokio::select! {
-            ended = self.read_frames(address, reader, &asked) => ended,
-            ended = self.ask_renewals(address, writer, &asked) => ended,
+            ended = self.read_frames(address, reader, &session) => ended,
+            ended = self.ask_renewals(address, writer, &session) => ended,
         }
     }
 
@@ -156,22 +154,18 @@
         &self,
         address: SocketAddr,
         mut writer: FrameWriter<TcpStream>,
-        asked: &Mutex<Option<AskedRenewal>>,
+        session: &Mutex<ReplicaSession>,
     ) -> std::io::Result<()> {
-        let mut number = 0;
         loop {
             let now = boot_now();
-            let waiting = *asked.lock();
-            let overdue = waiting.filter(|asked| now.since(asked.at) >= LEADER_PATIENCE);
-            if let Some(asked) = overdue {
-                self.doubt_leader(now, address, asked);
-            }
+            self.doubt_late_leader(now, address, session);
             let should_ask = self.replicas.lock().should_ask(now, address);
-            if should_ask && (waiting.is_none() || overdue.is_some()) {
-                number += 1;
-                *asked.lock() = Some(AskedRenewal { number, at: now });
+            if should_ask && session.lock().renewals.may_ask(now) {
+                let held = self.shared.view().held.clone();
+                let config_number = held.number;
+                let number = session.lock().renewals.ask(now, held);
                 self.log_ask(now, address, number);
-                writer.send(self.renewal(number)).await?;
+                writer.send(self.renewal(number, config_number)).await?;
             }
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
@@ -181,46 +175,53 @@
     }
 
     /// Asks all replicas again where the one that was taken for the leader does not answer.
-    fn doubt_leader(&self, now: BootTime, address: SocketAddr, asked: AskedRenewal) {
+    fn doubt_late_leader(&self, now: BootTime, address: SocketAddr, session: &Mutex<ReplicaSession>) {
+        let session = session.lock();
+        let Some(overdue) = session.renewals.overdue(now) else {
+            return;
+        };
         if self.replicas.lock().doubt(address) {
             slog::info!(self.shared.log, "leader does not answer"; "event" => event::CONTROL_LOST,
-                "replica" => %address, "asked" => asked.number, "waited_ms" => whole_millis(now.since(asked.at)));
+                "replica" => %address, "asked" => overdue.number,
+                "waited_ms" => whole_millis(now.since(overdue.asked_at)));
         }
     }
 
     /// Notes that a replica has told the number of a committed configuration; tells whether it is news.
     fn take_told(&self, address: SocketAddr, number: ConfigNumber) -> bool {
         let mut view = self.shared.view();
-        if number <= view.number {
+        if number <= view.held.number {
             return false;
         }
         if number > view.told {
             view.told = number;
             view.told_at = boot_now();
             slog::info!(self.shared.log, "newer configuration announced"; "event" => event::CONFIG_TOLD,
-                "number" => number.0, "held" => view.number.0, "replica" => %address);
+                "number" => number.0, "held" => view.held.number.0, "replica" => %address);
         }
         true
     }
 
     fn log_ask(&self, now: BootTime, address: SocketAddr, asked: u64) {
         let view = self.shared.view();
-        if view.told > view.number {
+        if view.told > view.held.number {
             slog::info!(self.shared.log, "newer configuration asked for"; "event" => event::CONFIG_ASKED,
-                "asked" => asked, "told" => view.told.0, "held" => view.number.0, "replica" => %address,
+                "asked" => asked, "told" => view.told.0, "held" => view.held.number.0, "replica" => %address,
                 "told_ms" => whole_millis(now.since(view.told_at)));
         }
     }
 
-    fn log_late(&self, address: SocketAddr, renewed: &ServingRenewed, waiting: Option<AskedRenewal>) {
-        metrics::counter!("acacia_renewals_late_total").increment(1);
-        slog::info!(self.shared.log, "answer dropped, asked again since"; "event" => event::RENEWAL_LATE,
-            "answers" => renewed.request, "waiting_for" => waiting.map(|asked| asked.number),
-            "number" => renewed.config_number, "bytes" => content_bytes(renewed.content.as_ref()),
-            "replica" => %address);
+    fn log_late(&self, now: BootTime, address: SocketAddr, renewed: &ServingRenewed, arrival: &ConfigArrival) {
+        let took = now.since(arrival.asked_at);
+        if took >= LEADER_PATIENCE {
+            metrics::counter!("acacia_renewals_late_total").increment(1);
+            slog::info!(self.shared.log, "renewal answered late"; "event" => event::RENEWAL_LATE,
+                "asked" => renewed.request, "took_ms" => whole_millis(took), "number" => renewed.config_number,
+                "bytes" => arrival.bytes, "replica" => %address);
+        }
     }
 
-    fn renewal(&self, number: u64) -> Frame {
+    fn renewal(&self, number: u64, held: ConfigNumber) -> Frame {
         let mut view = self.shared.view();
         let uses = view
             .loads
@@ -246,7 +247,7 @@
             .map(|(window, counts)| counts_to_wire(window, counts));
         let request = RenewServing {
             request: number,
-            config_number: view.number.0,
+            config_number: held.0,
             counts: counts.collect(),
             uses,
             demands: demands.collect(),
@@ -260,25 +261,16 @@
         &self,
         address: SocketAddr,
         mut reader: FrameReader<TcpStream>,
-        asked: &Mutex<Option<AskedRenewal>>,
+        session: &Mutex<ReplicaSession>,
     ) -> std::io::Result<()> {
         while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
             let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
                 return Err(std::io::ErrorKind::InvalidData.into());
             };
             match body {
-                Body::Renewed(renewed) => {
-                    let waiting = *asked.lock();
-                    let Some(answered) = waiting.filter(|asked| asked.number == renewed.request) else {
-                        self.log_late(address, &renewed, waiting);
-                        continue;
-                    };
-                    *asked.lock() = None;
-                    self.replicas.lock().note_confirmed(boot_now(), address);
-                    self.take_renewal(answered.at, renewed)?;
-                }
+                Body::Renewed(renewed) => self.take_renewal(address, session, &renewed)?,
                 Body::Elsewhere(elsewhere) => {
-                    *asked.lock() = None;
+                    session.lock().renewals.answer(elsewhere.request);
                     let named: Option<SocketAddr> = elsewhere.leader_address.parse().ok();
                     self.replicas.lock().hear_elsewhere(address, named);
                 }
@@ -317,69 +309,26 @@
     }
 
     /// Takes a confirmation and the configuration that it brings, then extends the lease.
-    fn take_renewal(&self, asked_at: BootTime, renewed: ServingRenewed) -> std::io::Result<()> {
-        let number = ConfigNumber(renewed.config_number);
-        if let Some(content) = renewed.content {
-            self.take_config(asked_at, number, content)?;
-        }
+    fn take_renewal(
+        &self,
+        address: SocketAddr,
+        session: &Mutex<ReplicaSession>,
+        renewed: &ServingRenewed,
+    ) -> std::io::Result<()> {
+        let now = boot_now();
+        let arrival = session.lock().take(now, renewed)?;
+        self.log_late(now, address, renewed, &arrival);
+        self.replicas.lock().note_confirmed(now, address);
+        self.shared.install_config(&arrival)?;
         let mut view = self.shared.view();
         // A renewal that was overtaken by one from another replica confirms nothing that is newer.
-        if view.number != number {
+        if view.held.number != arrival.config.number {
             return Ok(());
         }
         view.entries = renewed.entries;
         view.loads.hear_others(renewed.others.iter().map(use_from_wire));
         drop(view);
-        self.shared.confirm_lease(asked_at);
-        Ok(())
-    }
-
-    fn take_config(
-        &self,
-        asked_at: BootTime,
-        number: ConfigNumber,
-        content: serving_renewed::Content,
-    ) -> std::io::Result<()> {
-        let arrived_at = boot_now();
-        let bytes = content_bytes(Some(&content));
-        let (held, base) = {
-            let view = self.shared.view();
-            (view.number, view.document.clone())
-        };
-        if number <= held {
-            return Ok(());
-        }
-        let document: Bytes = match content {
-            serving_renewed::Content::Document(document) => document,
-            serving_renewed::Content::Delta(delta) => {
-                let (base_number, delta) = delta_from_wire(delta).map_err(std::io::Error::other)?;
-                if base_number != held {
-                    return Err(std::io::Error::other("change of another configuration"));
-                }
-                delta.apply(&base).map_err(std::io::Error::other)?
-            }
-        };
-        let config = self.shared.codec.read_config(&document).map_err(|findings| {
-            slog::error!(self.shared.log, "configuration cannot be read"; "event" => event::CONFIG_UNREADABLE,
-                "number" => number.0, "findings" => ?findings);
-            std::io::Error::other("configuration cannot be read")
-        })?;
-        let index = Arc::new(ConfigIndex::new(config));
-        let mut view = self.shared.view();
-        if number > view.number {
-            view.number = number;
-            view.document = document;
-            view.index = Some(index);
-            let now = boot_now();
-            let told_at = Some(view.told_at).filter(|_| view.told > held);
-            slog::info!(self.shared.log, "configuration applied"; "event" => event::SERVING_CONFIG_APPLIED,
-                "number" => number.0, "before" => held.0, "bytes" => bytes,
-                "told_ms" => told_at.map(|told_at| whole_millis(now.since(told_at))),
-                "asked_ms" => whole_millis(now.since(asked_at)), "read_ms" => whole_millis(now.since(arrived_at)));
-            if let Some(told_at) = told_at {
-                metrics::histogram!("acacia_config_in_force_seconds").record(now.since(told_at).as_secs_f64());
-            }
-        }
+        self.shared.confirm_lease(arrival.asked_at);
         Ok(())
     }
 
@@ -405,14 +354,6 @@
     }
 }
 
-fn content_bytes(content: Option<&serving_renewed::Content>) -> usize {
-    match content {
-        Some(serving_renewed::Content::Document(document)) => document.len(),
-        Some(serving_renewed::Content::Delta(delta)) => delta.encoded_len(),
-        None => 0,
-    }
-}
-
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, RestingOrder)> {
     let order = RestingOrder {
         birth: EndpointBirth(engine.birth),
@@ -421,9 +362,3 @@
     };
     Some((EndpointName::new(&engine.name), order))
 }
-
-#[derive(Clone, Copy, Debug)]
-struct AskedRenewal {
-    number: u64,
-    at: BootTime,
-}
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, EngineSpec};
+use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
@@ -21,7 +22,6 @@
 use acaciabay::core::serving::start_counts::{StartCounts, WindowNumber};
 use acaciabay::core::serving::stop_phase::StopPhase;
 use acaciabay::util::number::whole_millis;
-use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
@@ -55,8 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct EntryView {
     pub(super) index: Option<Arc<ConfigIndex>>,
-    pub(super) document: Bytes,
-    pub(super) number: ConfigNumber,
+    /// The configuration that `index` was made of.
+    pub(super) held: HeldConfig,
     /// The highest number that a replica has said to be committed, and when it said so first.
     pub(super) told: ConfigNumber,
     pub(super) told_at: BootTime,
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -141,7 +141,7 @@
             was_ready = is_ready;
             let view = shared.view();
             slog::info!(shared.log, "readiness changed"; "event" => event::READINESS_CHANGED, "ready" => is_ready,
-                "config" => view.number.0, "endpoints" => view.registry.rows().count(),
+                "config" => view.held.number.0, "endpoints" => view.registry.rows().count(),
                 "lease" => shared.may_serve(now), "leaving" => shared.leaving.is_cancelled());
         }
         shared.view().registry.forget_silent(now);
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -27,7 +27,7 @@
 };
 
 pub use serving_message::{
-    counts_from_wire, counts_to_wire, delta_from_wire, delta_to_wire, endpoint_from_wire, endpoint_to_wire,
+    content_from_wire, content_to_wire, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire,
     pace_from_wire, pace_to_wire, stage_from_wire, stage_to_wire, use_from_wire, use_to_wire,
 };
 
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -2,6 +2,7 @@
 
 use acaciabay::core::name::{CustomerName, EndpointName};
 use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::config_chain::ConfigContent;
 use acaciabay::core::serving::duty::{DutyTable, FenceNumber};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
@@ -11,7 +12,7 @@
 use acaciabay::util::number::round_up;
 
 use crate::error::WireError;
-use crate::generated::serving::delta_piece;
+use crate::generated::serving::{delta_piece, serving_renewed};
 use crate::generated::{serving, state};
 
 /// Encodes the counts of a window.
@@ -136,41 +137,59 @@
     (message.name.as_str().into(), work)
 }
 
-/// Encodes what turns a configuration into a later one.
-pub fn delta_to_wire(base: ConfigNumber, delta: &ByteDelta) -> serving::DocumentDelta {
-    let pieces = delta.pieces().iter().map(|piece| {
-        let piece = match piece {
-            DeltaPiece::Kept { start, length } => delta_piece::Piece::Kept(serving::KeptBytes {
-                start: *start as u64,
-                length: *length as u64,
-            }),
-            DeltaPiece::Inserted(bytes) => delta_piece::Piece::Inserted(bytes.clone()),
-        };
-        serving::DeltaPiece { piece: Some(piece) }
-    });
-    serving::DocumentDelta {
-        base_number: base.0,
-        pieces: pieces.collect(),
+/// Encodes what brings an entry to a configuration.
+pub fn content_to_wire(content: ConfigContent<impl AsRef<ByteDelta>>) -> serving_renewed::Content {
+    match content {
+        ConfigContent::Whole(document) => serving_renewed::Content::Document(document),
+        ConfigContent::Change { base, delta } => {
+            let pieces = delta.as_ref().pieces().iter().map(piece_to_wire);
+            serving_renewed::Content::Delta(serving::DocumentDelta {
+                base_number: base.0,
+                pieces: pieces.collect(),
+            })
+        }
     }
 }
 
-/// Decodes what turns a configuration into a later one, and the number of the earlier one.
+/// Decodes what brings an entry to a configuration.
 ///
 /// # Errors
 ///
-/// Fails when a piece is missing or impossible.
-pub fn delta_from_wire(message: serving::DocumentDelta) -> Result<(ConfigNumber, ByteDelta), WireError> {
+/// Fails when a piece of a change is missing or impossible.
+pub fn content_from_wire(message: serving_renewed::Content) -> Result<ConfigContent<ByteDelta>, WireError> {
+    match message {
+        serving_renewed::Content::Document(document) => Ok(ConfigContent::Whole(document)),
+        serving_renewed::Content::Delta(message) => {
+            let pieces: Result<Vec<_>, WireError> = message.pieces.into_iter().map(piece_from_wire).collect();
+            Ok(ConfigContent::Change {
+                base: ConfigNumber(message.base_number),
+                delta: ByteDelta::from_pieces(pieces?),
+            })
+        }
+    }
+}
+
+fn piece_to_wire(piece: &DeltaPiece) -> serving::DeltaPiece {
+    let piece = match piece {
+        DeltaPiece::Kept { start, length } => delta_piece::Piece::Kept(serving::KeptBytes {
+            start: *start as u64,
+            length: *length as u64,
+        }),
+        DeltaPiece::Inserted(bytes) => delta_piece::Piece::Inserted(bytes.clone()),
+    };
+    serving::DeltaPiece { piece: Some(piece) }
+}
+
+fn piece_from_wire(message: serving::DeltaPiece) -> Result<DeltaPiece, WireError> {
     let place = |number: u64| usize::try_from(number).map_err(|_source| WireError::invalid("kept"));
-    let pieces = message.pieces.into_iter().map(|message| match message.piece {
+    match message.piece {
         Some(delta_piece::Piece::Kept(kept)) => Ok(DeltaPiece::Kept {
             start: place(kept.start)?,
             length: place(kept.length)?,
         }),
         Some(delta_piece::Piece::Inserted(bytes)) => Ok(DeltaPiece::Inserted(bytes)),
         None => Err(WireError::missing("piece")),
-    });
-    let pieces: Result<Vec<_>, WireError> = pieces.collect();
-    Ok((ConfigNumber(message.base_number), ByteDelta::from_pieces(pieces?)))
+    }
 }
 
 pub(crate) fn serving_state_to_wire(state: &ServingState) -> state::ServingState {
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/config_chain.rs
@@ -0,0 +1,129 @@
+//! How a replica hands configurations to an entry over one connection, each as a change of the one before.
+//!
+//! A connection keeps the order and loses nothing while it lasts, so what a replica has put on it will be held by the
+//! entry before anything that follows. Neither side therefore needs the other's word for it: the replica never sends a
+//! configuration twice on one connection, however often the entry asks while it is on its way, and the entry takes every
+//! one that comes. A new connection begins anew. See `docs/design/machines.md`.
+
+use bytes::Bytes;
+
+use super::config::ConfigNumber;
+use crate::util::byte_delta::{ByteDelta, DeltaMisfit};
+
+/// A configuration as its operator sent it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HeldConfig {
+    /// Its number; 0 while there is none.
+    pub number: ConfigNumber,
+    /// The document.
+    pub document: Bytes,
+}
+
+/// What brings an entry to a configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigContent<D> {
+    /// The whole document.
+    Whole(Bytes),
+    /// What has changed since the configuration that this connection has brought before.
+    Change {
+        /// The number of that one.
+        base: ConfigNumber,
+        /// What has changed.
+        delta: D,
+    },
+}
+
+/// The last configuration that a replica has put on a connection.
+#[derive(Clone, Debug, Default)]
+pub struct SentConfig {
+    last: Option<HeldConfig>,
+}
+
+impl SentConfig {
+    /// Returns what has to be sent so that an entry holds `newest`, which said that it held the number `held` when it
+    /// asked; nothing if that is on its way or held already.
+    pub fn advance<D>(
+        &mut self,
+        held: ConfigNumber,
+        newest: &HeldConfig,
+        delta_between: impl FnOnce(&HeldConfig, &HeldConfig) -> D,
+    ) -> Option<ConfigContent<D>> {
+        let last = self.last.replace(newest.clone());
+        match last {
+            Some(last) if last.number == newest.number => None,
+            Some(last) => Some(ConfigContent::Change {
+                base: last.number,
+                delta: delta_between(&last, newest),
+            }),
+            None if held == newest.number => None,
+            None => Some(ConfigContent::Whole(newest.document.clone())),
+        }
+    }
+}
+
+/// Why a configuration cannot be taken; the connection has to begin anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChainBreak {
+    /// The change is one of a configuration that this connection has not brought.
+    OtherBase {
+        /// The number of that one.
+        base: ConfigNumber,
+    },
+    /// The change does not fit the configuration that it is made for.
+    Misfit,
+    /// Nothing was sent, and nothing is held that this could mean.
+    NothingSent,
+}
+
+impl std::fmt::Display for ChainBreak {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::OtherBase { base } => write!(f, "change of configuration {}, which did not come before", base.0),
+            Self::Misfit => f.write_str("change does not fit its configuration"),
+            Self::NothingSent => f.write_str("no configuration was sent, and another is held"),
+        }
+    }
+}
+
+impl std::error::Error for ChainBreak {}
+
+impl From<DeltaMisfit> for ChainBreak {
+    fn from(_misfit: DeltaMisfit) -> Self {
+        Self::Misfit
+    }
+}
+
+/// The last configuration that a connection has brought to an entry.
+///
+/// It may be older than the one that the entry serves by, which may have come over another connection.
+#[derive(Clone, Debug, Default)]
+pub struct TakenConfig {
+    last: Option<HeldConfig>,
+}
+
+impl TakenConfig {
+    /// Returns the configuration with this number, which an answer has brought or meant; `held` is what the entry held
+    /// when it asked the question.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer does not follow from what came before it.
+    pub fn take(
+        &mut self,
+        number: ConfigNumber,
+        content: Option<ConfigContent<ByteDelta>>,
+        held: &HeldConfig,
+    ) -> Result<&HeldConfig, ChainBreak> {
+        let document = match (content, &self.last) {
+            (Some(ConfigContent::Whole(document)), _) => document,
+            (Some(ConfigContent::Change { base, delta }), Some(last)) if last.number == base => {
+                delta.apply(&last.document)?
+            }
+            (Some(ConfigContent::Change { base, .. }), _) => return Err(ChainBreak::OtherBase { base }),
+            (None, Some(last)) if last.number == number => last.document.clone(),
+            (None, None) if held.number == number => held.document.clone(),
+            (None, _) => return Err(ChainBreak::NothingSent),
+        };
+        Ok(self.last.insert(HeldConfig { number, document }))
+    }
+}
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Serving by host and path: what an operator configures as one numbered document, and what an entry knows of endpoints.
 //!
 //! * [`config`] is the configuration, [`config_index`] finds a call's route and customer in it.
+//! * [`config_chain`] hands configurations over a connection, [`renewal_ledger`] says when an entry asks.
 //! * [`endpoint_registry`] orders what endpoints say of themselves, whichever way and however late it arrives.
 //! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
 //! * [`endpoint_load`] is the work that every endpoint still has before it.
@@ -17,6 +18,7 @@
 //! `docs/design/machines.md` has the programs in which these parts meet.
 
 pub mod config;
+pub mod config_chain;
 pub mod config_index;
 pub mod duty;
 pub mod endpoint_load;
@@ -28,6 +30,7 @@
 pub mod prompt;
 pub mod reading_need;
 pub mod reading_pace;
+pub mod renewal_ledger;
 pub mod replica_board;
 pub mod send_budget;
 pub mod serving_state;
--- a/crates/acaciabay/src/util/byte_delta.rs
+++ b/crates/acaciabay/src/util/byte_delta.rs
@@ -34,6 +34,12 @@
     pieces: Vec<DeltaPiece>,
 }
 
+impl AsRef<Self> for ByteDelta {
+    fn as_ref(&self) -> &Self {
+        self
+    }
+}
+
 /// The delta was made for another base, or its result would be too large.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DeltaMisfit;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/chain.rs
@@ -0,0 +1,141 @@
+//! Configurations that pass over connections in order, while questions and answers overlap.
+
+use std::collections::VecDeque;
+
+use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::config_chain::{ChainBreak, ConfigContent, HeldConfig, SentConfig, TakenConfig};
+use acaciabay::util::byte_delta::ByteDelta;
+use proptest::prelude::*;
+
+fn config(number: u64) -> HeldConfig {
+    let routes: Vec<_> = (0..number % 50)
+        .map(|route| format!("route {route} of {number}"))
+        .collect();
+    HeldConfig {
+        number: ConfigNumber(number),
+        document: format!("version {number}: {} idle {}", routes.join(","), number % 7).into(),
+    }
+}
+
+fn advance(sent: &mut SentConfig, held: u64, newest: &HeldConfig) -> Option<ConfigContent<ByteDelta>> {
+    sent.advance(ConfigNumber(held), newest, |base, target| {
+        ByteDelta::between(&base.document, &target.document)
+    })
+}
+
+/// Guards against a large configuration that is sent again with every question that is asked while it is on its way.
+#[test]
+fn a_configuration_on_its_way_is_not_sent_again() {
+    let mut sent = SentConfig::default();
+
+    let first = advance(&mut sent, 0, &config(12));
+    let again = advance(&mut sent, 0, &config(12));
+    let later = advance(&mut sent, 0, &config(15));
+
+    assert_eq!(first, Some(ConfigContent::Whole(config(12).document)));
+    assert_eq!(again, None);
+    assert!(matches!(
+        later,
+        Some(ConfigContent::Change {
+            base: ConfigNumber(12),
+            ..
+        })
+    ));
+}
+
+/// Guards against a session that breaks because another one has brought something newer meanwhile.
+#[test]
+fn a_connection_goes_on_from_what_it_has_brought_itself() {
+    let (mut sent, mut taken) = (SentConfig::default(), TakenConfig::default());
+    let first = advance(&mut sent, 0, &config(12));
+    taken.take(ConfigNumber(12), first, &config(0)).expect("whole");
+    let change = advance(&mut sent, 20, &config(21));
+
+    let held = taken.take(ConfigNumber(21), change, &config(20));
+
+    assert_eq!(held, Ok(&config(21)));
+}
+
+#[test]
+fn an_answer_that_follows_from_nothing_ends_the_session() {
+    let other = ConfigContent::Change {
+        base: ConfigNumber(3),
+        delta: ByteDelta::default(),
+    };
+
+    let change = TakenConfig::default()
+        .take(ConfigNumber(4), Some(other), &config(3))
+        .cloned();
+    let nothing = TakenConfig::default().take(ConfigNumber(4), None, &config(3)).cloned();
+
+    assert_eq!(change, Err(ChainBreak::OtherBase { base: ConfigNumber(3) }));
+    assert_eq!(nothing, Err(ChainBreak::NothingSent));
+}
+
+/// What happens next between an entry and the replicas that it has sessions with.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The entry asks a replica.
+    Ask(usize),
+    /// A replica that is up to date answers its next question.
+    Answer(usize),
+    /// The next answer of a replica arrives.
+    Arrive(usize),
+    /// A newer configuration is committed.
+    Commit(u64),
+    /// The connection to a replica breaks and a new one is made.
+    Reconnect(usize),
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    sent: SentConfig,
+    taken: TakenConfig,
+    questions: VecDeque<HeldConfig>,
+    answers: VecDeque<(HeldConfig, ConfigNumber, Option<ConfigContent<ByteDelta>>)>,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let replica = 0..3_usize;
+    prop_oneof![
+        4 => replica.clone().prop_map(Step::Ask),
+        4 => replica.clone().prop_map(Step::Answer),
+        4 => replica.clone().prop_map(Step::Arrive),
+        1 => (1..5_u64).prop_map(Step::Commit),
+        1 => replica.prop_map(Step::Reconnect),
+    ]
+}
+
+proptest! {
+    /// Whatever overlaps, every answer gives the very document of its number, and no session has to begin anew.
+    #[test]
+    fn every_answer_gives_the_document_of_its_number(steps in prop::collection::vec(step(), 0..200)) {
+        let mut connections: [Connection; 3] = Default::default();
+        let mut newest = config(1);
+        let mut held = HeldConfig::default();
+        for step in steps {
+            match step {
+                Step::Commit(ahead) => newest = config(newest.number.0 + ahead),
+                Step::Reconnect(replica) => connections[replica] = Connection::default(),
+                Step::Ask(replica) => connections[replica].questions.push_back(held.clone()),
+                Step::Answer(replica) => {
+                    let connection = &mut connections[replica];
+                    if let Some(asked) = connection.questions.pop_front() {
+                        let content = advance(&mut connection.sent, asked.number.0, &newest);
+                        connection.answers.push_back((asked, newest.number, content));
+                    }
+                }
+                Step::Arrive(replica) => {
+                    let connection = &mut connections[replica];
+                    if let Some((asked, number, content)) = connection.answers.pop_front() {
+                        let taken = connection.taken.take(number, content, &asked);
+                        prop_assert_eq!(taken, Ok(&config(number.0)));
+                        if number > held.number {
+                            held = config(number.0);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Serving by host and path: each decision against what it has to come to, and against naive versions.
 
 mod budget;
+mod chain;
 mod clock;
 mod config;
 mod counts;
@@ -14,6 +15,7 @@
 mod prompts;
 mod reading;
 mod registry;
+mod renewals;
 mod replicas;
 mod stages;
 mod state;
