Keep a session while a large configuration is on its way

What callers would see: an entry machine behind a slow or lossy link that refuses everything for as long as the configuration is large.

Cause: a session was given up after 1.5 s without a whole frame. A document that takes longer (1.8 MB on a link of 10 Mbit/s, less on one that loses packets) was cut off in the middle and sent anew from its start on the next connection, without end. The same class: work thrown away for being late, and begun again.

Now silence means that not a byte has come (FrameReader::next_within), for entries and for replicas that listen to each other. A connection on which bytes trickle is alive; one that is silent is given up as soon as before.

--- a/crates/acacia-control/src/serving/observer.rs
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -21,7 +21,7 @@
 
 /// How long the kernel may go on trying to deliver.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
-/// After how long without a frame the connection counts as lost: three missed signs of life.
+/// After how long without a byte the connection counts as lost: three missed signs of life.
 const SILENCE: Duration = ALIVE_INTERVAL.saturating_mul(3);
 /// How long to wait before connecting again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
@@ -81,7 +81,7 @@
         takes_deltas: false,
     };
     writer.send(Frame::ServingHello(hello)).await?;
-    while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
+    while let Some(frame) = reader.next_within(SILENCE).await? {
         let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
             return Err(std::io::ErrorKind::InvalidData.into());
         };
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -41,7 +41,7 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the kernel may go on trying to deliver.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// After how long without a frame a session counts as lost; replicas send one every half second.
+/// After how long without a byte a session counts as lost; replicas send something every half second.
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// How long to wait before connecting again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
@@ -263,7 +263,7 @@
         mut reader: FrameReader<TcpStream>,
         session: &Mutex<ReplicaSession>,
     ) -> std::io::Result<()> {
-        while let Some(frame) = tokio::time::timeout(SILENCE, reader.next()).await?? {
+        while let Some(frame) = reader.next_within(SILENCE).await? {
             let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
                 return Err(std::io::ErrorKind::InvalidData.into());
             };
--- a/crates/acacia-wire/src/frame.rs
+++ b/crates/acacia-wire/src/frame.rs
@@ -1,10 +1,14 @@
 //! Frames on a connection between two of our processes: a length, then one `PeerFrame`.
 
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::io::{AsyncRead, AsyncWrite, ReadHalf, WriteHalf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf, ReadHalf, WriteHalf};
+use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::generated::replica::{PeerFrame, peer_frame::Frame};
@@ -21,7 +25,29 @@
 /// Reads frames from a connection.
 #[derive(Debug)]
 pub struct FrameReader<S> {
-    frames: FramedRead<ReadHalf<S>, LengthDelimitedCodec>,
+    frames: FramedRead<TimedRead<ReadHalf<S>>, LengthDelimitedCodec>,
+}
+
+/// Notes when bytes last arrived.
+#[derive(Debug)]
+struct TimedRead<R> {
+    inner: R,
+    arrived_at: Instant,
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for TimedRead<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.arrived_at = Instant::now();
+        }
+        read
+    }
 }
 
 /// Writes frames to a connection.
@@ -37,7 +63,13 @@
         .new_codec();
     let (read, write) = tokio::io::split(stream);
     let reader = FrameReader {
-        frames: FramedRead::new(read, codec.clone()),
+        frames: FramedRead::new(
+            TimedRead {
+                inner: read,
+                arrived_at: Instant::now(),
+            },
+            codec.clone(),
+        ),
     };
     (
         reader,
@@ -53,14 +85,38 @@
     /// # Errors
     ///
     /// Fails when the connection breaks, or when what arrives is not a frame.
-    pub async fn next(&mut self) -> std::io::Result<Option<Frame>> {
+    pub async fn next(&mut self) -> io::Result<Option<Frame>> {
         let Some(bytes) = self.frames.next().await else {
             return Ok(None);
         };
-        let frame = PeerFrame::decode(bytes?.freeze()).map_err(std::io::Error::other)?;
+        let frame = PeerFrame::decode(bytes?.freeze()).map_err(io::Error::other)?;
         match frame.frame {
             Some(frame) => Ok(Some(frame)),
-            None => Err(std::io::Error::other("frame without a known content")),
+            None => Err(io::Error::other("frame without a known content")),
+        }
+    }
+}
+
+impl<S: AsyncRead> FrameReader<S> {
+    /// Returns the next frame as [`next`](Self::next) does, unless nothing at all arrives for `silence`.
+    ///
+    /// A frame that is long in coming is no silence: a connection that was given up in the middle of one would have to
+    /// carry it again from the start, and on the same link would come no further.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or is silent, or when what arrives is not a frame.
+    pub async fn next_within(&mut self, silence: Duration) -> io::Result<Option<Frame>> {
+        let mut heard_at = Instant::now();
+        loop {
+            if let Ok(next) = tokio::time::timeout_at(heard_at + silence, self.next()).await {
+                return next;
+            }
+            let arrived_at = self.frames.get_ref().arrived_at;
+            if arrived_at <= heard_at {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            heard_at = arrived_at;
         }
     }
 }
@@ -71,7 +127,7 @@
     /// # Errors
     ///
     /// Fails when the connection breaks.
-    pub async fn send(&mut self, frame: Frame) -> std::io::Result<()> {
+    pub async fn send(&mut self, frame: Frame) -> io::Result<()> {
         self.frames.send(encode(frame)).await
     }
 
@@ -80,7 +136,7 @@
     /// # Errors
     ///
     /// Fails when the connection breaks.
-    pub async fn feed(&mut self, frame: Frame) -> std::io::Result<()> {
+    pub async fn feed(&mut self, frame: Frame) -> io::Result<()> {
         self.frames.feed(encode(frame)).await
     }
 
@@ -89,7 +145,7 @@
     /// # Errors
     ///
     /// Fails when the connection breaks.
-    pub async fn flush(&mut self) -> std::io::Result<()> {
+    pub async fn flush(&mut self) -> io::Result<()> {
         SinkExt::<bytes::Bytes>::flush(&mut self.frames).await
     }
 }
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -11,6 +11,8 @@
 use tokio::task::JoinHandle;
 
 const BUFFER: usize = 64 * 1024;
+/// How much is read at a time from a connection that is slow.
+const SLOW_BUFFER: usize = 4 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Passes connections on until it is told to swallow what they carry. A swallowed connection stays open, as it does
@@ -27,6 +29,8 @@
 struct RelayCut {
     to_target: AtomicBool,
     to_source: AtomicBool,
+    /// How many bytes a second pass to the source; 0 for no bound.
+    pace_to_source: AtomicU64,
 }
 
 impl Relay {
@@ -56,6 +60,11 @@
         self.cut.to_target.store(true, Ordering::Release);
     }
 
+    /// Passes only so many bytes a second to the source of each connection from now on.
+    pub fn slow_towards_source(&self, bytes_per_second: u64) {
+        self.cut.pace_to_source.store(bytes_per_second, Ordering::Release);
+    }
+
     /// Passes everything on again. What was lost stays lost, so connections that lost something are broken.
     pub fn heal(&self) {
         self.cut.to_target.store(false, Ordering::Release);
@@ -86,16 +95,28 @@
     let (forward, backward) = (Arc::clone(&cut), cut);
     // When one direction ends, so does the connection.
     tokio::select! {
-        () = pass(source_read, onward_write, || forward.to_target.load(Ordering::Acquire)) => {}
-        () = pass(onward_read, source_write, || backward.to_source.load(Ordering::Acquire)) => {}
+        () = pass(source_read, onward_write, || forward.to_target.load(Ordering::Acquire), || 0) => {}
+        () = pass(
+            onward_read,
+            source_write,
+            || backward.to_source.load(Ordering::Acquire),
+            || backward.pace_to_source.load(Ordering::Acquire),
+        ) => {}
     }
 }
 
 /// Passes bytes on; a connection that has lost any ends once the cut is healed.
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_cut: impl Fn() -> bool) {
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    is_cut: impl Fn() -> bool,
+    bytes_per_second: impl Fn() -> u64,
+) {
     let mut buffer = vec![0; BUFFER];
     loop {
-        let Ok(count) = from.read(&mut buffer).await else {
+        let pace = bytes_per_second();
+        let room = if pace == 0 { BUFFER } else { SLOW_BUFFER };
+        let Ok(count) = from.read(&mut buffer[..room]).await else {
             return;
         };
         if is_cut() {
@@ -108,5 +129,8 @@
         if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
+        if pace > 0 {
+            tokio::time::sleep(Duration::from_secs_f64(count as f64 / pace as f64)).await;
+        }
     }
 }
