Deny a call only by a configuration that is known to be the newest

Cause: nothing in an entry knew how soon a configuration has to be in force. Its lease (3.75 s on the users' machines) is made for withdrawn keys; with it an entry denied calls by a configuration that was up to 3.75 s old, against a bound of 2 or 2.5 s. The bound was kept by speed alone.

Now an entry knows the bound (config_in_force_ms), the highest number that any replica has announced, and when a leader last confirmed what it holds. It denies a call only while the confirmation was asked for within three quarters of the bound and nothing newer is known; else the call gets 503, not run, come back. A denial at t needs a question asked after t - 0.75 x bound, whose answer saw everything acknowledged before it; so a change acknowledged longer ago than the bound is known whenever a call is denied.

Evidence: with the check taken out, both tests of denials::* fail (404 and 401 until the lease ends); with it they pass. standing::* tests the decision by itself.

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -84,13 +84,14 @@
 ) -> Response<ResponseBody> {
     let request = head.map(|head| head.request.as_str());
     let now = boot_now();
-    let (number, told) = {
+    let (number, standing) = {
         let view = shared.view();
-        (view.held.number, view.told)
+        (view.held.number, view.standing)
     };
     slog::info!(shared.log, "call refused"; "event" => event::CALL_REFUSED, "request" => request,
         "path" => head.map(|head| head.path.as_str()), "refusal" => ?refusal,
-        "config" => number.0, "told" => told.0, "confirmed_ms" => whole_millis(shared.confirmed_ago(received_at)),
+        "config" => number.0, "told" => standing.told().0,
+        "confirmed_ms" => standing.confirmed_ago(received_at).map(whole_millis),
         "after_ms" => whole_millis(now.since(received_at)));
     metrics::counter!("acacia_calls_refused_total", "reason" => refusal.reason()).increment(1);
     shared.codec.write_refusal(request, &refusal)
@@ -123,6 +124,9 @@
     let bounds = index.config().bounds;
     let admitted = match index.admit(&head.host, &head.path, head.key.as_deref()) {
         Ok(admitted) => admitted,
+        Err(_refusal) if !shared.may_deny(received_at) => {
+            return Err((Some(head), not_run("configuration is not confirmed", SOON)));
+        }
         Err(AccessRefusal::NoRoute) => return Err((Some(head), CallRefusal::NoRoute)),
         Err(AccessRefusal::UnknownKey) => return Err((Some(head), CallRefusal::UnknownKey)),
     };
--- a/crates/acacia-entry/src/serving/config_intake.rs
+++ b/crates/acacia-entry/src/serving/config_intake.rs
@@ -79,9 +79,9 @@
         if number <= view.held.number {
             return Ok(());
         }
+        let told_at = view.standing.behind_since(view.held.number);
         view.held = arrival.config.clone();
         view.index = Some(index);
-        let told_at = Some(view.told_at).filter(|_| view.told > before);
         drop(view);
         self.log_installed(arrival, before, told_at);
         Ok(())
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -193,9 +193,7 @@
         if number <= view.held.number {
             return false;
         }
-        if number > view.told {
-            view.told = number;
-            view.told_at = boot_now();
+        if view.standing.hear(boot_now(), number) {
             slog::info!(self.shared.log, "newer configuration announced"; "event" => event::CONFIG_TOLD,
                 "number" => number.0, "held" => view.held.number.0, "replica" => %address);
         }
@@ -204,10 +202,11 @@
 
     fn log_ask(&self, now: BootTime, address: SocketAddr, asked: u64) {
         let view = self.shared.view();
-        if view.told > view.held.number {
+        let held = view.held.number;
+        if let Some(told_at) = view.standing.behind_since(held) {
             slog::info!(self.shared.log, "newer configuration asked for"; "event" => event::CONFIG_ASKED,
-                "asked" => asked, "told" => view.told.0, "held" => view.held.number.0, "replica" => %address,
-                "told_ms" => whole_millis(now.since(view.told_at)));
+                "asked" => asked, "told" => view.standing.told().0, "held" => held.0, "replica" => %address,
+                "told_ms" => whole_millis(now.since(told_at)));
         }
     }
 
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -10,9 +10,10 @@
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
-use acaciabay::core::serving::config::{ConfigNumber, EngineSpec};
+use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::config_index::ConfigIndex;
+use acaciabay::core::serving::config_standing::ConfigStanding;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::group_clock::GroupClock;
@@ -57,9 +58,7 @@
     pub(super) index: Option<Arc<ConfigIndex>>,
     /// The configuration that `index` was made of.
     pub(super) held: HeldConfig,
-    /// The highest number that a replica has said to be committed, and when it said so first.
-    pub(super) told: ConfigNumber,
-    pub(super) told_at: BootTime,
+    pub(super) standing: ConfigStanding,
     pub(super) registry: EndpointRegistry,
     /// Whether a replica has told all endpoints that it knows.
     pub(super) heard_endpoints: bool,
@@ -181,19 +180,21 @@
         self.lease.is_valid(now)
     }
 
-    /// Returns how long ago the confirmation was asked for that the lease stands on.
-    pub(super) fn confirmed_ago(&self, now: BootTime) -> Duration {
-        let lease = self.settings.key_withdrawal.mul_f64(LEASE_PART);
-        (now + lease).since(self.lease.end())
-    }
-
     /// Returns how long the entry has been without a lease.
     pub(super) fn without_lease(&self, now: BootTime) -> Duration {
         now.since(self.lease.end().max(self.started_at))
     }
 
+    /// Tells whether a call may be denied by the configuration that is held.
+    pub(super) fn may_deny(&self, now: BootTime) -> bool {
+        let view = self.view();
+        view.standing
+            .may_deny(now, view.held.number, self.settings.config_in_force)
+    }
+
     /// Extends the lease by a confirmation that was asked for at `asked_at`.
     pub(super) fn confirm_lease(&self, asked_at: BootTime) {
+        self.view().standing.confirm(asked_at);
         self.lease
             .extend(asked_at + self.settings.key_withdrawal.mul_f64(LEASE_PART));
     }
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -60,6 +60,8 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// Within which time a withdrawn key must stop working, also where this host is cut off.
     pub key_withdrawal: Duration,
+    /// Within which time an accepted configuration must be in force.
+    pub config_in_force: Duration,
     /// The length of a usage window.
     pub usage_window: Duration,
     /// How long the process may take to stop.
@@ -148,6 +150,7 @@
     let peer_port = reader.required("peer_port", findings, as_count(1..=65_535));
     let seed_addresses = reader.items("seed_addresses", findings, read_address);
     let key_withdrawal = reader.required("key_withdrawal_ms", findings, as_count(100..=600_000));
+    let config_in_force = reader.required("config_in_force_ms", findings, as_count(100..=600_000));
     let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
     let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
     let mut bound = reader.child("send_bound", findings);
@@ -163,6 +166,7 @@
         peer_port: u16::try_from(peer_port?).ok()?,
         seed_addresses: seed_addresses?,
         key_withdrawal: Duration::from_millis(key_withdrawal?),
+        config_in_force: Duration::from_millis(config_in_force?),
         usage_window: usage_window?,
         stop_grace: stop_grace?,
         send_bound: send_bound?,
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -18,6 +18,7 @@
 mod renewals;
 mod replicas;
 mod stages;
+mod standing;
 mod state;
 mod stopping;
 mod windows;
