Start a new connection with a change of what the entry holds

Cause: a leader that had just been elected knew of no entry what it holds, and sent the whole document to all of them at the same moment (1 MB to each of 85 entries fills its link for 0.7 s).

Now each replica keeps the last configurations that were replaced, and an entry's first answer on a connection may be a change of the one that it said it held.

Test: chain::a_new_connection_starts_from_what_the_entry_holds; the property test has connections that begin anew beside kept configurations.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -14,7 +14,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
-use acaciabay::core::serving::config_chain::HeldConfig;
+use acaciabay::core::serving::config_chain::{HeldConfig, RecentConfigs};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::start_counts::GatheredRow;
@@ -119,6 +119,7 @@
     started_at: BootTime,
     news: broadcast::Sender<Arc<Body>>,
     soft: Mutex<ServingSoft>,
+    recent: Mutex<RecentConfigs>,
     deltas: Mutex<VecDeque<KnownDelta>>,
 }
 
@@ -147,6 +148,7 @@
             started_at: boot_now(),
             news: broadcast::Sender::new(WAITING_NEWS),
             soft: Mutex::default(),
+            recent: Mutex::default(),
             deltas: Mutex::default(),
         }
     }
@@ -228,10 +230,7 @@
 
     /// Returns the configuration in force, read once for each number.
     pub(super) fn config(&self) -> Option<Arc<ServingConfig>> {
-        let (number, document) = {
-            let state = self.group.read();
-            (state.serving.config_number, state.serving.document.clone())
-        };
+        let HeldConfig { number, document } = self.newest_config();
         if number == ConfigNumber(0) {
             return None;
         }
@@ -253,6 +252,30 @@
         }
     }
 
+    /// Returns the configuration that this process knows as the newest.
+    pub(super) fn newest_config(&self) -> HeldConfig {
+        let state = self.group.read();
+        HeldConfig {
+            number: state.serving.config_number,
+            document: state.serving.document.clone(),
+        }
+    }
+
+    /// Keeps the configurations that come into force, until the process ends.
+    pub(super) async fn keep_recent_configs(&self) {
+        let mut numbers = self.group.serving_numbers();
+        numbers.mark_changed();
+        while numbers.changed().await.is_ok() {
+            numbers.borrow_and_update();
+            self.recent.lock().note(self.newest_config());
+        }
+    }
+
+    /// Returns a configuration that was in force lately.
+    pub(super) fn recent_config(&self, number: ConfigNumber) -> Option<HeldConfig> {
+        self.recent.lock().get(number).cloned()
+    }
+
     /// Returns what turns one configuration into another. All entries need the same deltas, so each is made once.
     pub(super) fn delta_between(&self, base: &HeldConfig, target: &HeldConfig) -> Arc<ByteDelta> {
         let mut deltas = self.deltas.lock();
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -37,13 +37,7 @@
             leader_address: leader_peer_address(hub),
         });
     }
-    let newest = {
-        let state = hub.group.read();
-        HeldConfig {
-            number: state.serving.config_number,
-            document: state.serving.document.clone(),
-        }
-    };
+    let newest = hub.newest_config();
     let (entries, others) = take_presence(hub, hello, &request);
     let content = next_content(hub, hello, &request, &newest, sent);
     if let Some(content) = &content {
@@ -71,7 +65,12 @@
         let is_behind = held != newest.number;
         return is_behind.then(|| serving_renewed::Content::Document(newest.document.clone()));
     }
-    let content = sent.advance(held, newest, |base, target| hub.delta_between(base, target));
+    let content = sent.advance(
+        held,
+        newest,
+        |number| hub.recent_config(number),
+        |base, target| hub.delta_between(base, target),
+    );
     content.map(content_to_wire)
 }
 
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -187,6 +187,10 @@
     tasks.spawn(observe_replicas(Arc::clone(hub), stop.clone()));
     tasks.spawn(run_duties(Arc::clone(hub), stop.clone()));
     tasks.spawn(tidy(Arc::clone(hub), stop.clone()));
+    let (keeping, stopping) = (Arc::clone(hub), stop.clone());
+    tasks.spawn(async move {
+        stopping.run_until_cancelled(keeping.keep_recent_configs()).await;
+    });
     let answering = Arc::clone(hub);
     tasks.spawn(serve_http(
         control,
--- a/crates/acaciabay/src/core/serving/config_chain.rs
+++ b/crates/acaciabay/src/core/serving/config_chain.rs
@@ -5,6 +5,8 @@
 //! configuration twice on one connection, however often the entry asks while it is on its way, and the entry takes every
 //! one that comes. A new connection begins anew. See `docs/design/machines.md`.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 
 use super::config::ConfigNumber;
@@ -24,7 +26,8 @@
 pub enum ConfigContent<D> {
     /// The whole document.
     Whole(Bytes),
-    /// What has changed since the configuration that this connection has brought before.
+    /// What has changed since the configuration that this connection has brought before, or, if it has brought none,
+    /// since the one that the entry held when it asked.
     Change {
         /// The number of that one.
         base: ConfigNumber,
@@ -33,6 +36,34 @@
     },
 }
 
+/// How many configurations that were replaced are kept: entries are behind by one change, a few of them by more.
+const KEPT_CONFIGS: usize = 4;
+
+/// The configurations that were in force last, as far as this process has seen them, the newest first.
+///
+/// With them a leader that has just been elected, or a connection that has just been made, starts with a change instead of
+/// the whole document: all entries ask it at the same moment.
+#[derive(Clone, Debug, Default)]
+pub struct RecentConfigs {
+    rows: VecDeque<HeldConfig>,
+}
+
+impl RecentConfigs {
+    /// Notes a configuration that has come into force.
+    pub fn note(&mut self, config: HeldConfig) {
+        let is_newer = self.rows.front().is_none_or(|newest| newest.number < config.number);
+        if is_newer {
+            self.rows.truncate(KEPT_CONFIGS);
+            self.rows.push_front(config);
+        }
+    }
+
+    /// Returns a configuration by its number.
+    pub fn get(&self, number: ConfigNumber) -> Option<&HeldConfig> {
+        self.rows.iter().find(|config| config.number == number)
+    }
+}
+
 /// The last configuration that a replica has put on a connection.
 #[derive(Clone, Debug, Default)]
 pub struct SentConfig {
@@ -41,23 +72,25 @@
 
 impl SentConfig {
     /// Returns what has to be sent so that an entry holds `newest`, which said that it held the number `held` when it
-    /// asked; nothing if that is on its way or held already.
+    /// asked; nothing if that is on its way or held already. `known` finds what was in force before.
     pub fn advance<D>(
         &mut self,
         held: ConfigNumber,
         newest: &HeldConfig,
+        known: impl FnOnce(ConfigNumber) -> Option<HeldConfig>,
         delta_between: impl FnOnce(&HeldConfig, &HeldConfig) -> D,
     ) -> Option<ConfigContent<D>> {
         let last = self.last.replace(newest.clone());
-        match last {
-            Some(last) if last.number == newest.number => None,
-            Some(last) => Some(ConfigContent::Change {
-                base: last.number,
-                delta: delta_between(&last, newest),
-            }),
-            None if held == newest.number => None,
-            None => Some(ConfigContent::Whole(newest.document.clone())),
+        if last.as_ref().map_or(held, |last| last.number) == newest.number {
+            return None;
         }
+        Some(match last.or_else(|| known(held)) {
+            Some(base) => ConfigContent::Change {
+                base: base.number,
+                delta: delta_between(&base, newest),
+            },
+            None => ConfigContent::Whole(newest.document.clone()),
+        })
     }
 }
 
@@ -116,13 +149,20 @@
     ) -> Result<&HeldConfig, ChainBreak> {
         let document = match (content, &self.last) {
             (Some(ConfigContent::Whole(document)), _) => document,
-            (Some(ConfigContent::Change { base, delta }), Some(last)) if last.number == base => {
+            (Some(ConfigContent::Change { base, delta }), last) => {
+                let last = last.as_ref().unwrap_or(held);
+                if last.number != base {
+                    return Err(ChainBreak::OtherBase { base });
+                }
                 delta.apply(&last.document)?
             }
-            (Some(ConfigContent::Change { base, .. }), _) => return Err(ChainBreak::OtherBase { base }),
-            (None, Some(last)) if last.number == number => last.document.clone(),
-            (None, None) if held.number == number => held.document.clone(),
-            (None, _) => return Err(ChainBreak::NothingSent),
+            (None, last) => {
+                let last = last.as_ref().unwrap_or(held);
+                if last.number != number {
+                    return Err(ChainBreak::NothingSent);
+                }
+                last.document.clone()
+            }
         };
         Ok(self.last.insert(HeldConfig { number, document }))
     }
--- a/crates/acaciabay/tests/serving/chain.rs
+++ b/crates/acaciabay/tests/serving/chain.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use acaciabay::core::serving::config::ConfigNumber;
-use acaciabay::core::serving::config_chain::{ChainBreak, ConfigContent, HeldConfig, SentConfig, TakenConfig};
+use acaciabay::core::serving::config_chain::{
+    ChainBreak, ConfigContent, HeldConfig, RecentConfigs, SentConfig, TakenConfig,
+};
 use acaciabay::util::byte_delta::ByteDelta;
 use proptest::prelude::*;
 
@@ -18,9 +20,21 @@
 }
 
 fn advance(sent: &mut SentConfig, held: u64, newest: &HeldConfig) -> Option<ConfigContent<ByteDelta>> {
-    sent.advance(ConfigNumber(held), newest, |base, target| {
-        ByteDelta::between(&base.document, &target.document)
-    })
+    advance_knowing(sent, held, newest, &RecentConfigs::default())
+}
+
+fn advance_knowing(
+    sent: &mut SentConfig,
+    held: u64,
+    newest: &HeldConfig,
+    recent: &RecentConfigs,
+) -> Option<ConfigContent<ByteDelta>> {
+    sent.advance(
+        ConfigNumber(held),
+        newest,
+        |number| recent.get(number).cloned(),
+        |base, target| ByteDelta::between(&base.document, &target.document),
+    )
 }
 
 /// Guards against a large configuration that is sent again with every question that is asked while it is on its way.
@@ -56,10 +70,34 @@
     assert_eq!(held, Ok(&config(21)));
 }
 
+/// Guards against a leader that has just been elected and sends the whole document to every entry at once.
+#[test]
+fn a_new_connection_starts_from_what_the_entry_holds() {
+    let mut recent = RecentConfigs::default();
+    (1..=9).for_each(|number| recent.note(config(number)));
+    recent.note(config(4));
+
+    let change = advance_knowing(&mut SentConfig::default(), 6, &config(9), &recent);
+    let held_long_ago = advance_knowing(&mut SentConfig::default(), 4, &config(9), &recent);
+
+    let taken = TakenConfig::default()
+        .take(ConfigNumber(9), change.clone(), &config(6))
+        .cloned();
+    assert!(matches!(
+        change,
+        Some(ConfigContent::Change {
+            base: ConfigNumber(6),
+            ..
+        })
+    ));
+    assert_eq!(taken, Ok(config(9)));
+    assert_eq!(held_long_ago, Some(ConfigContent::Whole(config(9).document)));
+}
+
 #[test]
 fn an_answer_that_follows_from_nothing_ends_the_session() {
     let other = ConfigContent::Change {
-        base: ConfigNumber(3),
+        base: ConfigNumber(2),
         delta: ByteDelta::default(),
     };
 
@@ -68,7 +106,7 @@
         .cloned();
     let nothing = TakenConfig::default().take(ConfigNumber(4), None, &config(3)).cloned();
 
-    assert_eq!(change, Err(ChainBreak::OtherBase { base: ConfigNumber(3) }));
+    assert_eq!(change, Err(ChainBreak::OtherBase { base: ConfigNumber(2) }));
     assert_eq!(nothing, Err(ChainBreak::NothingSent));
 }
 
@@ -112,16 +150,20 @@
     fn every_answer_gives_the_document_of_its_number(steps in prop::collection::vec(step(), 0..200)) {
         let mut connections: [Connection; 3] = Default::default();
         let mut newest = config(1);
+        let mut recent = RecentConfigs::default();
         let mut held = HeldConfig::default();
         for step in steps {
             match step {
-                Step::Commit(ahead) => newest = config(newest.number.0 + ahead),
+                Step::Commit(ahead) => {
+                    recent.note(newest.clone());
+                    newest = config(newest.number.0 + ahead);
+                }
                 Step::Reconnect(replica) => connections[replica] = Connection::default(),
                 Step::Ask(replica) => connections[replica].questions.push_back(held.clone()),
                 Step::Answer(replica) => {
                     let connection = &mut connections[replica];
                     if let Some(asked) = connection.questions.pop_front() {
-                        let content = advance(&mut connection.sent, asked.number.0, &newest);
+                        let content = advance_knowing(&mut connection.sent, asked.number.0, &newest, &recent);
                         connection.answers.push_back((asked, newest.number, content));
                     }
                 }
