Keep the control link while a large table is on its way

What callers would see, on the product's own interface: an entry that starts behind a slow link never holds a lease and refuses everything.

The link was given up 1.2 s after the oldest call had been sent, also in the middle of the answer; the next connection began the answer anew.

Evidence: authority::entry_takes_a_table_that_is_long_on_its_way (4,000 routes at 60 KB a second) fails without the change: the link times out every 1.3 s for 30 s. With it the entry serves after 5 s.

Now an answer on its way is not overdue while bytes of it arrive.

--- a/crates/acacia-entry/src/control_link.rs
+++ b/crates/acacia-entry/src/control_link.rs
@@ -23,7 +23,7 @@
 
 /// How long a connection attempt may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long the oldest call may wait for its answer before the connection is given up as silent.
+/// How long the oldest call may wait without a byte of an answer before the connection is given up as silent.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The longest pause before trying the next address; the actual one is random, so that the entries do not all come at
 /// once when a leader has changed.
@@ -184,8 +184,7 @@
     ) -> std::io::Result<LinkEnd> {
         self.send_again(&mut writer).await?;
         loop {
-            let overdue = self.pending.values().map(|pending| pending.sent_at).min();
-            let overdue = overdue.map_or_else(|| Instant::now() + ANSWER_TIMEOUT, |sent_at| sent_at + ANSWER_TIMEOUT);
+            let overdue = self.overdue_at(&reader);
             tokio::select! {
                 frame = reader.next() => match frame? {
                     Some(Frame::EntryReply(reply)) => {
@@ -202,7 +201,7 @@
                 },
                 () = tokio::time::sleep_until(overdue) => {
                     self.pending.retain(|_, pending| !pending.call.answer.is_closed());
-                    if self.pending.values().any(|pending| pending.sent_at.elapsed() >= ANSWER_TIMEOUT) {
+                    if !self.pending.is_empty() && self.overdue_at(&reader) <= Instant::now() {
                         return Err(std::io::ErrorKind::TimedOut.into());
                     }
                 }
@@ -210,6 +209,15 @@
         }
     }
 
+    /// Returns when the connection counts as silent.
+    ///
+    /// An answer that is on its way is not overdue however long it takes: on another connection it would begin anew.
+    fn overdue_at(&self, reader: &FrameReader<TcpStream>) -> Instant {
+        let oldest = self.pending.values().map(|pending| pending.sent_at).min();
+        let heard_at = oldest.max(reader.partial_arrival()).unwrap_or_else(Instant::now);
+        heard_at + ANSWER_TIMEOUT
+    }
+
     async fn send_again(&mut self, writer: &mut FrameWriter<TcpStream>) -> std::io::Result<()> {
         for (number, pending) in &mut self.pending {
             pending.sent_at = Instant::now();
--- a/crates/acacia-wire/src/frame.rs
+++ b/crates/acacia-wire/src/frame.rs
@@ -98,6 +98,12 @@
 }
 
 impl<S: AsyncRead> FrameReader<S> {
+    /// Returns when bytes of a frame last arrived that is not whole yet; nothing while none is on its way.
+    pub fn partial_arrival(&self) -> Option<Instant> {
+        let is_partial = !self.frames.read_buffer().is_empty();
+        is_partial.then_some(self.frames.get_ref().arrived_at)
+    }
+
     /// Returns the next frame as [`next`](Self::next) does, unless nothing at all arrives for `silence`.
     ///
     /// A frame that is long in coming is no silence: a connection that was given up in the middle of one would have to
--- a/tests/testsuite/authority.rs
+++ b/tests/testsuite/authority.rs
@@ -320,3 +320,25 @@
     let printed = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(printed.contains("another process uses the folder"), "{printed}");
 }
+
+/// Guards against a connection that is given up in the middle of a large table and begins it anew, without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_takes_a_table_that_is_long_on_its_way() {
+    let mut cluster = cluster(ClusterShape {
+        engines: 0,
+        entries: 1,
+        relays: true,
+        ..ClusterShape::default()
+    });
+    let key = cluster.configure().await;
+    let routes: Vec<Value> = (0..4_000)
+        .map(|number| json!({"customer": "bottega-amati", "model": format!("m-{number}"), "pool": "engines", "deadline_ms": 30_000}))
+        .collect();
+    cluster.apply("routes", &routes.into()).await;
+    cluster.entries[0].take().expect("the entry runs").kill();
+
+    cluster.relays[0].slow_towards_source(60_000);
+    cluster.start_entry(0);
+
+    assert_serves(&cluster, 0, &key.secret).await;
+}
