Say in one place what a group is founded with

The first term, the first index and an empty state stood in the founding of both control programs and again in the simulation and the tests of members. Behaviour and assertions are as they were.

--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -13,9 +13,7 @@
 use acacia_settings::ControlSettings;
 use acacia_wire::ReportRow;
 use acacia_wire::generated::replica::Hello;
-use acaciabay::core::consensus::{
-    DiskId, HardState, LogIndex, MemberRow, MemberSet, QuorumPolicy, ReplicaId, ReplicaSnapshot, Term,
-};
+use acaciabay::core::consensus::{DiskId, HardState, MemberRow, MemberSet, QuorumPolicy, ReplicaId, ReplicaSnapshot};
 use acaciabay::core::delivery::DeliveryTable;
 use acaciabay::core::endpoint_changes::EndpointChanges;
 use acaciabay::core::member::EntryTable;
@@ -23,7 +21,6 @@
 use acaciabay::core::presence::PresenceTable;
 use acaciabay::util::digest::ContentDigest;
 use anyhow::{Context, bail};
-use bytes::Bytes;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -147,20 +144,7 @@
         voter: true,
     };
     let members = MemberSet::new([(replica, row)], replica);
-    let snapshot = ReplicaSnapshot {
-        index: LogIndex(1),
-        term: Term(1),
-        members,
-        state: Bytes::new(),
-    };
-    folder.initialise(
-        HardState {
-            term: Term(1),
-            vote: None,
-            leader: None,
-        },
-        &snapshot,
-    )?;
+    folder.initialise(HardState::founding(), &ReplicaSnapshot::founding(members))?;
     folder.store_identity(&FolderIdentity {
         group: random_number()?,
         disk,
--- a/crates/acacia-control/src/serving/founding.rs
+++ b/crates/acacia-control/src/serving/founding.rs
@@ -13,9 +13,8 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::replica::{JoinReply, JoinRequest};
 use acacia_wire::split_frames;
-use acaciabay::core::consensus::{DiskId, HardState, LogIndex, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot, Term};
+use acaciabay::core::consensus::{DiskId, HardState, MemberRow, MemberSet, ReplicaId, ReplicaSnapshot};
 use acaciabay::util::rendezvous;
-use bytes::Bytes;
 use slog::Logger;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -84,18 +83,7 @@
         replica: None,
     };
     folder.store_identity(&identity)?;
-    let snapshot = ReplicaSnapshot {
-        index: LogIndex(1),
-        term: Term(1),
-        members,
-        state: Bytes::new(),
-    };
-    let hard_state = HardState {
-        term: Term(1),
-        vote: None,
-        leader: None,
-    };
-    folder.initialise(hard_state, &snapshot)?;
+    folder.initialise(HardState::founding(), &ReplicaSnapshot::founding(members))?;
     let identity = FolderIdentity {
         replica: Some(ReplicaId(number(place))),
         ..identity
--- a/crates/acaciabay/src/core/consensus/entry.rs
+++ b/crates/acaciabay/src/core/consensus/entry.rs
@@ -73,6 +73,17 @@
     pub leader: Option<ReplicaId>,
 }
 
+impl HardState {
+    /// Returns what the first members of a group start with.
+    pub const fn founding() -> Self {
+        Self {
+            term: Term(1),
+            vote: None,
+            leader: None,
+        }
+    }
+}
+
 /// The replicated state after the entry at `index`, in place of all entries up to there.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaSnapshot {
@@ -85,3 +96,15 @@
     /// The state, in the form that the embedder has given it.
     pub state: Bytes,
 }
+
+impl ReplicaSnapshot {
+    /// Returns the state of a group that is founded with these members: nothing.
+    pub fn founding(members: MemberSet) -> Self {
+        Self {
+            index: LogIndex(1),
+            term: Term(1),
+            members,
+            state: Bytes::new(),
+        }
+    }
+}
--- a/crates/acaciabay/tests/consensus/simulation/mod.rs
+++ b/crates/acaciabay/tests/consensus/simulation/mod.rs
@@ -81,22 +81,12 @@
             (ReplicaId(index as u64 + 1), row)
         });
         let members = MemberSet::new(rows, ReplicaId(replicas as u64));
-        let snapshot = ReplicaSnapshot {
-            index: LogIndex(1),
-            term: Term(1),
-            members,
-            state: Bytes::new(),
-        };
-        let hard_state = HardState {
-            term: Term(1),
-            vote: None,
-            leader: None,
-        };
+        let snapshot = ReplicaSnapshot::founding(members);
         let hosts = (0..replicas).map(|index| Host {
             name: host_name(index),
             id: Some(ReplicaId(index as u64 + 1)),
             disk_id: DiskId(index as u64 + 1),
-            disk: SimulatedDisk::starting_with(hard_state, snapshot.clone()),
+            disk: SimulatedDisk::starting_with(HardState::founding(), snapshot.clone()),
             running: None,
             applied: Vec::new(),
             paused_until: 0,
--- a/crates/acaciabay/tests/serving/members.rs
+++ b/crates/acaciabay/tests/serving/members.rs
@@ -30,11 +30,7 @@
     };
     let members = MemberSet::new([(ReplicaId(1), row)], ReplicaId(1));
     let restored = RestoredReplica {
-        hard_state: HardState {
-            term: Term(1),
-            vote: None,
-            leader: None,
-        },
+        hard_state: HardState::founding(),
         log: ReplicaLog::after_snapshot(LogIndex(1), Term(1), members),
     };
     let mut replica = Replica::new(at(0), ReplicaId(1), restored, 7).with_policy(policy);
@@ -96,11 +92,7 @@
         let members = MemberSet::new((1..=3).map(|number| (ReplicaId(number), row(number))), ReplicaId(3));
         let replica = |number: u64| {
             let restored = RestoredReplica {
-                hard_state: HardState {
-                    term: Term(1),
-                    vote: None,
-                    leader: None,
-                },
+                hard_state: HardState::founding(),
                 log: ReplicaLog::after_snapshot(LogIndex(1), Term(1), members.clone()),
             };
             Replica::new(at(0), ReplicaId(number), restored, number).with_policy(policy)
