Tell a frame on its way from silence in one way

FrameReader had two: next_within compared moments by itself, partial_arrival asked the buffer. next_within now asks partial_arrival: bytes that came without completing a frame are exactly a frame on its way. The tests of both (late_answers::*, authority::entry_takes_a_table_that_is_long_on_its_way) pass unchanged.

--- a/crates/acacia-wire/src/frame.rs
+++ b/crates/acacia-wire/src/frame.rs
@@ -118,11 +118,8 @@
             if let Ok(next) = tokio::time::timeout_at(heard_at + silence, self.next()).await {
                 return next;
             }
-            let arrived_at = self.frames.get_ref().arrived_at;
-            if arrived_at <= heard_at {
-                return Err(io::ErrorKind::TimedOut.into());
-            }
-            heard_at = arrived_at;
+            let arrival = self.partial_arrival().filter(|arrived_at| *arrived_at > heard_at);
+            heard_at = arrival.ok_or(io::ErrorKind::TimedOut)?;
         }
     }
 }
