Share a delta between sessions without a type parameter, out of one cache

ConfigContent had a type parameter only so that a leader could pass a shared delta where an entry passes its own. A clone of ByteDelta now shares its pieces, so one type serves both; the AsRef that bridged them is gone. The recent configurations and the deltas between them, two locks in the hub, are one ConfigCache in a file of its own. An entry takes an answer by value in place of a copy of its content.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a control process share.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,16 +14,16 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
-use acaciabay::core::serving::config_chain::{HeldConfig, RecentConfigs};
+use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::start_counts::GatheredRow;
-use acaciabay::util::byte_delta::ByteDelta;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::sync::broadcast;
 
 use super::codec::{ControlCodec, PlatformCodec};
+use super::config_cache::ConfigCache;
 use crate::group::GroupHandle;
 
 /// How many pieces of news a session may be behind before it starts over with all endpoints.
@@ -34,9 +34,6 @@
 /// After which silence an entry no longer counts as serving; its lease has ended long before.
 const ENTRY_SILENCE: Duration = Duration::from_secs(10);
 
-/// How many deltas between configurations are kept: entries are behind by one change, a few of them by more.
-const KNOWN_DELTAS: usize = 8;
-
 /// What an entry has said last.
 #[derive(Clone, Debug)]
 pub(super) struct EntryPresence {
@@ -119,16 +116,7 @@
     started_at: BootTime,
     news: broadcast::Sender<Arc<Body>>,
     soft: Mutex<ServingSoft>,
-    recent: Mutex<RecentConfigs>,
-    deltas: Mutex<VecDeque<KnownDelta>>,
-}
-
-/// What turns one configuration into a later one.
-#[derive(Debug)]
-struct KnownDelta {
-    base: ConfigNumber,
-    target: ConfigNumber,
-    delta: Arc<ByteDelta>,
+    configs: Mutex<ConfigCache>,
 }
 
 impl ServingHub {
@@ -148,8 +136,7 @@
             started_at: boot_now(),
             news: broadcast::Sender::new(WAITING_NEWS),
             soft: Mutex::default(),
-            recent: Mutex::default(),
-            deltas: Mutex::default(),
+            configs: Mutex::default(),
         }
     }
 
@@ -261,36 +248,19 @@
         }
     }
 
+    pub(super) fn configs(&self) -> MutexGuard<'_, ConfigCache> {
+        self.configs.lock()
+    }
+
     /// Keeps the configurations that come into force, until the process ends.
     pub(super) async fn keep_recent_configs(&self) {
         let mut numbers = self.group.serving_numbers();
         numbers.mark_changed();
         while numbers.changed().await.is_ok() {
             numbers.borrow_and_update();
-            self.recent.lock().note(self.newest_config());
-        }
-    }
-
-    /// Returns a configuration that was in force lately.
-    pub(super) fn recent_config(&self, number: ConfigNumber) -> Option<HeldConfig> {
-        self.recent.lock().get(number).cloned()
-    }
-
-    /// Returns what turns one configuration into another. All entries need the same deltas, so each is made once.
-    pub(super) fn delta_between(&self, base: &HeldConfig, target: &HeldConfig) -> Arc<ByteDelta> {
-        let mut deltas = self.deltas.lock();
-        let wanted = (base.number, target.number);
-        if let Some(known) = deltas.iter().find(|known| (known.base, known.target) == wanted) {
-            return Arc::clone(&known.delta);
+            let newest = self.newest_config();
+            self.configs().recent.note(newest);
         }
-        let delta = Arc::new(ByteDelta::between(&base.document, &target.document));
-        deltas.truncate(KNOWN_DELTAS - 1);
-        deltas.push_front(KnownDelta {
-            base: base.number,
-            target: target.number,
-            delta: Arc::clone(&delta),
-        });
-        delta
     }
 
     /// Returns the control address of the leader, which has the same ports as this process.
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! * `founding` finds or founds the group, `peers` takes connections of entries and replicas.
 //! * `hub` is what the tasks share; `session` serves one entry or replica, `renewals` answers
-//!   entries, `observer` listens to the other replicas.
+//!   entries out of `config_cache`, `observer` listens to the other replicas.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
 //! * `duties` does what one process at a time may do, through a [`PlatformCodec`]: `usage_windows`, `stage_orders`
 //!   with `engine_orders`, `pool_orders`.
@@ -11,6 +11,7 @@
 //! What calls look like is said by the two codecs alone. `docs/design/machines.md` has the whole picture.
 
 mod codec;
+mod config_cache;
 mod control_http;
 mod duties;
 mod engine_orders;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -68,8 +68,8 @@
     let content = sent.advance(
         held,
         newest,
-        |number| hub.recent_config(number),
-        |base, target| hub.delta_between(base, target),
+        |number| hub.configs().recent.get(number).cloned(),
+        |base, target| hub.configs().delta_between(base, target),
     );
     content.map(content_to_wire)
 }
--- a/crates/acacia-entry/src/serving/config_intake.rs
+++ b/crates/acacia-entry/src/serving/config_intake.rs
@@ -6,7 +6,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::content_from_wire;
-use acacia_wire::generated::serving::{ServingRenewed, serving_renewed};
+use acacia_wire::generated::serving::serving_renewed;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_chain::{HeldConfig, TakenConfig};
@@ -36,17 +36,22 @@
 }
 
 impl ReplicaSession {
-    /// Takes an answer to a renewal.
+    /// Takes the answer to a renewal: the number of the newest configuration, and what brings the entry to it.
     ///
     /// # Errors
     ///
     /// Fails when the answer does not follow from what came before; the session has to begin anew.
-    pub(super) fn take(&mut self, now: BootTime, renewed: &ServingRenewed) -> io::Result<ConfigArrival> {
-        let asked = self.renewals.answer(renewed.request);
+    pub(super) fn take(
+        &mut self,
+        now: BootTime,
+        renewal: u64,
+        number: ConfigNumber,
+        content: Option<serving_renewed::Content>,
+    ) -> io::Result<ConfigArrival> {
+        let asked = self.renewals.answer(renewal);
         let asked = asked.ok_or_else(|| io::Error::other("answer to a renewal that is not open"))?;
-        let bytes = content_bytes(renewed.content.as_ref());
-        let content = renewed.content.clone().map(content_from_wire).transpose();
-        let number = ConfigNumber(renewed.config_number);
+        let bytes = content_bytes(content.as_ref());
+        let content = content.map(content_from_wire).transpose();
         let taken = self.taken.take(number, content.map_err(io::Error::other)?, &asked.held);
         Ok(ConfigArrival {
             config: taken.map_err(io::Error::other)?.clone(),
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -211,12 +211,12 @@
         }
     }
 
-    fn log_late(&self, now: BootTime, address: SocketAddr, renewed: &ServingRenewed, arrival: &ConfigArrival) {
+    fn log_late(&self, now: BootTime, address: SocketAddr, asked: u64, arrival: &ConfigArrival) {
         let took = now.since(arrival.asked_at);
         if took >= LEADER_PATIENCE {
             metrics::counter!("acacia_renewals_late_total").increment(1);
             slog::info!(self.shared.log, "renewal answered late"; "event" => event::RENEWAL_LATE,
-                "asked" => renewed.request, "took_ms" => whole_millis(took), "number" => renewed.config_number,
+                "asked" => asked, "took_ms" => whole_millis(took), "number" => arrival.config.number.0,
                 "bytes" => arrival.bytes, "replica" => %address);
         }
     }
@@ -232,7 +232,7 @@
                 return Err(std::io::ErrorKind::InvalidData.into());
             };
             match body {
-                Body::Renewed(renewed) => self.take_renewal(address, session, &renewed)?,
+                Body::Renewed(renewed) => self.take_renewal(address, session, renewed)?,
                 Body::Elsewhere(elsewhere) => {
                     session.lock().renewals.answer(elsewhere.request);
                     let named: Option<SocketAddr> = elsewhere.leader_address.parse().ok();
@@ -270,11 +270,13 @@
         &self,
         address: SocketAddr,
         session: &Mutex<ReplicaSession>,
-        renewed: &ServingRenewed,
+        renewed: ServingRenewed,
     ) -> std::io::Result<()> {
         let now = boot_now();
-        let arrival = session.lock().take(now, renewed)?;
-        self.log_late(now, address, renewed, &arrival);
+        let (entries, others) = (renewed.entries, renewed.others);
+        let number = ConfigNumber(renewed.config_number);
+        let arrival = session.lock().take(now, renewed.request, number, renewed.content)?;
+        self.log_late(now, address, renewed.request, &arrival);
         self.replicas.lock().note_confirmed(now, address);
         self.shared.install_config(&arrival)?;
         let mut view = self.shared.view();
@@ -282,8 +284,8 @@
         if view.held.number != arrival.config.number {
             return Ok(());
         }
-        view.entries = renewed.entries;
-        view.loads.hear_others(renewed.others.iter().map(use_from_wire));
+        view.entries = entries;
+        view.loads.hear_others(others.iter().map(use_from_wire));
         let is_behind = view.standing.behind_since(view.held.number).is_some();
         drop(view);
         self.shared.confirm_lease(arrival.asked_at);
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -138,11 +138,11 @@
 }
 
 /// Encodes what brings an entry to a configuration.
-pub fn content_to_wire(content: ConfigContent<impl AsRef<ByteDelta>>) -> serving_renewed::Content {
+pub fn content_to_wire(content: ConfigContent) -> serving_renewed::Content {
     match content {
         ConfigContent::Whole(document) => serving_renewed::Content::Document(document),
         ConfigContent::Change { base, delta } => {
-            let pieces = delta.as_ref().pieces().iter().map(piece_to_wire);
+            let pieces = delta.pieces().iter().map(piece_to_wire);
             serving_renewed::Content::Delta(serving::DocumentDelta {
                 base_number: base.0,
                 pieces: pieces.collect(),
@@ -156,7 +156,7 @@
 /// # Errors
 ///
 /// Fails when a piece of a change is missing or impossible.
-pub fn content_from_wire(message: serving_renewed::Content) -> Result<ConfigContent<ByteDelta>, WireError> {
+pub fn content_from_wire(message: serving_renewed::Content) -> Result<ConfigContent, WireError> {
     match message {
         serving_renewed::Content::Document(document) => Ok(ConfigContent::Whole(document)),
         serving_renewed::Content::Delta(message) => {
--- a/crates/acaciabay/src/core/serving/config_chain.rs
+++ b/crates/acaciabay/src/core/serving/config_chain.rs
@@ -23,7 +23,7 @@
 
 /// What brings an entry to a configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ConfigContent<D> {
+pub enum ConfigContent {
     /// The whole document.
     Whole(Bytes),
     /// What has changed since the configuration that this connection has brought before, or, if it has brought none,
@@ -32,7 +32,7 @@
         /// The number of that one.
         base: ConfigNumber,
         /// What has changed.
-        delta: D,
+        delta: ByteDelta,
     },
 }
 
@@ -73,13 +73,13 @@
 impl SentConfig {
     /// Returns what has to be sent so that an entry holds `newest`, which said that it held the number `held` when it
     /// asked; nothing if that is on its way or held already. `known` finds what was in force before.
-    pub fn advance<D>(
+    pub fn advance(
         &mut self,
         held: ConfigNumber,
         newest: &HeldConfig,
         known: impl FnOnce(ConfigNumber) -> Option<HeldConfig>,
-        delta_between: impl FnOnce(&HeldConfig, &HeldConfig) -> D,
-    ) -> Option<ConfigContent<D>> {
+        delta_between: impl FnOnce(&HeldConfig, &HeldConfig) -> ByteDelta,
+    ) -> Option<ConfigContent> {
         let last = self.last.replace(newest.clone());
         if last.as_ref().map_or(held, |last| last.number) == newest.number {
             return None;
@@ -144,7 +144,7 @@
     pub fn take(
         &mut self,
         number: ConfigNumber,
-        content: Option<ConfigContent<ByteDelta>>,
+        content: Option<ConfigContent>,
         held: &HeldConfig,
     ) -> Result<&HeldConfig, ChainBreak> {
         let document = match (content, &self.last) {
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Serving by host and path: what an operator configures as one numbered document, and what an entry knows of endpoints.
 //!
-//! * [`config`] is the configuration, [`config_index`] finds a call's route and customer in it; [`config_standing`] says whether it is the newest.
+//! * [`config`] is the configuration, [`config_index`] finds a call's route and customer in it; [`config_standing`] says
+//!   whether it is the newest.
 //! * [`config_chain`] hands configurations over a connection, [`renewal_ledger`] says when an entry asks.
 //! * [`endpoint_registry`] orders what endpoints say of themselves, whichever way and however late it arrives.
 //! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
--- a/crates/acaciabay/src/util/byte_delta.rs
+++ b/crates/acaciabay/src/util/byte_delta.rs
@@ -5,6 +5,7 @@
 //! documents without anything in common cost no more than two that are nearly equal.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use fastcdc::v2020::{Chunk, FastCDC};
@@ -28,16 +29,10 @@
     Inserted(Bytes),
 }
 
-/// What turns a base into a result: its pieces one after the other.
+/// What turns a base into a result: its pieces one after the other. A clone shares them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ByteDelta {
-    pieces: Vec<DeltaPiece>,
-}
-
-impl AsRef<Self> for ByteDelta {
-    fn as_ref(&self) -> &Self {
-        self
-    }
+    pieces: Arc<[DeltaPiece]>,
 }
 
 /// The delta was made for another base, or its result would be too large.
@@ -79,12 +74,12 @@
             }
         }
         delta.insert_to(target.len());
-        Self { pieces: delta.pieces }
+        Self::from_pieces(delta.pieces)
     }
 
-    /// Wraps pieces that came over a connection.
-    pub const fn from_pieces(pieces: Vec<DeltaPiece>) -> Self {
-        Self { pieces }
+    /// Wraps pieces.
+    pub fn from_pieces(pieces: Vec<DeltaPiece>) -> Self {
+        Self { pieces: pieces.into() }
     }
 
     /// Returns the pieces in order.
@@ -108,7 +103,7 @@
     /// Fails when a piece lies outside the base, or the result would be larger than 64 MiB.
     pub fn apply(&self, base: &[u8]) -> Result<Bytes, DeltaMisfit> {
         let mut result = BytesMut::new();
-        for piece in &self.pieces {
+        for piece in self.pieces.iter() {
             let bytes = match piece {
                 DeltaPiece::Kept { start, length } => {
                     let end = start.checked_add(*length).ok_or(DeltaMisfit)?;
--- a/crates/acaciabay/tests/serving/chain.rs
+++ b/crates/acaciabay/tests/serving/chain.rs
@@ -19,7 +19,7 @@
     }
 }
 
-fn advance(sent: &mut SentConfig, held: u64, newest: &HeldConfig) -> Option<ConfigContent<ByteDelta>> {
+fn advance(sent: &mut SentConfig, held: u64, newest: &HeldConfig) -> Option<ConfigContent> {
     advance_knowing(sent, held, newest, &RecentConfigs::default())
 }
 
@@ -28,7 +28,7 @@
     held: u64,
     newest: &HeldConfig,
     recent: &RecentConfigs,
-) -> Option<ConfigContent<ByteDelta>> {
+) -> Option<ConfigContent> {
     sent.advance(
         ConfigNumber(held),
         newest,
@@ -130,7 +130,7 @@
     sent: SentConfig,
     taken: TakenConfig,
     questions: VecDeque<HeldConfig>,
-    answers: VecDeque<(HeldConfig, ConfigNumber, Option<ConfigContent<ByteDelta>>)>,
+    answers: VecDeque<(HeldConfig, ConfigNumber, Option<ConfigContent>)>,
 }
 
 fn step() -> impl Strategy<Value = Step> {
