Stamp only the frames that carry a configuration

Every frame to an entry read the clock and was matched again when it was written, for a log line that concerns answers with a configuration. The number and the time are now noted where the answer is made; news of endpoints, the bulk of the frames, cost neither. The lines are the same.

--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -58,7 +58,7 @@
         };
         if let Body::Renew(request) = body {
             let answer = answer_renewal(hub, hello, request, &mut sent).await;
-            if frames.send(WaitingFrame::new(boot_now(), answer)).await.is_err() {
+            if frames.send(WaitingFrame::answer(boot_now(), answer)).await.is_err() {
                 return Ok(());
             }
         }
@@ -70,20 +70,23 @@
 #[derive(Debug)]
 struct WaitingFrame {
     body: Body,
-    since: BootTime,
+    /// The number of the configuration that it carries, and since when it waits.
+    carried: Option<(u64, BootTime)>,
 }
 
 impl WaitingFrame {
-    const fn new(since: BootTime, body: Body) -> Self {
-        Self { body, since }
+    fn answer(now: BootTime, body: Body) -> Self {
+        let carried = match &body {
+            Body::Renewed(renewed) => renewed.content.as_ref().map(|_| (renewed.config_number, now)),
+            _ => None,
+        };
+        Self { body, carried }
     }
+}
 
-    /// Returns the number of the configuration that the frame carries, if it does.
-    fn carried_config(&self) -> Option<u64> {
-        match &self.body {
-            Body::Renewed(renewed) => renewed.content.as_ref().map(|_| renewed.config_number),
-            _ => None,
-        }
+impl From<Body> for WaitingFrame {
+    fn from(body: Body) -> Self {
+        Self { body, carried: None }
     }
 }
 
@@ -100,13 +103,13 @@
             Ok(None) => return Ok(()),
             Err(_elapsed) => {
                 next_sign = Instant::now() + ALIVE_INTERVAL;
-                WaitingFrame::new(boot_now(), sign_of_life())
+                sign_of_life().into()
             }
         };
-        let mut carried = frame.carried_config().map(|number| (number, frame.since));
+        let mut carried = frame.carried;
         writer.feed(serving_frame(frame.body)).await?;
         while let Ok(frame) = waiting.try_recv() {
-            carried = carried.or(frame.carried_config().map(|number| (number, frame.since)));
+            carried = carried.or(frame.carried);
             writer.feed(serving_frame(frame.body)).await?;
         }
         writer.flush().await?;
@@ -135,7 +138,7 @@
     let mut addresses = Vec::new();
     let mut led = false;
     let first = Body::News(hub.all_endpoints());
-    if frames.send(WaitingFrame::new(boot_now(), first)).await.is_err() {
+    if frames.send(first.into()).await.is_err() {
         return;
     }
     numbers.mark_changed();
@@ -155,8 +158,7 @@
                 };
                 // Entries without a lease refuse everything: told of the leader, they need not find it by asking.
                 let leads_now = std::mem::replace(&mut led, leads) != leads && leads;
-                let word = WaitingFrame::new(boot_now(), Body::Leads(Leadership {}));
-                if leads_now && frames.send(word).await.is_err() {
+                if leads_now && frames.send(Body::Leads(Leadership {}).into()).await.is_err() {
                     return;
                 }
                 if voters == addresses {
@@ -167,7 +169,7 @@
             },
             else => return,
         };
-        if frames.send(WaitingFrame::new(boot_now(), body)).await.is_err() {
+        if frames.send(body.into()).await.is_err() {
             return;
         }
     }
