Log calls whose caller leaves while an endpoint is waited for

E0230 has the endpoint, the role, how long the caller would wait, how long the entry had the call and how long the endpoint did.

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -6,6 +6,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
+use acaciabay::core::clock::BootTime;
 use acaciabay::util::number::whole_millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -61,6 +62,34 @@
     }
 }
 
+/// A send that is waited for. Dropped before its end, it logs that the caller has left.
+#[derive(Debug)]
+struct WatchedSend<'call> {
+    call: &'call OpenCall,
+    chosen: &'call ChosenEndpoint,
+    role: AttemptRole<'call>,
+    sent_at: BootTime,
+    /// How long the endpoint would have been waited for.
+    bound: Duration,
+    is_ended: bool,
+}
+
+impl Drop for WatchedSend<'_> {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        let call = self.call;
+        let now = boot_now();
+        slog::info!(call.shared.log, "call abandoned"; "event" => event::CALL_ABANDONED,
+            "request" => &call.head.request, "route" => &call.route().name, "endpoint" => self.chosen.name.as_str(),
+            "role" => ?self.role, "patience_ms" => whole_millis(call.until.since(call.received_at)),
+            "after_ms" => whole_millis(now.since(call.received_at)),
+            "sent_ms" => whole_millis(now.since(self.sent_at)), "bound_ms" => whole_millis(self.bound), "report" => self.chosen.endpoint.sequence);
+        metrics::counter!("acacia_calls_abandoned_total").increment(1);
+    }
+}
+
 /// Sends a call and waits for the head of the answer, at most for `patience`.
 pub(super) async fn send(
     call: &OpenCall,
@@ -90,7 +119,17 @@
         .shared
         .client
         .send(sent_at, chosen.endpoint.address, ConnectionChoice::Pooled, request);
-    let outcome = match tokio::time::timeout(patience, sending).await {
+    let mut watched = WatchedSend {
+        call,
+        chosen,
+        role,
+        sent_at,
+        bound: patience,
+        is_ended: false,
+    };
+    let answer = tokio::time::timeout(patience, sending).await;
+    watched.is_ended = true;
+    let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => {
             let outcome = match failure.state {
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -67,6 +67,8 @@
     CONFIG_ASKED = "E0228";
     /// An answer came after the entry had asked again.
     RENEWAL_LATE = "E0229";
+    /// The caller left before an endpoint had answered.
+    CALL_ABANDONED = "E0230";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
