Tell all entries which engines keep which parts of prompts

Cause: with 195 entries each sends about one prompt a second and knows next to nothing of what engines keep. A part was taken for kept at its home by hash with a trust of 0.95, also when nobody had read it. The wrong count went to the other entries as the queue, so short prompts were sent behind long ones. A fault of size: six entries meet each part often enough to know by themselves.

Change: entries tell the leader with their renewals which shared parts they had read where, each once; the leader keeps them in a bounded log and answers each renewal with what came since (core/serving/kept_parts). place_prompt counts a part in full unless a keeper is known, copies from one that is, and gives engines that are equally good an order by hash. The test of the copy from an overloaded home now says that the home has read the part; the other tests stand as they were.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -17,6 +17,7 @@
 use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
+use acaciabay::core::serving::kept_parts::KeptLog;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -61,6 +62,8 @@
     /// What entries have counted and is not committed yet.
     pub(super) starts: Vec<GatheredRow>,
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
+    /// Which engines keep which parts, as entries have told this process.
+    pub(super) kept: KeptLog,
     config: Option<Arc<ServingConfig>>,
 }
 
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -6,14 +6,17 @@
 use acacia_runtime::event;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
-    EndpointUse, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
+    EndpointUse, KeptPart, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
 };
 use acacia_wire::generated::state::WindowCounts;
-use acacia_wire::{content_to_wire, counts_from_wire, pace_from_wire, use_from_wire, use_to_wire};
+use acacia_wire::{
+    content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, use_from_wire, use_to_wire,
+};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::HostName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_chain::{HeldConfig, SentConfig};
+use acaciabay::core::serving::kept_parts::LogPlace;
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use acaciabay::util::number::whole_millis;
 use prost::Message;
@@ -28,7 +31,7 @@
     hub: &ServingHub,
     hello: &ServingHello,
     request: RenewServing,
-    sent: &mut SentConfig,
+    sent: &mut SentNews,
 ) -> Body {
     let read_at = boot_now();
     if hub.group.confirm().await.is_err() {
@@ -39,7 +42,7 @@
     }
     let newest = hub.newest_config();
     let (entries, others) = take_presence(hub, hello, &request);
-    let content = next_content(hub, hello, &request, &newest, sent);
+    let content = next_content(hub, hello, &request, &newest, &mut sent.config);
     if let Some(content) = &content {
         log_content(hub, hello, &request, &newest, content, read_at);
     }
@@ -49,9 +52,28 @@
         content,
         entries,
         others,
+        kept: next_kept(hub, &request, &mut sent.kept),
     })
 }
 
+/// What a connection has brought an entry so far.
+#[derive(Debug, Default)]
+pub(super) struct SentNews {
+    config: SentConfig,
+    kept: LogPlace,
+}
+
+/// Takes which engines keep what the entry has had read, and returns what others have told since its last renewal.
+fn next_kept(hub: &ServingHub, request: &RenewServing, place: &mut LogPlace) -> Vec<KeptPart> {
+    let mut soft = hub.soft();
+    for kept in &request.kept {
+        soft.kept.push(kept_from_wire(kept));
+    }
+    let (rows, next) = soft.kept.since(*place);
+    *place = next;
+    rows.map(kept_to_wire).collect()
+}
+
 /// Returns what brings the entry to the newest configuration.
 fn next_content(
     hub: &ServingHub,
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -10,7 +10,6 @@
 use acacia_wire::generated::serving::{Leadership, ReplicaAddresses, ServingFrame, ServingHello, SignOfLife};
 use acacia_wire::{FrameReader, FrameWriter};
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::serving::config_chain::SentConfig;
 use acaciabay::util::number::whole_millis;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
@@ -18,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::hub::ServingHub;
-use super::renewals::answer_renewal;
+use super::renewals::{SentNews, answer_renewal};
 
 /// How often something is sent where nothing is new, so that the other side notices a silent connection.
 pub(super) const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
@@ -51,7 +50,7 @@
     hello: &ServingHello,
     frames: mpsc::Sender<WaitingFrame>,
 ) -> std::io::Result<()> {
-    let mut sent = SentConfig::default();
+    let mut sent = SentNews::default();
     while let Some(frame) = reader.next().await? {
         let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
             return Err(std::io::ErrorKind::InvalidData.into());
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -14,7 +14,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
-use acacia_wire::{CONNECT_TIMEOUT, FrameReader, FrameWriter, split_frames, use_from_wire};
+use acacia_wire::{CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames, use_from_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
@@ -273,7 +273,7 @@
         renewed: ServingRenewed,
     ) -> std::io::Result<()> {
         let now = boot_now();
-        let (entries, others) = (renewed.entries, renewed.others);
+        let (entries, others, kept) = (renewed.entries, renewed.others, renewed.kept);
         let number = ConfigNumber(renewed.config_number);
         let arrival = session.lock().take(now, renewed.request, number, renewed.content)?;
         self.log_late(now, address, renewed.request, &arrival);
@@ -286,6 +286,9 @@
         }
         view.entries = entries;
         view.loads.hear_others(others.iter().map(use_from_wire));
+        for kept in &kept {
+            view.hear_kept(&kept_from_wire(kept));
+        }
         let is_behind = view.standing.behind_since(view.held.number).is_some();
         drop(view);
         self.shared.confirm_lease(arrival.asked_at);
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -197,6 +197,7 @@
         view.loads.note_unreachable(boot_now(), &source.name);
     }
     view.loads.note_success(&chosen.name);
+    view.kept_news.note_read(&chosen.name, prompt.shared_parts());
     drop(view);
     ReadOutcome::Read(ReadPrompt {
         address: chosen.endpoint.address,
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -6,7 +6,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
-use acacia_wire::{counts_to_wire, pace_to_wire, use_to_wire};
+use acacia_wire::{counts_to_wire, kept_to_wire, pace_to_wire, use_to_wire};
 use acaciabay::core::serving::config::ConfigNumber;
 
 use super::shared::EntryShared;
@@ -19,6 +19,7 @@
         .own_work()
         .map(|(name, work)| use_to_wire(name, work))
         .collect();
+    let kept = view.kept_news.take();
     let demands = std::mem::take(&mut view.demands);
     let paces: BTreeMap<_, _> = demands
         .keys()
@@ -42,6 +43,7 @@
         counts: counts.collect(),
         uses,
         demands: demands.collect(),
+        kept: kept.iter().map(kept_to_wire).collect(),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -17,6 +17,7 @@
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::group_clock::GroupClock;
+use acaciabay::core::serving::kept_parts::{KeptNews, KeptPart};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::reading_pace::{ReadingPace, ReadingTime};
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
@@ -66,6 +67,8 @@
     pub(super) entries: u32,
     pub(super) starts: StartCounts,
     pub(super) clock: GroupClock,
+    /// What engines have read for this entry and for others.
+    pub(super) kept_news: KeptNews,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     paces: BTreeMap<ServiceName, ReadingPace>,
     budgets: HashMap<ServiceName, SendBudget>,
@@ -78,6 +81,26 @@
         spec.engine
     }
 
+    /// Forgets endpoints that nothing was heard of for long, with what they kept.
+    pub(super) fn forget_silent(&mut self, now: BootTime) {
+        let Self {
+            registry, kept_news, ..
+        } = self;
+        registry.forget_silent(now);
+        kept_news.retain(|engine| registry.get(engine).is_some());
+    }
+
+    /// Takes what an engine keeps that it has read for another entry.
+    pub(super) fn hear_kept(&mut self, kept: &KeptPart) {
+        let Some(endpoint) = self.registry.get(&kept.engine) else {
+            return;
+        };
+        let service = endpoint.service.clone();
+        let memory = self.engine(&service).map_or(0, |engine| engine.memory_tokens);
+        self.kept_news.hear(kept);
+        self.loads.note_read(&kept.engine, &[kept.part], memory);
+    }
+
     /// Notes how long an engine of a service took for a prompt.
     pub(super) fn note_reading(&mut self, service: &ServiceName, engine: &EndpointName, reading: ReadingTime) {
         self.loads.note_reading(engine, reading);
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -144,6 +144,6 @@
                 "config" => view.held.number.0, "endpoints" => view.registry.rows().count(),
                 "lease" => shared.may_serve(now), "leaving" => shared.leaving.is_cancelled());
         }
-        shared.view().registry.forget_silent(now);
+        shared.view().forget_silent(now);
     }
 }
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -6,6 +6,8 @@
 use acaciabay::core::serving::duty::{DutyTable, FenceNumber};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointPhase, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::kept_parts::KeptPart;
+use acaciabay::core::serving::prompt::{PartId, PromptPart};
 use acaciabay::core::serving::serving_state::ServingState;
 use acaciabay::core::serving::start_counts::{CustomerCounts, EntryStart, GatheredCounts, GatheredRow, WindowNumber};
 use acaciabay::util::byte_delta::{ByteDelta, DeltaPiece};
@@ -127,6 +129,26 @@
     }
 }
 
+/// Encodes that an engine keeps a part.
+pub fn kept_to_wire(kept: &KeptPart) -> serving::KeptPart {
+    serving::KeptPart {
+        engine: kept.engine.to_string(),
+        part: kept.part.id.0,
+        tokens: kept.part.tokens,
+    }
+}
+
+/// Decodes that an engine keeps a part.
+pub fn kept_from_wire(message: &serving::KeptPart) -> KeptPart {
+    KeptPart {
+        engine: message.engine.as_str().into(),
+        part: PromptPart {
+            id: PartId(message.part),
+            tokens: message.tokens,
+        },
+    }
+}
+
 /// Decodes work at an endpoint.
 pub fn use_from_wire(message: &serving::EndpointUse) -> (EndpointName, EndpointWork) {
     let work = EndpointWork {
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -5,6 +5,7 @@
 //! * [`config_chain`] hands configurations over a connection, [`renewal_ledger`] says when an entry asks.
 //! * [`endpoint_registry`] orders what endpoints say of themselves, whichever way and however late it arrives.
 //! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
+//! * [`kept_parts`] tells all entries which engines keep which parts.
 //! * [`endpoint_load`] is the work that every endpoint still has before it.
 //! * [`event_stream`] cuts an answer into whole events.
 //! * [`stream_peak`] remembers how many streams ran at once.
@@ -28,6 +29,7 @@
 pub mod event_stream;
 pub mod given_order;
 pub mod group_clock;
+pub mod kept_parts;
 pub mod part_memory;
 pub mod prompt;
 pub mod reading_need;
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -14,9 +14,8 @@
 use crate::util::number::round_up;
 use crate::util::rendezvous;
 
-/// How sure an entry is that the home of a shared part keeps it though the entry itself has not sent it there: other
-/// entries send it to the same place, but less than always.
-const HASH_TRUST: f64 = 0.95;
+/// How sure an entry is that an engine still keeps what it has read: its memory may have had to make room since.
+const COPY_TRUST: f64 = 0.95;
 
 /// How much a token that has to be read counts against one that waits before it: reading a shared part once more takes
 /// time from every prompt that comes after, not only from this one.
@@ -34,6 +33,14 @@
 /// when all homes are overloaded.
 const NO_HOME_MS: f64 = 3_000.0;
 
+/// What another engine costs than those that keep the part, in milliseconds, where it is known to be kept: each copy
+/// leaves less memory for other parts.
+const KEPT_ELSEWHERE_MS: f64 = 100.0;
+
+/// How far apart engines are that are equally good, in milliseconds: entries that do not hear of each other in time
+/// would else all choose the same one.
+const TIE_MS: f64 = 10.0;
+
 /// What a copy takes beside the time on the link, in milliseconds, the middle of current engines.
 const COPY_SETUP_MS: f64 = 4.0;
 
@@ -109,30 +116,40 @@
 
 /// The engines on which entries agree for a shared part, the first one first.
 #[derive(Debug)]
-struct PartHomes<'table>(Vec<&'table EndpointName>);
+struct PartHomes<'table> {
+    key: [u8; 8],
+    ranked: Vec<&'table EndpointName>,
+}
 
 impl<'table> PartHomes<'table> {
     fn of(readers: &[Candidate<'table>], prompt: &PromptShape) -> Self {
         let Some(part) = prompt.affinity() else {
-            return Self(Vec::new());
+            return Self {
+                key: prompt.parts.last().map_or(0, |part| part.id.0).to_be_bytes(),
+                ranked: Vec::new(),
+            };
         };
         let key = part.0.to_be_bytes();
         let mut ranked: Vec<_> = readers.iter().map(|(name, _)| (hash_rank(&key, name), *name)).collect();
         ranked.sort_unstable_by(|one, other| other.cmp(one));
         ranked.truncate(HOMES);
-        Self(ranked.into_iter().map(|(_, name)| name).collect())
+        Self {
+            key,
+            ranked: ranked.into_iter().map(|(_, name)| name).collect(),
+        }
     }
 
-    fn is_first(&self, name: &EndpointName) -> bool {
-        self.0.first() == Some(&name)
+    /// Returns what tells engines apart that are equally good, in milliseconds.
+    fn tie_ms(&self, name: &EndpointName) -> f64 {
+        TIE_MS * hash_rank(&self.key, name) as f64 / u64::MAX as f64
     }
 
     /// Returns what it costs to read the part at an engine for being none of its homes, in milliseconds.
     fn penalty_ms(&self, name: &EndpointName) -> f64 {
-        match self.0.iter().position(|home| *home == name) {
+        match self.ranked.iter().position(|home| *home == name) {
             Some(0) => 0.0,
             Some(_) => OTHER_HOME_MS,
-            None if self.0.is_empty() => 0.0,
+            None if self.ranked.is_empty() => 0.0,
             None => NO_HOME_MS,
         }
     }
@@ -206,16 +223,20 @@
         let kept = view.loads.kept_tokens(name, &prompt.parts) as f64;
         let shared: u64 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
         let missing = (shared as f64 - kept).max(0.0);
-        let is_home = homes.is_first(name);
-        let hoped = if is_home || source.is_some() {
-            HASH_TRUST * missing
-        } else {
-            0.0
-        };
+        let source_kept = source.map_or(0, |(source, _)| view.loads.kept_tokens(source, prompt.shared_parts()));
+        let copied = (source_kept as f64 - kept).max(0.0);
+        let hoped = COPY_TRUST * copied;
         let copy_ms = match (link, source) {
-            (Some(link), Some((_, source))) if !is_home && missing > 0.0 => copy_ms(link, missing, endpoint, source),
+            (Some(link), Some((_, source))) if copied > 0.0 => copy_ms(link, copied, endpoint, source),
             _ => 0.0,
         };
+        let place_ms = if missing <= 0.0 {
+            0.0
+        } else if copied >= missing {
+            KEPT_ELSEWHERE_MS
+        } else {
+            homes.penalty_ms(name)
+        };
         let unread_tokens = (prompt.prompt_tokens as f64 - kept - hoped).max(0.0);
         let queued = view.loads.work(name).unread_tokens as f64;
         let pace = view.loads.pace(name);
@@ -223,7 +244,7 @@
         Self {
             unread_tokens,
             wait_ms: (queued + unread_tokens) * pace + copy_ms,
-            cost_ms: read_ms + copy_ms + homes.penalty_ms(name) + READER_PENALTY.of(view, reader, view.domain),
+            cost_ms: read_ms + copy_ms + place_ms + homes.tie_ms(name) + READER_PENALTY.of(view, reader, view.domain),
         }
     }
 }
--- /dev/null
+++ b/crates/acaciabay/tests/serving/keeping.rs
@@ -0,0 +1,79 @@
+//! What entries tell each other of the parts that engines keep.
+
+use acaciabay::core::serving::kept_parts::{KeptLog, KeptNews, KeptPart, LogPlace};
+
+use crate::fixtures::{name, part};
+
+fn kept(engine: &str, id: u64) -> KeptPart {
+    KeptPart {
+        engine: name(engine),
+        part: part(id, 100),
+    }
+}
+
+/// Reads the log from its beginning, an answer at a time.
+fn read_all(log: &KeptLog) -> Vec<KeptPart> {
+    let mut all = Vec::new();
+    let mut place = LogPlace::default();
+    loop {
+        let (rows, next) = log.since(place);
+        all.extend(rows.cloned());
+        if next == place {
+            return all;
+        }
+        place = next;
+    }
+}
+
+/// Every entry has the same popular part read at the same engine. Told each time, it would fill the links to all entries.
+#[test]
+fn what_was_told_once_is_not_told_again() {
+    let mut log = KeptLog::default();
+    log.push(kept("e1", 5));
+    log.push(kept("e1", 5));
+    log.push(kept("e2", 5));
+
+    assert_eq!(read_all(&log), vec![kept("e1", 5), kept("e2", 5)]);
+
+    let mut news = KeptNews::default();
+    news.hear(&kept("e1", 5));
+    news.note_read(&name("e1"), &[part(5, 100), part(6, 100)]);
+    news.note_read(&name("e1"), &[part(6, 100)]);
+
+    assert_eq!(news.take(), vec![kept("e1", 6)]);
+    assert_eq!(news.take(), Vec::new());
+}
+
+/// An entry that starts late hears of everything, and waits for no answer that carries all of it.
+#[test]
+fn a_late_entry_is_told_all_in_several_answers() {
+    let mut log = KeptLog::default();
+    for id in 0..1_500 {
+        log.push(kept("e1", id));
+    }
+
+    let (first, _) = log.since(LogPlace::default());
+
+    assert!(first.count() < 600);
+    assert_eq!(read_all(&log).len(), 1_500);
+}
+
+/// A leader has been told for hours. It keeps the latest parts only, and a connection that lagged goes on with those.
+#[test]
+fn the_log_stays_bounded() {
+    let mut log = KeptLog::default();
+    let (_, early) = log.since(LogPlace::default());
+    for id in 0..20_000 {
+        log.push(kept("e1", id));
+    }
+
+    let (rows, _) = log.since(early);
+
+    assert!(rows.count() > 0);
+    let all = read_all(&log);
+    assert!(all.len() < 10_000);
+    assert_eq!(all.last(), Some(&kept("e1", 19_999)));
+    // What was forgotten is news again.
+    log.push(kept("e1", 0));
+    assert_eq!(read_all(&log).last(), Some(&kept("e1", 0)));
+}
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fixtures;
 mod given;
+mod keeping;
 mod members;
 mod paces;
 mod placement;
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -1,5 +1,6 @@
 //! Where prompts are read, and what is copied instead of being read.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use acaciabay::core::name::{DomainName, EndpointName};
@@ -96,6 +97,7 @@
     let readers = rows(7, EngineStage::Prefill);
     let mut loads = LoadTable::default();
     let home = place_copying(&loads, &readers, 5).endpoint;
+    loads.note_read(&home, prompt(5, 99).shared_parts(), 400_000);
 
     loads.begin(&home, unread(60_000));
     let other = place_copying(&loads, &readers, 5);
@@ -120,6 +122,50 @@
     assert_eq!(place_copying(&loads, &readers, 5).endpoint, home);
 }
 
+/// A part is known to be kept at its home, which has a third of a second of work, and other engines are free. Waiting
+/// there, a long prompt comes too late, while a copy takes hundredths of a second.
+#[test]
+fn a_kept_part_is_copied_rather_than_waited_for() {
+    let readers = rows(7, EngineStage::Prefill);
+    let mut loads = LoadTable::default();
+    let home = place_copying(&loads, &readers, 5).endpoint;
+    loads.note_read(&home, prompt(5, 99).shared_parts(), 400_000);
+
+    loads.begin(&home, unread(17_000));
+    let other = place_copying(&loads, &readers, 5);
+
+    assert_ne!(other.endpoint, home);
+    assert_eq!(other.copy_from, Some(home));
+}
+
+/// Nobody has read the part of a long prompt yet. Taken for kept, it would count as a few tokens, and short prompts would
+/// be sent behind it and wait for a second.
+#[test]
+fn a_part_that_nobody_has_read_counts_in_full() {
+    let readers = rows(7, EngineStage::Prefill);
+
+    let place = place_copying(&LoadTable::default(), &readers, 5);
+
+    assert_eq!(place.unread_tokens, prompt(5, 99).prompt_tokens);
+}
+
+/// Entries that do not hear of each other in time find the same engines free. Taking the first in the list, all of them
+/// would send to one engine at once.
+#[test]
+fn parts_without_a_keeper_go_to_different_engines() {
+    let readers = rows(7, EngineStage::Prefill);
+    let mut loads = LoadTable::default();
+    for (name, _) in &readers {
+        loads.begin(name, unread(1));
+    }
+
+    let chosen: BTreeSet<_> = (0..40)
+        .map(|part| place_copying(&loads, &readers, part).endpoint)
+        .collect();
+
+    assert!(chosen.len() >= 6, "{chosen:?}");
+}
+
 /// A new engine takes over a share of the parts by hash and has read none of them. It copies each from the engine that
 /// was the home before, instead of reading thousands of tokens again.
 #[test]
