Spread streams over engines that are equally good

Cause: entries hear of each other's streams a quarter of a second late, and where two engines were equal all of them took the first in the list, or the one with one stream less. Two hundred entries can place more streams in that time than an engine has slots.

Change: place_stream takes a draw by call and adds up to a tenth of an engine's slots by it, less than the way to another failure domain counts.

The test places 200 streams of entries that do not hear of each other; without the draw it fails, since all of them go to one of eight engines.

--- a/crates/acacia-entry/src/serving/choice.rs
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -79,6 +79,7 @@
         service: &ServiceName,
         tried: &[EndpointName],
         reader_domain: Option<&DomainName>,
+        draw: u64,
     ) -> Option<ChosenEndpoint> {
         let memory = self.engine_memory(service);
         let view = self.view();
@@ -89,7 +90,7 @@
             candidates.retain(|(_, endpoint)| endpoint.stage.is_none());
         }
         let candidates = untried(candidates, tried);
-        let name = place_stream(&self.placement(now, &view), &candidates, memory, reader_domain)?;
+        let name = place_stream(&self.placement(now, &view), &candidates, memory, reader_domain, draw)?;
         chosen(&candidates, &name)
     }
 
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -104,7 +104,10 @@
             }
             let domain = read.as_ref().map(|read| &read.domain);
             let now = boot_now();
-            let chosen = self.call.shared.choose_maker(now, &self.call.service, &tried, domain);
+            let chosen = self
+                .call
+                .shared
+                .choose_maker(now, &self.call.service, &tried, domain, self.call.draw);
             let Some(chosen) = chosen else {
                 return Err(self.give_up("no engine makes tokens", NO_ENDPOINT));
             };
--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -31,12 +31,18 @@
     suspect: 8.0,
 };
 
-/// Chooses where tokens are made. `reader_domain` is where the prompt was read, if it was read elsewhere.
+/// How far apart engines may be, as a part of their slots, and still be equally good for a stream: entries hear of each
+/// other's streams a moment late, and would meanwhile all choose the one with the fewest.
+const STREAM_SPREAD: f64 = 0.1;
+
+/// Chooses where tokens are made. `reader_domain` is where the prompt was read, if it was read elsewhere; `draw` spreads
+/// calls over engines that are equally good.
 pub fn place_stream(
     view: &PlacementView<'_>,
     candidates: &[Candidate<'_>],
     memory_tokens: u64,
     reader_domain: Option<&DomainName>,
+    draw: u64,
 ) -> Option<EndpointName> {
     let wanted = reader_domain.unwrap_or(view.domain);
     let scored = candidates.iter().map(|candidate| {
@@ -44,12 +50,22 @@
         let work = view.loads.work(name);
         let slots = work.calls as f64 / f64::from(endpoint.slots.max(1));
         let memory = work.held_tokens as f64 / memory_tokens.max(1) as f64;
-        (slots.max(memory) + SLOT_PENALTY.of(view, *candidate, wanted), name)
+        let spread = STREAM_SPREAD * drawn_part(draw, name);
+        (
+            slots.max(memory) + spread + SLOT_PENALTY.of(view, *candidate, wanted),
+            name,
+        )
     });
     let best = scored.min_by(|one, other| one.0.total_cmp(&other.0));
     best.map(|(_, name)| name.clone())
 }
 
+/// Returns a number from 0 to 1 that is drawn anew for each call and endpoint.
+fn drawn_part(draw: u64, name: &EndpointName) -> f64 {
+    let drawn = rendezvous::combine(draw, rendezvous::seed(name.as_str().as_bytes()));
+    drawn as f64 / u64::MAX as f64
+}
+
 /// Chooses where a plain call goes; `draw` spreads calls over endpoints that are equally good.
 pub fn place_plain(view: &PlacementView<'_>, candidates: &[Candidate<'_>], draw: u64) -> Option<EndpointName> {
     let scored = candidates.iter().map(|candidate| {
--- a/crates/acaciabay/tests/serving/placement.rs
+++ b/crates/acaciabay/tests/serving/placement.rs
@@ -1,9 +1,12 @@
 //! Where tokens are made and plain calls go.
 
+use std::collections::BTreeMap;
+
 use acaciabay::core::name::{DomainName, EndpointName};
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable, RestingOrder};
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EngineStage, ServingEndpoint};
 use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
+use acaciabay::util::rendezvous;
 use proptest::prelude::*;
 
 use crate::fixtures::{at, candidates, fixed_cases, name, numbered, rows, unread};
@@ -26,7 +29,7 @@
             domain: &own,
             loads,
         };
-        place_stream(&view, &candidates(&rows), 400_000, Some(&reader))
+        place_stream(&view, &candidates(&rows), 400_000, Some(&reader), 7)
     };
 
     assert_eq!(near(&loads), Some(name("e2")));
@@ -35,6 +38,31 @@
     assert_ne!(near(&loads), Some(name("e2")));
 }
 
+/// Two hundred entries have a stream to place in the same quarter of a second, and none has heard of the others'. Sent to
+/// the engine with the fewest streams, all of them would fill its slots while its neighbours are free.
+#[test]
+fn entries_that_do_not_hear_of_each_other_spread_their_streams() {
+    let rows = rows(8, EngineStage::Decode);
+    let own = DomainName::new("elsewhere");
+    let mut loads = LoadTable::default();
+    loads.begin(&name("e0"), calls(1));
+    let view = PlacementView {
+        now: at(0),
+        domain: &own,
+        loads: &loads,
+    };
+
+    let mut streams = BTreeMap::new();
+    for entry in 0..200_u64 {
+        let draw = rendezvous::seed(&entry.to_be_bytes());
+        let chosen = place_stream(&view, &candidates(&rows), 400_000, None, draw).expect("there are engines");
+        *streams.entry(chosen).or_insert(0) += 1;
+    }
+
+    assert_eq!(streams.len(), 8);
+    assert!(streams.values().all(|count| *count < 64), "{streams:?}");
+}
+
 /// An engine is ordered to read prompts and first finishes what runs, for longer than the change itself takes. Sent there
 /// by its last report, calls would be turned away until the next one.
 #[test]
