Tell all entries which endpoints are silent

Cause: engines that die without a word leave their connections open. A fault of size: six entries have sent an engine a call within a tenth of a second.

Ruled out: the endpoint's reports (an engine counts as silent after 4 s of them, since their path may be cut while the path to it is not); a shorter bound alone (each entry still loses a call).

Change: the time to the first answer is tracked by service at its slow end (core/serving/answer_pace). An engine that is silent for three times that is doubted while the call goes on waiting; twice that, another one goes on where the kind allows it and the budget has a send left. Entries tell the leader which endpoints they themselves found silent, unreachable or lost an answer at; what entries of two failure domains found is told to all (core/serving/shared_suspicion). Suspicion only makes an endpoint the last choice, as before, and ends with the word of the others or with an answer.

--- a/crates/acacia-control/src/serving/hub.rs
+++ b/crates/acacia-control/src/serving/hub.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a control process share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,12 +12,13 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::{EndpointName, HostName, ServiceName};
+use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
 use acaciabay::core::serving::config_chain::HeldConfig;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointBirth, EndpointRegistry, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::kept_parts::KeptLog;
+use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -39,7 +40,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct EntryPresence {
     pub(super) heard_at: BootTime,
+    pub(super) domain: DomainName,
     pub(super) uses: Vec<(EndpointName, EndpointWork)>,
+    /// The endpoints that it has found silent.
+    pub(super) silent: Vec<EndpointName>,
     /// How many milliseconds engines take for a token of a prompt, as the entry measures it.
     pub(super) paces: BTreeMap<ServiceName, f64>,
 }
@@ -95,6 +99,12 @@
         self.entries.values().any(|row| !row.uses.is_empty())
     }
 
+    /// Returns the endpoints that all entries are to leave out.
+    pub(super) fn silent_endpoints(&self) -> BTreeSet<&EndpointName> {
+        let rows = self.entries.values();
+        shared_suspicions(rows.flat_map(|row| row.silent.iter().map(|endpoint| (&row.domain, endpoint))))
+    }
+
     /// Returns what all entries but one have at the endpoints.
     pub(super) fn uses_beside(&self, host: Option<&HostName>) -> BTreeMap<EndpointName, EndpointWork> {
         let mut sums: BTreeMap<EndpointName, EndpointWork> = BTreeMap::new();
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -53,6 +53,12 @@
         entries,
         others,
         kept: next_kept(hub, &request, &mut sent.kept),
+        silent: hub
+            .soft()
+            .silent_endpoints()
+            .into_iter()
+            .map(ToString::to_string)
+            .collect(),
     })
 }
 
@@ -159,7 +165,9 @@
     paces.extend(measured.filter_map(|row| Some((row.service.as_str().into(), pace_from_wire(row.pace_us)?))));
     let presence = EntryPresence {
         heard_at: now,
+        domain: hello.domain.as_str().into(),
         uses,
+        silent: request.silent.iter().map(|name| name.as_str().into()).collect(),
         paces,
     };
     soft.entries.insert(host.clone(), presence);
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -90,13 +90,23 @@
     }
 }
 
-/// Sends a call and waits for the head of the answer, at most for `patience`.
+/// How long an endpoint is waited for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SendPatience {
+    /// After this silence the endpoint is doubted, and other calls go elsewhere meanwhile; `None` where nobody knows what
+    /// is usual.
+    pub(super) doubt_after: Option<Duration>,
+    /// After this time the send is given up.
+    pub(super) bound: Duration,
+}
+
+/// Sends a call and waits for the head of the answer.
 pub(super) async fn send(
     call: &OpenCall,
     chosen: &ChosenEndpoint,
     role: AttemptRole<'_>,
     resume_after: Option<u64>,
-    patience: Duration,
+    patience: SendPatience,
 ) -> AttemptOutcome {
     let sent_at = boot_now();
     let attempt = AttemptHead {
@@ -124,10 +134,21 @@
         chosen,
         role,
         sent_at,
-        bound: patience,
+        bound: patience.bound,
         is_ended: false,
     };
-    let answer = tokio::time::timeout(patience, sending).await;
+    let doubting = async {
+        match patience.doubt_after {
+            Some(doubt_after) => tokio::time::sleep(doubt_after).await,
+            None => std::future::pending().await,
+        }
+        doubt(call, chosen, sent_at);
+        std::future::pending::<()>().await;
+    };
+    let answer = tokio::select! {
+        answer = tokio::time::timeout(patience.bound, sending) => answer,
+        () = doubting => unreachable!("doubting goes on for ever"),
+    };
     watched.is_ended = true;
     let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
@@ -173,8 +194,18 @@
     let mut view = call.shared.view();
     match outcome {
         AttemptOutcome::NotRun { arrived: false } => view.loads.note_unreachable(boot_now(), &chosen.name),
+        AttemptOutcome::Lost | AttemptOutcome::TimedOut => view.loads.note_silent(boot_now(), &chosen.name),
         _ => view.loads.note_failure(boot_now(), &chosen.name),
     }
     drop(view);
     outcome
 }
+
+/// Notes that an endpoint is silent for longer than is usual, while the call goes on waiting for it.
+fn doubt(call: &OpenCall, chosen: &ChosenEndpoint, sent_at: BootTime) {
+    let now = boot_now();
+    slog::info!(call.shared.log, "endpoint is doubted"; "event" => event::ENDPOINT_DOUBTED,
+        "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
+        "sent_ms" => whole_millis(now.since(sent_at)), "report" => chosen.endpoint.sequence);
+    call.shared.view().loads.note_silent(now, &chosen.name);
+}
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -16,6 +16,7 @@
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames, use_from_wire};
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::replica_board::{LEADER_PATIENCE, ReplicaBoard};
 use acaciabay::util::number::whole_millis;
@@ -273,7 +274,13 @@
         renewed: ServingRenewed,
     ) -> std::io::Result<()> {
         let now = boot_now();
-        let (entries, others, kept) = (renewed.entries, renewed.others, renewed.kept);
+        let ServingRenewed {
+            entries,
+            others,
+            kept,
+            silent,
+            ..
+        } = renewed;
         let number = ConfigNumber(renewed.config_number);
         let arrival = session.lock().take(now, renewed.request, number, renewed.content)?;
         self.log_late(now, address, renewed.request, &arrival);
@@ -286,6 +293,7 @@
         }
         view.entries = entries;
         view.loads.hear_others(others.iter().map(use_from_wire));
+        view.loads.hear_silent(silent.iter().map(EndpointName::new));
         for kept in &kept {
             view.hear_kept(&kept_from_wire(kept));
         }
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -12,7 +12,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
-use super::attempt::{AttemptOutcome, EndpointReply, send};
+use super::attempt::{AttemptOutcome, EndpointReply, SendPatience, send};
 use super::call::{OpenCall, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
@@ -60,7 +60,10 @@
             return Err(progress.give_up("no endpoint", NO_ENDPOINT));
         };
         let guard = call.shared.begin_work(&chosen.name, one_call());
-        let patience = call.until.since(now);
+        let patience = SendPatience {
+            doubt_after: None,
+            bound: call.until.since(now),
+        };
         let outcome = send(call, &chosen, AttemptRole::Whole, None, patience).await;
         match outcome {
             AttemptOutcome::Answered(reply) => {
--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -18,7 +18,7 @@
 use hyper::Request;
 use hyper::header::HOST;
 
-use super::attempt::{AttemptOutcome, EndpointReply, send};
+use super::attempt::{AttemptOutcome, EndpointReply, SendPatience, send};
 use super::call::OpenCall;
 use super::choice::{ChosenEndpoint, ChosenReader};
 use super::codec::AttemptRole;
@@ -29,6 +29,10 @@
 const WAIT_FACTOR: f64 = 3.0;
 /// How much longer beside that: the time of a step of the engine, and of the network.
 const WAIT_MARGIN: Duration = Duration::from_secs(1);
+/// How much longer than expected an engine may take to read a prompt before others are sent elsewhere.
+const DOUBT_FACTOR: f64 = 2.0;
+/// How long beside that.
+const DOUBT_MARGIN: Duration = Duration::from_millis(400);
 /// Most engines that are asked to read one prompt.
 const MOST_READERS: usize = 3;
 /// The largest answer of an engine that has read a prompt.
@@ -151,7 +155,10 @@
     let queued = call.shared.view().loads.work(&chosen.name).unread_tokens;
     let _guard = call.shared.begin_work(&chosen.name, work);
     let bound = place.wait.mul_f64(WAIT_FACTOR) + WAIT_MARGIN;
-    let patience = bound.min(call.until.since(began_at));
+    let patience = SendPatience {
+        doubt_after: Some(place.wait.mul_f64(DOUBT_FACTOR) + DOUBT_MARGIN),
+        bound: bound.min(call.until.since(began_at)),
+    };
     // Noted before the answer: calls that come meanwhile with the same parts belong there as well.
     let memory = call.shared.engine_memory(&call.service);
     call.shared.view().loads.note_read(&chosen.name, &prompt.parts, memory);
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use acacia_runtime::clock::boot_now;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
@@ -43,6 +44,11 @@
         counts: counts.collect(),
         uses,
         demands: demands.collect(),
+        silent: view
+            .loads
+            .silent_endpoints(boot_now())
+            .map(ToString::to_string)
+            .collect(),
         kept: kept.iter().map(kept_to_wire).collect(),
     };
     Frame::Serving(ServingFrame {
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -13,7 +13,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 
-use super::attempt::{AttemptOutcome, KeptConnection, send};
+use super::attempt::{AttemptOutcome, KeptConnection, SendPatience, send};
 use super::call::{OpenCall, refuse};
 use super::choice::ChosenEndpoint;
 use super::codec::AttemptRole;
@@ -28,6 +28,9 @@
 /// Which part of the time after which a caller leaves an engine may be silent before another one goes on.
 const SILENCE_PART: f64 = 0.6;
 
+/// How many times the silence after which an engine is doubted it may be silent before another one goes on.
+const GIVE_UP_FACTOR: f64 = 2.0;
+
 /// A call with what its sends have come to.
 #[derive(Debug)]
 pub(super) struct StreamRun {
@@ -94,6 +97,17 @@
         }
     }
 
+    /// Returns how long an engine may be silent before it begins to answer. Another engine that is known to be usually
+    /// faster by far goes on in its place.
+    fn first_answer_bound(&self, doubt_after: Option<Duration>) -> Duration {
+        let bound = self.silence_bound();
+        let may_go_on = self.call.route().kind.may_repeat() && self.ran + 1 < self.call.route().max_attempts;
+        match doubt_after {
+            Some(doubt_after) if may_go_on => bound.min(doubt_after.mul_f64(GIVE_UP_FACTOR)),
+            _ => bound,
+        }
+    }
+
     /// Finds an engine that makes the tokens after an event.
     pub(super) async fn open(&mut self, resume_after: Option<u64>) -> Result<OpenStream, CallRefusal> {
         let mut tried: Vec<EndpointName> = Vec::new();
@@ -192,7 +206,18 @@
             reader: read.address,
             handle: &read.handle,
         });
-        send(&self.call, chosen, role, resume_after, self.silence_bound()).await
+        let doubt_after = self.call.shared.view().doubt_after(&self.call.service);
+        let patience = SendPatience {
+            doubt_after,
+            bound: self.first_answer_bound(doubt_after),
+        };
+        let sent_at = boot_now();
+        let outcome = send(&self.call, chosen, role, resume_after, patience).await;
+        if matches!(outcome, AttemptOutcome::Answered(_)) {
+            let took = boot_now().since(sent_at);
+            self.call.shared.view().note_first_answer(&self.call.service, took);
+        }
+        outcome
     }
 
     fn maker_work(&self) -> EndpointWork {
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -69,6 +69,8 @@
     RENEWAL_LATE = "E0229";
     /// The caller left before an endpoint had answered.
     CALL_ABANDONED = "E0230";
+    /// An endpoint is silent for longer than is usual.
+    ENDPOINT_DOUBTED = "E0231";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -47,6 +47,8 @@
 /// How long an endpoint that has failed in a way that speaks against it is used only if there is no other, the first
 /// time; each further failure doubles it.
 const FIRST_SUSPICION: Duration = Duration::from_millis(300);
+/// How long an endpoint that was silent is suspected at least: until other entries have heard of it.
+const SILENT_SUSPICION: Duration = Duration::from_secs(1);
 /// The longest suspicion: an endpoint that is well again is found out within this time.
 const LONGEST_SUSPICION: Duration = Duration::from_secs(3);
 /// How many milliseconds an engine takes for a token of a prompt until it was measured, the middle of current engines.
@@ -72,6 +74,10 @@
     memory: PartMemory,
     failures: u32,
     suspected_until: BootTime,
+    /// Until when the entry takes the endpoint for dead because it was silent, or could not be reached.
+    silent_until: BootTime,
+    /// Whether other entries have found it silent.
+    is_silent_to_others: bool,
     resting: Option<RestingOrder>,
     pace: Option<f64>,
 }
@@ -157,6 +163,31 @@
         let row = self.row(name);
         row.failures += 1;
         row.suspected_until = now + LONGEST_SUSPICION;
+        row.silent_until = row.suspected_until;
+    }
+
+    /// Notes that an endpoint does not answer, or that its answer was lost: what other entries send it may go the same way.
+    pub fn note_silent(&mut self, now: BootTime, name: &EndpointName) {
+        self.note_failure(now, name);
+        let row = self.row(name);
+        row.suspected_until = row.suspected_until.max(now + SILENT_SUSPICION);
+        row.silent_until = row.suspected_until;
+    }
+
+    /// Returns the endpoints that this entry itself has found silent.
+    pub fn silent_endpoints(&self, now: BootTime) -> impl Iterator<Item = &EndpointName> {
+        let silent = self.rows.iter().filter(move |(_, row)| now < row.silent_until);
+        silent.map(|(name, _)| name)
+    }
+
+    /// Takes over which endpoints other entries have found silent.
+    pub fn hear_silent(&mut self, endpoints: impl IntoIterator<Item = EndpointName>) {
+        for row in self.rows.values_mut() {
+            row.is_silent_to_others = false;
+        }
+        for name in endpoints {
+            self.row(&name).is_silent_to_others = true;
+        }
     }
 
     /// Notes an answer that speaks for the endpoint.
@@ -165,12 +196,14 @@
         row.failures = row.failures.saturating_sub(1);
         if row.failures == 0 {
             row.suspected_until = BootTime::default();
+            row.silent_until = BootTime::default();
         }
     }
 
     /// Tells whether the endpoint has failed lately.
     pub fn is_suspected(&self, now: BootTime, name: &EndpointName) -> bool {
-        self.rows.get(name).is_some_and(|row| now < row.suspected_until)
+        let row = self.rows.get(name);
+        row.is_some_and(|row| now < row.suspected_until || row.is_silent_to_others)
     }
 
     /// Takes over which engines carry out an order.
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -7,6 +7,7 @@
 //! * [`prompt`] and [`part_memory`] say what a prompt consists of and which endpoint has read which part.
 //! * [`kept_parts`] tells all entries which engines keep which parts.
 //! * [`endpoint_load`] is the work that every endpoint still has before it.
+//! * [`answer_pace`] says after which silence an engine is doubted, [`shared_suspicion`] which ones all entries leave out.
 //! * [`event_stream`] cuts an answer into whole events.
 //! * [`stream_peak`] remembers how many streams ran at once.
 //! * [`group_clock`] is the wall clock that most replicas agree on.
@@ -19,6 +20,7 @@
 //!
 //! `docs/design/machines.md` has the programs in which these parts meet.
 
+pub mod answer_pace;
 pub mod config;
 pub mod config_chain;
 pub mod config_index;
@@ -38,6 +40,7 @@
 pub mod replica_board;
 pub mod send_budget;
 pub mod serving_state;
+pub mod shared_suspicion;
 pub mod start_counts;
 pub mod stop_phase;
 pub mod stream_peak;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -18,6 +18,7 @@
 mod registry;
 mod renewals;
 mod replicas;
+mod silence;
 mod stages;
 mod standing;
 mod state;
