Hold calls for the first lease of an entry

Cause: after all hosts lost power entries are back up to a second before the group has a leader.

Ruled out: a Retry-After that suits (callers cap it); serving by what was in force before (an entry keeps nothing).

Change: an entry that has not had a lease since its start holds a call for it, for 2.5 s after the start at most and only while the caller has the time for an answer left; it logs E0232. One that lost its lease refuses at once as before, since nobody knows for how long (core/serving/lease_recovery, with the times that stood in refusal.rs).

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -19,7 +19,7 @@
 use hyper::{Request, Response};
 
 use super::codec::{CallHead, HeadFault};
-use super::refusal::{CallRefusal, SOON, lease_wait, not_run};
+use super::refusal::{CallRefusal, SOON, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
 
@@ -97,6 +97,22 @@
     shared.codec.write_refusal(request, &refusal)
 }
 
+/// Waits a moment for the lease of an entry that has just started, where the caller says that it can wait.
+async fn hold_without_lease(shared: &EntryShared, parts: &Parts, received_at: BootTime) {
+    let Ok(head) = shared.codec.read_head(parts, usize::MAX) else {
+        return;
+    };
+    let until = head.patience.map(|patience| received_at + patience);
+    let Some(hold) = until.and_then(|until| shared.lease_outage().hold(received_at, until)) else {
+        return;
+    };
+    metrics::counter!("acacia_calls_held_total").increment(1);
+    shared.await_lease(hold).await;
+    let now = boot_now();
+    slog::info!(shared.log, "call held"; "event" => event::CALL_HELD, "request" => &head.request,
+        "waited_ms" => whole_millis(now.since(received_at)), "leased" => shared.may_serve(now));
+}
+
 type RefusedCall = (Option<CallHead>, CallRefusal);
 
 async fn open(
@@ -105,26 +121,30 @@
     received_at: BootTime,
 ) -> Result<OpenCall, RefusedCall> {
     let (parts, body) = request.into_parts();
+    if !shared.may_serve(received_at) {
+        hold_without_lease(shared, &parts, received_at).await;
+    }
+    let now = boot_now();
     let index = shared.view().index.clone();
     let largest_head = index
         .as_ref()
         .map_or(usize::MAX, |index| index.config().bounds.head_bytes);
     let head = shared.codec.read_head(&parts, largest_head);
-    let Some(index) = index.filter(|_| shared.may_serve(received_at)) else {
-        let wait = lease_wait(shared.without_lease(received_at));
+    let Some(index) = index.filter(|_| shared.may_serve(now)) else {
+        let wait = shared.lease_outage().retry_after(now);
         return Err((head.ok(), not_run("no lease", wait)));
     };
     let head = head.map_err(|fault| match fault {
         HeadFault::Malformed(reason) => (None, CallRefusal::BadHead(reason)),
         HeadFault::TooLarge => (None, CallRefusal::HeadTooLarge),
     })?;
-    if !shared.takes_calls(received_at) {
+    if !shared.takes_calls(now) {
         return Err((Some(head), not_run("entry is stopping", SOON)));
     }
     let bounds = index.config().bounds;
     let admitted = match index.admit(&head.host, &head.path, head.key.as_deref()) {
         Ok(admitted) => admitted,
-        Err(_refusal) if !shared.may_deny(received_at) => {
+        Err(_refusal) if !shared.may_deny(now) => {
             return Err((Some(head), not_run("configuration is not confirmed", SOON)));
         }
         Err(AccessRefusal::NoRoute) => return Err((Some(head), CallRefusal::NoRoute)),
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -49,17 +49,6 @@
     }
 }
 
-/// How long a group that has lost its leader, or has just started, takes until entries have a lease again: a lease of
-/// the leader before (0.8 s), an election (up to 1.3 s) and a renewal.
-const LEASE_RECOVERY: Duration = Duration::from_millis(2_200);
-/// The least time after which a caller without a lease is asked to come back.
-const LEAST_WAIT: Duration = Duration::from_millis(300);
-
-/// Returns when a caller may come back whom an entry cannot serve that has been without a lease for a while.
-pub(super) fn lease_wait(without_lease: Duration) -> Duration {
-    LEASE_RECOVERY.saturating_sub(without_lease).max(LEAST_WAIT)
-}
-
 /// When a caller may come back whom this entry cannot serve at the moment, while others can or it will soon.
 pub(super) const SOON: Duration = Duration::from_millis(250);
 /// When a caller may come back whose call found no endpoint: endpoints report once a second.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -19,6 +19,7 @@
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::kept_parts::{KeptNews, KeptPart};
+use acaciabay::core::serving::lease_recovery::LeaseOutage;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::reading_pace::{ReadingPace, ReadingTime};
 use acaciabay::core::serving::send_budget::{SendBound, SendBudget};
@@ -27,6 +28,7 @@
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::codec::CallCodec;
@@ -138,6 +140,8 @@
     started_at: BootTime,
     stop_phase: Mutex<StopPhase>,
     lease: Arc<LeaseClock>,
+    /// Wakes the calls that wait for a lease.
+    lease_extended: Notify,
     view: Mutex<EntryView>,
 }
 
@@ -202,6 +206,7 @@
             started_at: boot_now(),
             stop_phase: Mutex::default(),
             lease,
+            lease_extended: Notify::new(),
             view: Mutex::default(),
         }
     }
@@ -215,9 +220,29 @@
         self.lease.is_valid(now)
     }
 
-    /// Returns how long the entry has been without a lease.
-    pub(super) fn without_lease(&self, now: BootTime) -> Duration {
-        now.since(self.lease.end().max(self.started_at))
+    /// Returns since when the entry has no lease.
+    pub(super) fn lease_outage(&self) -> LeaseOutage {
+        let end = self.lease.end();
+        if end == BootTime::default() {
+            LeaseOutage::SinceStart(self.started_at)
+        } else {
+            LeaseOutage::SinceEnd(end)
+        }
+    }
+
+    /// Waits until the entry holds a lease, at most for `hold`.
+    pub(super) async fn await_lease(&self, hold: Duration) {
+        let waiting = async {
+            loop {
+                let extended = self.lease_extended.notified();
+                if self.may_serve(boot_now()) {
+                    return;
+                }
+                extended.await;
+            }
+        };
+        // Whoever waited in vain finds that there is still no lease.
+        let _in_vain = tokio::time::timeout(hold, waiting).await;
     }
 
     /// Tells whether a call may be denied by the configuration that is held.
@@ -232,6 +257,7 @@
         self.view().standing.confirm(asked_at);
         self.lease
             .extend(asked_at + self.settings.key_withdrawal.mul_f64(LEASE_PART));
+        self.lease_extended.notify_waiters();
     }
 
     /// Notes that the process was asked to stop.
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -71,6 +71,8 @@
     CALL_ABANDONED = "E0230";
     /// An endpoint is silent for longer than is usual.
     ENDPOINT_DOUBTED = "E0231";
+    /// A call has waited for the first lease of its entry.
+    CALL_HELD = "E0232";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -15,6 +15,7 @@
 //! * [`start_counts`] counts the calls that began, by window and customer.
 //! * [`reading_pace`] says how fast engines read, [`reading_need`] how many endpoints that takes.
 //! * [`given_order`] is what became of an order for endpoints.
+//! * [`lease_recovery`] says what becomes of calls while an entry has no lease.
 //! * [`stop_phase`] says what an entry still takes that was asked to stop.
 //! * [`send_budget`] bounds second sends, [`duty`] numbers who acts for the system.
 //!
@@ -32,6 +33,7 @@
 pub mod given_order;
 pub mod group_clock;
 pub mod kept_parts;
+pub mod lease_recovery;
 pub mod part_memory;
 pub mod prompt;
 pub mod reading_need;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod fixtures;
 mod given;
 mod keeping;
+mod leases;
 mod members;
 mod paces;
 mod placement;
