--- a/crates/acacia-entry/src/serving/prompt_read.rs
+++ b/crates/acacia-entry/src/serving/prompt_read.rs
@@ -33,8 +33,10 @@
 const DOUBT_FACTOR: f64 = 2.0;
 /// How long beside that.
 const DOUBT_MARGIN: Duration = Duration::from_millis(400);
-/// Most engines that are asked to read one prompt.
+/// Most engines that are asked to read one prompt and do not.
 const MOST_READERS: usize = 3;
+/// Most engines that are not reached before a prompt is given up: each of them costs a connection attempt.
+const MOST_UNREACHED: usize = 8;
 /// The largest answer of an engine that has read a prompt.
 const LARGEST_HANDLE: usize = 16 * 1024;
 /// How long freeing a handle may take.
@@ -101,7 +103,8 @@
     let mut tried: Vec<EndpointName> = Vec::new();
     // An engine that was not reached has got nothing, so the next send is still the first one.
     let mut arrived = repeated;
-    while tried.len() < MOST_READERS {
+    let mut failed = 0;
+    while failed < MOST_READERS && tried.len() - failed < MOST_UNREACHED {
         let now = boot_now();
         let found = call.shared.choose_reader(now, &call.service, &tried, prompt);
         let Some(reader) = found else {
@@ -123,7 +126,10 @@
         match read_at(call, prompt, &reader).await {
             ReadOutcome::Read(read) => return Ok(read),
             ReadOutcome::NotReached => {}
-            ReadOutcome::Failed => arrived = true,
+            ReadOutcome::Failed => {
+                arrived = true;
+                failed += 1;
+            }
         }
         tried.push(reader.engine.name);
     }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -25,6 +25,8 @@
 
 /// Most engines that are asked in vain before a call is given up.
 const MOST_TURNED_AWAY: u32 = 3;
+/// Most engines that are not reached before a call is given up: each of them costs a connection attempt.
+const MOST_UNREACHED: u32 = 8;
 /// Which part of the time after which a caller leaves an engine may be silent before another one goes on.
 const SILENCE_PART: f64 = 0.6;
 
@@ -38,6 +40,7 @@
     /// Sends after which an engine may have begun to make tokens.
     ran: u32,
     turned_away: u32,
+    unreached: u32,
     reads: u32,
 }
 
@@ -58,6 +61,7 @@
         call,
         ran: 0,
         turned_away: 0,
+        unreached: 0,
         reads: 0,
     };
     let resume_after = run.call.head.resume_after;
@@ -149,14 +153,20 @@
                         guard,
                     });
                 }
-                AttemptOutcome::NotRun { arrived } => {
+                AttemptOutcome::NotRun { arrived: false } => {
+                    self.unreached += 1;
+                    if self.unreached > MOST_UNREACHED {
+                        return Err(self.give_up("no engine was reached", SOON));
+                    }
+                }
+                AttemptOutcome::NotRun { arrived: true } => {
                     self.turned_away += 1;
-                    if arrived && self.turned_away > 1 {
+                    if self.turned_away > 1 {
                         // One engine may be full or leaving; when a second one refuses, what was read is probably gone.
                         read = None;
                     }
-                    let is_free = !arrived || self.call.shared.spend_send(boot_now(), &self.call.service);
-                    if self.turned_away > MOST_TURNED_AWAY || !is_free {
+                    let may_ask = self.call.shared.spend_send(boot_now(), &self.call.service);
+                    if self.turned_away > MOST_TURNED_AWAY || !may_ask {
                         return Err(self.give_up("turned away", SOON));
                     }
                 }
