Expect of engines that were not measured what is usual in their service

What an entry knows of the service, the pace of its fastest tenth, was used for the pool alone.

Change: that pace is the start for an engine that was not measured, and what the first measurement moves from.

--- a/crates/acacia-entry/src/serving/choice.rs
+++ b/crates/acacia-entry/src/serving/choice.rs
@@ -61,6 +61,7 @@
         let engines = PromptEngines {
             readers: &readers,
             keepers: &keepers,
+            pace: view.own_pace(service),
             link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
         };
         let place = place_prompt(&self.placement(now, &view), &engines, prompt)?;
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -107,7 +107,8 @@
 
     /// Notes how long an engine of a service took for a prompt.
     pub(super) fn note_reading(&mut self, service: &ServiceName, engine: &EndpointName, reading: ReadingTime) {
-        self.loads.note_reading(engine, reading);
+        let usual = self.own_pace(service);
+        self.loads.note_reading(engine, reading, usual);
         self.paces.entry(service.clone()).or_default().note(reading);
     }
 
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -135,17 +135,19 @@
         self.row(name).memory.note_read(parts, capacity);
     }
 
-    /// Notes how long an endpoint took for a prompt.
-    pub fn note_reading(&mut self, name: &EndpointName, reading: ReadingTime) {
+    /// Notes how long an endpoint took for a prompt. `usual` is the pace of its service, if that is known.
+    pub fn note_reading(&mut self, name: &EndpointName, reading: ReadingTime, usual: Option<f64>) {
         let Some(measured) = reading.pace() else { return };
         let row = self.row(name);
-        let before = row.pace.unwrap_or(FIRST_PACE);
+        let before = row.pace.or(usual).unwrap_or(FIRST_PACE);
         row.pace = Some(before + PACE_STEP * (measured - before));
     }
 
-    /// Returns how many milliseconds the endpoint takes for a token of a prompt.
-    pub fn pace(&self, name: &EndpointName) -> f64 {
-        self.rows.get(name).and_then(|row| row.pace).unwrap_or(FIRST_PACE)
+    /// Returns how many milliseconds the endpoint takes for a token of a prompt. One that was not measured takes as long
+    /// as is `usual` in its service: among hundreds of entries and engines, hardly any pair meets twice.
+    pub fn pace(&self, name: &EndpointName, usual: Option<f64>) -> f64 {
+        let measured = self.rows.get(name).and_then(|row| row.pace);
+        measured.or(usual).unwrap_or(FIRST_PACE)
     }
 
     /// Notes a failure that speaks against the endpoint.
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -61,6 +61,8 @@
     pub readers: &'table [Candidate<'table>],
     /// Those that may keep parts of prompts: readers, and readers that leave but still answer others.
     pub keepers: &'table [Candidate<'table>],
+    /// How many milliseconds one of them usually takes for a token of a prompt, if that is known.
+    pub pace: Option<f64>,
     /// How they copy memory to each other; without it everything is read where it is needed.
     pub link: Option<&'table MemoryLink>,
 }
@@ -101,7 +103,7 @@
     let keepers = LikelyKeepers::of(view, engines, prompt);
     let scored = engines.readers.iter().map(|reader| {
         let source = keepers.beside(reader.0);
-        let estimate = ReadEstimate::of(view, engines.link, prompt, *reader, source, &homes);
+        let estimate = ReadEstimate::of(view, engines, prompt, *reader, source, &homes);
         (estimate, *reader, source)
     });
     let best = scored.min_by(|one, other| one.0.cost_ms.total_cmp(&other.0.cost_ms));
@@ -213,7 +215,7 @@
 impl ReadEstimate {
     fn of(
         view: &PlacementView<'_>,
-        link: Option<&MemoryLink>,
+        engines: &PromptEngines<'_>,
         prompt: &PromptShape,
         reader: Candidate<'_>,
         source: Option<Candidate<'_>>,
@@ -226,7 +228,7 @@
         let source_kept = source.map_or(0, |(source, _)| view.loads.kept_tokens(source, prompt.shared_parts()));
         let copied = (source_kept as f64 - kept).max(0.0);
         let hoped = COPY_TRUST * copied;
-        let copy_ms = match (link, source) {
+        let copy_ms = match (engines.link, source) {
             (Some(link), Some((_, source))) if copied > 0.0 => copy_ms(link, copied, endpoint, source),
             _ => 0.0,
         };
@@ -239,7 +241,7 @@
         };
         let unread_tokens = (prompt.prompt_tokens as f64 - kept - hoped).max(0.0);
         let queued = view.loads.work(name).unread_tokens as f64;
-        let pace = view.loads.pace(name);
+        let pace = view.loads.pace(name, engines.pace);
         let read_ms = (queued + READ_WEIGHT * unread_tokens) * pace;
         Self {
             unread_tokens,
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -40,6 +40,7 @@
     let engines = PromptEngines {
         readers: &candidates(readers),
         keepers: &candidates(keepers),
+        pace: None,
         link: copies.then_some(&link),
     };
     place_prompt(&view, &engines, &prompt(shared, 99)).expect("there are engines")
@@ -138,6 +139,33 @@
     assert_eq!(other.copy_from, Some(home));
 }
 
+/// Two hundred entries and as many engines hardly meet twice. An entry that expects of each engine it has not measured what
+/// engines in general can do takes a wait of a second for half of one, and sends short prompts behind it.
+#[test]
+fn an_engine_that_was_not_measured_is_taken_for_a_usual_one() {
+    let readers = rows(3, EngineStage::Prefill);
+    let (loads, domain, link) = (LoadTable::default(), DomainName::new("a"), link());
+    let view = PlacementView {
+        now: at(0),
+        domain: &domain,
+        loads: &loads,
+    };
+    let expected = |pace| {
+        let engines = PromptEngines {
+            readers: &candidates(&readers),
+            keepers: &candidates(&readers),
+            pace,
+            link: Some(&link),
+        };
+        let place = place_prompt(&view, &engines, &prompt(5, 99)).expect("there are engines");
+        place.wait.as_millis()
+    };
+
+    // 16,000 tokens, a tenth of a millisecond each.
+    assert_eq!(expected(Some(0.1)), 1_600);
+    assert!(expected(None) < 400);
+}
+
 /// Nobody has read the part of a long prompt yet. Taken for kept, it would count as a few tokens, and short prompts would
 /// be sent behind it and wait for a second.
 #[test]
@@ -263,6 +291,7 @@
     let engines = PromptEngines {
         readers: &candidates(&readers),
         keepers: &candidates(&readers),
+        pace: None,
         link: Some(&link),
     };
 
