Copy a kept part only as readily as readers are free

Cause: since entries know what engines keep, a part was copied to any engine that saved a tenth of a second.

Change: what a copy costs beside its time follows the part of the readers that have work, from 80 ms where hardly one has to the 800 ms that another home counted before. The test of the loaded engines failed without it.

--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -33,9 +33,12 @@
 /// when all homes are overloaded.
 const NO_HOME_MS: f64 = 3_000.0;
 
-/// What another engine costs than those that keep the part, in milliseconds, where it is known to be kept: each copy
-/// leaves less memory for other parts.
-const KEPT_ELSEWHERE_MS: f64 = 100.0;
+/// What an engine costs that has to copy a part which is known to be kept elsewhere, in milliseconds where every reader
+/// has work: each copy leaves less memory for other parts, which are then read again by engines that have no time.
+const KEPT_ELSEWHERE_MS: f64 = 800.0;
+
+/// The least part of that which counts, also where hardly a reader has work.
+const LEAST_CROWDING: f64 = 0.1;
 
 /// How far apart engines are that are equally good, in milliseconds: entries that do not hear of each other in time
 /// would else all choose the same one.
@@ -100,10 +103,11 @@
     prompt: &PromptShape,
 ) -> Option<PromptPlace> {
     let homes = PartHomes::of(engines.readers, prompt);
+    let copy_penalty_ms = KEPT_ELSEWHERE_MS * crowding(view, engines.readers);
     let keepers = LikelyKeepers::of(view, engines, prompt);
     let scored = engines.readers.iter().map(|reader| {
         let source = keepers.beside(reader.0);
-        let estimate = ReadEstimate::of(view, engines, prompt, *reader, source, &homes);
+        let estimate = ReadEstimate::of(view, engines, prompt, *reader, source, &homes, copy_penalty_ms);
         (estimate, *reader, source)
     });
     let best = scored.min_by(|one, other| one.0.cost_ms.total_cmp(&other.0.cost_ms));
@@ -116,6 +120,16 @@
     })
 }
 
+/// Returns which part of the readers has work, from 0 to 1: how likely it is that what one of them does beside keeps
+/// another prompt waiting.
+fn crowding(view: &PlacementView<'_>, readers: &[Candidate<'_>]) -> f64 {
+    let busy = readers
+        .iter()
+        .filter(|(name, _)| view.loads.work(name).unread_tokens > 0);
+    let part = busy.count() as f64 / readers.len().max(1) as f64;
+    part.max(LEAST_CROWDING)
+}
+
 /// The engines on which entries agree for a shared part, the first one first.
 #[derive(Debug)]
 struct PartHomes<'table> {
@@ -220,6 +234,7 @@
         reader: Candidate<'_>,
         source: Option<Candidate<'_>>,
         homes: &PartHomes<'_>,
+        copy_penalty_ms: f64,
     ) -> Self {
         let (name, endpoint) = reader;
         let kept = view.loads.kept_tokens(name, &prompt.parts) as f64;
@@ -235,7 +250,7 @@
         let place_ms = if missing <= 0.0 {
             0.0
         } else if copied >= missing {
-            KEPT_ELSEWHERE_MS
+            copy_penalty_ms
         } else {
             homes.penalty_ms(name)
         };
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -139,6 +139,23 @@
     assert_eq!(other.copy_from, Some(home));
 }
 
+/// Every engine has work, and the memory of each is full. A part that is copied there takes the place of another, which
+/// has to be read again in the middle of the burst; so a prompt waits longer for the engine that keeps its part.
+#[test]
+fn a_kept_part_is_waited_for_where_all_engines_have_work() {
+    let readers = rows(7, EngineStage::Prefill);
+    let mut loads = LoadTable::default();
+    let home = place_copying(&loads, &readers, 5).endpoint;
+    loads.note_read(&home, prompt(5, 99).shared_parts(), 400_000);
+    for (name, _) in &readers {
+        loads.begin(name, unread(1_000));
+    }
+
+    loads.begin(&home, unread(17_000));
+
+    assert_eq!(place_copying(&loads, &readers, 5).endpoint, home);
+}
+
 /// Two hundred entries and as many engines hardly meet twice. An entry that expects of each engine it has not measured what
 /// engines in general can do takes a wait of a second for half of one, and sends short prompts behind it.
 #[test]
