Say what a doubt waits for in one function, and what is drawn in one place

No behaviour changes but the test of engines that are equally good: it passed without the tie-break, since the homes by hash spread the parts already; it now places prompts that share nothing, and fails without it.

The endless wait for a doubt is a function that returns nothing instead of an unreachable branch, the draw of a call and an endpoint stands once, the penalty of a copy belongs to the homes, and the private twin of KeptPart has a name of its own.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -53,15 +53,17 @@
         entries,
         others,
         kept: next_kept(hub, &request, &mut sent.kept),
-        silent: hub
-            .soft()
-            .silent_endpoints()
-            .into_iter()
-            .map(ToString::to_string)
-            .collect(),
+        silent: silent_names(hub),
     })
 }
 
+/// Returns the names of the endpoints that all entries are to leave out.
+fn silent_names(hub: &ServingHub) -> Vec<String> {
+    let soft = hub.soft();
+    let silent = soft.silent_endpoints().into_iter();
+    silent.map(ToString::to_string).collect()
+}
+
 /// What a connection has brought an entry so far.
 #[derive(Debug, Default)]
 pub(super) struct SentNews {
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a call to one endpoint.
 
+use std::convert::Infallible;
 use std::time::Duration;
 
 use acacia_http::{ConnectionChoice, FinishedConnection};
@@ -85,7 +86,8 @@
             "request" => &call.head.request, "route" => &call.route().name, "endpoint" => self.chosen.name.as_str(),
             "role" => ?self.role, "patience_ms" => whole_millis(call.until.since(call.received_at)),
             "after_ms" => whole_millis(now.since(call.received_at)),
-            "sent_ms" => whole_millis(now.since(self.sent_at)), "bound_ms" => whole_millis(self.bound), "report" => self.chosen.endpoint.sequence);
+            "sent_ms" => whole_millis(now.since(self.sent_at)), "bound_ms" => whole_millis(self.bound),
+            "report" => self.chosen.endpoint.sequence);
         metrics::counter!("acacia_calls_abandoned_total").increment(1);
     }
 }
@@ -137,17 +139,9 @@
         bound: patience.bound,
         is_ended: false,
     };
-    let doubting = async {
-        match patience.doubt_after {
-            Some(doubt_after) => tokio::time::sleep(doubt_after).await,
-            None => std::future::pending().await,
-        }
-        doubt(call, chosen, sent_at);
-        std::future::pending::<()>().await;
-    };
     let answer = tokio::select! {
         answer = tokio::time::timeout(patience.bound, sending) => answer,
-        () = doubting => unreachable!("doubting goes on for ever"),
+        never = doubt_in_time(call, chosen, sent_at, patience.doubt_after) => match never {},
     };
     watched.is_ended = true;
     let outcome = match answer {
@@ -201,11 +195,21 @@
     outcome
 }
 
-/// Notes that an endpoint is silent for longer than is usual, while the call goes on waiting for it.
-fn doubt(call: &OpenCall, chosen: &ChosenEndpoint, sent_at: BootTime) {
+/// Notes that an endpoint is silent for longer than is usual, while the call goes on waiting for it; never ends.
+async fn doubt_in_time(
+    call: &OpenCall,
+    chosen: &ChosenEndpoint,
+    sent_at: BootTime,
+    doubt_after: Option<Duration>,
+) -> Infallible {
+    let Some(doubt_after) = doubt_after else {
+        return std::future::pending().await;
+    };
+    tokio::time::sleep(doubt_after).await;
     let now = boot_now();
     slog::info!(call.shared.log, "endpoint is doubted"; "event" => event::ENDPOINT_DOUBTED,
         "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
         "sent_ms" => whole_millis(now.since(sent_at)), "report" => chosen.endpoint.sequence);
     call.shared.view().loads.note_silent(now, &chosen.name);
+    std::future::pending().await
 }
--- a/crates/acaciabay/src/core/serving/part_memory.rs
+++ b/crates/acaciabay/src/core/serving/part_memory.rs
@@ -7,14 +7,14 @@
 /// The parts that one endpoint is believed to keep, the longest unused going first.
 #[derive(Clone, Debug, Default)]
 pub struct PartMemory {
-    parts: HashMap<PartId, KeptPart>,
+    parts: HashMap<PartId, RememberedPart>,
     by_use: BTreeMap<u64, PartId>,
     tokens: u64,
     uses: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct KeptPart {
+struct RememberedPart {
     tokens: u64,
     used: u64,
 }
@@ -32,7 +32,7 @@
         for part in parts {
             self.uses += 1;
             let used = self.uses;
-            let fresh = KeptPart {
+            let fresh = RememberedPart {
                 tokens: part.tokens,
                 used,
             };
--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -50,7 +50,7 @@
         let work = view.loads.work(name);
         let slots = work.calls as f64 / f64::from(endpoint.slots.max(1));
         let memory = work.held_tokens as f64 / memory_tokens.max(1) as f64;
-        let spread = STREAM_SPREAD * drawn_part(draw, name);
+        let spread = STREAM_SPREAD * drawn(draw, name) as f64 / u64::MAX as f64;
         (
             slots.max(memory) + spread + SLOT_PENALTY.of(view, *candidate, wanted),
             name,
@@ -60,10 +60,9 @@
     best.map(|(_, name)| name.clone())
 }
 
-/// Returns a number from 0 to 1 that is drawn anew for each call and endpoint.
-fn drawn_part(draw: u64, name: &EndpointName) -> f64 {
-    let drawn = rendezvous::combine(draw, rendezvous::seed(name.as_str().as_bytes()));
-    drawn as f64 / u64::MAX as f64
+/// Returns a number that is drawn anew for each call and endpoint.
+fn drawn(draw: u64, name: &EndpointName) -> u64 {
+    rendezvous::combine(draw, rendezvous::seed(name.as_str().as_bytes()))
 }
 
 /// Chooses where a plain call goes; `draw` spreads calls over endpoints that are equally good.
@@ -72,7 +71,7 @@
         let (name, endpoint) = *candidate;
         let work = view.loads.work(name);
         let used = work.calls as f64 / f64::from(endpoint.slots.max(1));
-        let spread = rendezvous::combine(draw, rendezvous::seed(name.as_str().as_bytes()));
+        let spread = drawn(draw, name);
         (used + SLOT_PENALTY.of(view, *candidate, view.domain), spread, name)
     });
     let best = scored.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -102,12 +102,11 @@
     engines: &PromptEngines<'_>,
     prompt: &PromptShape,
 ) -> Option<PromptPlace> {
-    let homes = PartHomes::of(engines.readers, prompt);
-    let copy_penalty_ms = KEPT_ELSEWHERE_MS * crowding(view, engines.readers);
+    let homes = PartHomes::of(engines.readers, prompt, crowding(view, engines.readers));
     let keepers = LikelyKeepers::of(view, engines, prompt);
     let scored = engines.readers.iter().map(|reader| {
         let source = keepers.beside(reader.0);
-        let estimate = ReadEstimate::of(view, engines, prompt, *reader, source, &homes, copy_penalty_ms);
+        let estimate = ReadEstimate::of(view, engines, prompt, *reader, source, &homes);
         (estimate, *reader, source)
     });
     let best = scored.min_by(|one, other| one.0.cost_ms.total_cmp(&other.0.cost_ms));
@@ -135,14 +134,17 @@
 struct PartHomes<'table> {
     key: [u8; 8],
     ranked: Vec<&'table EndpointName>,
+    /// Which part of the readers has work.
+    crowding: f64,
 }
 
 impl<'table> PartHomes<'table> {
-    fn of(readers: &[Candidate<'table>], prompt: &PromptShape) -> Self {
+    fn of(readers: &[Candidate<'table>], prompt: &PromptShape, crowding: f64) -> Self {
         let Some(part) = prompt.affinity() else {
             return Self {
                 key: prompt.parts.last().map_or(0, |part| part.id.0).to_be_bytes(),
                 ranked: Vec::new(),
+                crowding,
             };
         };
         let key = part.0.to_be_bytes();
@@ -152,6 +154,7 @@
         Self {
             key,
             ranked: ranked.into_iter().map(|(_, name)| name).collect(),
+            crowding,
         }
     }
 
@@ -234,7 +237,6 @@
         reader: Candidate<'_>,
         source: Option<Candidate<'_>>,
         homes: &PartHomes<'_>,
-        copy_penalty_ms: f64,
     ) -> Self {
         let (name, endpoint) = reader;
         let kept = view.loads.kept_tokens(name, &prompt.parts) as f64;
@@ -250,7 +252,7 @@
         let place_ms = if missing <= 0.0 {
             0.0
         } else if copied >= missing {
-            copy_penalty_ms
+            KEPT_ELSEWHERE_MS * homes.crowding
         } else {
             homes.penalty_ms(name)
         };
--- a/crates/acaciabay/tests/serving/reading.rs
+++ b/crates/acaciabay/tests/serving/reading.rs
@@ -194,18 +194,32 @@
     assert_eq!(place.unread_tokens, prompt(5, 99).prompt_tokens);
 }
 
-/// Entries that do not hear of each other in time find the same engines free. Taking the first in the list, all of them
-/// would send to one engine at once.
+/// Entries that do not hear of each other in time find the same engines free, for prompts that share nothing. Taking the
+/// first in the list, all of them would send to one engine at once.
 #[test]
-fn parts_without_a_keeper_go_to_different_engines() {
+fn prompts_without_a_home_go_to_different_engines() {
     let readers = rows(7, EngineStage::Prefill);
-    let mut loads = LoadTable::default();
-    for (name, _) in &readers {
-        loads.begin(name, unread(1));
-    }
+    let (loads, domain) = (LoadTable::default(), DomainName::new("elsewhere"));
+    let view = PlacementView {
+        now: at(0),
+        domain: &domain,
+        loads: &loads,
+    };
+    let engines = PromptEngines {
+        readers: &candidates(&readers),
+        keepers: &candidates(&readers),
+        pace: None,
+        link: None,
+    };
 
     let chosen: BTreeSet<_> = (0..40)
-        .map(|part| place_copying(&loads, &readers, part).endpoint)
+        .map(|own| {
+            let mut shape = prompt(5, own);
+            shape.parts.remove(0);
+            place_prompt(&view, &engines, &shape)
+                .expect("there are engines")
+                .endpoint
+        })
         .collect();
 
     assert!(chosen.len() >= 6, "{chosen:?}");
