Log by content which calls ran on an endpoint that ended

Cause of the gap: of a call that is sent again only the identifier of each try was in the logs, so it could not be seen whether one content stood at every ending; nor whether the endpoint had ended or only its connection. Change: a keyed hash over method, host, path, customer and body stands for a call. The group's leader commits a random key, entries get it with their lease. Each attempt whose connection ends is examined: one connection attempt to the port, the endpoint's reports and later incarnations at its address. E0233 says fingerprint, incarnation, age of the attempt, port and verdict. No body is logged, and nothing is hashed unless an attempt breaks. Routing, retries and refusals are unchanged.

--- a/crates/acacia-control/src/driver/mod.rs
+++ b/crates/acacia-control/src/driver/mod.rs
@@ -91,6 +91,7 @@
             decode_state(&stored.snapshot).context("snapshot contains a state that this release cannot read")?;
         shared.config_version.send_replace(state.version());
         shared.serving_config_number.send_replace(state.serving.config_number);
+        shared.suspects_version.send_replace(state.serving.suspects.version);
         *shared.state.write() = state;
         Ok(Self {
             policy,
@@ -237,8 +238,10 @@
         self.folder.replace(self.hard_state, snapshot, &[])?;
         self.shared.config_version.send_replace(state.version());
         let number = state.serving.config_number;
+        let suspects = state.serving.suspects.version;
         *self.shared.state.write() = state;
         self.shared.serving_config_number.send_replace(number);
+        self.shared.suspects_version.send_replace(suspects);
         self.applied_bytes = 0;
         slog::info!(self.log, "snapshot installed"; "event" => event::SNAPSHOT_WRITTEN, "index" => snapshot.index.0);
         Ok(())
@@ -284,6 +287,11 @@
                 *number = state.serving.config_number;
                 changed
             });
+            self.shared.suspects_version.send_if_modified(|version| {
+                let changed = *version != state.serving.suspects.version;
+                *version = state.serving.suspects.version;
+                changed
+            });
         }
         for (answer, outcome) in answers {
             let _receiver_dropped = answer.sender.send(outcome.ok_or_else(|| self.not_leading()));
--- a/crates/acacia-control/src/group.rs
+++ b/crates/acacia-control/src/group.rs
@@ -136,6 +136,8 @@
     pub(crate) status: watch::Sender<GroupStatus>,
     /// Number of the configuration for calls by host and path.
     pub(crate) serving_config_number: watch::Sender<ConfigNumber>,
+    /// Version of the suspect calls.
+    pub(crate) suspects_version: watch::Sender<u64>,
     /// End of the leader lease in microseconds of the boot clock, or 0 if this replica has no lease.
     lease_until: AtomicU64,
 }
@@ -238,6 +240,11 @@
         self.shared.serving_config_number.subscribe()
     }
 
+    /// Subscribes to the version of the suspect calls.
+    pub fn suspects_versions(&self) -> watch::Receiver<u64> {
+        self.shared.suspects_version.subscribe()
+    }
+
     /// Returns true if this replica holds the leader lease at `now`. Write guards check it immediately before a write.
     pub fn may_act(&self, now: BootTime) -> bool {
         now < self.shared.lease_until()
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -25,6 +25,7 @@
 mod shared;
 mod stage_orders;
 mod start;
+mod suspect_calls;
 mod usage_windows;
 
 pub use codec::{
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -9,7 +9,7 @@
 use acacia_wire::generated::serving::{
     EndpointUse, KeptPart, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
 };
-use acacia_wire::generated::state::WindowCounts;
+use acacia_wire::generated::state::{self, WindowCounts};
 use acacia_wire::{
     content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, use_from_wire, use_to_wire,
 };
@@ -55,6 +55,8 @@
         others,
         kept: exchange_cached_parts(shared, &request, &mut sent.cached_parts_position),
         silent: silent_endpoint_names(shared),
+        suspects: newer_suspects(shared, request.suspects_version),
+        ..ServingRenewed::default()
     })
 }
 
@@ -65,6 +67,13 @@
     silent.map(ToString::to_string).collect()
 }
 
+/// Returns the suspect calls, unless the entry holds this version of them. An entry without them must not get a lease: it
+/// would serve what the others hold back.
+fn newer_suspects(shared: &ControlShared, held: u64) -> Option<state::SuspectTable> {
+    let suspects = shared.suspects();
+    (suspects.version != held).then_some(suspects)
+}
+
 /// State that has been sent to an entry on one connection.
 #[derive(Debug, Default)]
 pub(super) struct SentState {
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -137,6 +137,7 @@
 async fn send_updates(shared: &Arc<ControlShared>, frames: mpsc::Sender<QueuedFrame>) {
     let mut updates = shared.subscribe();
     let mut numbers = shared.group.serving_config_numbers();
+    let mut suspects = shared.group.suspects_versions();
     let mut status = shared.group.status();
     let mut addresses = Vec::new();
     let mut was_leading = false;
@@ -154,6 +155,14 @@
                 Err(RecvError::Closed) => return,
             },
             Ok(()) = numbers.changed() => Body::NewerConfig(numbers.borrow_and_update().0),
+            Ok(()) = suspects.changed() => {
+                suspects.mark_unchanged();
+                // Each entry has a session with every replica, and needs the table only once.
+                if status.borrow().leading_since.is_none() {
+                    continue;
+                }
+                Body::Suspects(shared.suspects())
+            }
             Ok(()) = status.changed() => {
                 let (leads, voters) = {
                     let status = status.borrow_and_update();
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -8,9 +8,10 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_settings::ServingControlSettings;
-use acacia_wire::endpoint_to_wire;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
+use acacia_wire::generated::state;
+use acacia_wire::{endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptLog;
@@ -276,6 +277,11 @@
         }
     }
 
+    /// Returns the suspect calls that this replica has applied.
+    pub(super) fn suspects(&self) -> state::SuspectTable {
+        suspects_to_wire(&self.group.read().serving.suspects)
+    }
+
     pub(super) fn config_cache(&self) -> MutexGuard<'_, ConfigCache> {
         self.config_cache.lock()
     }
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -14,6 +14,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
+use super::break_watch::record_break;
 use super::call::AcceptedCall;
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
@@ -43,6 +44,8 @@
 pub(super) struct EndpointReply {
     pub(super) response: Response<Incoming>,
     pub(super) connection: KeptConnection,
+    /// Time at which the attempt was sent.
+    pub(super) sent_at: BootTime,
 }
 
 /// Connection of an answer, which can be reused once the answer is complete.
@@ -150,6 +153,9 @@
     let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => {
+            if failure.state != AttemptState::Unsent {
+                record_break(call, chosen, sent_at);
+            }
             let outcome = match failure.state {
                 AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
                 // The endpoint may have run the call. This includes `Ended`: the client returned an error, so there is
@@ -179,6 +185,7 @@
                 let reply = EndpointReply {
                     response: answer.response,
                     connection,
+                    sent_at,
                 };
                 return AttemptOutcome::Answered(Box::new(reply));
             }
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -1,7 +1,7 @@
 //! Checks that every call has to pass before it is sent to an endpoint: the lease, its head, its route and key, and its
 //! body.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use acacia_http::{BodyRefusal, ResponseBody, read_body};
@@ -9,6 +9,8 @@
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, ServiceName};
+use acaciabay::core::serving::broken_attempt::CallIdentity;
+use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
 use acaciabay::util::number::whole_millis;
@@ -41,6 +43,8 @@
     pub(super) deadline: BootTime,
     /// Hash of the request identifier, by which calls are spread over services and endpoints.
     pub(super) request_hash: u64,
+    /// Fingerprint of the call. It is computed when it is first needed, since most calls never need it.
+    fingerprint: OnceLock<Option<CallFingerprint>>,
 }
 
 impl AcceptedCall {
@@ -52,6 +56,31 @@
         self.admitted.customer.as_ref().map(|customer| &customer.name)
     }
 
+    /// Returns the fingerprint of the call, or `None` while the entry does not have the key.
+    fn fingerprint(&self) -> Option<CallFingerprint> {
+        *self.fingerprint.get_or_init(|| {
+            let key = self.shared.state().suspects.key?;
+            let content = CallContent {
+                method: self.parts.method.as_str(),
+                host: &self.head.host,
+                target: self.parts.uri.path_and_query().map_or("", |target| target.as_str()),
+                customer: self.customer(),
+                body: &self.body,
+            };
+            Some(key.fingerprint(&content))
+        })
+    }
+
+    /// Returns by what the call is recognised when it is sent again, or `None` while the entry does not have the key.
+    pub(super) fn identity(&self) -> Option<CallIdentity> {
+        Some(CallIdentity {
+            fingerprint: self.fingerprint()?,
+            customer: self.customer().cloned(),
+            route: self.route().name.clone(),
+            body_bytes: self.body.len() as u64,
+        })
+    }
+
     /// Returns the time that an endpoint has left for the call.
     pub(super) fn time_left(&self, now: BootTime) -> Duration {
         self.deadline.since(now + ANSWER_MARGIN)
@@ -175,5 +204,6 @@
         received_at,
         deadline: received_at + timeout,
         request_hash,
+        fingerprint: OnceLock::new(),
     })
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -29,7 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::config_install::{ReceivedConfig, ReplicaSession};
-use super::endpoint_news::{apply_endpoint_news, apply_resting_engines};
+use super::endpoint_news::{apply_endpoint_news, apply_resting_engines, apply_suspects};
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
 
@@ -262,6 +262,7 @@
                         "replica" => %address, "reason" => "it says that it leads");
                     self.trigger_renewals();
                 }
+                Body::Suspects(suspects) => apply_suspects(&self.shared, &mut self.shared.state(), &suspects),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
                 Body::Alive(sign) => self
                     .shared
@@ -288,6 +289,7 @@
             others,
             kept,
             silent,
+            suspects,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -305,6 +307,9 @@
         state.entry_count = entries;
         state.loads.set_peer_work(others.iter().map(use_from_wire));
         state.loads.set_peer_suspicions(silent.iter().map(EndpointName::new));
+        if let Some(suspects) = suspects {
+            apply_suspects(&self.shared, &mut state, &suspects);
+        }
         for kept in &kept {
             state.record_cached_part(&kept_from_wire(kept));
         }
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -5,13 +5,14 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
-use acacia_wire::{endpoint_from_wire, stage_from_wire};
+use acacia_wire::generated::state::SuspectTable;
+use acacia_wire::{endpoint_from_wire, stage_from_wire, suspects_from_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::StageSwitch;
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect};
 
-use super::shared::EntryShared;
+use super::shared::{EntryShared, EntryState};
 
 /// Applies the reports that endpoints have sent to a replica.
 pub(super) fn apply_endpoint_news(shared: &EntryShared, news: &EndpointNews) {
@@ -45,6 +46,19 @@
     shared.state().loads.set_stage_switches(engines);
 }
 
+/// Replaces the suspect calls by a newer version of them.
+pub(super) fn apply_suspects(shared: &EntryShared, state: &mut EntryState, message: &SuspectTable) {
+    match suspects_from_wire(message) {
+        Ok(suspects) if suspects.version > state.suspects.version => state.suspects = suspects,
+        // Another replica has sent a newer version.
+        Ok(_) => {}
+        Err(error) => {
+            slog::warn!(shared.log, "malformed suspect calls received"; "event" => event::MESSAGE_REFUSED,
+                "error" => %error);
+        }
+    }
+}
+
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, StageSwitch)> {
     let order = StageSwitch {
         birth: EndpointIncarnation(engine.birth),
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -1,5 +1,7 @@
 //! Calls that are answered with an ordinary response instead of an event stream.
 
+use std::sync::Arc;
+
 use acacia_http::{ResponseBody, full_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
@@ -13,12 +15,13 @@
 use hyper::{Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
+use super::break_watch::record_break;
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::stream_answer;
+use super::stream_body::{PlainStream, stream_answer};
 
 /// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
 /// when its answer breaks off.
@@ -40,6 +43,7 @@
 
 /// Answers a call, and logs the endpoint and the duration.
 pub(super) async fn answer(call: AcceptedCall) -> Response<ResponseBody> {
+    let call = Arc::new(call);
     match run(&call).await {
         Ok((response, endpoint)) => {
             slog::info!(call.shared.log, "call answered"; "event" => event::CALL_ENDED,
@@ -52,7 +56,7 @@
     }
 }
 
-async fn run(call: &AcceptedCall) -> Result<(Response<ResponseBody>, EndpointName), CallRefusal> {
+async fn run(call: &Arc<AcceptedCall>) -> Result<(Response<ResponseBody>, EndpointName), CallRefusal> {
     let mut attempts = PlainAttempts::default();
     loop {
         let now = boot_now();
@@ -166,22 +170,38 @@
 /// [`MAX_BUFFERED_CONTENT_LENGTH`] is streamed; any other is first read to its end. Returns `None` if that fails or
 /// takes until the deadline of the call.
 async fn relay_answer(
-    call: &AcceptedCall,
+    call: &Arc<AcceptedCall>,
     chosen: &ChosenEndpoint,
     reply: EndpointReply,
     guard: LoadGuard,
 ) -> Option<Response<ResponseBody>> {
-    let EndpointReply { response, connection } = reply;
+    let EndpointReply {
+        response,
+        connection,
+        sent_at,
+    } = reply;
     let (parts, incoming) = response.into_parts();
     let headers = call.shared.codec.filter_answer_headers(&parts.headers);
     call.shared.count_start(call.customer());
     let (status, length) = (parts.status, content_length(&parts.headers));
     if length.is_some_and(|length| length > MAX_BUFFERED_CONTENT_LENGTH) {
-        let body = stream_answer(call, incoming, connection, guard);
+        let stream = PlainStream {
+            call: Arc::clone(call),
+            chosen: chosen.clone(),
+            sent_at,
+            incoming,
+            _connection: connection,
+            _guard: guard,
+        };
+        let body = stream_answer(stream);
         return Some(build_response(status, headers, body));
     }
     let left = call.deadline.since(boot_now());
-    let Ok(Some(whole)) = tokio::time::timeout(left, read_to_end(incoming)).await else {
+    let read = tokio::time::timeout(left, read_to_end(incoming)).await;
+    if matches!(read, Ok(None)) {
+        record_break(call, chosen, sent_at);
+    }
+    let Ok(Some(whole)) = read else {
         slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => chosen.name.as_str());
         call.shared.state().loads.record_failure(boot_now(), &chosen.name);
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, read_body};
+use acacia_http::{BodyRefusal, ConnectionChoice, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::name::{DomainName, EndpointName};
@@ -19,6 +19,7 @@
 use hyper::header::HOST;
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
+use super::break_watch::record_break;
 use super::call::AcceptedCall;
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
@@ -236,10 +237,20 @@
 }
 
 async fn receive_handle(call: &AcceptedCall, chosen: &ChosenEndpoint, reply: EndpointReply) -> Option<String> {
-    let EndpointReply { response, connection } = reply;
+    let EndpointReply {
+        response,
+        connection,
+        sent_at,
+    } = reply;
     let status = response.status();
-    let body = read_body(response.into_body(), MAX_HANDLE_BYTES, call.deadline.since(boot_now())).await;
-    let body = body.ok()?;
+    let body = match read_body(response.into_body(), MAX_HANDLE_BYTES, call.deadline.since(boot_now())).await {
+        Ok(body) => body,
+        Err(BodyRefusal::Broken) => {
+            record_break(call, chosen, sent_at);
+            return None;
+        }
+        Err(BodyRefusal::TooLarge | BodyRefusal::TimedOut) => return None,
+    };
     connection.return_to_pool(call).await;
     let handle = status
         .is_success()
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -53,6 +53,8 @@
             .map(ToString::to_string)
             .collect(),
         kept: kept.iter().map(kept_to_wire).collect(),
+        suspects_version: state.suspects.version,
+        ..RenewServing::default()
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::answer_pace::AnswerLatency;
+use acaciabay::core::serving::broken_attempt::BreakExamination;
 use acaciabay::core::serving::cached_parts::{CachedPartOutbox, KeptPart};
 use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::config_freshness::ConfigFreshness;
@@ -25,6 +26,7 @@
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
 use acaciabay::core::serving::start_counts::{CallCounts, WindowNumber};
 use acaciabay::core::serving::stop_state::StopState;
+use acaciabay::core::serving::suspect_table::SuspectTable;
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -73,6 +75,10 @@
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
     pub(super) kept_news: CachedPartOutbox,
+    /// Calls under which endpoints have ended, as the leader has sent them.
+    pub(super) suspects: SuspectTable,
+    /// Broken attempts that are under examination.
+    pub(super) breaks: BreakExamination,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     prefill_paces: BTreeMap<ServiceName, PrefillPace>,
     answer_paces: BTreeMap<ServiceName, AnswerLatency>,
@@ -146,6 +152,8 @@
     lease: Arc<LeaseEnd>,
     /// Notifies the calls that wait for a lease.
     lease_extended: Notify,
+    /// Notified when a broken attempt is to be examined.
+    pub(super) break_recorded: Notify,
     state: Mutex<EntryState>,
 }
 
@@ -211,6 +219,7 @@
             stop_phase: Mutex::default(),
             lease,
             lease_extended: Notify::new(),
+            break_recorded: Notify::new(),
             state: Mutex::default(),
         }
     }
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::break_watch::examine_breaks;
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
@@ -67,6 +68,7 @@
     let background = TaskTracker::new();
     background.spawn(sessions.run_sessions(ended.clone()));
     background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
+    background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
     let entry = Arc::clone(&shared);
     background.spawn(serve_http(
         ready,
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -1,8 +1,11 @@
 //! Response bodies that are streamed from an endpoint to the caller, with backpressure from the caller.
 
+use std::sync::Arc;
+
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::event_stream::EventSplitter;
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
@@ -11,34 +14,42 @@
 use hyper::body::{Frame, Incoming};
 
 use super::attempt::KeptConnection;
+use super::break_watch::record_break;
 use super::call::AcceptedCall;
+use super::endpoint_choice::ChosenEndpoint;
 use super::shared::LoadGuard;
 use super::stream_call::{OpenStream, StreamAttempts};
 
+/// A large answer that is passed on as it arrives.
+#[derive(Debug)]
+pub(super) struct PlainStream {
+    pub(super) call: Arc<AcceptedCall>,
+    pub(super) chosen: ChosenEndpoint,
+    /// Time at which the call was sent to the endpoint.
+    pub(super) sent_at: BootTime,
+    pub(super) incoming: Incoming,
+    /// Kept until the answer has ended, like the guard.
+    pub(super) _connection: KeptConnection,
+    pub(super) _guard: LoadGuard,
+}
+
 /// Streams a large body as it arrives. If it breaks off, the caller's connection is broken too, so that the caller
 /// cannot take the body for complete.
-pub(super) fn stream_answer(
-    call: &AcceptedCall,
-    incoming: Incoming,
-    connection: KeptConnection,
-    guard: LoadGuard,
-) -> ResponseBody {
-    let log = call.shared.log.clone();
-    let request = call.head.request.clone();
-    let deadline = call.deadline;
-    let frames = stream::unfold(Some((incoming, connection, guard)), move |state| {
-        let (log, request) = (log.clone(), request.clone());
-        async move {
-            let (mut incoming, connection, guard) = state?;
-            let left = deadline.since(boot_now());
-            match tokio::time::timeout(left, incoming.frame()).await {
-                Ok(Some(Ok(frame))) => Some((Ok(frame), Some((incoming, connection, guard)))),
-                Ok(None) => None,
-                broken => {
-                    slog::info!(log, "answer broke off"; "event" => event::ATTEMPT_FAILED, "request" => request,
-                        "late" => broken.is_err());
-                    Some((Err(std::io::Error::other("endpoint broke off")), None))
+pub(super) fn stream_answer(stream: PlainStream) -> ResponseBody {
+    let frames = stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        let call = Arc::clone(&stream.call);
+        let left = call.deadline.since(boot_now());
+        match tokio::time::timeout(left, stream.incoming.frame()).await {
+            Ok(Some(Ok(frame))) => Some((Ok(frame), Some(stream))),
+            Ok(None) => None,
+            broken => {
+                if broken.is_ok() {
+                    record_break(&call, &stream.chosen, stream.sent_at);
                 }
+                slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
+                    "request" => &call.head.request, "late" => broken.is_err());
+                Some((Err(std::io::Error::other("endpoint broke off")), None))
             }
         }
     });
@@ -106,6 +117,7 @@
                 }
                 Ok(None) => return RelayStep::End(Bytes::copy_from_slice(self.splitter.partial_event())),
                 Ok(Some(Err(error))) => {
+                    record_break(&self.attempts.call, &stream.chosen, stream.sent_at);
                     if !self.resume_elsewhere(&error.to_string()).await {
                         return RelayStep::Broken;
                     }
@@ -133,14 +145,14 @@
     async fn resume_elsewhere(&mut self, reason: &str) -> bool {
         // Closed before another engine is asked: an engine that is merely slow would otherwise keep working on the
         // call.
-        let Some(OpenStream { endpoint, .. }) = self.stream.take() else {
+        let Some(OpenStream { chosen, .. }) = self.stream.take() else {
             return false;
         };
         let call = &self.attempts.call;
-        call.shared.state().loads.record_failure(boot_now(), &endpoint);
+        call.shared.state().loads.record_failure(boot_now(), &chosen.name);
         let can_retry = self.attempts.acquire_retry();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => endpoint.as_str(), "reason" => reason,
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "reason" => reason,
             "events" => self.events, "last_id" => self.last_id, "goes_on" => can_retry);
         if !can_retry {
             return false;
@@ -149,14 +161,14 @@
         match self.attempts.open(self.last_id).await {
             Ok(stream) if stream.status.is_success() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
-                    "endpoint" => stream.endpoint.as_str(), "after" => self.last_id);
+                    "endpoint" => stream.chosen.name.as_str(), "after" => self.last_id);
                 self.stream = Some(stream);
                 self.splitter = EventSplitter::default();
                 true
             }
             Ok(stream) => {
                 slog::info!(log, "stream not resumed"; "event" => event::ATTEMPT_FAILED, "request" => request,
-                    "endpoint" => stream.endpoint.as_str(), "status" => stream.status.as_u16());
+                    "endpoint" => stream.chosen.name.as_str(), "status" => stream.status.as_u16());
                 false
             }
             Err(refusal) => {
@@ -171,9 +183,9 @@
         let Some(stream) = self.stream else { return };
         let call = &self.attempts.call;
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
-            "endpoint" => stream.endpoint.as_str(), "events" => self.events,
+            "endpoint" => stream.chosen.name.as_str(), "events" => self.events,
             "after_ms" => whole_millis(boot_now().since(call.received_at)));
-        call.shared.state().loads.record_success(&stream.endpoint);
+        call.shared.state().loads.record_success(&stream.chosen.name);
         drop(stream.guard);
         stream.connection.return_to_pool(call).await;
     }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -5,6 +5,7 @@
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
@@ -49,7 +50,9 @@
 /// Answer of the engine that decodes a call, with the load that the call puts on the engine.
 #[derive(Debug)]
 pub(super) struct OpenStream {
-    pub(super) endpoint: EndpointName,
+    pub(super) chosen: ChosenEndpoint,
+    /// Time at which the call was sent to the engine.
+    pub(super) sent_at: BootTime,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) incoming: Incoming,
@@ -74,7 +77,7 @@
             headers.remove(CONTENT_LENGTH);
             slog::info!(attempts.call.shared.log, "stream begun"; "event" => event::CALL_ENDED,
                 "request" => &attempts.call.head.request, "route" => &attempts.call.route().name,
-                "endpoint" => stream.endpoint.as_str(), "status" => stream.status.as_u16(),
+                "endpoint" => stream.chosen.name.as_str(), "status" => stream.status.as_u16(),
                 "after_ms" => whole_millis(boot_now().since(attempts.call.received_at)));
             build_response(stream.status, headers, stream_events(attempts, stream))
         }
@@ -154,7 +157,8 @@
                         continue;
                     }
                     return Ok(OpenStream {
-                        endpoint: chosen.name,
+                        chosen,
+                        sent_at: reply.sent_at,
                         status: parts.status,
                         headers: parts.headers,
                         incoming,
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -74,6 +74,8 @@
     ENDPOINT_DOUBTED = "E0231";
     /// A call was held until its entry's first lease, or until its time limit.
     CALL_HELD = "E0232";
+    /// It was examined whether an endpoint ended with the connection of an attempt.
+    BREAK_EXAMINED = "E0233";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acacia-wire/src/control_command.rs
+++ b/crates/acacia-wire/src/control_command.rs
@@ -17,6 +17,7 @@
 use crate::error::WireError;
 use crate::generated::state::{self, control_command::Command};
 use crate::serving_message::{gathered_from_wire, gathered_to_wire};
+use crate::suspect_message::{update_from_wire, update_to_wire};
 use crate::table_row::{
     all, digest_from_wire, digest_to_wire, key_from_wire, key_to_wire, pool_from_wire, pool_to_wire, report_from_wire,
     report_to_wire, route_from_wire, route_key_from_wire, route_key_to_wire, route_to_wire,
@@ -101,6 +102,7 @@
         }),
         ServingCommand::SealStarts { window } => Command::SealStarts(window.0),
         ServingCommand::SettleStarts { window } => Command::SettleStarts(window.0),
+        ServingCommand::UpdateSuspects(update) => Command::JudgeCalls(update_to_wire(update)),
     }
 }
 
@@ -155,6 +157,9 @@
         Command::SettleStarts(window) => ControlCommand::Serving(ServingCommand::SettleStarts {
             window: WindowNumber(window),
         }),
+        Command::JudgeCalls(update) => {
+            ControlCommand::Serving(ServingCommand::UpdateSuspects(update_from_wire(&update)?))
+        }
     })
 }
 
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod frame;
 mod replica_message;
 mod serving_message;
+mod suspect_message;
 mod table_row;
 
 pub use control_command::{command_from_bytes, command_to_bytes};
@@ -32,6 +33,8 @@
     use_to_wire,
 };
 
+pub use suspect_message::{suspects_from_wire, suspects_to_wire};
+
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
 #[expect(clippy::pedantic, reason = "generated code")]
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -16,6 +16,7 @@
 use crate::error::WireError;
 use crate::generated::serving::{delta_piece, serving_renewed};
 use crate::generated::{serving, state};
+use crate::suspect_message::{suspects_from_wire, suspects_to_wire};
 
 /// Encodes the counts of a window.
 pub fn counts_to_wire(window: WindowNumber, counts: &CustomerCounts) -> state::WindowCounts {
@@ -224,6 +225,7 @@
         sealed: sealed.map(|(window, counts)| counts_to_wire(*window, counts)).collect(),
         last_sealed: state.last_sealed.0,
         gathered: state.gathered.rows().map(|row| gathered_to_wire(&row)).collect(),
+        suspects: Some(suspects_to_wire(&state.suspects)),
     }
 }
 
@@ -240,6 +242,13 @@
         sealed: message.sealed.into_iter().map(counts_from_wire).collect(),
         last_sealed: WindowNumber(message.last_sealed),
         gathered,
+        // A snapshot of an earlier release has none.
+        suspects: message
+            .suspects
+            .as_ref()
+            .map(suspects_from_wire)
+            .transpose()?
+            .unwrap_or_default(),
     })
 }
 
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -0,0 +1,156 @@
+//! Attempts whose connection ended before the answer was complete, and whether the endpoint ended with it.
+//!
+//! A connection also ends when it is reset, when an endpoint gives up a single call, or when an endpoint leaves as
+//! planned. Only an endpoint that ended while it was supposed to serve is evidence against the calls that it ran.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::call_fingerprint::CallFingerprint;
+use super::endpoint_registry::{EndpointIncarnation, EndpointPhase, EndpointRegistry};
+use crate::core::clock::BootTime;
+use crate::core::name::{CustomerName, EndpointName};
+
+/// Time after the break from which a report of the same incarnation proves that the endpoint is alive. Reports before
+/// that may have been sent earlier and delayed.
+const REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Time without a report and without an answer to a connection attempt after which the endpoint counts as ended. It
+/// covers two missed reports.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_600);
+/// Time after which a break is no longer examined, because a new incarnation has nothing to do with it.
+const EXAMINATION_LIMIT: Duration = Duration::from_secs(4);
+
+/// A call as it is recognised when it is sent again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallIdentity {
+    /// Fingerprint of the call.
+    pub fingerprint: CallFingerprint,
+    /// Customer of the call.
+    pub customer: Option<CustomerName>,
+    /// Name of the route.
+    pub route: String,
+    /// Length of the body in bytes.
+    pub body_bytes: u64,
+}
+
+/// State of an endpoint's port after a break, as seen by a connection attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortState {
+    /// No connection was attempted yet.
+    Unknown,
+    /// The connection was accepted.
+    Open,
+    /// The connection was refused: no process listens.
+    Refused,
+    /// Nothing answered.
+    Silent,
+}
+
+/// An attempt whose connection ended before the answer was complete.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenAttempt {
+    /// The call.
+    pub call: CallIdentity,
+    /// Endpoint to which the attempt was sent.
+    pub endpoint: EndpointName,
+    /// Incarnation of the endpoint when it was chosen.
+    pub incarnation: EndpointIncarnation,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Time at which the attempt was sent.
+    pub sent_at: BootTime,
+    /// Time at which the connection ended.
+    pub broken_at: BootTime,
+    /// State of the endpoint's port since then.
+    pub port: PortState,
+}
+
+/// Result of the examination of a break.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BreakVerdict {
+    /// The endpoint ended.
+    Ended,
+    /// The endpoint is alive, or has left as planned.
+    Innocent,
+    /// Not known yet.
+    Undecided,
+}
+
+/// Examines whether an endpoint ended together with the connection of an attempt.
+pub fn examine_break(now: BootTime, broken: &BrokenAttempt, registry: &EndpointRegistry) -> BreakVerdict {
+    let known = registry.get(&broken.endpoint);
+    let has_left =
+        known.is_some_and(|known| known.incarnation == broken.incarnation && known.phase != EndpointPhase::Ready);
+    if has_left {
+        return BreakVerdict::Innocent;
+    }
+    if broken.port == PortState::Refused || registry.has_successor(broken.address, broken.incarnation) {
+        return BreakVerdict::Ended;
+    }
+    let reported_at = registry.reported_at(&broken.endpoint);
+    if reported_at.is_some_and(|reported_at| reported_at >= broken.broken_at + REPORT_DELAY) {
+        return BreakVerdict::Innocent;
+    }
+    let waited = now.since(broken.broken_at);
+    if broken.port == PortState::Silent && waited >= SILENCE_LIMIT && registry.any_reported_since(broken.broken_at) {
+        return BreakVerdict::Ended;
+    }
+    if waited >= EXAMINATION_LIMIT {
+        return BreakVerdict::Innocent;
+    }
+    BreakVerdict::Undecided
+}
+
+/// Maximum number of breaks that are under examination: more than an entry has calls at a dozen engines.
+const MAX_EXAMINED: usize = 1_024;
+
+/// The breaks of an entry that are under examination, oldest first.
+#[derive(Clone, Debug, Default)]
+pub struct BreakExamination {
+    breaks: VecDeque<BrokenAttempt>,
+}
+
+impl BreakExamination {
+    /// Adds a break. If there are too many, the oldest is no longer examined.
+    pub fn add(&mut self, broken: BrokenAttempt) {
+        if self.breaks.len() >= MAX_EXAMINED {
+            self.breaks.pop_front();
+        }
+        self.breaks.push_back(broken);
+    }
+
+    /// Returns true if no break is under examination.
+    pub fn is_empty(&self) -> bool {
+        self.breaks.is_empty()
+    }
+
+    /// Returns the addresses at which a connection has to be attempted.
+    pub fn unknown_ports(&self) -> BTreeSet<SocketAddr> {
+        let unknown = self.breaks.iter().filter(|broken| broken.port == PortState::Unknown);
+        unknown.map(|broken| broken.address).collect()
+    }
+
+    /// Records the state of a port, as seen by a connection attempt that began at `attempted_at`.
+    pub fn record_port(&mut self, attempted_at: BootTime, address: SocketAddr, port: PortState) {
+        let here = self.breaks.iter_mut().filter(|broken| broken.address == address);
+        for broken in here.filter(|broken| broken.port == PortState::Unknown && broken.broken_at <= attempted_at) {
+            broken.port = port;
+        }
+    }
+
+    /// Removes and returns the breaks whose examination has a result.
+    pub fn take_decided(&mut self, now: BootTime, registry: &EndpointRegistry) -> Vec<(BrokenAttempt, BreakVerdict)> {
+        let examined = std::mem::take(&mut self.breaks)
+            .into_iter()
+            .map(|broken| (examine_break(now, &broken, registry), broken));
+        let mut decided = Vec::new();
+        for (verdict, broken) in examined {
+            match verdict {
+                BreakVerdict::Undecided => self.breaks.push_back(broken),
+                BreakVerdict::Ended | BreakVerdict::Innocent => decided.push((broken, verdict)),
+            }
+        }
+        decided
+    }
+}
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -202,6 +202,23 @@
             .collect()
     }
 
+    /// Returns the time of the latest report of an endpoint.
+    pub fn reported_at(&self, name: &EndpointName) -> Option<BootTime> {
+        self.rows.get(name).map(|row| row.reported_at)
+    }
+
+    /// Returns true if any endpoint has reported after `since`. Otherwise the path of all reports may be cut.
+    pub fn any_reported_since(&self, since: BootTime) -> bool {
+        self.rows.values().any(|row| row.reported_at > since)
+    }
+
+    /// Returns true if a later incarnation has the address, under the same name or under another one.
+    pub fn has_successor(&self, address: SocketAddr, incarnation: EndpointIncarnation) -> bool {
+        let endpoints = self.rows.values().map(|row| &row.endpoint);
+        let mut successors = endpoints.filter(|endpoint| endpoint.address == address);
+        successors.any(|endpoint| endpoint.incarnation > incarnation)
+    }
+
     /// Removes the rows of endpoints that have not reported for a minute.
     pub fn remove_expired(&mut self, now: BootTime) {
         self.rows.retain(|_, row| now.since(row.reported_at) < ROW_RETENTION);
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -11,6 +11,8 @@
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
+//! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
+//!   while it ran one. [`suspect_table`] records such calls for all entries.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams.
 //! * [`group_clock`] computes the median wall clock of the replicas.
@@ -27,7 +29,9 @@
 //! `docs/design/machines.md` describes the programs that combine these modules.
 
 pub mod answer_pace;
+pub mod broken_attempt;
 pub mod cached_parts;
+pub mod call_fingerprint;
 pub mod config;
 pub mod config_freshness;
 pub mod config_index;
@@ -51,3 +55,4 @@
 pub mod start_counts;
 pub mod stop_state;
 pub mod stream_peak;
+pub mod suspect_table;
--- a/crates/acaciabay/src/core/serving/serving_state.rs
+++ b/crates/acaciabay/src/core/serving/serving_state.rs
@@ -12,6 +12,7 @@
 use super::config::ConfigNumber;
 use super::duty::{DutyTable, FenceNumber};
 use super::start_counts::{CustomerCounts, GatheredCounts, GatheredRow, WindowNumber};
+use super::suspect_table::{SuspectTable, SuspectUpdate};
 use crate::core::name::HostName;
 
 /// Command that changes the state.
@@ -46,6 +47,8 @@
         /// Accepted window.
         window: WindowNumber,
     },
+    /// Changes the record of the calls under which endpoints have ended.
+    UpdateSuspects(SuspectUpdate),
 }
 
 /// Result of a command.
@@ -74,6 +77,8 @@
     pub sealed: BTreeMap<WindowNumber, CustomerCounts>,
     /// Highest window that was ever sealed; 0 also if there is none yet.
     pub last_sealed: WindowNumber,
+    /// Calls under which endpoints have ended.
+    pub suspects: SuspectTable,
 }
 
 impl ServingState {
@@ -108,6 +113,10 @@
                 self.sealed.remove(window);
                 ServingOutcome::Done
             }
+            ServingCommand::UpdateSuspects(update) => {
+                self.suspects.apply(update);
+                ServingOutcome::Done
+            }
         }
     }
 }
