--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response};
 
 use super::codec::{ControlAnswer, ControlCall};
+use super::quarantine_http;
 use super::shared::ControlShared;
 
 /// Maximum size of a body in bytes. It allows for a configuration with thousands of routes.
@@ -25,6 +26,9 @@
 /// Answers one call.
 pub(super) async fn answer(shared: Arc<ControlShared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
+    if let Some(answer) = quarantine_http::answer(&shared, &parts.method, parts.uri.path()).await {
+        return answer;
+    }
     let answer = match read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => match shared.codec.read_call(&parts, &body) {
             ControlCall::PutConfig => put_config(&shared, body).await,
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -56,7 +56,7 @@
         kept: exchange_cached_parts(shared, &request, &mut sent.cached_parts_position),
         silent: silent_endpoint_names(shared),
         suspects: newer_suspects(shared, request.suspects_version),
-        ..ServingRenewed::default()
+        committed_endings: record_suspect_reports(shared, hello, &request),
     })
 }
 
@@ -67,6 +67,21 @@
     silent.map(ToString::to_string).collect()
 }
 
+/// Records what the entry tells about suspect calls. Returns the number up to which its evidence is committed.
+fn record_suspect_reports(shared: &ControlShared, hello: &ServingHello, request: &RenewServing) -> u64 {
+    let host: HostName = hello.host.as_str().into();
+    let start = EntryStart(hello.start);
+    let mut soft = shared.soft_state();
+    match soft.suspect_reports.record(&host, start, request) {
+        Ok(committed) => committed,
+        Err(error) => {
+            slog::warn!(shared.log, "malformed evidence received"; "event" => event::MESSAGE_REFUSED,
+                "entry" => &hello.host, "error" => %error);
+            0
+        }
+    }
+}
+
 /// Returns the suspect calls, unless the entry holds this version of them. An entry without them must not get a lease: it
 /// would serve what the others hold back.
 fn newer_suspects(shared: &ControlShared, held: u64) -> Option<state::SuspectTable> {
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -11,7 +11,7 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
 use acacia_wire::generated::state;
-use acacia_wire::{endpoint_to_wire, suspects_to_wire};
+use acacia_wire::{endpoint_to_wire, published_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptLog;
@@ -29,6 +29,7 @@
 
 use super::codec::{ControlCodec, PlatformCodec};
 use super::config_cache::ConfigCache;
+use super::suspect_calls::SuspectReports;
 use crate::group::GroupHandle;
 
 /// Maximum number of updates that a session may lag behind. Beyond it, the session sends all endpoints again.
@@ -77,6 +78,8 @@
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
     /// Prompt parts that engines have cached, as announced by entries.
     pub(super) cached_parts: KeptLog,
+    /// What entries have told about suspect calls and is not committed yet.
+    pub(super) suspect_reports: SuspectReports,
     /// Configuration that was parsed last. It is reused while its number is the newest.
     config: Option<Arc<ServingConfig>>,
 }
@@ -277,9 +280,9 @@
         }
     }
 
-    /// Returns the suspect calls that this replica has applied.
+    /// Returns the suspect calls that entries have to know, as this replica has applied them.
     pub(super) fn suspects(&self) -> state::SuspectTable {
-        suspects_to_wire(&self.group.read().serving.suspects)
+        published_to_wire(&self.group.read().serving.suspects)
     }
 
     pub(super) fn config_cache(&self) -> MutexGuard<'_, ConfigCache> {
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -35,6 +36,8 @@
     },
     /// The endpoint may have run the call, but its answer was lost.
     Lost,
+    /// The call was quarantined after it was accepted, and nothing was sent.
+    HeldBack,
     /// The time limit of the attempt passed. The endpoint may still be running the call.
     TimedOut,
 }
@@ -116,6 +119,9 @@
     resume_after: Option<u64>,
     timeouts: AttemptTimeouts,
 ) -> AttemptOutcome {
+    if call.standing() == CallStanding::Quarantined {
+        return AttemptOutcome::HeldBack;
+    }
     let sent_at = boot_now();
     let attempt = AttemptHead {
         endpoint: &chosen.name,
@@ -201,7 +207,7 @@
     match outcome {
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
         AttemptOutcome::Lost | AttemptOutcome::TimedOut => state.loads.record_silence(boot_now(), &chosen.name),
-        // `NotRun { arrived: true }`. `Answered` has already been returned.
+        // `NotRun { arrived: true }`. `Answered` and `HeldBack` have already been returned.
         _ => state.loads.record_failure(boot_now(), &chosen.name),
     }
     drop(state);
--- a/crates/acacia-entry/src/serving/break_watch.rs
+++ b/crates/acacia-entry/src/serving/break_watch.rs
@@ -1,4 +1,7 @@
 //! Examination of attempts whose connection ended: whether the endpoint ended, and which calls it then ran.
+//!
+//! These calls are reported to the leader with the next renewal. Until a leader has committed them, this entry judges them
+//! by itself.
 
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
@@ -12,13 +15,14 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::CustomerName;
 use acaciabay::core::serving::broken_attempt::{BreakVerdict, BrokenAttempt, PortState};
+use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding};
 use acaciabay::util::number::whole_millis;
 use futures::future::join_all;
 use tokio_util::sync::CancellationToken;
 
 use super::call::AcceptedCall;
 use super::endpoint_choice::ChosenEndpoint;
-use super::shared::EntryShared;
+use super::shared::{EntryShared, EntryState};
 
 /// Interval at which breaks are examined while there are any.
 const EXAMINATION_INTERVAL: Duration = Duration::from_millis(50);
@@ -46,7 +50,10 @@
 /// Examines breaks until `stop` is cancelled.
 pub(super) async fn examine_breaks(shared: Arc<EntryShared>, stop: CancellationToken) {
     loop {
-        let is_idle = shared.state().breaks.is_empty();
+        let is_idle = {
+            let state = shared.state();
+            state.breaks.is_empty() && !state.suspects.has_uncommitted()
+        };
         tokio::select! {
             () = stop.cancelled() => return,
             () = shared.break_recorded.notified(), if is_idle => {}
@@ -54,13 +61,48 @@
         }
         let unknown = shared.state().breaks.unknown_ports();
         attempt_connections(&shared, unknown).await;
-        let now = boot_now();
-        let mut state = shared.state();
-        let state = &mut *state;
-        for (broken, verdict) in state.breaks.take_decided(now, &state.registry) {
-            log_break(&shared, now, &broken, verdict);
+        apply_decided(&shared, boot_now());
+    }
+}
+
+/// Records the breaks whose examination has a result, and holds back what no leader has judged in time.
+fn apply_decided(shared: &EntryShared, now: BootTime) {
+    let mut state = shared.state();
+    let state = &mut *state;
+    let mut has_ended = false;
+    for (broken, verdict) in state.breaks.take_decided(now, &state.registry) {
+        log_break(shared, now, &broken, verdict);
+        if verdict == BreakVerdict::Ended {
+            has_ended = true;
+            let evidence = evidence_of(state, now, broken);
+            if !state.suspects.record_ending(now, evidence) {
+                slog::warn!(shared.log, "evidence dropped"; "event" => event::EVIDENCE_DROPPED);
+            }
         }
     }
+    let now_ms = state.wall_millis(now);
+    for fingerprint in state.suspects.hold_back(now, now_ms) {
+        slog::info!(shared.log, "call held back"; "event" => event::CALL_HELD_BACK,
+            "fingerprint" => %fingerprint, "by" => "this entry");
+    }
+    if has_ended {
+        shared.renewal_due.notify_waiters();
+    }
+}
+
+fn evidence_of(state: &EntryState, now: BootTime, broken: BrokenAttempt) -> EndingEvidence {
+    let now_ms = state.wall_millis(now);
+    let wall_ms = |time: BootTime| now_ms.saturating_sub(whole_millis(now.since(time)));
+    EndingEvidence {
+        ending: EndpointEnding {
+            sent_ms: wall_ms(broken.sent_at),
+            ended_ms: wall_ms(broken.broken_at),
+            endpoint: broken.endpoint,
+            incarnation: broken.incarnation,
+            recorded_ms: 0,
+        },
+        call: broken.call,
+    }
 }
 
 /// Attempts a connection to each address. A crashed process does not listen, while one that only ended a single
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
 use bytes::Bytes;
@@ -59,7 +60,7 @@
     /// Returns the fingerprint of the call, or `None` while the entry does not have the key.
     fn fingerprint(&self) -> Option<CallFingerprint> {
         *self.fingerprint.get_or_init(|| {
-            let key = self.shared.state().suspects.key?;
+            let key = self.shared.state().suspects.key()?;
             let content = CallContent {
                 method: self.parts.method.as_str(),
                 host: &self.head.host,
@@ -81,6 +82,30 @@
         })
     }
 
+    /// Returns the standing of the call among those under which endpoints have ended.
+    pub(super) fn standing(&self) -> CallStanding {
+        let body_bytes = self.body.len() as u64;
+        if !self.shared.state().suspects.may_know(self.customer(), body_bytes) {
+            return CallStanding::Unsuspected;
+        }
+        match self.fingerprint() {
+            Some(fingerprint) => self.shared.state().suspects.standing(&fingerprint),
+            None => CallStanding::Unsuspected,
+        }
+    }
+
+    /// Records that an endpoint has answered the call whole, which refutes what speaks against the call.
+    pub(super) fn record_whole_answer(&self) {
+        let body_bytes = self.body.len() as u64;
+        if !self.shared.state().suspects.may_know(self.customer(), body_bytes) {
+            return;
+        }
+        let Some(fingerprint) = self.fingerprint() else { return };
+        if self.shared.state().suspects.record_whole_answer(fingerprint) {
+            self.shared.renewal_due.notify_waiters();
+        }
+    }
+
     /// Returns the time that an endpoint has left for the call.
     pub(super) fn time_left(&self, now: BootTime) -> Duration {
         self.deadline.since(now + ANSWER_MARGIN)
@@ -193,8 +218,7 @@
     let Some(service) = admitted.route.pick_service(request_hash).cloned() else {
         return Err((Some(head), CallRefusal::NoRoute));
     };
-    shared.record_call(boot_now(), &service, head.prompt.as_ref());
-    Ok(AcceptedCall {
+    let call = AcceptedCall {
         shared: Arc::clone(shared),
         parts,
         head,
@@ -205,5 +229,10 @@
         deadline: received_at + timeout,
         request_hash,
         fingerprint: OnceLock::new(),
-    })
+    };
+    if call.standing() == CallStanding::Quarantined {
+        return Err((Some(call.head), CallRefusal::Quarantined));
+    }
+    shared.record_call(boot_now(), &call.service, call.head.prompt.as_ref());
+    Ok(call)
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -170,6 +170,7 @@
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
                 _ = renewal_triggers.changed() => {}
+                () = self.shared.renewal_due.notified() => {}
             }
         }
     }
@@ -262,7 +263,7 @@
                         "replica" => %address, "reason" => "it says that it leads");
                     self.trigger_renewals();
                 }
-                Body::Suspects(suspects) => apply_suspects(&self.shared, &mut self.shared.state(), &suspects),
+                Body::Suspects(suspects) => apply_suspects(&self.shared, &mut self.shared.state(), suspects),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
                 Body::Alive(sign) => self
                     .shared
@@ -290,6 +291,7 @@
             kept,
             silent,
             suspects,
+            committed_endings,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -308,8 +310,9 @@
         state.loads.set_peer_work(others.iter().map(use_from_wire));
         state.loads.set_peer_suspicions(silent.iter().map(EndpointName::new));
         if let Some(suspects) = suspects {
-            apply_suspects(&self.shared, &mut state, &suspects);
+            apply_suspects(&self.shared, &mut state, suspects);
         }
+        state.suspects.acknowledge(committed_endings);
         for kept in &kept {
             state.record_cached_part(&kept_from_wire(kept));
         }
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -47,11 +47,14 @@
 }
 
 /// Replaces the suspect calls by a newer version of them.
-pub(super) fn apply_suspects(shared: &EntryShared, state: &mut EntryState, message: &SuspectTable) {
+pub(super) fn apply_suspects(shared: &EntryShared, state: &mut EntryState, message: SuspectTable) {
     match suspects_from_wire(message) {
-        Ok(suspects) if suspects.version > state.suspects.version => state.suspects = suspects,
-        // Another replica has sent a newer version.
-        Ok(_) => {}
+        Ok(suspects) => {
+            for call in state.suspects.apply_published(suspects) {
+                slog::info!(shared.log, "call held back"; "event" => event::CALL_HELD_BACK,
+                    "fingerprint" => %call.fingerprint, "route" => &call.route, "by" => "group");
+            }
+        }
         Err(error) => {
             slog::warn!(shared.log, "malformed suspect calls received"; "event" => event::MESSAGE_REFUSED,
                 "error" => %error);
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -28,5 +28,5 @@
 mod stream_call;
 
 pub use codec::{AnswerHead, AttemptHead, AttemptRole, CallCodec, CallHead, HeadError};
-pub use refusal::CallRefusal;
+pub use refusal::{CallRefusal, QUARANTINE_RETRY_DELAY};
 pub use start::start;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -7,6 +7,7 @@
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -99,6 +100,7 @@
                     return Err(CallRefusal::AnswerLost);
                 }
             }
+            AttemptOutcome::HeldBack => return Err(attempts.held_back()),
             AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
         }
         attempts.tried.push(chosen.name);
@@ -106,6 +108,15 @@
 }
 
 impl PlainAttempts {
+    /// Returns the refusal of a call that was quarantined meanwhile.
+    const fn held_back(&self) -> CallRefusal {
+        if self.possible_runs == 0 {
+            CallRefusal::Quarantined
+        } else {
+            CallRefusal::AnswerLost
+        }
+    }
+
     /// Returns the refusal of the call. It states that the call has not run only if that is certain.
     const fn refusal(&self, reason: &'static str, retry_after: std::time::Duration) -> CallRefusal {
         if self.possible_runs == 0 {
@@ -163,6 +174,7 @@
     call.route().kind.may_repeat()
         && attempts.possible_runs < call.route().max_attempts
         && now < call.deadline
+        && call.standing() == CallStanding::Unsuspected
         && call.shared.acquire_retry(now, &call.service)
 }
 
@@ -208,6 +220,7 @@
         return None;
     };
     connection.return_to_pool(call).await;
+    call.record_whole_answer();
     let mut state = call.shared.state();
     if status.is_server_error() {
         state.loads.record_failure(boot_now(), &chosen.name);
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::prefill_pace::PrefillTime;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::place_prompt::{PromptPlacement, is_copy_source_gone};
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
@@ -121,12 +122,13 @@
                 wait.clamp(SHORT_RETRY_DELAY, SHORT_RETRY_DELAY.max(left)),
             ));
         }
-        if arrived && !call.shared.acquire_retry(now, &call.service) {
+        if arrived && !(call.standing() == CallStanding::Unsuspected && call.shared.acquire_retry(now, &call.service)) {
             return Err(not_run("no second send left", SHORT_RETRY_DELAY));
         }
         match prefill_on(call, prompt, &reader).await {
             PrefillOutcome::Prefilled(read) => return Ok(read),
             PrefillOutcome::NotReached => {}
+            PrefillOutcome::HeldBack => return Err(CallRefusal::Quarantined),
             PrefillOutcome::Failed => {
                 arrived = true;
                 failed += 1;
@@ -143,6 +145,8 @@
     Prefilled(PrefilledPrompt),
     /// The engine has received nothing.
     NotReached,
+    /// The call was quarantined meanwhile, and nothing was sent.
+    HeldBack,
     /// The engine has received the request, but has not confirmed that it prefilled the prompt.
     Failed,
 }
@@ -187,6 +191,7 @@
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
         AttemptOutcome::NotRun { arrived: false } => return PrefillOutcome::NotReached,
+        AttemptOutcome::HeldBack => return PrefillOutcome::HeldBack,
         AttemptOutcome::NotRun { arrived: true } | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
             return PrefillOutcome::Failed;
         }
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -27,6 +27,9 @@
         /// Delay before the retry.
         retry_after: Duration,
     },
+    /// Endpoints have ended while they ran the call, under whatever identifier it was sent. It has not run under this
+    /// identifier and will not run.
+    Quarantined,
     /// An endpoint may have run the call, but its answer was lost.
     AnswerLost,
     /// The deadline passed while an endpoint may have been running the call.
@@ -43,6 +46,7 @@
             Self::BodyLate => "body late",
             Self::NoRoute => "no route",
             Self::UnknownKey => "unknown key",
+            Self::Quarantined => "quarantined",
             Self::AnswerLost => "answer lost",
             Self::TimedOut => "timed out",
         }
@@ -54,6 +58,9 @@
 /// Retry delay of a call for which there is no endpoint. Endpoints report once a second.
 pub(super) const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Retry delay of a quarantined call. Only an operator or a change of the endpoints can help it.
+pub const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(60);
+
 /// Returns the refusal of a call that has not run and will not run.
 pub(super) const fn not_run(reason: &'static str, retry_after: Duration) -> CallRefusal {
     CallRefusal::NotRun { reason, retry_after }
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -26,7 +26,7 @@
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
 use acaciabay::core::serving::start_counts::{CallCounts, WindowNumber};
 use acaciabay::core::serving::stop_state::StopState;
-use acaciabay::core::serving::suspect_table::SuspectTable;
+use acaciabay::core::serving::suspect_view::SuspectView;
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -75,8 +75,8 @@
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
     pub(super) kept_news: CachedPartOutbox,
-    /// Calls under which endpoints have ended, as the leader has sent them.
-    pub(super) suspects: SuspectTable,
+    /// Calls under which endpoints have ended.
+    pub(super) suspects: SuspectView,
     /// Broken attempts that are under examination.
     pub(super) breaks: BreakExamination,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
@@ -92,6 +92,14 @@
         spec.engine
     }
 
+    /// Returns the time of the group in milliseconds since 1970, or that of this host if too few replicas have told
+    /// theirs.
+    pub(super) fn wall_millis(&self, now: BootTime) -> u64 {
+        self.group_clock
+            .wall_millis(now)
+            .unwrap_or_else(|| wall_nanos() / 1_000_000)
+    }
+
     /// Removes endpoints that have not reported for a long time, and the announcements of what they have cached.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
         let Self {
@@ -154,6 +162,8 @@
     lease_extended: Notify,
     /// Notified when a broken attempt is to be examined.
     pub(super) break_recorded: Notify,
+    /// Notified when the leader is to be told something at once.
+    pub(super) renewal_due: Notify,
     state: Mutex<EntryState>,
 }
 
@@ -220,6 +230,7 @@
             lease,
             lease_extended: Notify::new(),
             break_recorded: Notify::new(),
+            renewal_due: Notify::new(),
             state: Mutex::default(),
         }
     }
@@ -332,10 +343,7 @@
         let Some(customer) = customer else { return };
         let length = whole_millis(self.settings.usage_window).max(1);
         let mut state = self.state();
-        let wall_millis = state
-            .group_clock
-            .wall_millis(boot_now())
-            .unwrap_or_else(|| wall_nanos() / 1_000_000);
+        let wall_millis = state.wall_millis(boot_now());
         let window = WindowNumber::at(wall_millis, length);
         state.start_counts.count(window, customer);
         state
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -185,6 +185,7 @@
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
             "endpoint" => stream.chosen.name.as_str(), "events" => self.events,
             "after_ms" => whole_millis(boot_now().since(call.received_at)));
+        call.record_whole_answer();
         call.shared.state().loads.record_success(&stream.chosen.name);
         drop(stream.guard);
         stream.connection.return_to_pool(call).await;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -8,6 +8,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
 use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
@@ -97,6 +98,7 @@
         self.call.route().kind.may_repeat()
             && self.possible_runs < self.call.route().max_attempts
             && now < self.call.deadline
+            && self.call.standing() == CallStanding::Unsuspected
             && self.call.shared.acquire_retry(now, &self.call.service)
     }
 
@@ -184,6 +186,7 @@
                         return Err(self.refusal("turned away", SHORT_RETRY_DELAY));
                     }
                 }
+                AttemptOutcome::HeldBack => return Err(self.held_back()),
                 AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
                     self.possible_runs += 1;
                     if !self.acquire_retry() {
@@ -217,7 +220,9 @@
         match prefill_prompt(&self.call, prompt, is_retry).await {
             Ok(prefilled) => Ok(Some(prefilled)),
             // An earlier attempt may have run the call, so `NotRun` would be false.
-            Err(CallRefusal::NotRun { .. }) if self.possible_runs > 0 => Err(CallRefusal::AnswerLost),
+            Err(CallRefusal::NotRun { .. } | CallRefusal::Quarantined) if self.possible_runs > 0 => {
+                Err(CallRefusal::AnswerLost)
+            }
             Err(refusal) => Err(refusal),
         }
     }
@@ -255,6 +260,15 @@
         }
     }
 
+    /// Returns the refusal of a call that was quarantined meanwhile.
+    const fn held_back(&self) -> CallRefusal {
+        if self.possible_runs == 0 {
+            CallRefusal::Quarantined
+        } else {
+            CallRefusal::AnswerLost
+        }
+    }
+
     const fn refusal(&self, reason: &'static str, retry_after: Duration) -> CallRefusal {
         if self.possible_runs == 0 {
             not_run(reason, retry_after)
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -76,6 +76,10 @@
     CALL_HELD = "E0232";
     /// It was examined whether an endpoint ended with the connection of an attempt.
     BREAK_EXAMINED = "E0233";
+    /// An entry holds a call back that ends endpoints.
+    CALL_HELD_BACK = "E0234";
+    /// Evidence against calls was dropped, because too much of it waits for a leader.
+    EVIDENCE_DROPPED = "E0235";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -139,6 +143,10 @@
     CONFIG_SENT = "E0334";
     /// A configuration was written completely to the connection to an entry.
     CONFIG_WRITTEN = "E0335";
+    /// A call was quarantined, since endpoints end under it.
+    CALL_QUARANTINED = "E0336";
+    /// A quarantine was lifted, expired, or refuted by a whole answer.
+    QUARANTINE_ENDED = "E0337";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-wire/src/control_command.rs
+++ b/crates/acacia-wire/src/control_command.rs
@@ -158,7 +158,7 @@
             window: WindowNumber(window),
         }),
         Command::JudgeCalls(update) => {
-            ControlCommand::Serving(ServingCommand::UpdateSuspects(update_from_wire(&update)?))
+            ControlCommand::Serving(ServingCommand::UpdateSuspects(update_from_wire(update)?))
         }
     })
 }
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -33,7 +33,10 @@
     use_to_wire,
 };
 
-pub use suspect_message::{suspects_from_wire, suspects_to_wire};
+pub use suspect_message::{
+    evidence_from_wire, evidence_to_wire, fingerprint_from_wire, fingerprint_to_wire, published_to_wire,
+    suspects_from_wire,
+};
 
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -245,7 +245,6 @@
         // A snapshot of an earlier release has none.
         suspects: message
             .suspects
-            .as_ref()
             .map(suspects_from_wire)
             .transpose()?
             .unwrap_or_default(),
--- a/crates/acacia-wire/src/suspect_message.rs
+++ b/crates/acacia-wire/src/suspect_message.rs
@@ -1,11 +1,31 @@
 //! Calls under which endpoints have ended, to and from the library's types.
 
-use acaciabay::core::serving::call_fingerprint::FingerprintKey;
-use acaciabay::core::serving::suspect_table::{SuspectTable, SuspectUpdate};
+use acaciabay::core::name::CustomerName;
+use acaciabay::core::serving::broken_attempt::CallIdentity;
+use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
+use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
+use acaciabay::core::serving::suspect_table::{
+    EndingEvidence, EndpointEnding, SuspectCall, SuspectTable, SuspectUpdate,
+};
 use bytes::Bytes;
 
 use crate::error::WireError;
 use crate::generated::state;
+use crate::table_row::all;
+
+/// Encodes a fingerprint.
+pub fn fingerprint_to_wire(fingerprint: &CallFingerprint) -> Bytes {
+    Bytes::copy_from_slice(fingerprint.as_bytes())
+}
+
+/// Decodes a fingerprint.
+///
+/// # Errors
+///
+/// Fails when its length is wrong.
+pub fn fingerprint_from_wire(bytes: impl AsRef<[u8]>) -> Result<CallFingerprint, WireError> {
+    CallFingerprint::from_bytes(bytes.as_ref()).ok_or(WireError::invalid("fingerprint"))
+}
 
 fn key_to_wire(key: Option<&FingerprintKey>) -> Bytes {
     key.map(|key| Bytes::copy_from_slice(key.as_bytes()))
@@ -20,36 +40,123 @@
     Ok(Some(key))
 }
 
+fn ending_to_wire(ending: &EndpointEnding) -> state::EndpointEnding {
+    state::EndpointEnding {
+        endpoint: ending.endpoint.to_string(),
+        birth: ending.incarnation.0,
+        sent_ms: ending.sent_ms,
+        ended_ms: ending.ended_ms,
+        recorded_ms: ending.recorded_ms,
+    }
+}
+
+fn ending_from_wire(message: &state::EndpointEnding) -> EndpointEnding {
+    EndpointEnding {
+        endpoint: message.endpoint.as_str().into(),
+        incarnation: EndpointIncarnation(message.birth),
+        sent_ms: message.sent_ms,
+        ended_ms: message.ended_ms,
+        recorded_ms: message.recorded_ms,
+    }
+}
+
+fn call_to_wire<'ending>(
+    identity: &CallIdentity,
+    endings: impl Iterator<Item = &'ending EndpointEnding>,
+    quarantined_ms: Option<u64>,
+) -> state::SuspectCall {
+    state::SuspectCall {
+        fingerprint: fingerprint_to_wire(&identity.fingerprint),
+        customer: identity.customer.as_ref().map(ToString::to_string).unwrap_or_default(),
+        route: identity.route.clone(),
+        body_bytes: identity.body_bytes,
+        endings: endings.map(ending_to_wire).collect(),
+        quarantined_ms: quarantined_ms.unwrap_or(0),
+    }
+}
+
+fn call_from_wire(message: state::SuspectCall) -> Result<SuspectCall, WireError> {
+    let customer = (!message.customer.is_empty()).then(|| CustomerName::new(&message.customer));
+    Ok(SuspectCall {
+        identity: CallIdentity {
+            fingerprint: fingerprint_from_wire(&message.fingerprint)?,
+            customer,
+            route: message.route,
+            body_bytes: message.body_bytes,
+        },
+        endings: message.endings.iter().map(ending_from_wire).collect(),
+        quarantined_ms: (message.quarantined_ms > 0).then_some(message.quarantined_ms),
+    })
+}
+
+/// Encodes one piece of evidence.
+pub fn evidence_to_wire(evidence: &EndingEvidence) -> state::SuspectCall {
+    call_to_wire(&evidence.call, std::iter::once(&evidence.ending), None)
+}
+
+/// Decodes one piece of evidence.
+///
+/// # Errors
+///
+/// Fails when it has no ending or a wrong fingerprint.
+pub fn evidence_from_wire(message: state::SuspectCall) -> Result<EndingEvidence, WireError> {
+    let call = call_from_wire(message)?;
+    let ending = call.endings.into_iter().next();
+    Ok(EndingEvidence {
+        call: call.identity,
+        ending: ending.ok_or(WireError::missing("ending"))?,
+    })
+}
+
 pub(crate) fn update_to_wire(update: &SuspectUpdate) -> state::JudgeCalls {
     state::JudgeCalls {
+        now_ms: update.now_ms,
         key: key_to_wire(update.key.as_ref()),
-        ..state::JudgeCalls::default()
+        endings: update.evidence.iter().map(evidence_to_wire).collect(),
+        answered: update.answered.iter().map(fingerprint_to_wire).collect(),
+        lifted: update.lifted.iter().map(fingerprint_to_wire).collect(),
     }
 }
 
-pub(crate) fn update_from_wire(message: &state::JudgeCalls) -> Result<SuspectUpdate, WireError> {
+pub(crate) fn update_from_wire(message: state::JudgeCalls) -> Result<SuspectUpdate, WireError> {
     Ok(SuspectUpdate {
+        now_ms: message.now_ms,
         key: key_from_wire(&message.key)?,
+        evidence: all(message.endings, evidence_from_wire)?,
+        answered: all(message.answered, fingerprint_from_wire)?,
+        lifted: all(message.lifted, fingerprint_from_wire)?,
     })
 }
 
-/// Encodes the suspect calls.
-pub fn suspects_to_wire(table: &SuspectTable) -> state::SuspectTable {
+fn table_to_wire<'call>(table: &SuspectTable, calls: impl Iterator<Item = &'call SuspectCall>) -> state::SuspectTable {
+    let calls = calls.map(|call| call_to_wire(&call.identity, call.endings.iter(), call.quarantined_ms));
     state::SuspectTable {
         version: table.version,
         key: key_to_wire(table.key.as_ref()),
-        ..state::SuspectTable::default()
+        calls: calls.collect(),
     }
 }
 
-/// Decodes the suspect calls.
+/// Encodes the whole table.
+pub(crate) fn suspects_to_wire(table: &SuspectTable) -> state::SuspectTable {
+    table_to_wire(table, table.calls())
+}
+
+/// Encodes the calls of the table that entries have to know.
+pub fn published_to_wire(table: &SuspectTable) -> state::SuspectTable {
+    table_to_wire(table, table.published())
+}
+
+/// Decodes a table.
 ///
 /// # Errors
 ///
-/// Fails when the key has a wrong length.
-pub fn suspects_from_wire(message: &state::SuspectTable) -> Result<SuspectTable, WireError> {
-    Ok(SuspectTable {
-        version: message.version,
-        key: key_from_wire(&message.key)?,
-    })
+/// Fails when the key or a fingerprint has a wrong length.
+pub fn suspects_from_wire(message: state::SuspectTable) -> Result<SuspectTable, WireError> {
+    let calls = all(message.calls, call_from_wire)?;
+    Ok(SuspectTable::restore(
+        message.version,
+        key_from_wire(&message.key)?,
+        calls,
+    ))
 }
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -12,7 +12,8 @@
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
 //! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
-//!   while it ran one. [`suspect_table`] records such calls for all entries.
+//!   while it ran one. [`suspect_table`] records such calls and quarantines those
+//!   that end endpoints; [`suspect_view`] is what one entry knows of it.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams.
 //! * [`group_clock`] computes the median wall clock of the replicas.
@@ -56,3 +57,4 @@
 pub mod stop_state;
 pub mod stream_peak;
 pub mod suspect_table;
+pub mod suspect_view;
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -1,30 +1,295 @@
-//! Replicated record of the calls under which endpoints have ended.
+//! Record of the calls under which endpoints have ended, and the quarantine of those that end them.
+//!
+//! An endpoint that ends takes all its calls with it, so most calls in the table are innocent. A call is quarantined once
+//! [`QUARANTINE_ENDINGS`] endpoints have ended while they ran it, unless another quarantined call explains those endings,
+//! and unless the endings all happened at once, as in a loss of many endpoints. A call that is answered whole is removed.
+//!
+//! The table is part of the replicated state, so that neither a new leader nor a restart of all hosts forgets it. Entries
+//! apply the same rules to the table that the leader sent them and to what they have seen since.
+//!
+//! `docs/design/machines.md` weighs the choices.
 
-use super::call_fingerprint::FingerprintKey;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// The suspect calls of a control group.
+use super::broken_attempt::CallIdentity;
+use super::call_fingerprint::{CallFingerprint, FingerprintKey};
+use super::endpoint_registry::EndpointIncarnation;
+use crate::core::name::{CustomerName, EndpointName};
+
+/// Number of endpoints that must have ended while they ran a call before the call is quarantined.
+pub const QUARANTINE_ENDINGS: usize = 3;
+/// Minimum number of these endings that must have followed one another. If many endpoints are lost at once, a call that
+/// many callers send at the same time runs on several of them.
+const MIN_SEQUENTIAL_ENDINGS: usize = 2;
+/// Number of endings from which entries are told of a call. Most calls that an ending hits are hit only once.
+const PUBLISHED_ENDINGS: usize = 2;
+/// Time after the commit of an ending during which other entries may still report the calls that they had at the same endpoint, in
+/// milliseconds. Only then it is known which call explains the ending.
+const SETTLING_MS: u64 = 150;
+/// Maximum number of endings that are kept for a call.
+const MAX_ENDINGS: usize = 16;
+/// Maximum number of calls of one customer in the table: more than the customer has at one endpoint.
+const MAX_CALLS_PER_CUSTOMER: usize = 64;
+/// Maximum number of calls in the table.
+const MAX_CALLS: usize = 2_048;
+/// Time after its last ending for which a call is kept while it is not quarantined, in milliseconds.
+const SUSPICION_MS: u64 = 3_600_000;
+/// Time after its last ending for which a call stays in quarantine, in milliseconds: by then operators have had a day to
+/// change what ended.
+const QUARANTINE_MS: u64 = 24 * 3_600_000;
+
+/// An incarnation of an endpoint that ended while it ran a call. Times are in milliseconds since 1970.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointEnding {
+    /// Name of the endpoint.
+    pub endpoint: EndpointName,
+    /// Incarnation that ended.
+    pub incarnation: EndpointIncarnation,
+    /// Time at which the call was sent to it.
+    pub sent_ms: u64,
+    /// Time at which it ended.
+    pub ended_ms: u64,
+    /// Time of the leader when the ending was committed; 0 if it is not.
+    pub recorded_ms: u64,
+}
+
+impl EndpointEnding {
+    fn is_same(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && self.incarnation == other.incarnation
+    }
+
+    const fn age_ms(&self) -> u64 {
+        self.ended_ms.saturating_sub(self.sent_ms)
+    }
+}
+
+/// A call and an ending of an endpoint that ran it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndingEvidence {
+    /// The call.
+    pub call: CallIdentity,
+    /// The ending.
+    pub ending: EndpointEnding,
+}
+
+/// A call under which endpoints have ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectCall {
+    /// The call.
+    pub identity: CallIdentity,
+    /// The endings, in the order in which they were recorded.
+    pub endings: Vec<EndpointEnding>,
+    /// Time at which the call was quarantined in milliseconds since 1970, or `None` if it is not.
+    pub quarantined_ms: Option<u64>,
+}
+
+impl SuspectCall {
+    /// Returns true if the call is not sent to any endpoint.
+    pub const fn is_quarantined(&self) -> bool {
+        self.quarantined_ms.is_some()
+    }
+
+    fn last_ended_ms(&self) -> u64 {
+        self.endings.iter().map(|ending| ending.ended_ms).max().unwrap_or(0)
+    }
+
+    fn is_expired(&self, now_ms: u64) -> bool {
+        let retention = if self.is_quarantined() {
+            QUARANTINE_MS
+        } else {
+            SUSPICION_MS
+        };
+        now_ms.saturating_sub(self.last_ended_ms()) >= retention
+    }
+
+    /// Returns true if at least two endings followed one another, so that chance alone hardly explains them.
+    pub fn is_repeated(&self) -> bool {
+        sequential_endings(self.endings.iter()) >= MIN_SEQUENTIAL_ENDINGS
+    }
+}
+
+/// Returns the maximum number of endings of which each attempt was sent after the ending before.
+fn sequential_endings<'call>(endings: impl Iterator<Item = &'call EndpointEnding>) -> usize {
+    let mut sorted: Vec<_> = endings.collect();
+    sorted.sort_unstable_by_key(|ending| ending.ended_ms);
+    let (mut count, mut last_ended) = (0, 0);
+    for ending in sorted {
+        if ending.sent_ms >= last_ended {
+            count += 1;
+            last_ended = ending.ended_ms;
+        }
+    }
+    count
+}
+
+/// The calls under which endpoints have ended.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SuspectTable {
-    /// Number that increases with each change, by which entries detect that they hold an old table.
+    /// Number that increases with each change that concerns entries, by which they detect that they hold an old table.
     pub version: u64,
     /// Key of the fingerprints, or `None` until a leader has committed it.
     pub key: Option<FingerprintKey>,
+    calls: BTreeMap<CallFingerprint, SuspectCall>,
 }
 
 /// Command that changes the table.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SuspectUpdate {
+    /// Time of the leader in milliseconds since 1970.
+    pub now_ms: u64,
     /// Key to use if the table has none.
     pub key: Option<FingerprintKey>,
+    /// New evidence.
+    pub evidence: Vec<EndingEvidence>,
+    /// Calls that were answered whole.
+    pub answered: Vec<CallFingerprint>,
+    /// Calls whose quarantine an operator has lifted.
+    pub lifted: Vec<CallFingerprint>,
 }
 
 impl SuspectTable {
+    /// Restores a table.
+    pub fn restore(version: u64, key: Option<FingerprintKey>, calls: impl IntoIterator<Item = SuspectCall>) -> Self {
+        let calls = calls.into_iter().map(|call| (call.identity.fingerprint, call));
+        Self {
+            version,
+            key,
+            calls: calls.collect(),
+        }
+    }
+
     /// Applies one committed update.
     pub fn apply(&mut self, update: &SuspectUpdate) {
-        let before = self.key;
+        let before: Vec<SuspectCall> = self.published().cloned().collect();
+        let had_key = self.key.is_some();
         self.key = self.key.or(update.key);
-        if self.key != before {
+        for evidence in &update.evidence {
+            self.record(evidence, update.now_ms);
+        }
+        for fingerprint in update.answered.iter().chain(&update.lifted) {
+            self.calls.remove(fingerprint);
+        }
+        self.calls.retain(|_, call| !call.is_expired(update.now_ms));
+        self.judge(update.now_ms);
+        self.limit();
+        if had_key != self.key.is_some() || !self.published().eq(&before) {
             self.version += 1;
         }
     }
+
+    /// Records one piece of evidence. Evidence that is recorded twice counts once.
+    pub fn record(&mut self, evidence: &EndingEvidence, recorded_ms: u64) {
+        let call = self
+            .calls
+            .entry(evidence.call.fingerprint)
+            .or_insert_with(|| SuspectCall {
+                identity: evidence.call.clone(),
+                endings: Vec::new(),
+                quarantined_ms: None,
+            });
+        let is_known = call.endings.iter().any(|known| known.is_same(&evidence.ending));
+        if !is_known && call.endings.len() < MAX_ENDINGS {
+            call.endings.push(EndpointEnding {
+                recorded_ms,
+                ..evidence.ending.clone()
+            });
+        }
+    }
+
+    /// Quarantines the calls that their endings prove to be the cause, the most probable one first.
+    ///
+    /// Once a call is quarantined, its endings no longer count against the calls that travelled with it.
+    pub fn judge(&mut self, now_ms: u64) {
+        while let Some(fingerprint) = self.most_probable_cause(now_ms) {
+            if let Some(call) = self.calls.get_mut(&fingerprint) {
+                call.quarantined_ms = Some(now_ms);
+            }
+        }
+    }
+
+    /// Returns true if [`judge`](Self::judge) may quarantine a call at `now_ms`.
+    pub fn can_judge(&self, now_ms: u64) -> bool {
+        self.most_probable_cause(now_ms).is_some()
+    }
+
+    fn most_probable_cause(&self, now_ms: u64) -> Option<CallFingerprint> {
+        let mut open = self.calls.values().filter(|call| !call.is_quarantined());
+        if !open.any(|call| call.endings.len() >= QUARANTINE_ENDINGS) {
+            return None;
+        }
+        let explained: BTreeSet<_> = self
+            .quarantined()
+            .flat_map(|call| &call.endings)
+            .map(|ending| (&ending.endpoint, ending.incarnation))
+            .collect();
+        let open = self.calls.values().filter(|call| !call.is_quarantined());
+        let causes = open.filter_map(|call| {
+            let endings: Vec<_> = call
+                .endings
+                .iter()
+                .filter(|ending| ending.recorded_ms + SETTLING_MS <= now_ms)
+                .filter(|ending| !explained.contains(&(&ending.endpoint, ending.incarnation)))
+                .collect();
+            let is_cause = endings.len() >= QUARANTINE_ENDINGS
+                && sequential_endings(endings.iter().copied()) >= MIN_SEQUENTIAL_ENDINGS;
+            // A call that ends endpoints does so at about the same age each time; one that travels with it is of any age.
+            let oldest = endings.iter().map(|ending| ending.age_ms()).max().unwrap_or(0);
+            is_cause.then_some(((endings.len(), Reverse(oldest)), call.identity.fingerprint))
+        });
+        causes
+            .max_by_key(|(weight, _)| *weight)
+            .map(|(_, fingerprint)| fingerprint)
+    }
+
+    /// Removes the calls with the least evidence, the oldest first, until each customer and the whole table are within
+    /// their limits. The flood of one customer therefore removes no call of another customer with as much evidence.
+    fn limit(&mut self) {
+        let mut ranked: Vec<_> = self
+            .calls
+            .values()
+            .map(|call| {
+                let weight = (call.is_quarantined(), call.endings.len(), call.last_ended_ms());
+                (
+                    Reverse(weight),
+                    call.identity.fingerprint,
+                    call.identity.customer.clone(),
+                )
+            })
+            .collect();
+        ranked.sort_unstable();
+        let mut counts: BTreeMap<Option<CustomerName>, usize> = BTreeMap::new();
+        let mut kept = 0;
+        for (_, fingerprint, customer) in ranked {
+            let count = counts.entry(customer).or_default();
+            if *count >= MAX_CALLS_PER_CUSTOMER || kept >= MAX_CALLS {
+                self.calls.remove(&fingerprint);
+            } else {
+                *count += 1;
+                kept += 1;
+            }
+        }
+    }
+
+    /// Returns all calls in the table, in the order of their fingerprints.
+    pub fn calls(&self) -> impl Iterator<Item = &SuspectCall> {
+        self.calls.values()
+    }
+
+    /// Returns the calls that are not sent to any endpoint.
+    pub fn quarantined(&self) -> impl Iterator<Item = &SuspectCall> {
+        self.calls.values().filter(|call| call.is_quarantined())
+    }
+
+    /// Returns the calls that entries have to know.
+    pub fn published(&self) -> impl Iterator<Item = &SuspectCall> {
+        self.calls
+            .values()
+            .filter(|call| call.endings.len() >= PUBLISHED_ENDINGS)
+    }
+
+    /// Returns the call with this fingerprint.
+    pub fn get(&self, fingerprint: &CallFingerprint) -> Option<&SuspectCall> {
+        self.calls.get(fingerprint)
+    }
 }
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -0,0 +1,206 @@
+//! What one entry knows about suspect calls: the table that the leader has sent, and what the entry has seen since.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::broken_attempt::CallIdentity;
+use super::call_fingerprint::{CallFingerprint, FingerprintKey};
+use super::suspect_table::{EndingEvidence, SuspectCall, SuspectTable};
+use crate::core::clock::BootTime;
+use crate::core::name::CustomerName;
+
+/// Maximum number of pieces of evidence that wait to be committed.
+const MAX_UNCOMMITTED: usize = 512;
+/// Time after which uncommitted evidence counts on this entry as if it were committed. A leader commits it much sooner.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after an ending for which the entry watches whether the calls that it broke are answered whole.
+const WATCH_TIME: Duration = Duration::from_secs(60);
+/// Number of own endings from which a call is not sent again within the same request.
+const SUSPECT_ENDINGS: usize = 2;
+/// Maximum number of watched calls.
+const MAX_WATCHED: usize = 256;
+
+/// Standing of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallStanding {
+    /// Nothing speaks against the call.
+    Unsuspected,
+    /// Endpoints have ended under the call one after the other. It is not sent again within the same request.
+    Suspected,
+    /// The call is not sent to any endpoint.
+    Quarantined,
+}
+
+#[derive(Clone, Debug)]
+struct UncommittedEvidence {
+    number: u64,
+    evidence: EndingEvidence,
+    recorded_at: BootTime,
+    /// True if the call was answered whole after the ending.
+    is_refuted: bool,
+}
+
+#[derive(Clone, Debug)]
+struct WatchedCall {
+    customer: Option<CustomerName>,
+    body_bytes: u64,
+    until: BootTime,
+}
+
+/// Suspect calls as an entry knows them.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectView {
+    published: SuspectTable,
+    uncommitted: VecDeque<UncommittedEvidence>,
+    last_number: u64,
+    watched: BTreeMap<CallFingerprint, WatchedCall>,
+    answered: BTreeSet<CallFingerprint>,
+    /// Calls that only this entry holds back, since no leader has committed its evidence.
+    held_back: BTreeSet<CallFingerprint>,
+}
+
+impl SuspectView {
+    /// Returns the key of the fingerprints, or `None` until the leader has sent it.
+    pub const fn key(&self) -> Option<FingerprintKey> {
+        self.published.key
+    }
+
+    /// Returns the version of the table that the leader has sent.
+    pub const fn version(&self) -> u64 {
+        self.published.version
+    }
+
+    /// Replaces the table by a later version. Returns the calls that are newly quarantined.
+    pub fn apply_published(&mut self, table: SuspectTable) -> Vec<CallIdentity> {
+        if table.version <= self.published.version {
+            return Vec::new();
+        }
+        let before = std::mem::replace(&mut self.published, table);
+        let was_held = |call: &SuspectCall| {
+            before
+                .get(&call.identity.fingerprint)
+                .is_some_and(SuspectCall::is_quarantined)
+        };
+        let new = self.published.quarantined().filter(|call| !was_held(call));
+        new.map(|call| call.identity.clone()).collect()
+    }
+
+    /// Returns false if a call with this customer and body length certainly has no standing, so that its fingerprint need
+    /// not be computed.
+    pub fn may_know(&self, customer: Option<&CustomerName>, body_bytes: u64) -> bool {
+        let matches = |known: Option<&CustomerName>, known_bytes: u64| known_bytes == body_bytes && known == customer;
+        let mut published = self.published.calls().map(|call| &call.identity);
+        published.any(|call| matches(call.customer.as_ref(), call.body_bytes))
+            || self
+                .watched
+                .values()
+                .any(|call| matches(call.customer.as_ref(), call.body_bytes))
+    }
+
+    /// Returns the standing of a call.
+    pub fn standing(&self, fingerprint: &CallFingerprint) -> CallStanding {
+        let call = self.published.get(fingerprint);
+        if self.held_back.contains(fingerprint) || call.is_some_and(SuspectCall::is_quarantined) {
+            CallStanding::Quarantined
+        } else if call.is_some_and(SuspectCall::is_repeated) || self.own_endings(fingerprint) >= SUSPECT_ENDINGS {
+            CallStanding::Suspected
+        } else {
+            CallStanding::Unsuspected
+        }
+    }
+
+    /// Returns the number of endings of a call that this entry has seen and that are not known to be committed.
+    fn own_endings(&self, fingerprint: &CallFingerprint) -> usize {
+        let own = self.uncommitted.iter();
+        own.filter(|waiting| waiting.evidence.call.fingerprint == *fingerprint && !waiting.is_refuted)
+            .count()
+    }
+
+    /// Records that an endpoint ended while it ran a call of this entry. If too much evidence waits, the oldest is
+    /// dropped; returns false in that case.
+    pub fn record_ending(&mut self, now: BootTime, evidence: EndingEvidence) -> bool {
+        self.watch(now, &evidence.call);
+        self.last_number += 1;
+        self.uncommitted.push_back(UncommittedEvidence {
+            number: self.last_number,
+            evidence,
+            recorded_at: now,
+            is_refuted: false,
+        });
+        if self.uncommitted.len() > MAX_UNCOMMITTED {
+            self.uncommitted.pop_front();
+            return false;
+        }
+        true
+    }
+
+    fn watch(&mut self, now: BootTime, call: &CallIdentity) {
+        if self.watched.len() >= MAX_WATCHED {
+            self.watched.retain(|_, call| now < call.until);
+        }
+        if self.watched.len() < MAX_WATCHED {
+            let watched = WatchedCall {
+                customer: call.customer.clone(),
+                body_bytes: call.body_bytes,
+                until: now + WATCH_TIME,
+            };
+            self.watched.insert(call.fingerprint, watched);
+        }
+    }
+
+    /// Records that a call was answered whole. Returns true if the leader has to be told, because the call was suspect.
+    pub fn record_whole_answer(&mut self, fingerprint: CallFingerprint) -> bool {
+        let was_watched = self.watched.remove(&fingerprint).is_some();
+        let own = self.uncommitted.iter_mut();
+        for waiting in own.filter(|waiting| waiting.evidence.call.fingerprint == fingerprint) {
+            waiting.is_refuted = true;
+        }
+        self.held_back.remove(&fingerprint);
+        let is_suspect = was_watched || self.published.get(&fingerprint).is_some();
+        if is_suspect {
+            self.answered.insert(fingerprint);
+        }
+        is_suspect
+    }
+
+    /// Returns the calls that were answered whole since the last call of this function.
+    pub fn take_answered(&mut self) -> BTreeSet<CallFingerprint> {
+        std::mem::take(&mut self.answered)
+    }
+
+    /// Returns the evidence that is not known to be committed, and the number of the first piece of it.
+    pub fn uncommitted(&self) -> (u64, impl Iterator<Item = &EndingEvidence>) {
+        let first = self.uncommitted.front().map_or(0, |waiting| waiting.number);
+        (first, self.uncommitted.iter().map(|waiting| &waiting.evidence))
+    }
+
+    /// Returns true if evidence waits to be committed.
+    pub fn has_uncommitted(&self) -> bool {
+        !self.uncommitted.is_empty()
+    }
+
+    /// Removes the evidence up to this number, which is committed.
+    pub fn acknowledge(&mut self, number: u64) {
+        self.uncommitted.retain(|waiting| waiting.number > number);
+    }
+
+    /// Decides which calls this entry holds back by itself, because no leader has committed its evidence in time. `now_ms`
+    /// is the time in milliseconds since 1970. Returns the calls that it did not hold back before.
+    pub fn hold_back(&mut self, now: BootTime, now_ms: u64) -> Vec<CallFingerprint> {
+        let is_overdue =
+            |waiting: &&UncommittedEvidence| !waiting.is_refuted && now.since(waiting.recorded_at) >= COMMIT_TIMEOUT;
+        let overdue: Vec<_> = self.uncommitted.iter().filter(is_overdue).collect();
+        let mut held_back = BTreeSet::new();
+        if !overdue.is_empty() {
+            let mut own = self.published.clone();
+            for waiting in overdue {
+                own.record(&waiting.evidence, 0);
+            }
+            own.judge(now_ms);
+            held_back.extend(own.quarantined().map(|call| call.identity.fingerprint));
+        }
+        let new = held_back.difference(&self.held_back).copied().collect();
+        self.held_back = held_back;
+        new
+    }
+}
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod members;
 mod pools;
+mod quarantine;
 mod routes;
 mod status;
 mod table;
@@ -28,6 +29,7 @@
     Members(members::MembersArgs),
     Entries(entries::EntriesArgs),
     Endpoints(endpoints::EndpointsArgs),
+    Quarantine(quarantine::QuarantineArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
 }
@@ -42,6 +44,7 @@
             Self::Members(args) => args.exec(client).await,
             Self::Entries(args) => args.exec(client).await,
             Self::Endpoints(args) => args.exec(client).await,
+            Self::Quarantine(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
         }
