--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -24,5 +24,6 @@
 mod stages;
 mod state;
 mod stopping;
+mod suspects;
 mod suspicion;
 mod windows;
