Hold a call back at the third ending, before the leader has judged it

Seen: with the leader killed between the second and the third ending and a caller that repeats without a pause, 8 engines ended: the entry that saw the third ending waited 300 ms for a leader before it judged by itself. Ruled out: news that is late; E0233 of the third ending stood 40 ms after it.

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -8,7 +8,6 @@
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,6 +18,7 @@
 use super::call::AcceptedCall;
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
+use super::refusal::CallRefusal;
 
 /// Safety margin before the endpoint's keep-alive timeout: an idle connection is no longer used this long before the
 /// endpoint closes it. Without the margin, a request could be sent while the endpoint is closing the connection.
@@ -36,8 +36,8 @@
     },
     /// The endpoint may have run the call, but its answer was lost.
     Lost,
-    /// The call was quarantined after it was accepted, and nothing was sent.
-    HeldBack,
+    /// The call may no longer be sent to any endpoint, and nothing was sent.
+    HeldBack(CallRefusal),
     /// The time limit of the attempt passed. The endpoint may still be running the call.
     TimedOut,
 }
@@ -119,8 +119,8 @@
     resume_after: Option<u64>,
     timeouts: AttemptTimeouts,
 ) -> AttemptOutcome {
-    if call.standing() == CallStanding::Quarantined {
-        return AttemptOutcome::HeldBack;
+    if let Some(refusal) = call.held_back() {
+        return AttemptOutcome::HeldBack(refusal);
     }
     let sent_at = boot_now();
     let attempt = AttemptHead {
--- a/crates/acacia-entry/src/serving/break_watch.rs
+++ b/crates/acacia-entry/src/serving/break_watch.rs
@@ -1,7 +1,6 @@
 //! Examination of attempts whose connection ended: whether the endpoint ended, and which calls it then ran.
 //!
-//! These calls are reported to the leader with the next renewal. Until a leader has committed them, this entry judges them
-//! by itself.
+//! These calls are reported to the leader at once. Until it has judged them, this entry judges them by itself.
 
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
@@ -65,7 +64,7 @@
     }
 }
 
-/// Records the breaks whose examination has a result, and holds back what no leader has judged in time.
+/// Records the breaks whose examination has a result, and holds back the calls that they may prove to be the cause.
 fn apply_decided(shared: &EntryShared, now: BootTime) {
     let mut state = shared.state();
     let state = &mut *state;
@@ -80,8 +79,8 @@
             }
         }
     }
-    let now_ms = state.wall_millis(now);
-    for fingerprint in state.suspects.hold_back(now, now_ms) {
+    state.suspects.judge();
+    for fingerprint in state.suspects.take_newly_held_back() {
         slog::info!(shared.log, "call held back"; "event" => event::CALL_HELD_BACK,
             "fingerprint" => %fingerprint, "by" => "this entry");
     }
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -23,7 +23,7 @@
 use hyper::{Request, Response};
 
 use super::codec::{CallHead, HeadError};
-use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
 
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Returns the refusal of the call, if it may not be sent to any endpoint.
+    pub(super) fn held_back(&self) -> Option<CallRefusal> {
+        match self.standing() {
+            CallStanding::Unsuspected | CallStanding::Suspected => None,
+            CallStanding::HeldBack => Some(not_run("endings are judged", JUDGEMENT_RETRY_DELAY)),
+            CallStanding::Quarantined => Some(CallRefusal::Quarantined),
+        }
+    }
+
     /// Records that an endpoint has answered the call whole, which refutes what speaks against the call.
     pub(super) fn record_whole_answer(&self) {
         let body_bytes = self.body.len() as u64;
@@ -230,8 +239,8 @@
         request_hash,
         fingerprint: OnceLock::new(),
     };
-    if call.standing() == CallStanding::Quarantined {
-        return Err((Some(call.head), CallRefusal::Quarantined));
+    if let Some(refusal) = call.held_back() {
+        return Err((Some(call.head), refusal));
     }
     shared.record_call(boot_now(), &call.service, call.head.prompt.as_ref());
     Ok(call)
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -100,7 +100,7 @@
                     return Err(CallRefusal::AnswerLost);
                 }
             }
-            AttemptOutcome::HeldBack => return Err(attempts.held_back()),
+            AttemptOutcome::HeldBack(refusal) => return Err(attempts.held_back(refusal)),
             AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
         }
         attempts.tried.push(chosen.name);
@@ -108,10 +108,11 @@
 }
 
 impl PlainAttempts {
-    /// Returns the refusal of a call that was quarantined meanwhile.
-    const fn held_back(&self) -> CallRefusal {
+    /// Returns the refusal of a call that may no longer be sent. It states that the call has not run only if that is
+    /// certain.
+    const fn held_back(&self, refusal: CallRefusal) -> CallRefusal {
         if self.possible_runs == 0 {
-            CallRefusal::Quarantined
+            refusal
         } else {
             CallRefusal::AnswerLost
         }
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -128,7 +128,7 @@
         match prefill_on(call, prompt, &reader).await {
             PrefillOutcome::Prefilled(read) => return Ok(read),
             PrefillOutcome::NotReached => {}
-            PrefillOutcome::HeldBack => return Err(CallRefusal::Quarantined),
+            PrefillOutcome::HeldBack(refusal) => return Err(refusal),
             PrefillOutcome::Failed => {
                 arrived = true;
                 failed += 1;
@@ -145,8 +145,8 @@
     Prefilled(PrefilledPrompt),
     /// The engine has received nothing.
     NotReached,
-    /// The call was quarantined meanwhile, and nothing was sent.
-    HeldBack,
+    /// The call may no longer be sent to any engine, and nothing was sent.
+    HeldBack(CallRefusal),
     /// The engine has received the request, but has not confirmed that it prefilled the prompt.
     Failed,
 }
@@ -191,7 +191,7 @@
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
         AttemptOutcome::NotRun { arrived: false } => return PrefillOutcome::NotReached,
-        AttemptOutcome::HeldBack => return PrefillOutcome::HeldBack,
+        AttemptOutcome::HeldBack(refusal) => return PrefillOutcome::HeldBack(refusal),
         AttemptOutcome::NotRun { arrived: true } | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
             return PrefillOutcome::Failed;
         }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -186,7 +186,7 @@
                         return Err(self.refusal("turned away", SHORT_RETRY_DELAY));
                     }
                 }
-                AttemptOutcome::HeldBack => return Err(self.held_back()),
+                AttemptOutcome::HeldBack(refusal) => return Err(self.held_back(refusal)),
                 AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
                     self.possible_runs += 1;
                     if !self.acquire_retry() {
@@ -260,10 +260,11 @@
         }
     }
 
-    /// Returns the refusal of a call that was quarantined meanwhile.
-    const fn held_back(&self) -> CallRefusal {
+    /// Returns the refusal of a call that may no longer be sent. It states that the call has not run only if that is
+    /// certain.
+    const fn held_back(&self, refusal: CallRefusal) -> CallRefusal {
         if self.possible_runs == 0 {
-            CallRefusal::Quarantined
+            refusal
         } else {
             CallRefusal::AnswerLost
         }
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -11,8 +11,6 @@
 
 /// Maximum number of pieces of evidence that wait to be committed.
 const MAX_UNCOMMITTED: usize = 512;
-/// Time after which uncommitted evidence counts on this entry as if it were committed. A leader commits it much sooner.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after an ending for which the entry watches whether the calls that it broke are answered whole.
 const WATCH_TIME: Duration = Duration::from_secs(60);
 /// Number of own endings from which a call is not sent again within the same request.
@@ -27,6 +25,9 @@
     Unsuspected,
     /// Endpoints have ended under the call one after the other. It is not sent again within the same request.
     Suspected,
+    /// This entry has seen an ending that may prove the call to be the cause. Until the leader has judged the call, it is
+    /// not sent to any endpoint.
+    HeldBack,
     /// The call is not sent to any endpoint.
     Quarantined,
 }
@@ -35,7 +36,6 @@
 struct UncommittedEvidence {
     number: u64,
     evidence: EndingEvidence,
-    recorded_at: BootTime,
     /// True if the call was answered whole after the ending.
     is_refuted: bool,
 }
@@ -55,8 +55,9 @@
     last_number: u64,
     watched: BTreeMap<CallFingerprint, WatchedCall>,
     answered: BTreeSet<CallFingerprint>,
-    /// Calls that only this entry holds back, since no leader has committed its evidence.
+    /// Calls that this entry holds back until the leader has committed its evidence and judged them.
     held_back: BTreeSet<CallFingerprint>,
+    newly_held_back: Vec<CallFingerprint>,
 }
 
 impl SuspectView {
@@ -76,6 +77,7 @@
             return Vec::new();
         }
         let before = std::mem::replace(&mut self.published, table);
+        self.judge();
         let was_held = |call: &SuspectCall| {
             before
                 .get(&call.identity.fingerprint)
@@ -100,8 +102,10 @@
     /// Returns the standing of a call.
     pub fn standing(&self, fingerprint: &CallFingerprint) -> CallStanding {
         let call = self.published.get(fingerprint);
-        if self.held_back.contains(fingerprint) || call.is_some_and(SuspectCall::is_quarantined) {
+        if call.is_some_and(SuspectCall::is_quarantined) {
             CallStanding::Quarantined
+        } else if self.held_back.contains(fingerprint) {
+            CallStanding::HeldBack
         } else if call.is_some_and(SuspectCall::is_repeated) || self.own_endings(fingerprint) >= SUSPECT_ENDINGS {
             CallStanding::Suspected
         } else {
@@ -116,15 +120,14 @@
             .count()
     }
 
-    /// Records that an endpoint ended while it ran a call of this entry. If too much evidence waits, the oldest is
-    /// dropped; returns false in that case.
+    /// Records that an endpoint ended while it ran a call of this entry; [`judge`](Self::judge) takes it into account. If too
+    /// much evidence waits, the oldest is dropped; returns false in that case.
     pub fn record_ending(&mut self, now: BootTime, evidence: EndingEvidence) -> bool {
         self.watch(now, &evidence.call);
         self.last_number += 1;
         self.uncommitted.push_back(UncommittedEvidence {
             number: self.last_number,
             evidence,
-            recorded_at: now,
             is_refuted: false,
         });
         if self.uncommitted.len() > MAX_UNCOMMITTED {
@@ -155,7 +158,7 @@
         for waiting in own.filter(|waiting| waiting.evidence.call.fingerprint == fingerprint) {
             waiting.is_refuted = true;
         }
-        self.held_back.remove(&fingerprint);
+        self.judge();
         let is_suspect = was_watched || self.published.get(&fingerprint).is_some();
         if is_suspect {
             self.answered.insert(fingerprint);
@@ -182,25 +185,29 @@
     /// Removes the evidence up to this number, which is committed.
     pub fn acknowledge(&mut self, number: u64) {
         self.uncommitted.retain(|waiting| waiting.number > number);
+        self.judge();
     }
 
-    /// Decides which calls this entry holds back by itself, because no leader has committed its evidence in time. `now_ms`
-    /// is the time in milliseconds since 1970. Returns the calls that it did not hold back before.
-    pub fn hold_back(&mut self, now: BootTime, now_ms: u64) -> Vec<CallFingerprint> {
-        let is_overdue =
-            |waiting: &&UncommittedEvidence| !waiting.is_refuted && now.since(waiting.recorded_at) >= COMMIT_TIMEOUT;
-        let overdue: Vec<_> = self.uncommitted.iter().filter(is_overdue).collect();
-        let mut held_back = BTreeSet::new();
-        if !overdue.is_empty() {
-            let mut own = self.published.clone();
-            for waiting in overdue {
-                own.record(&waiting.evidence, 0);
-            }
-            own.judge(now_ms);
-            held_back.extend(own.quarantined().map(|call| call.identity.fingerprint));
+    /// Returns the calls that this entry has begun to hold back since the last call of this function.
+    pub fn take_newly_held_back(&mut self) -> Vec<CallFingerprint> {
+        std::mem::take(&mut self.newly_held_back)
+    }
+
+    /// Judges the table and the evidence that is not part of it yet, as the leader will.
+    pub fn judge(&mut self) {
+        let mut own = self.published.clone();
+        for waiting in self.uncommitted.iter().filter(|waiting| !waiting.is_refuted) {
+            own.record(&waiting.evidence, 0);
         }
-        let new = held_back.difference(&self.held_back).copied().collect();
+        // The leader waits for what other entries report. Meanwhile the call is held back.
+        own.judge(u64::MAX);
+        let is_open = |call: &&SuspectCall| {
+            let published = self.published.get(&call.identity.fingerprint);
+            !published.is_some_and(SuspectCall::is_quarantined)
+        };
+        let suspects = own.quarantined().filter(is_open);
+        let held_back: BTreeSet<_> = suspects.map(|call| call.identity.fingerprint).collect();
+        self.newly_held_back.extend(held_back.difference(&self.held_back));
         self.held_back = held_back;
-        new
     }
 }
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -246,17 +246,19 @@
     SuspectTable::restore(table.version, Some(key()), table.published().cloned())
 }
 
-/// Guards against an entry without a leader that goes on with a call of which it has seen the third ending.
+/// Guards against an entry that goes on with a call of which it has seen the third ending, while the leader has not judged it
+/// or there is none.
 #[test]
-fn entry_holds_a_call_back_by_itself_while_no_leader_answers() {
+fn entry_holds_a_call_back_at_the_third_ending() {
     let mut view = SuspectView::default();
     view.apply_published(published(&[(1, 2)]));
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Suspected);
 
     view.record_ending(at(0), ending(1, 9, 20_000, 80));
-    view.hold_back(at(100), 20_100);
-    assert_eq!(view.standing(&fingerprint(1)), CallStanding::Suspected);
-    view.hold_back(at(300), 20_300);
+    view.judge();
+    assert_eq!(view.standing(&fingerprint(1)), CallStanding::HeldBack);
+    view.acknowledge(1);
+    view.apply_published(published(&[(1, 3)]));
 
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Quarantined);
 }
@@ -267,12 +269,11 @@
     let mut view = SuspectView::default();
     view.apply_published(published(&[(1, 2)]));
     view.record_ending(at(0), ending(1, 9, 20_000, 80));
-    view.hold_back(at(300), 20_300);
+    view.judge();
 
     assert!(view.record_whole_answer(fingerprint(1)));
-    view.hold_back(at(400), 20_400);
 
-    assert_ne!(view.standing(&fingerprint(1)), CallStanding::Quarantined);
+    assert_eq!(view.standing(&fingerprint(1)), CallStanding::Suspected);
     assert_eq!(view.take_answered().into_iter().collect::<Vec<_>>(), [fingerprint(1)]);
 }
 
