--- a/benches/control/stub_entry.rs
+++ b/benches/control/stub_entry.rs
@@ -16,6 +16,7 @@
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::entry_config::ConfigVersion;
 use acaciabay::core::member::{EntryIncarnation, JoinNonce};
+use acaciabay::core::serving::suspect_view::SuspectReport;
 use acaciabay::core::serving_lease::RENEWAL_INTERVAL;
 use prost::Message;
 use test_support::wait_until;
@@ -234,6 +235,7 @@
                 .collect(),
             endpoint_mark,
             demands: Vec::new(),
+            suspects: SuspectReport::default(),
         }
     }
 }
--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -38,6 +38,7 @@
 use crate::peer_listener::serve_peers;
 use crate::share_plan::SharePlan;
 use crate::storage::{DataFolder, FolderIdentity};
+use crate::suspect_calls::SuspectRecorder;
 
 /// State shared by the tasks of a control process.
 #[derive(Debug)]
@@ -46,6 +47,7 @@
     pub(crate) group: GroupHandle,
     pub(crate) log: Logger,
     pub(crate) spans: SpanRecorder,
+    pub(crate) suspects: Arc<SuspectRecorder>,
     soft: Mutex<SoftState>,
 }
 
@@ -289,11 +291,13 @@
         let driver = GroupDriver::open(folder, parts, boot_now(), random_number()?)?;
         let group = GroupHandle::new(inputs, shared, identity.group);
         let spans = SpanRecorder::open(settings.trace_file.as_deref(), "acacia-control", &settings.host, &log)?;
+        let suspects = SuspectRecorder::new(group.clone(), log.clone());
         let control = Arc::new(Control {
             settings,
             group,
             log,
             spans,
+            suspects,
             soft: Mutex::default(),
         });
         let driver_task = spawn_driver(driver, stop.clone(), control.log.clone());
@@ -343,6 +347,7 @@
     let tasks = TaskTracker::new();
     let api = OperatorApi::new(Arc::clone(control), token);
     tasks.spawn(run_leader_tasks(Arc::clone(control), stop.clone()));
+    tasks.spawn(Arc::clone(&control.suspects).run(stop.clone()));
     tasks.spawn(serve_peers(listeners.peers, Arc::clone(control), stop.clone()));
     tasks.spawn(serve_http(
         listeners.operators,
--- a/crates/acacia-control/src/entry_session.rs
+++ b/crates/acacia-control/src/entry_session.rs
@@ -12,6 +12,7 @@
 };
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
 use acaciabay::core::presence::PresenceRow;
+use acaciabay::core::serving::start_counts::EntryStart;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -171,5 +172,10 @@
     renewal.shares = soft.grant_shares(now, &state, &lease.host, lease.demands);
     renewal.endpoints = soft.endpoint_changes_for(&state.entries, &lease.host, lease.endpoint_mark);
     renewal.endpoint_mark = soft.endpoints.revision();
-    Ok(EntryAnswer::Renewed(renewal))
+    drop(soft);
+    let start = EntryStart(lease.incarnation.0);
+    renewal.suspects = control
+        .suspects
+        .answer(&state.serving.suspects, &lease.host, start, lease.suspects);
+    Ok(EntryAnswer::Renewed(Box::new(renewal)))
 }
--- a/crates/acacia-control/src/lib.rs
+++ b/crates/acacia-control/src/lib.rs
@@ -13,12 +13,14 @@
 mod leader_tasks;
 mod operator_api;
 mod operator_members;
+mod operator_quarantine;
 mod operator_tables;
 mod peer_links;
 mod peer_listener;
 pub mod serving;
 mod share_plan;
 pub mod storage;
+mod suspect_calls;
 
 pub use daemon::{RunningControl, form_group, is_formed, start};
 pub use group::{GroupHandle, GroupStatus, NotLeading, PendingOutcome};
--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -23,6 +23,7 @@
 use crate::daemon::Control;
 use crate::group::NotLeading;
 use crate::operator_members::{add_member, list_members, members_json, remove_member, replace_member};
+use crate::operator_quarantine::operate_quarantine;
 use crate::operator_tables::{TableName, read_table, write_table};
 
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -58,7 +59,7 @@
         Self { detail, ..self }
     }
 
-    fn into_response(self) -> Response<ResponseBody> {
+    pub(crate) fn into_response(self) -> Response<ResponseBody> {
         let error = json!({"message": self.message, "code": self.code, "detail": self.detail});
         json_response(self.status, &json!({"error": error}))
     }
@@ -138,6 +139,9 @@
         self.authorize(&request)?;
         let request = read_request(request).await?;
         let segments: Vec<&str> = request.path.trim_matches('/').split('/').collect();
+        if let Some(result) = operate_quarantine(&self.control.suspects, &request.method, &segments).await {
+            return result;
+        }
         match (&request.method, segments.as_slice()) {
             (&Method::GET, ["v1", "tables", name]) => read_table(&self.control, TableName::parse(name)?).await,
             (&Method::PUT, ["v1", "tables", name]) => {
--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, ResponseBody, read_body};
+use acacia_http::{BodyRefusal, ResponseBody, json_response, read_body};
 use acacia_runtime::event;
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
 use acaciabay::core::name::EndpointName;
@@ -12,11 +12,12 @@
 use acaciabay::core::serving::serving_state::{ServingCommand, ServingOutcome};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use super::codec::{ControlAnswer, ControlCall};
-use super::quarantine_http;
 use super::shared::ControlShared;
+use crate::operator_api::OperatorRefusal;
+use crate::operator_quarantine::operate_quarantine;
 
 /// Maximum size of a body in bytes. It allows for a configuration with thousands of routes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -26,8 +27,11 @@
 /// Answers one call.
 pub(super) async fn answer(shared: Arc<ControlShared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
-    if let Some(answer) = quarantine_http::answer(&shared, &parts.method, parts.uri.path()).await {
-        return answer;
+    let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
+    if let Some(result) = operate_quarantine(&shared.suspects, &parts.method, &segments).await {
+        return result.map_or_else(OperatorRefusal::into_response, |value| {
+            json_response(StatusCode::OK, &value)
+        });
     }
     let answer = match read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => match shared.codec.read_call(&parts, &body) {
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -9,8 +9,6 @@
 //! * `duties` runs the work that only one process at a time may do, through a [`PlatformCodec`]: `usage_windows`,
 //!   `pool_orders`, and `stage_orders` with `engine_orders`.
 //!
-//! * `suspect_calls` commits which calls endpoints ended under, and `quarantine_http` shows them to operators.
-//!
 //! Only the two codecs know the format of the HTTP calls. The design is described in `docs/design/machines.md`.
 
 mod bootstrap;
@@ -22,13 +20,11 @@
 mod observer;
 mod peers;
 mod pool_orders;
-mod quarantine_http;
 mod renewals;
 mod session;
 mod shared;
 mod stage_orders;
 mod start;
-mod suspect_calls;
 mod usage_windows;
 
 pub use codec::{
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -11,7 +11,8 @@
 };
 use acacia_wire::generated::state::{self, WindowCounts};
 use acacia_wire::{
-    content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, use_from_wire, use_to_wire,
+    content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, suspect_answer_to_wire,
+    suspect_report_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::HostName;
@@ -19,6 +20,7 @@
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_transfer::{ConfigDocument, ConfigSender};
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
+use acaciabay::core::serving::suspect_view::SuspectReport;
 use acaciabay::util::number::whole_millis;
 use prost::Message;
 
@@ -41,6 +43,8 @@
             leader_address: leader_peer_address(shared),
         });
     }
+    let mut request = request;
+    let suspects = answer_suspects(shared, hello, request.suspects.take());
     let newest = shared.newest_config();
     let (entries, others) = record_entry_state(shared, hello, &request);
     let content = config_update(shared, hello, &request, &newest, &mut sent.config);
@@ -55,8 +59,7 @@
         others,
         kept: exchange_cached_parts(shared, &request, &mut sent.cached_parts_position),
         silent: silent_endpoint_names(shared),
-        suspects: newer_suspects(shared, request.suspects_version),
-        committed_endings: record_suspect_reports(shared, hello, &request),
+        suspects: Some(suspects),
     })
 }
 
@@ -67,26 +70,22 @@
     silent.map(ToString::to_string).collect()
 }
 
-/// Records what the entry tells about suspect calls. Returns the number up to which its evidence is committed.
-fn record_suspect_reports(shared: &ControlShared, hello: &ServingHello, request: &RenewServing) -> u64 {
-    let host: HostName = hello.host.as_str().into();
-    let start = EntryStart(hello.start);
-    let mut soft = shared.soft_state();
-    match soft.suspect_reports.record(&host, start, request) {
-        Ok(committed) => committed,
-        Err(error) => {
-            slog::warn!(shared.log, "malformed evidence received"; "event" => event::MESSAGE_REFUSED,
-                "entry" => &hello.host, "error" => %error);
-            0
-        }
-    }
-}
-
-/// Returns the suspect calls, unless the entry holds this version of them. An entry without them must not get a lease: it
-/// would serve what the others hold back.
-fn newer_suspects(shared: &ControlShared, held: u64) -> Option<state::SuspectTable> {
-    let suspects = shared.suspects();
-    (suspects.version != held).then_some(suspects)
+/// Records what the entry tells about suspect calls, and returns what it has to know about them.
+fn answer_suspects(
+    shared: &ControlShared,
+    hello: &ServingHello,
+    report: Option<state::SuspectReport>,
+) -> state::SuspectAnswer {
+    let report = suspect_report_from_wire(report).unwrap_or_else(|error| {
+        slog::warn!(shared.log, "malformed report of suspect calls received"; "event" => event::MESSAGE_REFUSED,
+            "entry" => &hello.host, "error" => %error);
+        SuspectReport::default()
+    });
+    let host = hello.host.as_str().into();
+    let state = shared.group.read();
+    let suspects = &state.serving.suspects;
+    let answer = shared.suspects.answer(suspects, &host, EntryStart(hello.start), report);
+    suspect_answer_to_wire(&answer)
 }
 
 /// State that has been sent to an entry on one connection.
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -161,7 +161,7 @@
                 if status.borrow().leading_since.is_none() {
                     continue;
                 }
-                Body::Suspects(shared.suspects())
+                Body::Suspects(shared.published_suspects())
             }
             Ok(()) = status.changed() => {
                 let (leads, voters) = {
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -11,7 +11,7 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
 use acacia_wire::generated::state;
-use acacia_wire::{endpoint_to_wire, published_to_wire};
+use acacia_wire::{endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptLog;
@@ -29,8 +29,8 @@
 
 use super::codec::{ControlCodec, PlatformCodec};
 use super::config_cache::ConfigCache;
-use super::suspect_calls::SuspectReports;
 use crate::group::GroupHandle;
+use crate::suspect_calls::SuspectRecorder;
 
 /// Maximum number of updates that a session may lag behind. Beyond it, the session sends all endpoints again.
 const MAX_QUEUED_UPDATES: usize = 1_024;
@@ -78,8 +78,6 @@
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
     /// Prompt parts that engines have cached, as announced by entries.
     pub(super) cached_parts: KeptLog,
-    /// What entries have told about suspect calls and is not committed yet.
-    pub(super) suspect_reports: SuspectReports,
     /// Configuration that was parsed last. It is reused while its number is the newest.
     config: Option<Arc<ServingConfig>>,
 }
@@ -138,6 +136,7 @@
 pub(super) struct ControlShared {
     pub(super) settings: ServingControlSettings,
     pub(super) group: GroupHandle,
+    pub(super) suspects: Arc<SuspectRecorder>,
     pub(super) codec: Arc<dyn ControlCodec>,
     pub(super) platform: Arc<dyn PlatformCodec>,
     pub(super) log: Logger,
@@ -155,9 +154,11 @@
         platform: Arc<dyn PlatformCodec>,
         log: Logger,
     ) -> Self {
+        let suspects = SuspectRecorder::new(group.clone(), log.clone());
         Self {
             settings,
             group,
+            suspects,
             codec,
             platform,
             log,
@@ -281,8 +282,8 @@
     }
 
     /// Returns the suspect calls that entries have to know, as this replica has applied them.
-    pub(super) fn suspects(&self) -> state::SuspectTable {
-        published_to_wire(&self.group.read().serving.suspects)
+    pub(super) fn published_suspects(&self) -> state::SuspectTable {
+        suspects_to_wire(&self.group.read().serving.suspects.published_table())
     }
 
     pub(super) fn config_cache(&self) -> MutexGuard<'_, ConfigCache> {
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -26,7 +26,6 @@
 use super::observer::observe_replicas;
 use super::peers::serve_peers;
 use super::shared::ControlShared;
-use super::suspect_calls::commit_suspects;
 use crate::daemon::random_number;
 use crate::driver::{DriverParts, GroupDriver, spawn_driver};
 use crate::group::{GroupHandle, GroupInput, GroupShared};
@@ -189,7 +188,7 @@
     tasks.spawn(serve_peers(peers, Arc::clone(shared), stop.clone()));
     tasks.spawn(observe_replicas(Arc::clone(shared), stop.clone()));
     tasks.spawn(run_duties(Arc::clone(shared), stop.clone()));
-    tasks.spawn(commit_suspects(Arc::clone(shared), stop.clone()));
+    tasks.spawn(Arc::clone(&shared.suspects).run(stop.clone()));
     tasks.spawn(forget_silent_endpoints(Arc::clone(shared), stop.clone()));
     let (cache_shared, cache_stop) = (Arc::clone(shared), stop.clone());
     tasks.spawn(async move {
--- /dev/null
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -0,0 +1,250 @@
+//! Records what entries report about calls under which endpoints have ended, commits it, and has these calls judged.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_runtime::clock::wall_nanos;
+use acacia_runtime::event;
+use acaciabay::core::control_state::ControlCommand;
+use acaciabay::core::name::{CustomerName, HostName};
+use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
+use acaciabay::core::serving::serving_state::ServingCommand;
+use acaciabay::core::serving::start_counts::EntryStart;
+use acaciabay::core::serving::suspect_table::{EndingEvidence, SuspectCall, SuspectTable, SuspectUpdate};
+use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use crate::group::{GroupHandle, NotLeading};
+
+/// Interval at which the leader commits new evidence.
+const COMMIT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Evidence of one start of an entry that has been received, by its numbers.
+#[derive(Clone, Copy, Debug)]
+struct EvidenceProgress {
+    start: EntryStart,
+    received: u64,
+    committed: u64,
+}
+
+/// What entries have told the leader about suspect calls and is not committed yet.
+#[derive(Debug, Default)]
+struct PendingReports {
+    evidence: Vec<EndingEvidence>,
+    answered: Vec<CallFingerprint>,
+    progress: BTreeMap<HostName, EvidenceProgress>,
+}
+
+impl PendingReports {
+    const fn is_empty(&self) -> bool {
+        self.evidence.is_empty() && self.answered.is_empty()
+    }
+
+    /// Adds a report. Returns the number up to which the evidence of the entry is committed.
+    fn add(&mut self, host: &HostName, start: EntryStart, report: SuspectReport) -> u64 {
+        let known = self.progress.get(host).copied().filter(|known| known.start == start);
+        let mut progress = known.unwrap_or(EvidenceProgress {
+            start,
+            received: 0,
+            committed: 0,
+        });
+        for (number, evidence) in (report.first_ending..).zip(report.evidence) {
+            if number > progress.received {
+                self.evidence.push(evidence);
+                progress.received = number;
+            }
+        }
+        self.answered.extend(report.answered);
+        self.progress.insert(host.clone(), progress);
+        progress.committed
+    }
+
+    /// Records that everything up to this progress is committed.
+    fn confirm(&mut self, taken: &BTreeMap<HostName, EvidenceProgress>) {
+        for (host, taken) in taken {
+            if let Some(known) = self.progress.get_mut(host).filter(|known| known.start == taken.start) {
+                known.committed = known.committed.max(taken.received);
+            }
+        }
+    }
+}
+
+/// Recorder of the reports that entries send to this replica.
+#[derive(Debug)]
+pub(crate) struct SuspectRecorder {
+    group: GroupHandle,
+    log: Logger,
+    pending: Mutex<PendingReports>,
+}
+
+/// An update that is about to be committed, with the progress that its commit means.
+type PendingUpdate = (SuspectUpdate, BTreeMap<HostName, EvidenceProgress>);
+
+impl SuspectRecorder {
+    pub(crate) fn new(group: GroupHandle, log: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            group,
+            log,
+            pending: Mutex::default(),
+        })
+    }
+
+    /// Records the report of an entry and answers it. `suspects` is the table that this replica has applied since it
+    /// confirmed that it leads: an entry with an older one must not get a lease, because it would serve what the others
+    /// hold back.
+    pub(crate) fn answer(
+        &self,
+        suspects: &SuspectTable,
+        host: &HostName,
+        start: EntryStart,
+        report: SuspectReport,
+    ) -> SuspectAnswer {
+        let table = (report.version != suspects.version).then(|| suspects.published_table());
+        SuspectAnswer {
+            table,
+            committed_endings: self.pending.lock().add(host, start, report),
+        }
+    }
+
+    /// Commits updates while this replica leads, until `stop` is cancelled.
+    pub(crate) async fn run(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(COMMIT_INTERVAL) => {}
+            }
+            if self.group.status().borrow().leading_since.is_none() {
+                continue;
+            }
+            let Some((update, taken)) = self.next_update() else {
+                continue;
+            };
+            if self.commit(update).await.is_ok() {
+                self.pending.lock().confirm(&taken);
+            } else {
+                // Entries tell the next leader again, or this one if it still leads.
+                *self.pending.lock() = PendingReports::default();
+            }
+        }
+    }
+
+    fn next_update(&self) -> Option<PendingUpdate> {
+        let now_ms = wall_nanos() / 1_000_000;
+        let (has_key, can_judge) = {
+            let suspects = &self.group.read().serving.suspects;
+            (suspects.key.is_some(), suspects.can_judge(now_ms))
+        };
+        let mut pending = self.pending.lock();
+        if has_key && !can_judge && pending.is_empty() {
+            return None;
+        }
+        let update = SuspectUpdate {
+            now_ms,
+            key: if has_key { None } else { random_key() },
+            evidence: std::mem::take(&mut pending.evidence),
+            answered: std::mem::take(&mut pending.answered),
+            lifted: Vec::new(),
+        };
+        Some((update, pending.progress.clone()))
+    }
+
+    /// Lifts a quarantine. Returns false if no such call is suspect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this replica does not lead, or no longer does. The quarantine may be lifted nevertheless.
+    pub(crate) async fn lift(&self, fingerprint: CallFingerprint) -> Result<bool, NotLeading> {
+        self.group.confirm_leadership().await?;
+        if self.group.read().serving.suspects.get(&fingerprint).is_none() {
+            return Ok(false);
+        }
+        let update = SuspectUpdate {
+            now_ms: wall_nanos() / 1_000_000,
+            lifted: vec![fingerprint],
+            ..SuspectUpdate::default()
+        };
+        self.commit(update).await?;
+        Ok(true)
+    }
+
+    /// Returns all suspect calls for operators.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this replica does not lead.
+    pub(crate) async fn list(&self) -> Result<Value, NotLeading> {
+        self.group.confirm_leadership().await?;
+        let state = self.group.read();
+        let calls: Vec<Value> = state.serving.suspects.calls().map(call_json).collect();
+        Ok(json!({"calls": calls}))
+    }
+
+    async fn commit(&self, update: SuspectUpdate) -> Result<(), NotLeading> {
+        let before = quarantined(&self.group.read().serving.suspects);
+        let command = ControlCommand::Serving(ServingCommand::UpdateSuspects(update));
+        self.group.propose(command).await?;
+        self.log_changes(&before);
+        Ok(())
+    }
+
+    /// Logs which calls were quarantined or released since `before`.
+    fn log_changes(&self, before: &[CallFingerprint]) {
+        let state = self.group.read();
+        let suspects = &state.serving.suspects;
+        metrics::gauge!("acacia_calls_quarantined").set(suspects.quarantined().count() as f64);
+        metrics::gauge!("acacia_calls_suspected").set(suspects.calls().count() as f64);
+        for call in suspects.quarantined() {
+            if !before.contains(&call.identity.fingerprint) {
+                self.log_quarantined(call);
+            }
+        }
+        for fingerprint in before.iter().filter(|fingerprint| suspects.get(fingerprint).is_none()) {
+            slog::info!(self.log, "quarantine ended"; "event" => event::QUARANTINE_ENDED,
+                "fingerprint" => %fingerprint);
+        }
+    }
+
+    fn log_quarantined(&self, call: &SuspectCall) {
+        let endpoints: Vec<_> = call.endings.iter().map(|ending| ending.endpoint.as_str()).collect();
+        let ended_ms: Vec<_> = call.endings.iter().map(|ending| ending.ended_ms).collect();
+        slog::warn!(self.log, "call quarantined"; "event" => event::CALL_QUARANTINED,
+            "fingerprint" => %call.identity.fingerprint, "route" => &call.identity.route,
+            "customer" => call.identity.customer.as_ref().map(CustomerName::as_str),
+            "endings" => call.endings.len(), "endpoints" => endpoints.join(","), "ended_ms" => ?ended_ms);
+    }
+}
+
+/// Returns a random key, or `None` if there are no random bytes. The next update then tries again.
+fn random_key() -> Option<FingerprintKey> {
+    let mut bytes = [0; 32];
+    getrandom::fill(&mut bytes).ok()?;
+    FingerprintKey::from_bytes(&bytes)
+}
+
+fn quarantined(suspects: &SuspectTable) -> Vec<CallFingerprint> {
+    let calls = suspects.quarantined();
+    calls.map(|call| call.identity.fingerprint).collect()
+}
+
+fn call_json(call: &SuspectCall) -> Value {
+    let endings = call.endings.iter().map(|ending| {
+        json!({
+            "endpoint": ending.endpoint.as_str(),
+            "birth": ending.incarnation.0,
+            "sent_ms": ending.sent_ms,
+            "ended_ms": ending.ended_ms,
+        })
+    });
+    json!({
+        "fingerprint": call.identity.fingerprint.to_string(),
+        "route": call.identity.route,
+        "customer": call.identity.customer.as_ref().map(CustomerName::as_str),
+        "body_bytes": call.identity.body_bytes,
+        "quarantined_ms": call.quarantined_ms,
+        "endings": endings.collect::<Vec<_>>(),
+    })
+}
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -11,6 +11,8 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::endpoint::EndpointRow;
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::call_fingerprint::CallContent;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
 use acaciabay::ops::place_request::PlacementRequest;
@@ -31,6 +33,7 @@
 use crate::endpoint_stream::{EndpointStream, StreamFault, StreamPiece, TokenPiece};
 use crate::refusal::CallerRefusal;
 use crate::shared::{Entry, SendGuard};
+use crate::suspect_calls::{LazyFingerprint, SentAttempt, TrackedCall};
 
 /// Most attempts of one request, the first one included.
 const MOST_ATTEMPTS: u32 = 5;
@@ -55,6 +58,7 @@
     }
     let permit = admit(entry, &caller, &route, body.cost, body.output_tokens).await?;
     let mut run = CompletionRun::new(Arc::clone(entry), caller, route, body, permit);
+    run.content = bytes;
     // The head of the answer goes out only when there is something to answer with, so that a failure before the first
     // token still gets a status of its own.
     let first = run.next().await?;
@@ -79,6 +83,9 @@
     caller: CallerIdentity,
     route: CallerRoute,
     pub(crate) body: CompletionBody,
+    /// The body as the caller sent it.
+    content: Bytes,
+    fingerprint: LazyFingerprint,
     attempt: Option<OpenAttempt>,
     attempts: u32,
     text: String,
@@ -97,6 +104,8 @@
 #[derive(Debug)]
 struct OpenAttempt {
     endpoint: EndpointName,
+    row: EndpointRow,
+    sent_at: BootTime,
     stream: EndpointStream,
     /// When the request was sent, or its last token came.
     last_token_at: BootTime,
@@ -117,7 +126,7 @@
 }
 
 impl CompletionRun {
-    const fn new(
+    fn new(
         entry: Arc<Entry>,
         caller: CallerIdentity,
         route: CallerRoute,
@@ -129,6 +138,8 @@
             caller,
             route,
             body,
+            content: Bytes::new(),
+            fingerprint: LazyFingerprint::default(),
             attempt: None,
             attempts: 0,
             text: String::new(),
@@ -147,6 +158,26 @@
         format!("cmpl-{}", self.caller.id)
     }
 
+    /// Returns the call as it is recognised when it is sent again.
+    fn tracked(&self) -> TrackedCall<'_> {
+        TrackedCall {
+            content: CallContent {
+                method: "POST",
+                host: "",
+                target: self.body.endpoint_path(),
+                customer: Some(&self.caller.customer),
+                body: &self.content,
+            },
+            route: &self.body.model,
+            fingerprint: &self.fingerprint,
+        }
+    }
+
+    fn record_break(&self, endpoint: &EndpointName, row: &EndpointRow, sent_at: BootTime) {
+        let sent = SentAttempt::to_row(endpoint, row, sent_at);
+        self.entry.suspects.record_break(&self.tracked(), sent);
+    }
+
     fn verdict(&self) -> ExecutionStatus {
         let state = if self.next_offset > 0 {
             AttemptState::Started
@@ -184,6 +215,7 @@
                 }
                 Ok(StreamPiece::Done) => match (&self.finish, self.usage) {
                     (Some(_), Some(usage)) => {
+                        self.entry.suspects.record_whole_answer(&self.tracked());
                         self.end_attempt(attempt);
                         return Ok(RunPiece::Finished(usage));
                     }
@@ -228,7 +260,10 @@
                 Err("answer belongs to another request".to_owned())
             }
             Ok(Err(StreamFault::Malformed)) => Err("malformed chunk".to_owned()),
-            Ok(Err(StreamFault::Broken(reason))) => Err(reason),
+            Ok(Err(StreamFault::Broken(reason))) => {
+                self.record_break(&attempt.endpoint, &attempt.row, attempt.sent_at);
+                Err(reason)
+            }
             Err(_elapsed) => Err("silence".to_owned()),
         }
     }
@@ -281,6 +316,9 @@
             let answer = match tokio::time::timeout(left.min(FIRST_TOKEN_TIMEOUT), sent).await {
                 Ok(Ok(answer)) => answer,
                 Ok(Err(failure)) => {
+                    if failure.state != AttemptState::Unsent {
+                        self.record_break(&place.endpoint, &place.row, sent_at);
+                    }
                     self.note_failed_send(place.endpoint, failure.state, &failure.to_string());
                     continue;
                 }
@@ -304,6 +342,8 @@
             let connection = answer.connection;
             return Ok(OpenAttempt {
                 endpoint: place.endpoint,
+                row: place.row,
+                sent_at,
                 stream,
                 last_token_at: sent_at,
                 has_begun: false,
@@ -316,8 +356,15 @@
     }
 
     fn count_attempt(&mut self) -> Result<(), CallerRefusal> {
+        let standing = self.entry.suspects.standing(&self.tracked());
+        if let Some(refusal) = CallerRefusal::of_standing(standing).filter(|_| !self.maybe_run) {
+            return Err(refusal);
+        }
         self.attempts += 1;
         let is_retry = self.attempts > 1;
+        if is_retry && standing != CallStanding::Unsuspected {
+            return Err(CallerRefusal::endpoints_failed(self.verdict()));
+        }
         if self.attempts > MOST_ATTEMPTS || (is_retry && !self.entry.retries.lock().try_withdraw()) {
             return Err(CallerRefusal::endpoints_failed(self.verdict()));
         }
--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -6,11 +6,12 @@
 
 use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::admin::serve_admin;
-use acacia_runtime::clock::boot_now;
+use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::{CallerLimits, EntrySettings};
+use acaciabay::core::serving::broken_attempt::BrokenAttempt;
 use anyhow::Context;
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -106,6 +107,7 @@
     let billing = tokio::spawn(usage_driver.run());
     let keeping = tokio::spawn(keep_lease(Arc::clone(&entry)));
     let watching = tokio::spawn(watch_lease(Arc::clone(&entry), after_callers.clone()));
+    let examining = tokio::spawn(examine_breaks(Arc::clone(&entry), after_callers.clone()));
     let admin = {
         let entry = Arc::clone(&entry);
         let shown = Arc::clone(&entry);
@@ -145,7 +147,7 @@
     };
     tokio::join!(serve_http(listeners.callers, bounds, stop, answer), announce);
     after_callers.cancel();
-    for task in [admin, endpoints, watching] {
+    for task in [admin, endpoints, watching, examining] {
         let _panicked = task.await;
     }
     keeping.abort();
@@ -165,6 +167,14 @@
     }
 }
 
+/// Examines the attempts whose endpoint may have ended.
+async fn examine_breaks(entry: Arc<Entry>, stop: CancellationToken) {
+    let tracker = Arc::clone(&entry.suspects);
+    let sighting = |broken: &BrokenAttempt| entry.endpoints.lock().table.sighting(broken);
+    let wall_ms = |_now| wall_nanos() / 1_000_000;
+    tracker.examine_breaks(sighting, wall_ms, stop).await;
+}
+
 /// Logs when the lease runs out; nothing else happens at that moment, since every request looks at the lease itself.
 async fn watch_lease(entry: Arc<Entry>, stop: CancellationToken) {
     let mut held = false;
--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -71,7 +71,7 @@
             continue;
         }
         mark = renewal.endpoint_mark;
-        let changed = take_renewal(entry, renewal);
+        let changed = take_renewal(entry, *renewal);
         let held = entry.may_serve(asked_at);
         entry.lease.lock().confirm(asked_at);
         if !held {
@@ -81,7 +81,11 @@
             // Asking again at once tells the leader that this entry serves by the new version.
             continue;
         }
-        let _changed = tokio::time::timeout(RENEWAL_INTERVAL, status.changed()).await;
+        tokio::select! {
+            _changed = status.changed() => {}
+            () = entry.suspects.report_due() => {}
+            () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
+        }
     }
 }
 
@@ -100,6 +104,7 @@
         demands,
         reports: rows.collect(),
         endpoint_mark,
+        suspects: entry.suspects.take_report(),
     }
 }
 
@@ -114,6 +119,7 @@
         view.table.forget_silent(now);
     }
     entry.admission.grant(now, renewal.shares);
+    entry.suspects.apply_answer(renewal.suspects);
     if renewal.changes.is_empty() && renewal.whole.is_none() {
         return false;
     }
--- a/crates/acacia-entry/src/lib.rs
+++ b/crates/acacia-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod service_call;
 pub mod serving;
 mod shared;
+mod suspect_calls;
 mod usage_sender;
 
 pub use control_link::{ControlLink, LinkClosed, LinkDriver, LinkStatus};
--- a/crates/acacia-entry/src/refusal.rs
+++ b/crates/acacia-entry/src/refusal.rs
@@ -4,6 +4,7 @@
 
 use acacia_http::{ResponseBody, json_response};
 use acaciabay::core::attempt::ExecutionStatus;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
@@ -110,6 +111,28 @@
         }
     }
 
+    /// Returns the refusal of a call with this standing, if the call may not be sent to any endpoint.
+    pub(crate) fn of_standing(standing: CallStanding) -> Option<Self> {
+        match standing {
+            CallStanding::Unsuspected | CallStanding::Suspected => None,
+            CallStanding::HeldBack => Some(Self::under_examination()),
+            CallStanding::Quarantined => Some(Self::quarantined()),
+        }
+    }
+
+    /// The call is not sent to any endpoint, since endpoints have ended under it. Coming back does not help, so callers are
+    /// not told when.
+    fn quarantined() -> Self {
+        let message = "endpoints have ended each time this call ran; it is held back until an operator lets it pass";
+        Self::not_run(StatusCode::UNPROCESSABLE_ENTITY, "quarantined", message)
+    }
+
+    /// Whether endpoints have ended under the call is examined at the moment.
+    fn under_examination() -> Self {
+        let message = "endpoints have ended while this call ran; it is examined whether it is the cause";
+        Self::passing(StatusCode::SERVICE_UNAVAILABLE, "under_examination", message)
+    }
+
     pub(crate) fn claim_unavailable() -> Self {
         let message = "the call could not be claimed, so it was not run";
         Self::passing(StatusCode::SERVICE_UNAVAILABLE, "claim_unavailable", message)
--- a/crates/acacia-entry/src/service_call.rs
+++ b/crates/acacia-entry/src/service_call.rs
@@ -14,6 +14,8 @@
 use acaciabay::core::endpoint::EndpointRow;
 use acaciabay::core::fair_queue::RequestCost;
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::call_fingerprint::CallContent;
+use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
 use acaciabay::ops::place_request::PlacementRequest;
@@ -31,6 +33,7 @@
 };
 use crate::refusal::CallerRefusal;
 use crate::shared::Entry;
+use crate::suspect_calls::{LazyFingerprint, SentAttempt, TrackedCall};
 
 /// The header that makes a call safe to send again to us.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -48,7 +51,7 @@
 const LARGEST_ANSWER: usize = 16 * 1024 * 1024;
 
 /// A call as it goes to an endpoint.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct ServiceCall {
     caller: CallerIdentity,
     route: CallerRoute,
@@ -57,6 +60,24 @@
     content_type: Option<HeaderValue>,
     idempotency_key: Option<HeaderValue>,
     body: Bytes,
+    fingerprint: LazyFingerprint,
+}
+
+impl ServiceCall {
+    /// Returns the call as it is recognised when it is sent again.
+    fn tracked(&self) -> TrackedCall<'_> {
+        TrackedCall {
+            content: CallContent {
+                method: self.method.as_str(),
+                host: "",
+                target: self.path.path_and_query().map_or("", |path| path.as_str()),
+                customer: Some(&self.caller.customer),
+                body: &self.body,
+            },
+            route: self.route.pool.name.as_str(),
+            fingerprint: &self.fingerprint,
+        }
+    }
 }
 
 /// A whole answer of an endpoint.
@@ -92,6 +113,7 @@
         content_type: parts.headers.get(CONTENT_TYPE).cloned(),
         idempotency_key: parts.headers.get(IDEMPOTENCY_KEY).cloned(),
         body: read_caller_body(entry, incoming).await?,
+        fingerprint: LazyFingerprint::default(),
     };
     let _permit = admit(entry, &call.caller, &call.route, CALL_COST, 0).await?;
     let answer = match call.route.pool.kind {
@@ -118,6 +140,13 @@
     let mut tried = Vec::new();
     let mut maybe_run = false;
     for number in 1..=MOST_ATTEMPTS {
+        let standing = entry.suspects.standing(&call.tracked());
+        if let Some(refusal) = CallerRefusal::of_standing(standing).filter(|_| !maybe_run) {
+            return Err(refusal);
+        }
+        if number > 1 && standing != CallStanding::Unsuspected {
+            break;
+        }
         if number > 1 && !entry.retries.lock().try_withdraw() {
             break;
         }
@@ -205,15 +234,17 @@
 }
 
 /// Checks key and lease once more just before the write: the process may have been paused since it admitted the call,
-/// and the key may have been withdrawn while the claim was being committed.
+/// and the key may have been withdrawn while the claim was being committed. A call that may not be sent to any endpoint is
+/// refused only here, so that a resend of one that was answered before still gets the stored answer.
 fn check_authority(entry: &Entry, call: &ServiceCall) -> Result<(), CallerRefusal> {
     if !entry.may_serve(boot_now()) {
         return Err(CallerRefusal::no_lease());
     }
-    match entry.config().keys.authenticate(&call.caller.key) {
-        Some(_) => Ok(()),
-        None => Err(CallerRefusal::unauthenticated()),
+    if entry.config().keys.authenticate(&call.caller.key).is_none() {
+        return Err(CallerRefusal::unauthenticated());
     }
+    let standing = entry.suspects.standing(&call.tracked());
+    CallerRefusal::of_standing(standing).map_or(Ok(()), Err)
 }
 
 fn claim_key(call: &ServiceCall, headers: &HeaderMap) -> Result<ClaimKey, CallerRefusal> {
@@ -309,10 +340,18 @@
     let mut span = entry.spans.start("attempt", call.caller.trace);
     span.set_attribute("endpoint", endpoint);
     let request = endpoint_request(call, row, span.context());
+    let sent_at = boot_now();
+    let record_break = || {
+        let sent = SentAttempt::to_row(endpoint, row, sent_at);
+        entry.suspects.record_break(&call.tracked(), sent);
+    };
     let whole = async {
-        let sent = entry.client.send(boot_now(), row.address, choice, request).await;
+        let sent = entry.client.send(sent_at, row.address, choice, request).await;
         let answer = sent.map_err(|failure| {
             let unsent = failure.state == AttemptState::Unsent;
+            if !unsent {
+                record_break();
+            }
             (
                 if unsent {
                     AttemptFailure::NotRun
@@ -322,13 +361,16 @@
                 failure.to_string(),
             )
         })?;
-        read_answer(entry, call, answer, left).await
+        read_answer(entry, call, answer, left, record_break).await
     };
     let result = match tokio::time::timeout(left, whole).await {
         Ok(result) => result,
         Err(_elapsed) => Err((AttemptFailure::Unknown, "no answer before the deadline".to_owned())),
     };
     drop(guard);
+    if result.is_ok() {
+        entry.suspects.record_whole_answer(&call.tracked());
+    }
     result.map_err(|(failure, reason)| {
         slog::info!(entry.log, "attempt failed"; "event" => event::ATTEMPT_FAILED,
             "endpoint" => endpoint.as_str(), "request" => &call.caller.id, "reason" => reason);
@@ -342,6 +384,7 @@
     call: &ServiceCall,
     answer: EndpointAnswer,
     left: Duration,
+    record_break: impl Fn(),
 ) -> Result<ServiceAnswer, (AttemptFailure, String)> {
     let EndpointAnswer { response, connection } = answer;
     let (parts, body) = response.into_parts();
@@ -358,7 +401,10 @@
         let reason = match refusal {
             BodyRefusal::TooLarge => "answer is too large",
             BodyRefusal::TimedOut => "answer was not whole before the deadline",
-            BodyRefusal::Broken => "connection broke within the answer",
+            BodyRefusal::Broken => {
+                record_break();
+                "connection broke within the answer"
+            }
         };
         (AttemptFailure::Unknown, reason.to_owned())
     })?;
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -14,7 +14,6 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
-use super::break_watch::record_break;
 use super::call::AcceptedCall;
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
@@ -160,7 +159,7 @@
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => {
             if failure.state != AttemptState::Unsent {
-                record_break(call, chosen, sent_at);
+                call.record_break(chosen, sent_at);
             }
             let outcome = match failure.state {
                 AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -1,7 +1,7 @@
 //! Checks that every call has to pass before it is sent to an endpoint: the lease, its head, its route and key, and its
 //! body.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::{BodyRefusal, ResponseBody, read_body};
@@ -9,8 +9,7 @@
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, ServiceName};
-use acaciabay::core::serving::broken_attempt::CallIdentity;
-use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
+use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
 use acaciabay::core::serving::suspect_view::CallStanding;
@@ -23,9 +22,11 @@
 use hyper::{Request, Response};
 
 use super::codec::{CallHead, HeadError};
+use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
+use crate::suspect_calls::{LazyFingerprint, SentAttempt, TrackedCall};
 
 /// Time by which the endpoint's deadline is earlier than the caller's, so that the answer can travel back.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -44,8 +45,7 @@
     pub(super) deadline: BootTime,
     /// Hash of the request identifier, by which calls are spread over services and endpoints.
     pub(super) request_hash: u64,
-    /// Fingerprint of the call. It is computed when it is first needed, since most calls never need it.
-    fingerprint: OnceLock<Option<CallFingerprint>>,
+    fingerprint: LazyFingerprint,
 }
 
 impl AcceptedCall {
@@ -57,41 +57,40 @@
         self.admitted.customer.as_ref().map(|customer| &customer.name)
     }
 
-    /// Returns the fingerprint of the call, or `None` while the entry does not have the key.
-    fn fingerprint(&self) -> Option<CallFingerprint> {
-        *self.fingerprint.get_or_init(|| {
-            let key = self.shared.state().suspects.key()?;
-            let content = CallContent {
+    /// Returns the call as it is recognised when it is sent again.
+    fn tracked(&self) -> TrackedCall<'_> {
+        TrackedCall {
+            content: CallContent {
                 method: self.parts.method.as_str(),
                 host: &self.head.host,
                 target: self.parts.uri.path_and_query().map_or("", |target| target.as_str()),
                 customer: self.customer(),
                 body: &self.body,
-            };
-            Some(key.fingerprint(&content))
-        })
-    }
-
-    /// Returns by what the call is recognised when it is sent again, or `None` while the entry does not have the key.
-    pub(super) fn identity(&self) -> Option<CallIdentity> {
-        Some(CallIdentity {
-            fingerprint: self.fingerprint()?,
-            customer: self.customer().cloned(),
-            route: self.route().name.clone(),
-            body_bytes: self.body.len() as u64,
-        })
+            },
+            route: &self.route().name,
+            fingerprint: &self.fingerprint,
+        }
     }
 
     /// Returns the standing of the call among those under which endpoints have ended.
     pub(super) fn standing(&self) -> CallStanding {
-        let body_bytes = self.body.len() as u64;
-        if !self.shared.state().suspects.may_know(self.customer(), body_bytes) {
-            return CallStanding::Unsuspected;
-        }
-        match self.fingerprint() {
-            Some(fingerprint) => self.shared.state().suspects.standing(&fingerprint),
-            None => CallStanding::Unsuspected,
-        }
+        self.shared.suspects.standing(&self.tracked())
+    }
+
+    /// Records that an endpoint has answered the call whole.
+    pub(super) fn record_whole_answer(&self) {
+        self.shared.suspects.record_whole_answer(&self.tracked());
+    }
+
+    /// Records that the connection of an attempt ended before the answer was complete.
+    pub(super) fn record_break(&self, chosen: &ChosenEndpoint, sent_at: BootTime) {
+        let sent = SentAttempt {
+            endpoint: &chosen.name,
+            incarnation: chosen.endpoint.incarnation,
+            address: chosen.endpoint.address,
+            sent_at,
+        };
+        self.shared.suspects.record_break(&self.tracked(), sent);
     }
 
     /// Returns the refusal of the call, if it may not be sent to any endpoint.
@@ -103,18 +102,6 @@
         }
     }
 
-    /// Records that an endpoint has answered the call whole, which refutes what speaks against the call.
-    pub(super) fn record_whole_answer(&self) {
-        let body_bytes = self.body.len() as u64;
-        if !self.shared.state().suspects.may_know(self.customer(), body_bytes) {
-            return;
-        }
-        let Some(fingerprint) = self.fingerprint() else { return };
-        if self.shared.state().suspects.record_whole_answer(fingerprint) {
-            self.shared.renewal_due.notify_waiters();
-        }
-    }
-
     /// Returns the time that an endpoint has left for the call.
     pub(super) fn time_left(&self, now: BootTime) -> Duration {
         self.deadline.since(now + ANSWER_MARGIN)
@@ -237,7 +224,7 @@
         received_at,
         deadline: received_at + timeout,
         request_hash,
-        fingerprint: OnceLock::new(),
+        fingerprint: LazyFingerprint::default(),
     };
     if let Some(refusal) = call.held_back() {
         return Err((Some(call.head), refusal));
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -16,7 +16,9 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
-use acacia_wire::{CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames, use_from_wire};
+use acacia_wire::{
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames, suspect_answer_from_wire, use_from_wire,
+};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
@@ -170,7 +172,7 @@
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
                 _ = renewal_triggers.changed() => {}
-                () = self.shared.renewal_due.notified() => {}
+                () = self.shared.suspects.report_due() => {}
             }
         }
     }
@@ -263,7 +265,7 @@
                         "replica" => %address, "reason" => "it says that it leads");
                     self.trigger_renewals();
                 }
-                Body::Suspects(suspects) => apply_suspects(&self.shared, &mut self.shared.state(), suspects),
+                Body::Suspects(suspects) => apply_suspects(&self.shared, suspects),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
                 Body::Alive(sign) => self
                     .shared
@@ -291,7 +293,6 @@
             kept,
             silent,
             suspects,
-            committed_endings,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -301,6 +302,11 @@
         self.log_late_renewal(now, address, renewed.request, &received);
         self.replicas.lock().record_confirmed(now, address);
         self.shared.install_config(&received)?;
+        // The lease is not confirmed without them: the entry would serve what the others hold back.
+        let suspects = suspect_answer_from_wire(suspects);
+        self.shared
+            .suspects
+            .apply_answer(suspects.map_err(|_malformed| std::io::ErrorKind::InvalidData)?);
         let mut state = self.shared.state();
         // Another replica has meanwhile sent a newer configuration, so this answer confirms an outdated one.
         if state.config.number != received.config.number {
@@ -309,10 +315,6 @@
         state.entry_count = entries;
         state.loads.set_peer_work(others.iter().map(use_from_wire));
         state.loads.set_peer_suspicions(silent.iter().map(EndpointName::new));
-        if let Some(suspects) = suspects {
-            apply_suspects(&self.shared, &mut state, suspects);
-        }
-        state.suspects.acknowledge(committed_endings);
         for kept in &kept {
             state.record_cached_part(&kept_from_wire(kept));
         }
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -12,7 +12,7 @@
 use acaciabay::core::serving::endpoint_load::StageSwitch;
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect};
 
-use super::shared::{EntryShared, EntryState};
+use super::shared::EntryShared;
 
 /// Applies the reports that endpoints have sent to a replica.
 pub(super) fn apply_endpoint_news(shared: &EntryShared, news: &EndpointNews) {
@@ -47,14 +47,9 @@
 }
 
 /// Replaces the suspect calls by a newer version of them.
-pub(super) fn apply_suspects(shared: &EntryShared, state: &mut EntryState, message: SuspectTable) {
+pub(super) fn apply_suspects(shared: &EntryShared, message: SuspectTable) {
     match suspects_from_wire(message) {
-        Ok(suspects) => {
-            for call in state.suspects.apply_published(suspects) {
-                slog::info!(shared.log, "call held back"; "event" => event::CALL_HELD_BACK,
-                    "fingerprint" => %call.fingerprint, "route" => &call.route, "by" => "group");
-            }
-        }
+        Ok(suspects) => shared.suspects.apply_published(suspects),
         Err(error) => {
             slog::warn!(shared.log, "malformed suspect calls received"; "event" => event::MESSAGE_REFUSED,
                 "error" => %error);
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -3,7 +3,7 @@
 //! `call` checks the lease, route, key and body of a call and passes it to `plain_call` or `stream_call`. A plain call
 //! is answered by a single endpoint. The prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
-//! endpoints by `attempt`, and `break_watch` examines the attempts whose endpoint may have ended.
+//! endpoints by `attempt`.
 //!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints. `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
@@ -11,7 +11,6 @@
 //! [`CallCodec`].
 
 mod attempt;
-mod break_watch;
 mod call;
 mod codec;
 mod config_install;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -16,7 +16,6 @@
 use hyper::{Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
-use super::break_watch::record_break;
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
@@ -212,7 +211,7 @@
     let left = call.deadline.since(boot_now());
     let read = tokio::time::timeout(left, read_to_end(incoming)).await;
     if matches!(read, Ok(None)) {
-        record_break(call, chosen, sent_at);
+        call.record_break(chosen, sent_at);
     }
     let Ok(Some(whole)) = read else {
         slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -20,7 +20,6 @@
 use hyper::header::HOST;
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
-use super::break_watch::record_break;
 use super::call::AcceptedCall;
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
@@ -251,7 +250,7 @@
     let body = match read_body(response.into_body(), MAX_HANDLE_BYTES, call.deadline.since(boot_now())).await {
         Ok(body) => body,
         Err(BodyRefusal::Broken) => {
-            record_break(call, chosen, sent_at);
+            call.record_break(chosen, sent_at);
             return None;
         }
         Err(BodyRefusal::TooLarge | BodyRefusal::TimedOut) => return None,
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -7,7 +7,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
-use acacia_wire::{counts_to_wire, evidence_to_wire, fingerprint_to_wire, kept_to_wire, pace_to_wire, use_to_wire};
+use acacia_wire::{counts_to_wire, kept_to_wire, pace_to_wire, suspect_report_to_wire, use_to_wire};
 use acaciabay::core::serving::config::ConfigNumber;
 
 use super::shared::EntryShared;
@@ -24,8 +24,6 @@
         .map(|(name, work)| use_to_wire(name, work))
         .collect();
     let kept = state.kept_news.take_pending();
-    let answered = state.suspects.take_answered();
-    let answered = answered.iter().map(fingerprint_to_wire).collect();
     let demands = std::mem::take(&mut state.demands);
     let paces: BTreeMap<_, _> = demands
         .keys()
@@ -43,8 +41,6 @@
         .start_counts
         .windows()
         .map(|(window, counts)| counts_to_wire(window, counts));
-    let (first_ending, evidence) = state.suspects.uncommitted();
-    let endings = evidence.map(evidence_to_wire).collect();
     let request = RenewServing {
         request: number,
         config_number: held.0,
@@ -57,10 +53,7 @@
             .map(ToString::to_string)
             .collect(),
         kept: kept.iter().map(kept_to_wire).collect(),
-        suspects_version: state.suspects.version(),
-        first_ending,
-        endings,
-        answered,
+        suspects: Some(suspect_report_to_wire(&shared.suspects.take_report())),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -11,7 +11,6 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::answer_pace::AnswerLatency;
-use acaciabay::core::serving::broken_attempt::BreakExamination;
 use acaciabay::core::serving::cached_parts::{CachedPartOutbox, KeptPart};
 use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::config_freshness::ConfigFreshness;
@@ -26,7 +25,6 @@
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
 use acaciabay::core::serving::start_counts::{CallCounts, WindowNumber};
 use acaciabay::core::serving::stop_state::StopState;
-use acaciabay::core::serving::suspect_view::SuspectView;
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -34,6 +32,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::codec::CallCodec;
+use crate::suspect_calls::SuspectTracker;
 
 /// Length of the lease as a fraction of the time within which a withdrawn key must stop working. The rest covers calls
 /// that are on their way to an endpoint when the lease ends.
@@ -75,10 +74,6 @@
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
     pub(super) kept_news: CachedPartOutbox,
-    /// Calls under which endpoints have ended.
-    pub(super) suspects: SuspectView,
-    /// Broken attempts that are under examination.
-    pub(super) breaks: BreakExamination,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     prefill_paces: BTreeMap<ServiceName, PrefillPace>,
     answer_paces: BTreeMap<ServiceName, AnswerLatency>,
@@ -151,6 +146,8 @@
     pub(super) domain: DomainName,
     pub(super) codec: Arc<dyn CallCodec>,
     pub(super) client: EndpointClient,
+    /// Calls under which endpoints have ended.
+    pub(super) suspects: Arc<SuspectTracker>,
     pub(super) log: Logger,
     /// Cancelled when the process is asked to stop. The entry still accepts calls, but answers with
     /// `Connection: close`, so that callers go to other entries.
@@ -160,10 +157,6 @@
     lease: Arc<LeaseEnd>,
     /// Notifies the calls that wait for a lease.
     lease_extended: Notify,
-    /// Notified when a broken attempt is to be examined.
-    pub(super) break_recorded: Notify,
-    /// Notified when the leader is to be told something at once.
-    pub(super) renewal_due: Notify,
     state: Mutex<EntryState>,
 }
 
@@ -223,14 +216,13 @@
             settings,
             codec,
             client: EndpointClient::new(options),
+            suspects: SuspectTracker::new(log.clone()),
             log,
             stopping,
             started_at: boot_now(),
             stop_phase: Mutex::default(),
             lease,
             lease_extended: Notify::new(),
-            break_recorded: Notify::new(),
-            renewal_due: Notify::new(),
             state: Mutex::default(),
         }
     }
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -10,6 +10,7 @@
 use acacia_runtime::event;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_settings::ServingEntrySettings;
+use acaciabay::core::serving::broken_attempt::BrokenAttempt;
 use anyhow::Context;
 use hyper::StatusCode;
 use slog::Logger;
@@ -17,7 +18,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::break_watch::examine_breaks;
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
@@ -131,6 +131,14 @@
     }
 }
 
+/// Examines the attempts whose endpoint may have ended.
+async fn examine_breaks(shared: Arc<EntryShared>, stop: CancellationToken) {
+    let tracker = Arc::clone(&shared.suspects);
+    let sighting = |broken: &BrokenAttempt| shared.state().registry.sighting(broken);
+    let wall_ms = |now| shared.state().wall_millis(now);
+    tracker.examine_breaks(sighting, wall_ms, stop).await;
+}
+
 async fn watch_readiness(shared: Arc<EntryShared>, stop: CancellationToken) {
     let mut was_ready = false;
     loop {
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -14,7 +14,6 @@
 use hyper::body::{Frame, Incoming};
 
 use super::attempt::KeptConnection;
-use super::break_watch::record_break;
 use super::call::AcceptedCall;
 use super::endpoint_choice::ChosenEndpoint;
 use super::shared::LoadGuard;
@@ -45,7 +44,7 @@
             Ok(None) => None,
             broken => {
                 if broken.is_ok() {
-                    record_break(&call, &stream.chosen, stream.sent_at);
+                    call.record_break(&stream.chosen, stream.sent_at);
                 }
                 slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
                     "request" => &call.head.request, "late" => broken.is_err());
@@ -117,7 +116,7 @@
                 }
                 Ok(None) => return RelayStep::End(Bytes::copy_from_slice(self.splitter.partial_event())),
                 Ok(Some(Err(error))) => {
-                    record_break(&self.attempts.call, &stream.chosen, stream.sent_at);
+                    self.attempts.call.record_break(&stream.chosen, stream.sent_at);
                     if !self.resume_elsewhere(&error.to_string()).await {
                         return RelayStep::Broken;
                     }
--- a/crates/acacia-entry/src/shared.rs
+++ b/crates/acacia-entry/src/shared.rs
@@ -20,6 +20,7 @@
 
 use crate::admission::PoolAdmissions;
 use crate::control_link::ControlLink;
+use crate::suspect_calls::SuspectTracker;
 use crate::usage_sender::UsageSender;
 
 /// The shared state of one entry process.
@@ -37,6 +38,8 @@
     pub(crate) endpoints: Mutex<EndpointView>,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) admission: PoolAdmissions,
+    /// Calls under which endpoints have ended.
+    pub(crate) suspects: Arc<SuspectTracker>,
     incarnation: AtomicU64,
     requests: AtomicU64,
 }
@@ -61,6 +64,7 @@
         link: ControlLink,
         usage: UsageSender,
     ) -> Self {
+        let suspects = SuspectTracker::new(log.clone());
         Self {
             settings,
             log,
@@ -74,6 +78,7 @@
             endpoints: Mutex::default(),
             retries: Mutex::default(),
             admission: PoolAdmissions::default(),
+            suspects,
             incarnation: AtomicU64::new(0),
             requests: AtomicU64::new(0),
         }
--- /dev/null
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -0,0 +1,277 @@
+//! Calls under which endpoints have ended, as this entry knows them.
+//!
+//! An attempt whose connection ends is examined: whether the endpoint ended, or only the connection. The calls that ran on an
+//! endpoint that ended are reported to the leader with the next renewal. Until it has judged them, this entry judges them by
+//! itself. Both interfaces of the entry ask here before each send.
+
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use acacia_http::connect_within;
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::name::{CustomerName, EndpointName};
+use acaciabay::core::serving::broken_attempt::{
+    BreakExamination, BreakVerdict, BrokenAttempt, CallIdentity, EndpointSighting, PortState,
+};
+use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
+use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
+use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable};
+use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectReport, SuspectView};
+use acaciabay::util::number::whole_millis;
+use futures::future::join_all;
+use parking_lot::Mutex;
+use slog::Logger;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// Interval at which breaks are examined while there are any.
+const EXAMINATION_INTERVAL: Duration = Duration::from_millis(50);
+/// Time limit of a connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Fingerprint of a call. It is computed when it is first needed, since most calls never need it.
+#[derive(Debug, Default)]
+pub(crate) struct LazyFingerprint(OnceLock<Option<CallFingerprint>>);
+
+/// A call that is sent to endpoints.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TrackedCall<'call> {
+    pub(crate) content: CallContent<'call>,
+    /// Name of the route, for logs and operators.
+    pub(crate) route: &'call str,
+    pub(crate) fingerprint: &'call LazyFingerprint,
+}
+
+/// An attempt to send a call to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentAttempt<'call> {
+    pub(crate) endpoint: &'call EndpointName,
+    pub(crate) incarnation: EndpointIncarnation,
+    pub(crate) address: SocketAddr,
+    pub(crate) sent_at: BootTime,
+}
+
+impl<'call> SentAttempt<'call> {
+    /// Describes an attempt at an endpoint that reports to the entries themselves.
+    pub(crate) const fn to_row(endpoint: &'call EndpointName, row: &EndpointRow, sent_at: BootTime) -> Self {
+        Self {
+            endpoint,
+            incarnation: EndpointIncarnation(row.incarnation.0),
+            address: row.address,
+            sent_at,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct TrackerState {
+    view: SuspectView,
+    breaks: BreakExamination,
+}
+
+/// Tracker of suspect calls, shared by the tasks of an entry.
+#[derive(Debug)]
+pub(crate) struct SuspectTracker {
+    state: Mutex<TrackerState>,
+    log: Logger,
+    break_recorded: Notify,
+    report_due: Notify,
+}
+
+impl SuspectTracker {
+    pub(crate) fn new(log: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::default(),
+            log,
+            break_recorded: Notify::new(),
+            report_due: Notify::new(),
+        })
+    }
+
+    /// Waits until the leader is to be told something at once.
+    pub(crate) async fn report_due(&self) {
+        self.report_due.notified().await;
+    }
+
+    /// Returns what the leader has to be told with the next renewal.
+    pub(crate) fn take_report(&self) -> SuspectReport {
+        self.state.lock().view.take_report()
+    }
+
+    /// Applies the leader's answer to a report.
+    pub(crate) fn apply_answer(&self, answer: SuspectAnswer) {
+        let quarantined = self.state.lock().view.apply_answer(answer);
+        self.log_quarantined(&quarantined);
+    }
+
+    /// Replaces the table by a later version that the leader has sent without being asked.
+    pub(crate) fn apply_published(&self, table: SuspectTable) {
+        let quarantined = self.state.lock().view.apply_published(table);
+        self.log_quarantined(&quarantined);
+    }
+
+    fn log_quarantined(&self, calls: &[CallIdentity]) {
+        for call in calls {
+            slog::info!(self.log, "call held back"; "event" => event::CALL_HELD_BACK,
+                "fingerprint" => %call.fingerprint, "route" => &call.route, "by" => "group");
+        }
+    }
+
+    /// Returns the fingerprint of a call, or `None` while the entry does not have the key.
+    fn fingerprint(&self, call: &TrackedCall<'_>) -> Option<CallFingerprint> {
+        *call.fingerprint.0.get_or_init(|| {
+            let key = self.state.lock().view.key()?;
+            Some(key.fingerprint(&call.content))
+        })
+    }
+
+    /// Returns the fingerprint of a call that may be suspect, and `None` for any other without computing it.
+    fn possible_suspect(&self, call: &TrackedCall<'_>) -> Option<CallFingerprint> {
+        let CallContent { customer, body, .. } = call.content;
+        let may_know = self.state.lock().view.may_know(customer, body.len() as u64);
+        may_know.then(|| self.fingerprint(call)).flatten()
+    }
+
+    /// Returns the standing of a call.
+    pub(crate) fn standing(&self, call: &TrackedCall<'_>) -> CallStanding {
+        match self.possible_suspect(call) {
+            Some(fingerprint) => self.state.lock().view.standing(&fingerprint),
+            None => CallStanding::Unsuspected,
+        }
+    }
+
+    /// Records that an endpoint has answered a call whole, which refutes what speaks against the call.
+    pub(crate) fn record_whole_answer(&self, call: &TrackedCall<'_>) {
+        let Some(fingerprint) = self.possible_suspect(call) else {
+            return;
+        };
+        if self.state.lock().view.record_whole_answer(fingerprint) {
+            self.report_due.notify_waiters();
+        }
+    }
+
+    /// Records that the connection of an attempt ended before the answer was complete.
+    pub(crate) fn record_break(&self, call: &TrackedCall<'_>, sent: SentAttempt<'_>) {
+        // Without the key, nothing can be said of the call later. The entry gets the key with its first lease.
+        let Some(fingerprint) = self.fingerprint(call) else {
+            return;
+        };
+        let broken = BrokenAttempt {
+            call: CallIdentity {
+                fingerprint,
+                customer: call.content.customer.cloned(),
+                route: call.route.to_owned(),
+                body_bytes: call.content.body.len() as u64,
+            },
+            endpoint: sent.endpoint.clone(),
+            incarnation: sent.incarnation,
+            address: sent.address,
+            sent_at: sent.sent_at,
+            broken_at: boot_now(),
+            port: PortState::Unknown,
+        };
+        self.state.lock().breaks.add(broken);
+        self.break_recorded.notify_one();
+    }
+
+    /// Examines breaks until `stop` is cancelled. `sighting` returns what is known of the endpoint of a break, and `wall_ms`
+    /// the time in milliseconds since 1970.
+    pub(crate) async fn examine_breaks(
+        self: Arc<Self>,
+        sighting: impl Fn(&BrokenAttempt) -> EndpointSighting,
+        wall_ms: impl Fn(BootTime) -> u64,
+        stop: CancellationToken,
+    ) {
+        loop {
+            let is_idle = self.state.lock().breaks.is_empty();
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = self.break_recorded.notified(), if is_idle => {}
+                () = tokio::time::sleep(EXAMINATION_INTERVAL), if !is_idle => {}
+            }
+            self.attempt_connections().await;
+            let now = boot_now();
+            self.apply_decided(now, wall_ms(now), &sighting);
+        }
+    }
+
+    /// Attempts a connection to each endpoint at which a connection has ended. A crashed process does not listen, while one
+    /// that only ended a single connection does.
+    async fn attempt_connections(&self) {
+        let addresses: BTreeSet<SocketAddr> = self.state.lock().breaks.unknown_ports();
+        let attempted_at = boot_now();
+        let attempts = addresses
+            .into_iter()
+            .map(async |address| (address, port_state(address).await));
+        for (address, port) in join_all(attempts).await {
+            self.state.lock().breaks.record_port(attempted_at, address, port);
+        }
+    }
+
+    /// Records the breaks whose examination has a result, and holds back the calls that they may prove to be the cause.
+    fn apply_decided(&self, now: BootTime, now_ms: u64, sighting: impl Fn(&BrokenAttempt) -> EndpointSighting) {
+        let mut state = self.state.lock();
+        let mut has_ended = false;
+        for (broken, verdict) in state.breaks.take_decided(now, sighting) {
+            self.log_break(now, &broken, verdict);
+            if verdict == BreakVerdict::Ended {
+                has_ended = true;
+                let evidence = evidence_of(now, now_ms, broken);
+                if !state.view.record_ending(now, evidence) {
+                    slog::warn!(self.log, "evidence dropped"; "event" => event::EVIDENCE_DROPPED);
+                }
+            }
+        }
+        if !has_ended {
+            return;
+        }
+        state.view.judge();
+        for fingerprint in state.view.take_newly_held_back() {
+            slog::info!(self.log, "call held back"; "event" => event::CALL_HELD_BACK,
+                "fingerprint" => %fingerprint, "by" => "this entry");
+        }
+        drop(state);
+        self.report_due.notify_waiters();
+    }
+
+    fn log_break(&self, now: BootTime, broken: &BrokenAttempt, verdict: BreakVerdict) {
+        let call = &broken.call;
+        slog::info!(self.log, "broken attempt examined"; "event" => event::BREAK_EXAMINED,
+            "fingerprint" => %call.fingerprint, "route" => &call.route,
+            "customer" => call.customer.as_ref().map(CustomerName::as_str),
+            "endpoint" => broken.endpoint.as_str(), "birth" => broken.incarnation.0, "port" => ?broken.port,
+            "ran_ms" => whole_millis(broken.broken_at.since(broken.sent_at)),
+            "after_ms" => whole_millis(now.since(broken.broken_at)), "verdict" => ?verdict);
+        if verdict == BreakVerdict::Ended {
+            metrics::counter!("acacia_attempts_ended_with_endpoint_total").increment(1);
+        }
+    }
+}
+
+async fn port_state(address: SocketAddr) -> PortState {
+    match connect_within(address, CONNECT_TIMEOUT, CONNECT_TIMEOUT).await {
+        Ok(_connection) => PortState::Open,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => PortState::Refused,
+        Err(_timeout) => PortState::Silent,
+    }
+}
+
+fn evidence_of(now: BootTime, now_ms: u64, broken: BrokenAttempt) -> EndingEvidence {
+    let wall_ms = |time: BootTime| now_ms.saturating_sub(whole_millis(now.since(time)));
+    EndingEvidence {
+        ending: EndpointEnding {
+            sent_ms: wall_ms(broken.sent_at),
+            ended_ms: wall_ms(broken.broken_at),
+            endpoint: broken.endpoint,
+            incarnation: broken.incarnation,
+            recorded_ms: 0,
+        },
+        call: broken.call,
+    }
+}
--- a/crates/acacia-standin/src/fault.rs
+++ b/crates/acacia-standin/src/fault.rs
@@ -26,6 +26,8 @@
     pub lose_order_answers: u32,
     /// Stop reporting.
     pub stop_reports: bool,
+    /// End the process while a request runs whose body contains this text; empty for none.
+    pub end_under: String,
 }
 
 impl FaultPlan {
--- a/crates/acacia-standin/src/standin.rs
+++ b/crates/acacia-standin/src/standin.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::event;
@@ -21,6 +21,9 @@
 use crate::report::report_load;
 use crate::routes::answer;
 
+/// How long a request runs before it ends the process.
+const ENDING_TIME: Duration = Duration::from_millis(20);
+
 /// The state of a stand-in, shared by its requests.
 #[derive(Debug)]
 pub(crate) struct Standin {
@@ -64,6 +67,10 @@
     /// Notes the start of a run and returns its place in the record.
     pub(crate) fn begin_run(&self, run: RunRecord) -> usize {
         let mut state = self.lock();
+        let fatal = &state.faults.end_under;
+        if !fatal.is_empty() && run.body.contains(fatal) {
+            tokio::spawn(end_process());
+        }
         state.record.runs.push(run);
         state.record.runs.len() - 1
     }
@@ -89,6 +96,12 @@
     }
 }
 
+/// Ends the process as a crash does, while the request that causes it is being worked on.
+async fn end_process() {
+    tokio::time::sleep(ENDING_TIME).await;
+    std::process::exit(1);
+}
+
 /// A slot in use; dropping it frees the slot, also when the caller goes away.
 #[derive(Debug)]
 pub(crate) struct SlotGuard(Arc<Standin>);
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::member::{EntryIncarnation, JoinNonce};
 use acaciabay::core::name::{DomainName, EndpointName, HostName, PoolName};
 use acaciabay::core::pool_admission::PoolShare;
+use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
 use acaciabay::core::share_table::PoolDemand;
 use acaciabay::core::token_latency::TokenLatencyReport;
 use acaciabay::core::usage::UsageReport;
@@ -24,6 +25,9 @@
 use crate::error::WireError;
 use crate::generated::entry::{self, ClaimVerdict, entry_reply, entry_request};
 use crate::generated::state;
+use crate::suspect_message::{
+    suspect_answer_from_wire, suspect_answer_to_wire, suspect_report_from_wire, suspect_report_to_wire,
+};
 use crate::table_row::{all, digest_from_wire, digest_to_wire, report_from_wire, report_to_wire};
 
 /// A report of one endpoint, with the time at which the process that holds the row learned of it.
@@ -73,6 +77,8 @@
     pub endpoint_mark: u64,
     /// What the entry asks for in each pool.
     pub demands: Vec<(PoolName, PoolDemand)>,
+    /// What the entry tells about suspect calls.
+    pub suspects: SuspectReport,
 }
 
 /// A request to claim a call.
@@ -97,7 +103,7 @@
     /// The incarnation granted.
     Joined(EntryIncarnation),
     /// The configuration is confirmed.
-    Renewed(LeaseRenewal),
+    Renewed(Box<LeaseRenewal>),
     /// What became of the request for a claim.
     Claim(ClaimOutcome),
     /// The request was carried out.
@@ -125,6 +131,8 @@
     pub endpoint_mark: u64,
     /// What the entry may have in use in each pool.
     pub shares: Vec<(PoolName, PoolShare)>,
+    /// What the entry has to know about suspect calls.
+    pub suspects: SuspectAnswer,
 }
 
 /// Encodes a call; ages of reports are counted up to `now`.
@@ -146,6 +154,7 @@
                 .collect(),
             endpoint_mark: lease.endpoint_mark,
             demands: lease.demands.iter().map(demand_to_wire).collect(),
+            suspects: Some(suspect_report_to_wire(&lease.suspects)),
         }),
         EntryCall::TakeClaim(claim) => entry_request::Body::TakeClaim(state::TakeClaim {
             now_secs: 0,
@@ -186,6 +195,7 @@
             reports: all(&renew.reports, |report| endpoint_from_wire(now, report))?,
             endpoint_mark: renew.endpoint_mark,
             demands: renew.demands.iter().map(demand_from_wire).collect(),
+            suspects: suspect_report_from_wire(renew.suspects)?,
         }),
         entry_request::Body::TakeClaim(claim) => EntryCall::TakeClaim(ClaimRequest {
             key: claim_key_from_wire(claim.key)?,
@@ -220,6 +230,7 @@
             endpoint_mark: renewal.endpoint_mark,
             group: renewal.group,
             shares: renewal.shares.iter().map(share_to_wire).collect(),
+            suspects: Some(suspect_answer_to_wire(&renewal.suspects)),
         }),
         EntryAnswer::Claim(outcome) => entry_reply::Body::Claim(claim_to_wire(outcome)),
         EntryAnswer::Done => entry_reply::Body::Done(state::Nothing {}),
@@ -243,7 +254,7 @@
             leader_address: other.leader_address,
         },
         entry_reply::Body::Joined(incarnation) => EntryAnswer::Joined(EntryIncarnation(incarnation)),
-        entry_reply::Body::Renewed(renewed) => EntryAnswer::Renewed(LeaseRenewal {
+        entry_reply::Body::Renewed(renewed) => EntryAnswer::Renewed(Box::new(LeaseRenewal {
             group: renewed.group,
             from: ConfigVersion(renewed.from_version),
             changes: all(renewed.changes, change_from_wire)?,
@@ -251,7 +262,8 @@
             endpoints: all(&renewed.endpoints, |report| endpoint_from_wire(now, report))?,
             endpoint_mark: renewed.endpoint_mark,
             shares: renewed.shares.iter().map(share_from_wire).collect(),
-        }),
+            suspects: suspect_answer_from_wire(renewed.suspects)?,
+        })),
         entry_reply::Body::Claim(claim) => EntryAnswer::Claim(claim_from_wire(claim)?),
         entry_reply::Body::Done(state::Nothing {}) => EntryAnswer::Done,
         entry_reply::Body::NewerVersion(version) => EntryAnswer::NewerVersion(ConfigVersion(version)),
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -34,8 +34,8 @@
 };
 
 pub use suspect_message::{
-    evidence_from_wire, evidence_to_wire, fingerprint_from_wire, fingerprint_to_wire, published_to_wire,
-    suspects_from_wire,
+    suspect_answer_from_wire, suspect_answer_to_wire, suspect_report_from_wire, suspect_report_to_wire,
+    suspects_from_wire, suspects_to_wire,
 };
 
 /// The types made from the `.proto` files.
--- a/crates/acacia-wire/src/suspect_message.rs
+++ b/crates/acacia-wire/src/suspect_message.rs
@@ -7,6 +7,7 @@
 use acaciabay::core::serving::suspect_table::{
     EndingEvidence, EndpointEnding, SuspectCall, SuspectTable, SuspectUpdate,
 };
+use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
 use bytes::Bytes;
 
 use crate::error::WireError;
@@ -14,16 +15,12 @@
 use crate::table_row::all;
 
 /// Encodes a fingerprint.
-pub fn fingerprint_to_wire(fingerprint: &CallFingerprint) -> Bytes {
+fn fingerprint_to_wire(fingerprint: &CallFingerprint) -> Bytes {
     Bytes::copy_from_slice(fingerprint.as_bytes())
 }
 
 /// Decodes a fingerprint.
-///
-/// # Errors
-///
-/// Fails when its length is wrong.
-pub fn fingerprint_from_wire(bytes: impl AsRef<[u8]>) -> Result<CallFingerprint, WireError> {
+fn fingerprint_from_wire(bytes: impl AsRef<[u8]>) -> Result<CallFingerprint, WireError> {
     CallFingerprint::from_bytes(bytes.as_ref()).ok_or(WireError::invalid("fingerprint"))
 }
 
@@ -90,16 +87,12 @@
 }
 
 /// Encodes one piece of evidence.
-pub fn evidence_to_wire(evidence: &EndingEvidence) -> state::SuspectCall {
+fn evidence_to_wire(evidence: &EndingEvidence) -> state::SuspectCall {
     call_to_wire(&evidence.call, std::iter::once(&evidence.ending), None)
 }
 
 /// Decodes one piece of evidence.
-///
-/// # Errors
-///
-/// Fails when it has no ending or a wrong fingerprint.
-pub fn evidence_from_wire(message: state::SuspectCall) -> Result<EndingEvidence, WireError> {
+fn evidence_from_wire(message: state::SuspectCall) -> Result<EndingEvidence, WireError> {
     let call = call_from_wire(message)?;
     let ending = call.endings.into_iter().next();
     Ok(EndingEvidence {
@@ -128,8 +121,11 @@
     })
 }
 
-fn table_to_wire<'call>(table: &SuspectTable, calls: impl Iterator<Item = &'call SuspectCall>) -> state::SuspectTable {
-    let calls = calls.map(|call| call_to_wire(&call.identity, call.endings.iter(), call.quarantined_ms));
+/// Encodes the whole table.
+pub fn suspects_to_wire(table: &SuspectTable) -> state::SuspectTable {
+    let calls = table
+        .calls()
+        .map(|call| call_to_wire(&call.identity, call.endings.iter(), call.quarantined_ms));
     state::SuspectTable {
         version: table.version,
         key: key_to_wire(table.key.as_ref()),
@@ -137,16 +133,6 @@
     }
 }
 
-/// Encodes the whole table.
-pub(crate) fn suspects_to_wire(table: &SuspectTable) -> state::SuspectTable {
-    table_to_wire(table, table.calls())
-}
-
-/// Encodes the calls of the table that entries have to know.
-pub fn published_to_wire(table: &SuspectTable) -> state::SuspectTable {
-    table_to_wire(table, table.published())
-}
-
 /// Decodes a table.
 ///
 /// # Errors
@@ -160,3 +146,49 @@
         calls,
     ))
 }
+
+/// Encodes what an entry tells about suspect calls.
+pub fn suspect_report_to_wire(report: &SuspectReport) -> state::SuspectReport {
+    state::SuspectReport {
+        version: report.version,
+        endings: report.evidence.iter().map(evidence_to_wire).collect(),
+        first_ending: report.first_ending,
+        answered: report.answered.iter().map(fingerprint_to_wire).collect(),
+    }
+}
+
+/// Decodes what an entry tells about suspect calls. An entry of an earlier release tells nothing.
+///
+/// # Errors
+///
+/// Fails when a fingerprint has a wrong length or an ending is missing.
+pub fn suspect_report_from_wire(message: Option<state::SuspectReport>) -> Result<SuspectReport, WireError> {
+    let message = message.unwrap_or_default();
+    Ok(SuspectReport {
+        version: message.version,
+        first_ending: message.first_ending,
+        evidence: all(message.endings, evidence_from_wire)?,
+        answered: all(message.answered, fingerprint_from_wire)?,
+    })
+}
+
+/// Encodes the answer to it.
+pub fn suspect_answer_to_wire(answer: &SuspectAnswer) -> state::SuspectAnswer {
+    state::SuspectAnswer {
+        table: answer.table.as_ref().map(suspects_to_wire),
+        committed_endings: answer.committed_endings,
+    }
+}
+
+/// Decodes the answer to it. A leader of an earlier release gives none.
+///
+/// # Errors
+///
+/// Fails when the table is malformed.
+pub fn suspect_answer_from_wire(message: Option<state::SuspectAnswer>) -> Result<SuspectAnswer, WireError> {
+    let message = message.unwrap_or_default();
+    Ok(SuspectAnswer {
+        table: message.table.map(suspects_from_wire).transpose()?,
+        committed_endings: message.committed_endings,
+    })
+}
--- a/crates/acaciabay/src/core/endpoint.rs
+++ b/crates/acaciabay/src/core/endpoint.rs
@@ -9,6 +9,7 @@
 
 use crate::core::clock::BootTime;
 use crate::core::name::{DomainName, EndpointName, ModelName, ServiceName};
+use crate::core::serving::broken_attempt::{BrokenAttempt, EndpointSighting};
 
 /// Time without a report after which an endpoint gets no new work.
 ///
@@ -112,6 +113,20 @@
         self.rows.get(name)
     }
 
+    /// Returns what is known of the endpoint of a broken attempt.
+    pub fn sighting(&self, broken: &BrokenAttempt) -> EndpointSighting {
+        let incarnation = EndpointIncarnation(broken.incarnation.0);
+        let row = self.rows.get(&broken.endpoint);
+        let has_left = row.is_some_and(|row| row.incarnation == incarnation && row.state != EndpointState::Ready);
+        let mut at_address = self.rows.values().filter(|row| row.address == broken.address);
+        EndpointSighting {
+            has_left,
+            has_successor: at_address.any(|row| row.incarnation > incarnation),
+            reported_at: row.map(|row| row.heard_at),
+            any_reported: self.rows.values().any(|row| row.heard_at > broken.broken_at),
+        }
+    }
+
     /// Returns all endpoints in the order of their names.
     pub fn rows(&self) -> impl Iterator<Item = (&EndpointName, &EndpointRow)> {
         self.rows.iter()
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::call_fingerprint::CallFingerprint;
-use super::endpoint_registry::{EndpointIncarnation, EndpointPhase, EndpointRegistry};
+use super::endpoint_registry::EndpointIncarnation;
 use crate::core::clock::BootTime;
 use crate::core::name::{CustomerName, EndpointName};
 
@@ -77,23 +77,33 @@
     Undecided,
 }
 
+/// What the reports of endpoints say about an endpoint after a break.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointSighting {
+    /// True if the incarnation has announced that it leaves, or has left.
+    pub has_left: bool,
+    /// True if a later incarnation has its name or its address.
+    pub has_successor: bool,
+    /// Time of its latest report, if it is known.
+    pub reported_at: Option<BootTime>,
+    /// True if any endpoint has reported since the break. Otherwise the path of all reports may be cut.
+    pub any_reported: bool,
+}
+
 /// Examines whether an endpoint ended together with the connection of an attempt.
-pub fn examine_break(now: BootTime, broken: &BrokenAttempt, registry: &EndpointRegistry) -> BreakVerdict {
-    let known = registry.get(&broken.endpoint);
-    let has_left =
-        known.is_some_and(|known| known.incarnation == broken.incarnation && known.phase != EndpointPhase::Ready);
-    if has_left {
+pub fn examine_break(now: BootTime, broken: &BrokenAttempt, sighting: &EndpointSighting) -> BreakVerdict {
+    if sighting.has_left {
         return BreakVerdict::Innocent;
     }
-    if broken.port == PortState::Refused || registry.has_successor(broken.address, broken.incarnation) {
+    if broken.port == PortState::Refused || sighting.has_successor {
         return BreakVerdict::Ended;
     }
-    let reported_at = registry.reported_at(&broken.endpoint);
-    if reported_at.is_some_and(|reported_at| reported_at >= broken.broken_at + REPORT_DELAY) {
+    let has_reported = |reported_at| reported_at >= broken.broken_at + REPORT_DELAY;
+    if sighting.reported_at.is_some_and(has_reported) {
         return BreakVerdict::Innocent;
     }
     let waited = now.since(broken.broken_at);
-    if broken.port == PortState::Silent && waited >= SILENCE_LIMIT && registry.any_reported_since(broken.broken_at) {
+    if broken.port == PortState::Silent && waited >= SILENCE_LIMIT && sighting.any_reported {
         return BreakVerdict::Ended;
     }
     if waited >= EXAMINATION_LIMIT {
@@ -139,16 +149,18 @@
         }
     }
 
-    /// Removes and returns the breaks whose examination has a result.
-    pub fn take_decided(&mut self, now: BootTime, registry: &EndpointRegistry) -> Vec<(BrokenAttempt, BreakVerdict)> {
-        let examined = std::mem::take(&mut self.breaks)
-            .into_iter()
-            .map(|broken| (examine_break(now, &broken, registry), broken));
+    /// Removes and returns the breaks whose examination has a result. `sighting` returns what is known of the endpoint of a
+    /// break.
+    pub fn take_decided(
+        &mut self,
+        now: BootTime,
+        sighting: impl Fn(&BrokenAttempt) -> EndpointSighting,
+    ) -> Vec<(BrokenAttempt, BreakVerdict)> {
         let mut decided = Vec::new();
-        for (verdict, broken) in examined {
-            match verdict {
+        for broken in std::mem::take(&mut self.breaks) {
+            match examine_break(now, &broken, &sighting(&broken)) {
                 BreakVerdict::Undecided => self.breaks.push_back(broken),
-                BreakVerdict::Ended | BreakVerdict::Innocent => decided.push((broken, verdict)),
+                verdict @ (BreakVerdict::Ended | BreakVerdict::Innocent) => decided.push((broken, verdict)),
             }
         }
         decided
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::broken_attempt::{BrokenAttempt, EndpointSighting};
 use crate::core::clock::BootTime;
 use crate::core::name::{DomainName, EndpointName, ServiceName};
 
@@ -202,21 +203,20 @@
             .collect()
     }
 
-    /// Returns the time of the latest report of an endpoint.
-    pub fn reported_at(&self, name: &EndpointName) -> Option<BootTime> {
-        self.rows.get(name).map(|row| row.reported_at)
-    }
-
-    /// Returns true if any endpoint has reported after `since`. Otherwise the path of all reports may be cut.
-    pub fn any_reported_since(&self, since: BootTime) -> bool {
-        self.rows.values().any(|row| row.reported_at > since)
-    }
-
-    /// Returns true if a later incarnation has the address, under the same name or under another one.
-    pub fn has_successor(&self, address: SocketAddr, incarnation: EndpointIncarnation) -> bool {
+    /// Returns what is known of the endpoint of a broken attempt.
+    pub fn sighting(&self, broken: &BrokenAttempt) -> EndpointSighting {
+        let row = self.rows.get(&broken.endpoint);
+        let has_left = row.is_some_and(|RegistryRow { endpoint, .. }| {
+            endpoint.incarnation == broken.incarnation && endpoint.phase != EndpointPhase::Ready
+        });
         let endpoints = self.rows.values().map(|row| &row.endpoint);
-        let mut successors = endpoints.filter(|endpoint| endpoint.address == address);
-        successors.any(|endpoint| endpoint.incarnation > incarnation)
+        let mut at_address = endpoints.filter(|endpoint| endpoint.address == broken.address);
+        EndpointSighting {
+            has_left,
+            has_successor: at_address.any(|endpoint| endpoint.incarnation > broken.incarnation),
+            reported_at: row.map(|row| row.reported_at),
+            any_reported: self.rows.values().any(|row| row.reported_at > broken.broken_at),
+        }
     }
 
     /// Removes the rows of endpoints that have not reported for a minute.
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -288,6 +288,12 @@
             .filter(|call| call.endings.len() >= PUBLISHED_ENDINGS)
     }
 
+    /// Returns the part of the table that entries have to know.
+    #[must_use]
+    pub fn published_table(&self) -> Self {
+        Self::restore(self.version, self.key, self.published().cloned())
+    }
+
     /// Returns the call with this fingerprint.
     pub fn get(&self, fingerprint: &CallFingerprint) -> Option<&SuspectCall> {
         self.calls.get(fingerprint)
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -18,6 +18,28 @@
 /// Maximum number of watched calls.
 const MAX_WATCHED: usize = 256;
 
+/// What an entry tells the leader about suspect calls with a renewal of its lease.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SuspectReport {
+    /// Version of the table that the entry holds.
+    pub version: u64,
+    /// Number of the first piece of evidence.
+    pub first_ending: u64,
+    /// Evidence that the entry does not know to be committed, in the order of its numbers.
+    pub evidence: Vec<EndingEvidence>,
+    /// Suspect calls that were answered whole.
+    pub answered: Vec<CallFingerprint>,
+}
+
+/// What the leader answers to it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SuspectAnswer {
+    /// The calls that entries have to know, if the entry holds another version of them.
+    pub table: Option<SuspectTable>,
+    /// Number up to which the evidence of the entry is committed.
+    pub committed_endings: u64,
+}
+
 /// Standing of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallStanding {
@@ -66,11 +88,6 @@
         self.published.key
     }
 
-    /// Returns the version of the table that the leader has sent.
-    pub const fn version(&self) -> u64 {
-        self.published.version
-    }
-
     /// Replaces the table by a later version. Returns the calls that are newly quarantined.
     pub fn apply_published(&mut self, table: SuspectTable) -> Vec<CallIdentity> {
         if table.version <= self.published.version {
@@ -166,15 +183,22 @@
         is_suspect
     }
 
-    /// Returns the calls that were answered whole since the last call of this function.
-    pub fn take_answered(&mut self) -> BTreeSet<CallFingerprint> {
-        std::mem::take(&mut self.answered)
+    /// Returns what the leader has to be told with the next renewal. Whole answers are told only once.
+    pub fn take_report(&mut self) -> SuspectReport {
+        let evidence = self.uncommitted.iter().map(|waiting| waiting.evidence.clone());
+        SuspectReport {
+            version: self.published.version,
+            first_ending: self.uncommitted.front().map_or(0, |waiting| waiting.number),
+            evidence: evidence.collect(),
+            answered: std::mem::take(&mut self.answered).into_iter().collect(),
+        }
     }
 
-    /// Returns the evidence that is not known to be committed, and the number of the first piece of it.
-    pub fn uncommitted(&self) -> (u64, impl Iterator<Item = &EndingEvidence>) {
-        let first = self.uncommitted.front().map_or(0, |waiting| waiting.number);
-        (first, self.uncommitted.iter().map(|waiting| &waiting.evidence))
+    /// Applies the leader's answer to a report. Returns the calls that are newly quarantined.
+    pub fn apply_answer(&mut self, answer: SuspectAnswer) -> Vec<CallIdentity> {
+        let quarantined = answer.table.map(|table| self.apply_published(table));
+        self.acknowledge(answer.committed_endings);
+        quarantined.unwrap_or_default()
     }
 
     /// Returns true if evidence waits to be committed.
@@ -183,7 +207,10 @@
     }
 
     /// Removes the evidence up to this number, which is committed.
-    pub fn acknowledge(&mut self, number: u64) {
+    fn acknowledge(&mut self, number: u64) {
+        if self.uncommitted.front().is_none_or(|waiting| waiting.number > number) {
+            return;
+        }
         self.uncommitted.retain(|waiting| waiting.number > number);
         self.judge();
     }
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -6,14 +6,14 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::CustomerName;
 use acaciabay::core::serving::broken_attempt::{
-    BreakExamination, BreakVerdict, BrokenAttempt, CallIdentity, PortState, examine_break,
+    BreakExamination, BreakVerdict, BrokenAttempt, CallIdentity, EndpointSighting, PortState, examine_break,
 };
 use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint, FingerprintKey};
 use acaciabay::core::serving::endpoint_registry::{
     EndpointIncarnation, EndpointPhase, EndpointRegistry, ServingEndpoint,
 };
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable, SuspectUpdate};
-use acaciabay::core::serving::suspect_view::{CallStanding, SuspectView};
+use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectView};
 use proptest::prelude::*;
 
 use crate::fixtures::{at, endpoint, fixed_cases, name};
@@ -257,8 +257,10 @@
     view.record_ending(at(0), ending(1, 9, 20_000, 80));
     view.judge();
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::HeldBack);
-    view.acknowledge(1);
-    view.apply_published(published(&[(1, 3)]));
+    view.apply_answer(SuspectAnswer {
+        table: Some(published(&[(1, 3)])),
+        committed_endings: 1,
+    });
 
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Quarantined);
 }
@@ -274,7 +276,7 @@
     assert!(view.record_whole_answer(fingerprint(1)));
 
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Suspected);
-    assert_eq!(view.take_answered().into_iter().collect::<Vec<_>>(), [fingerprint(1)]);
+    assert_eq!(view.take_report().answered, [fingerprint(1)]);
 }
 
 /// Guards against an older table that a slow replica delivers late.
@@ -299,11 +301,18 @@
         view.record_ending(at(0), ending(call, 1, 1_000, 80));
     }
 
-    view.acknowledge(2);
+    view.apply_answer(SuspectAnswer {
+        table: None,
+        committed_endings: 2,
+    });
 
-    let (first, evidence) = view.uncommitted();
-    let calls: Vec<_> = evidence.map(|evidence| evidence.call.fingerprint).collect();
-    assert_eq!((first, calls), (3, vec![fingerprint(3), fingerprint(4)]));
+    let report = view.take_report();
+    let calls: Vec<_> = report
+        .evidence
+        .iter()
+        .map(|evidence| evidence.call.fingerprint)
+        .collect();
+    assert_eq!((report.first_ending, calls), (3, vec![fingerprint(3), fingerprint(4)]));
 }
 
 #[test]
@@ -350,11 +359,17 @@
     registry
 }
 
+/// Examines a break by what the registry has seen.
+fn examine(now: BootTime, port: PortState, registry: &EndpointRegistry) -> BreakVerdict {
+    let broken = broken(port);
+    examine_break(now, &broken, &registry.sighting(&broken))
+}
+
 #[test]
 fn refused_connection_shows_that_the_endpoint_ended() {
     let registry = registry_with(&[(at(500), "e", reported(1, 1, EndpointPhase::Ready))]);
 
-    let verdict = examine_break(at(1_001), &broken(PortState::Refused), &registry);
+    let verdict = examine(at(1_001), PortState::Refused, &registry);
 
     assert_eq!(verdict, BreakVerdict::Ended);
 }
@@ -373,7 +388,7 @@
     ]);
 
     for registry in [same_name, other_name] {
-        let verdict = examine_break(at(1_600), &broken(PortState::Open), &registry);
+        let verdict = examine(at(1_600), PortState::Open, &registry);
         assert_eq!(verdict, BreakVerdict::Ended);
     }
 }
@@ -387,7 +402,7 @@
         (at(2_100), "e", reported(1, 2, ready)),
     ]);
 
-    let verdict = examine_break(at(2_200), &broken(PortState::Open), &registry);
+    let verdict = examine(at(2_200), PortState::Open, &registry);
 
     assert_eq!(verdict, BreakVerdict::Innocent);
 }
@@ -398,7 +413,7 @@
     for phase in [EndpointPhase::Draining, EndpointPhase::Gone] {
         let registry = registry_with(&[(at(500), "e", reported(1, 1, phase))]);
 
-        let verdict = examine_break(at(1_100), &broken(PortState::Refused), &registry);
+        let verdict = examine(at(1_100), PortState::Refused, &registry);
 
         assert_eq!(verdict, BreakVerdict::Innocent);
     }
@@ -422,18 +437,9 @@
     ]);
 
     let now = at(1_000) + Duration::from_millis(2_700);
-    assert_eq!(
-        examine_break(now, &broken(PortState::Silent), &alone),
-        BreakVerdict::Undecided
-    );
-    assert_eq!(
-        examine_break(now, &broken(PortState::Silent), &others_report),
-        BreakVerdict::Ended
-    );
-    assert_eq!(
-        examine_break(at(5_000), &broken(PortState::Silent), &alone),
-        BreakVerdict::Innocent
-    );
+    assert_eq!(examine(now, PortState::Silent, &alone), BreakVerdict::Undecided);
+    assert_eq!(examine(now, PortState::Silent, &others_report), BreakVerdict::Ended);
+    assert_eq!(examine(at(5_000), PortState::Silent, &alone), BreakVerdict::Innocent);
 }
 
 /// Guards against a connection attempt before the break that is taken for one after it.
@@ -446,7 +452,7 @@
     assert_eq!(examination.unknown_ports().len(), 1);
     examination.record_port(at(1_000), ADDRESS, PortState::Refused);
 
-    let decided = examination.take_decided(at(1_001), &EndpointRegistry::default());
+    let decided = examination.take_decided(at(1_001), |_broken| EndpointSighting::default());
     assert_eq!(decided.len(), 1);
     assert!(examination.is_empty());
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod orders;
 mod planned_changes;
+mod poison;
 mod support;
 mod thin_path;
 mod traces;
