--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -134,12 +134,12 @@
 
     fn next_update(&self) -> Option<PendingUpdate> {
         let now_ms = wall_nanos() / 1_000_000;
-        let (has_key, can_judge) = {
+        let (has_key, is_due) = {
             let suspects = &self.group.read().serving.suspects;
-            (suspects.key.is_some(), suspects.can_judge(now_ms))
+            (suspects.key.is_some(), suspects.is_update_due(now_ms))
         };
         let mut pending = self.pending.lock();
-        if has_key && !can_judge && pending.is_empty() {
+        if has_key && !is_due && pending.is_empty() {
             return None;
         }
         let update = SuspectUpdate {
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -2,7 +2,8 @@
 //!
 //! An endpoint that ends takes all its calls with it, so most calls in the table are innocent. A call is quarantined once
 //! [`QUARANTINE_ENDINGS`] endpoints have ended while they ran it, unless another quarantined call explains those endings,
-//! and unless the endings all happened at once, as in a loss of many endpoints. A call that is answered whole is removed.
+//! and unless the endings all happened at once, as in a loss of many endpoints. A call that is answered whole is removed. A
+//! quarantine lapses after an hour, and the next ending brings it back.
 //!
 //! The table is part of the replicated state, so that neither a new leader nor a restart of all hosts forgets it. Entries
 //! apply the same rules to the table that the leader sent them and to what they have seen since.
@@ -33,11 +34,11 @@
 const MAX_CALLS_PER_CUSTOMER: usize = 64;
 /// Maximum number of calls in the table.
 const MAX_CALLS: usize = 2_048;
-/// Time after its last ending for which a call is kept while it is not quarantined, in milliseconds.
-const SUSPICION_MS: u64 = 3_600_000;
-/// Time after its last ending for which a call stays in quarantine, in milliseconds: by then operators have had a day to
-/// change what ended.
-const QUARANTINE_MS: u64 = 24 * 3_600_000;
+/// Time after its last ending for which a call stays in quarantine, in milliseconds. If endpoints ended under every call,
+/// as after a faulty release, they have been mended by then.
+const QUARANTINE_MS: u64 = 3_600_000;
+/// Time after its last ending for which a call is kept, in milliseconds.
+const SUSPICION_MS: u64 = 24 * 3_600_000;
 
 /// An incarnation of an endpoint that ended while it ran a call. Times are in milliseconds since 1970.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -94,13 +95,22 @@
         self.endings.iter().map(|ending| ending.ended_ms).max().unwrap_or(0)
     }
 
-    fn is_expired(&self, now_ms: u64) -> bool {
-        let retention = if self.is_quarantined() {
-            QUARANTINE_MS
-        } else {
-            SUSPICION_MS
-        };
-        now_ms.saturating_sub(self.last_ended_ms()) >= retention
+    /// Returns the time since its last ending.
+    fn quiet_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.last_ended_ms())
+    }
+
+    fn is_lapsed(&self, now_ms: u64) -> bool {
+        self.is_quarantined() && self.quiet_ms(now_ms) >= QUARANTINE_MS
+    }
+
+    /// Ends a quarantine that has lasted long enough. A single ending more brings it back.
+    fn lapse(&mut self, now_ms: u64) {
+        if self.is_lapsed(now_ms) {
+            self.quarantined_ms = None;
+            let surplus = self.endings.len().saturating_sub(QUARANTINE_ENDINGS - 1);
+            self.endings.drain(..surplus);
+        }
     }
 
     /// Returns true if at least two endings followed one another, so that chance alone hardly explains them.
@@ -170,7 +180,10 @@
         for fingerprint in update.answered.iter().chain(&update.lifted) {
             self.calls.remove(fingerprint);
         }
-        self.calls.retain(|_, call| !call.is_expired(update.now_ms));
+        self.calls.retain(|_, call| call.quiet_ms(update.now_ms) < SUSPICION_MS);
+        for call in self.calls.values_mut() {
+            call.lapse(update.now_ms);
+        }
         self.judge(update.now_ms);
         self.limit();
         if had_key != self.key.is_some() || !self.published().eq(&before) {
@@ -208,9 +221,12 @@
         }
     }
 
-    /// Returns true if [`judge`](Self::judge) may quarantine a call at `now_ms`.
-    pub fn can_judge(&self, now_ms: u64) -> bool {
-        self.most_probable_cause(now_ms).is_some()
+    /// Returns true if an update without any news changes the table at `now_ms`: a call is to be quarantined, or time has
+    /// passed.
+    pub fn is_update_due(&self, now_ms: u64) -> bool {
+        let mut calls = self.calls.values();
+        calls.any(|call| call.is_lapsed(now_ms) || call.quiet_ms(now_ms) >= SUSPICION_MS)
+            || self.most_probable_cause(now_ms).is_some()
     }
 
     fn most_probable_cause(&self, now_ms: u64) -> Option<CallFingerprint> {
