Let one entry at a time try a suspect call

Seen: with eight entries and a caller at each that repeats every 100 ms, 7, 7 and 13 engines ended; the target is five. Cause: after two endings in sequence all entries know the call as suspect, and each sends it before the third ending is known. Change: a suspect call is sent only by the entry that the leader allows to (with the renewals, at once); the others wait 0.3 s at most, then refuse it as not run. The permission ends with the call, but not before a break is examined; after an ending nobody may try for a second, in which the call is judged. An innocent call waits some milliseconds, and its whole answer frees all. Ruled out: an owner by hash (refuses innocent calls at the other entries).

--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_runtime::clock::wall_nanos;
+use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::control_state::ControlCommand;
 use acaciabay::core::name::{CustomerName, HostName};
 use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
@@ -13,6 +14,7 @@
 use acaciabay::core::serving::start_counts::EntryStart;
 use acaciabay::core::serving::suspect_table::{EndingEvidence, SuspectCall, SuspectTable, SuspectUpdate};
 use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
+use acaciabay::core::serving::trial_table::TrialTable;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use slog::Logger;
@@ -37,6 +39,7 @@
     evidence: Vec<EndingEvidence>,
     answered: Vec<CallFingerprint>,
     progress: BTreeMap<HostName, EvidenceProgress>,
+    trials: TrialTable,
 }
 
 impl PendingReports {
@@ -44,23 +47,33 @@
         self.evidence.is_empty() && self.answered.is_empty()
     }
 
-    /// Adds a report. Returns the number up to which the evidence of the entry is committed.
-    fn add(&mut self, host: &HostName, start: EntryStart, report: SuspectReport) -> u64 {
+    /// Adds a report. Returns the answer to it without the table.
+    fn add(&mut self, now: BootTime, host: &HostName, start: EntryStart, report: SuspectReport) -> SuspectAnswer {
         let known = self.progress.get(host).copied().filter(|known| known.start == start);
         let mut progress = known.unwrap_or(EvidenceProgress {
             start,
             received: 0,
             committed: 0,
         });
+        for fingerprint in report.ended_trials {
+            self.trials.release(host, fingerprint);
+        }
         for (number, evidence) in (report.first_ending..).zip(report.evidence) {
             if number > progress.received {
+                self.trials.record_ending(now, evidence.call.fingerprint);
                 self.evidence.push(evidence);
                 progress.received = number;
             }
         }
         self.answered.extend(report.answered);
         self.progress.insert(host.clone(), progress);
-        progress.committed
+        let mut trials = report.wanted_trials;
+        trials.retain(|fingerprint| self.trials.allow(now, host, *fingerprint));
+        SuspectAnswer {
+            table: None,
+            committed_endings: progress.committed,
+            trials,
+        }
     }
 
     /// Records that everything up to this progress is committed.
@@ -104,10 +117,8 @@
         report: SuspectReport,
     ) -> SuspectAnswer {
         let table = (report.version != suspects.version).then(|| suspects.published_table());
-        SuspectAnswer {
-            table,
-            committed_endings: self.pending.lock().add(host, start, report),
-        }
+        let answer = self.pending.lock().add(boot_now(), host, start, report);
+        SuspectAnswer { table, ..answer }
     }
 
     /// Commits updates while this replica leads, until `stop` is cancelled.
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -33,7 +33,7 @@
 use crate::endpoint_stream::{EndpointStream, StreamFault, StreamPiece, TokenPiece};
 use crate::refusal::CallerRefusal;
 use crate::shared::{Entry, SendGuard};
-use crate::suspect_calls::{LazyFingerprint, SentAttempt, TrackedCall};
+use crate::suspect_calls::{CallTrial, LazyFingerprint, SentAttempt, TrackedCall};
 
 /// Most attempts of one request, the first one included.
 const MOST_ATTEMPTS: u32 = 5;
@@ -59,6 +59,7 @@
     let permit = admit(entry, &caller, &route, body.cost, body.output_tokens).await?;
     let mut run = CompletionRun::new(Arc::clone(entry), caller, route, body, permit);
     run.content = bytes;
+    run.trial = entry.suspects.request_trial(&run.tracked()).await;
     // The head of the answer goes out only when there is something to answer with, so that a failure before the first
     // token still gets a status of its own.
     let first = run.next().await?;
@@ -86,6 +87,8 @@
     /// The body as the caller sent it.
     content: Bytes,
     fingerprint: LazyFingerprint,
+    /// Permission of the leader, if the request was suspect when it came.
+    trial: Option<CallTrial>,
     attempt: Option<OpenAttempt>,
     attempts: u32,
     text: String,
@@ -140,6 +143,7 @@
             body,
             content: Bytes::new(),
             fingerprint: LazyFingerprint::default(),
+            trial: None,
             attempt: None,
             attempts: 0,
             text: String::new(),
@@ -357,7 +361,8 @@
 
     fn count_attempt(&mut self) -> Result<(), CallerRefusal> {
         let standing = self.entry.suspects.standing(&self.tracked());
-        if let Some(refusal) = CallerRefusal::of_standing(standing).filter(|_| !self.maybe_run) {
+        let refusal = CallerRefusal::of_standing(standing, self.trial.is_some());
+        if let Some(refusal) = refusal.filter(|_| !self.maybe_run) {
             return Err(refusal);
         }
         self.attempts += 1;
--- a/crates/acacia-entry/src/refusal.rs
+++ b/crates/acacia-entry/src/refusal.rs
@@ -111,11 +111,13 @@
         }
     }
 
-    /// Returns the refusal of a call with this standing, if the call may not be sent to any endpoint.
-    pub(crate) fn of_standing(standing: CallStanding) -> Option<Self> {
+    /// Returns the refusal of a call with this standing, if the call may not be sent to any endpoint. `has_trial` says whether
+    /// the leader has allowed to send it although it is suspect.
+    pub(crate) fn of_standing(standing: CallStanding, has_trial: bool) -> Option<Self> {
         match standing {
-            CallStanding::Unsuspected | CallStanding::Suspected => None,
-            CallStanding::HeldBack => Some(Self::under_examination()),
+            CallStanding::Unsuspected => None,
+            CallStanding::Suspected if has_trial => None,
+            CallStanding::Suspected | CallStanding::HeldBack => Some(Self::under_examination()),
             CallStanding::Quarantined => Some(Self::quarantined()),
         }
     }
--- a/crates/acacia-entry/src/service_call.rs
+++ b/crates/acacia-entry/src/service_call.rs
@@ -137,11 +137,12 @@
 }
 
 async fn run_repeatable(entry: &Arc<Entry>, call: &ServiceCall) -> Result<ServiceAnswer, CallerRefusal> {
+    let trial = entry.suspects.request_trial(&call.tracked()).await;
     let mut tried = Vec::new();
     let mut maybe_run = false;
     for number in 1..=MOST_ATTEMPTS {
         let standing = entry.suspects.standing(&call.tracked());
-        if let Some(refusal) = CallerRefusal::of_standing(standing).filter(|_| !maybe_run) {
+        if let Some(refusal) = CallerRefusal::of_standing(standing, trial.is_some()).filter(|_| !maybe_run) {
             return Err(refusal);
         }
         if number > 1 && standing != CallStanding::Unsuspected {
@@ -219,9 +220,10 @@
 
 /// Tries endpoints until one has been written to. All tries before that are unsent, so the claim still covers them.
 async fn write_once(entry: &Arc<Entry>, call: &ServiceCall) -> Result<ServiceAnswer, OnceFailure> {
+    let trial = entry.suspects.request_trial(&call.tracked()).await;
     let mut tried = Vec::new();
     loop {
-        check_authority(entry, call).map_err(OnceFailure::Refused)?;
+        check_authority(entry, call, trial.is_some()).map_err(OnceFailure::Refused)?;
         let Some((endpoint, row)) = place(entry, call, &tried) else {
             return Err(OnceFailure::Refused(CallerRefusal::no_endpoint()));
         };
@@ -236,7 +238,7 @@
 /// Checks key and lease once more just before the write: the process may have been paused since it admitted the call,
 /// and the key may have been withdrawn while the claim was being committed. A call that may not be sent to any endpoint is
 /// refused only here, so that a resend of one that was answered before still gets the stored answer.
-fn check_authority(entry: &Entry, call: &ServiceCall) -> Result<(), CallerRefusal> {
+fn check_authority(entry: &Entry, call: &ServiceCall, has_trial: bool) -> Result<(), CallerRefusal> {
     if !entry.may_serve(boot_now()) {
         return Err(CallerRefusal::no_lease());
     }
@@ -244,7 +246,7 @@
         return Err(CallerRefusal::unauthenticated());
     }
     let standing = entry.suspects.standing(&call.tracked());
-    CallerRefusal::of_standing(standing).map_or(Ok(()), Err)
+    CallerRefusal::of_standing(standing, has_trial).map_or(Ok(()), Err)
 }
 
 fn claim_key(call: &ServiceCall, headers: &HeaderMap) -> Result<ClaimKey, CallerRefusal> {
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -26,7 +26,7 @@
 use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 use super::{plain_call, stream_call};
-use crate::suspect_calls::{LazyFingerprint, SentAttempt, TrackedCall};
+use crate::suspect_calls::{CallTrial, LazyFingerprint, SentAttempt, TrackedCall};
 
 /// Time by which the endpoint's deadline is earlier than the caller's, so that the answer can travel back.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -46,6 +46,8 @@
     /// Hash of the request identifier, by which calls are spread over services and endpoints.
     pub(super) request_hash: u64,
     fingerprint: LazyFingerprint,
+    /// Permission of the leader, if the call was suspect when it came.
+    trial: Option<CallTrial>,
 }
 
 impl AcceptedCall {
@@ -96,8 +98,11 @@
     /// Returns the refusal of the call, if it may not be sent to any endpoint.
     pub(super) fn held_back(&self) -> Option<CallRefusal> {
         match self.standing() {
-            CallStanding::Unsuspected | CallStanding::Suspected => None,
-            CallStanding::HeldBack => Some(not_run("endings are judged", JUDGEMENT_RETRY_DELAY)),
+            CallStanding::Unsuspected => None,
+            CallStanding::Suspected if self.trial.is_some() => None,
+            CallStanding::Suspected | CallStanding::HeldBack => {
+                Some(not_run("endings are judged", JUDGEMENT_RETRY_DELAY))
+            }
             CallStanding::Quarantined => Some(CallRefusal::Quarantined),
         }
     }
@@ -225,7 +230,10 @@
         deadline: received_at + timeout,
         request_hash,
         fingerprint: LazyFingerprint::default(),
+        trial: None,
     };
+    let trial = shared.suspects.request_trial(&call.tracked()).await;
+    let call = AcceptedCall { trial, ..call };
     if let Some(refusal) = call.held_back() {
         return Err((Some(call.head), refusal));
     }
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -35,6 +35,13 @@
 /// Time limit of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a suspect call waits to be allowed. The leader answers within a few milliseconds; a call that is answered
+/// whole elsewhere meanwhile frees the others.
+const TRIAL_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Interval at which the leader is asked again.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Fingerprint of a call. It is computed when it is first needed, since most calls never need it.
 #[derive(Debug, Default)]
 pub(crate) struct LazyFingerprint(OnceLock<Option<CallFingerprint>>);
@@ -69,10 +76,26 @@
     }
 }
 
+/// Permission to send a suspect call. It ends when it is dropped, but not before it is known whether an endpoint has ended
+/// under the call.
+#[derive(Debug)]
+pub(crate) struct CallTrial {
+    tracker: Arc<SuspectTracker>,
+    fingerprint: CallFingerprint,
+}
+
+impl Drop for CallTrial {
+    fn drop(&mut self) {
+        self.tracker.end_trial(self.fingerprint);
+    }
+}
+
 #[derive(Debug, Default)]
 struct TrackerState {
     view: SuspectView,
     breaks: BreakExamination,
+    /// Trials that end with the examination of a break.
+    ending_trials: BTreeSet<CallFingerprint>,
 }
 
 /// Tracker of suspect calls, shared by the tasks of an entry.
@@ -82,6 +105,8 @@
     log: Logger,
     break_recorded: Notify,
     report_due: Notify,
+    /// Notified when the leader has answered a report or sent a table.
+    news: Notify,
 }
 
 impl SuspectTracker {
@@ -91,6 +116,7 @@
             log,
             break_recorded: Notify::new(),
             report_due: Notify::new(),
+            news: Notify::new(),
         })
     }
 
@@ -106,14 +132,16 @@
 
     /// Applies the leader's answer to a report.
     pub(crate) fn apply_answer(&self, answer: SuspectAnswer) {
-        let quarantined = self.state.lock().view.apply_answer(answer);
+        let quarantined = self.state.lock().view.apply_answer(boot_now(), answer);
         self.log_quarantined(&quarantined);
+        self.news.notify_waiters();
     }
 
     /// Replaces the table by a later version that the leader has sent without being asked.
     pub(crate) fn apply_published(&self, table: SuspectTable) {
         let quarantined = self.state.lock().view.apply_published(table);
         self.log_quarantined(&quarantined);
+        self.news.notify_waiters();
     }
 
     fn log_quarantined(&self, calls: &[CallIdentity]) {
@@ -146,6 +174,51 @@
         }
     }
 
+    /// Waits until the leader allows this entry to send a suspect call. Returns `None` at once for any other call, and after
+    /// a while if another entry tries the call. Whether the call may be sent is for [`standing`](Self::standing) to say.
+    pub(crate) async fn request_trial(self: &Arc<Self>, call: &TrackedCall<'_>) -> Option<CallTrial> {
+        if self.standing(call) != CallStanding::Suspected {
+            return None;
+        }
+        let fingerprint = self.possible_suspect(call)?;
+        let waiting = self.wait_for_trial(call, fingerprint);
+        // After a timeout, the caller of this function refuses the call.
+        let is_allowed = tokio::time::timeout(TRIAL_PATIENCE, waiting).await.unwrap_or(false);
+        is_allowed.then(|| CallTrial {
+            tracker: Arc::clone(self),
+            fingerprint,
+        })
+    }
+
+    /// Returns true once the leader allows the call, and false once it is no longer suspected.
+    async fn wait_for_trial(&self, call: &TrackedCall<'_>, fingerprint: CallFingerprint) -> bool {
+        loop {
+            let news = self.news.notified();
+            if self.standing(call) != CallStanding::Suspected {
+                return false;
+            }
+            if self.state.lock().view.begin_trial(boot_now(), fingerprint) {
+                return true;
+            }
+            self.report_due.notify_waiters();
+            news.await;
+            // The answer to a report that was on its way does not know of the call yet.
+            tokio::time::sleep(TRIAL_INTERVAL).await;
+        }
+    }
+
+    fn end_trial(&self, fingerprint: CallFingerprint) {
+        let mut state = self.state.lock();
+        if state.breaks.contains(&fingerprint) {
+            state.ending_trials.insert(fingerprint);
+            return;
+        }
+        state.view.end_trial(fingerprint);
+        drop(state);
+        self.report_due.notify_waiters();
+        self.news.notify_waiters();
+    }
+
     /// Records that an endpoint has answered a call whole, which refutes what speaks against the call.
     pub(crate) fn record_whole_answer(&self, call: &TrackedCall<'_>) {
         let Some(fingerprint) = self.possible_suspect(call) else {
@@ -220,6 +293,9 @@
         let mut has_ended = false;
         for (broken, verdict) in state.breaks.take_decided(now, sighting) {
             self.log_break(now, &broken, verdict);
+            if state.ending_trials.remove(&broken.call.fingerprint) {
+                state.view.end_trial(broken.call.fingerprint);
+            }
             if verdict == BreakVerdict::Ended {
                 has_ended = true;
                 let evidence = evidence_of(now, now_ms, broken);
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -40,7 +40,7 @@
 
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
-#[expect(clippy::pedantic, reason = "generated code")]
+#[expect(clippy::pedantic, clippy::large_enum_variant, reason = "generated code")]
 pub mod generated {
     /// Commands and snapshots.
     pub mod state {
--- a/crates/acacia-wire/src/suspect_message.rs
+++ b/crates/acacia-wire/src/suspect_message.rs
@@ -154,6 +154,8 @@
         endings: report.evidence.iter().map(evidence_to_wire).collect(),
         first_ending: report.first_ending,
         answered: report.answered.iter().map(fingerprint_to_wire).collect(),
+        wanted_trials: report.wanted_trials.iter().map(fingerprint_to_wire).collect(),
+        ended_trials: report.ended_trials.iter().map(fingerprint_to_wire).collect(),
     }
 }
 
@@ -169,6 +171,8 @@
         first_ending: message.first_ending,
         evidence: all(message.endings, evidence_from_wire)?,
         answered: all(message.answered, fingerprint_from_wire)?,
+        wanted_trials: all(message.wanted_trials, fingerprint_from_wire)?,
+        ended_trials: all(message.ended_trials, fingerprint_from_wire)?,
     })
 }
 
@@ -177,6 +181,7 @@
     state::SuspectAnswer {
         table: answer.table.as_ref().map(suspects_to_wire),
         committed_endings: answer.committed_endings,
+        trials: answer.trials.iter().map(fingerprint_to_wire).collect(),
     }
 }
 
@@ -190,5 +195,6 @@
     Ok(SuspectAnswer {
         table: message.table.map(suspects_from_wire).transpose()?,
         committed_endings: message.committed_endings,
+        trials: all(message.trials, fingerprint_from_wire)?,
     })
 }
--- a/crates/acacia-wire/tests/suspects.rs
+++ b/crates/acacia-wire/tests/suspects.rs
@@ -96,6 +96,8 @@
             first_ending: 5,
             evidence: vec![evidence(1, 1), evidence(2, 2)],
             answered: vec![fingerprint(3)],
+            wanted_trials: vec![fingerprint(6)],
+            ended_trials: vec![fingerprint(7), fingerprint(8)],
         },
     };
     let call = EntryCall::Renew(lease);
@@ -111,6 +113,7 @@
         suspects: SuspectAnswer {
             table: Some(state().serving.suspects.published_table()),
             committed_endings: 6,
+            trials: vec![fingerprint(9)],
         },
         ..LeaseRenewal::default()
     };
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -135,6 +135,11 @@
         self.breaks.is_empty()
     }
 
+    /// Returns true if a break of this call is under examination.
+    pub fn contains(&self, fingerprint: &CallFingerprint) -> bool {
+        self.breaks.iter().any(|broken| broken.call.fingerprint == *fingerprint)
+    }
+
     /// Returns the addresses at which a connection has to be attempted.
     pub fn unknown_ports(&self) -> BTreeSet<SocketAddr> {
         let unknown = self.breaks.iter().filter(|broken| broken.port == PortState::Unknown);
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -13,7 +13,8 @@
 //!   selects the suspected endpoints that all entries avoid.
 //! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
 //!   while it ran one. [`suspect_table`] records such calls and quarantines those
-//!   that end endpoints; [`suspect_view`] is what one entry knows of it.
+//!   that end endpoints; [`suspect_view`] is what one entry knows of it, and
+//!   [`trial_table`] lets one entry at a time try a suspect call.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams.
 //! * [`group_clock`] computes the median wall clock of the replicas.
@@ -58,3 +59,4 @@
 pub mod stream_peak;
 pub mod suspect_table;
 pub mod suspect_view;
+pub mod trial_table;
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -13,6 +13,8 @@
 const MAX_UNCOMMITTED: usize = 512;
 /// Time after an ending for which the entry watches whether the calls that it broke are answered whole.
 const WATCH_TIME: Duration = Duration::from_secs(60);
+/// Time within which an allowed trial has to begin. It is shorter than the leader waits for the end of a trial.
+const TRIAL_BEGIN_TIME: Duration = Duration::from_secs(1);
 /// Number of own endings from which a call is not sent again within the same request.
 const SUSPECT_ENDINGS: usize = 2;
 /// Maximum number of watched calls.
@@ -29,6 +31,10 @@
     pub evidence: Vec<EndingEvidence>,
     /// Suspect calls that were answered whole.
     pub answered: Vec<CallFingerprint>,
+    /// Suspect calls that the entry would like to send.
+    pub wanted_trials: Vec<CallFingerprint>,
+    /// Suspect calls that the entry was allowed to send and no longer sends.
+    pub ended_trials: Vec<CallFingerprint>,
 }
 
 /// What the leader answers to it.
@@ -38,6 +44,8 @@
     pub table: Option<SuspectTable>,
     /// Number up to which the evidence of the entry is committed.
     pub committed_endings: u64,
+    /// Suspect calls that the entry may send once.
+    pub trials: Vec<CallFingerprint>,
 }
 
 /// Standing of a call.
@@ -45,7 +53,8 @@
 pub enum CallStanding {
     /// Nothing speaks against the call.
     Unsuspected,
-    /// Endpoints have ended under the call one after the other. It is not sent again within the same request.
+    /// Endpoints have ended under the call one after the other. It is sent only by the one entry that the leader allows to
+    /// try it, and not again within the same request.
     Suspected,
     /// This entry has seen an ending that may prove the call to be the cause. Until the leader has judged the call, it is
     /// not sent to any endpoint.
@@ -80,6 +89,11 @@
     /// Calls that this entry holds back until the leader has committed its evidence and judged them.
     held_back: BTreeSet<CallFingerprint>,
     newly_held_back: Vec<CallFingerprint>,
+    wanted_trials: BTreeSet<CallFingerprint>,
+    /// Trials that the leader has allowed and that no call of this entry has begun, with the time until which they may begin.
+    allowed_trials: BTreeMap<CallFingerprint, BootTime>,
+    running_trials: BTreeSet<CallFingerprint>,
+    ended_trials: BTreeSet<CallFingerprint>,
 }
 
 impl SuspectView {
@@ -130,6 +144,30 @@
         }
     }
 
+    /// Begins a trial of a suspect call, if the leader has allowed it. Otherwise asks the leader with the next report, unless
+    /// another call of this entry is being tried. Returns true if the call may be sent.
+    pub fn begin_trial(&mut self, now: BootTime, fingerprint: CallFingerprint) -> bool {
+        if self.running_trials.contains(&fingerprint) {
+            return false;
+        }
+        let is_allowed = self
+            .allowed_trials
+            .remove(&fingerprint)
+            .is_some_and(|until| now < until);
+        if is_allowed {
+            self.running_trials.insert(fingerprint);
+        } else {
+            self.wanted_trials.insert(fingerprint);
+        }
+        is_allowed
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&mut self, fingerprint: CallFingerprint) {
+        self.running_trials.remove(&fingerprint);
+        self.ended_trials.insert(fingerprint);
+    }
+
     /// Returns the number of endings of a call that this entry has seen and that are not known to be committed.
     fn own_endings(&self, fingerprint: &CallFingerprint) -> usize {
         let own = self.uncommitted.iter();
@@ -191,13 +229,19 @@
             first_ending: self.uncommitted.front().map_or(0, |waiting| waiting.number),
             evidence: evidence.collect(),
             answered: std::mem::take(&mut self.answered).into_iter().collect(),
+            wanted_trials: std::mem::take(&mut self.wanted_trials).into_iter().collect(),
+            ended_trials: std::mem::take(&mut self.ended_trials).into_iter().collect(),
         }
     }
 
     /// Applies the leader's answer to a report. Returns the calls that are newly quarantined.
-    pub fn apply_answer(&mut self, answer: SuspectAnswer) -> Vec<CallIdentity> {
+    pub fn apply_answer(&mut self, now: BootTime, answer: SuspectAnswer) -> Vec<CallIdentity> {
         let quarantined = answer.table.map(|table| self.apply_published(table));
         self.acknowledge(answer.committed_endings);
+        self.allowed_trials.retain(|_, until| now < *until);
+        let until = now + TRIAL_BEGIN_TIME;
+        self.allowed_trials
+            .extend(answer.trials.into_iter().map(|fingerprint| (fingerprint, until)));
         quarantined.unwrap_or_default()
     }
 
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -14,6 +14,7 @@
 };
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable, SuspectUpdate};
 use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectView};
+use acaciabay::core::serving::trial_table::TrialTable;
 use proptest::prelude::*;
 
 use crate::fixtures::{at, endpoint, fixed_cases, name};
@@ -266,10 +267,14 @@
     view.record_ending(at(0), ending(1, 9, 20_000, 80));
     view.judge();
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::HeldBack);
-    view.apply_answer(SuspectAnswer {
-        table: Some(published(&[(1, 3)])),
-        committed_endings: 1,
-    });
+    view.apply_answer(
+        at(0),
+        SuspectAnswer {
+            table: Some(published(&[(1, 3)])),
+            committed_endings: 1,
+            ..SuspectAnswer::default()
+        },
+    );
 
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Quarantined);
 }
@@ -310,10 +315,13 @@
         view.record_ending(at(0), ending(call, 1, 1_000, 80));
     }
 
-    view.apply_answer(SuspectAnswer {
-        table: None,
-        committed_endings: 2,
-    });
+    view.apply_answer(
+        at(0),
+        SuspectAnswer {
+            committed_endings: 2,
+            ..SuspectAnswer::default()
+        },
+    );
 
     let report = view.take_report();
     let calls: Vec<_> = report
@@ -336,6 +344,68 @@
     assert!(!view.may_know(Some(&"one".into()), 101));
 }
 
+/// Guards against a suspect call that several entries try at once, and that each may end an endpoint with.
+#[test]
+fn one_entry_at_a_time_tries_a_suspect_call() {
+    let mut trials = TrialTable::default();
+    let (one, two) = ("one".into(), "two".into());
+
+    assert!(trials.allow(at(0), &one, fingerprint(1)));
+    assert!(!trials.allow(at(10), &two, fingerprint(1)));
+    assert!(trials.allow(at(10), &two, fingerprint(2)));
+    trials.release(&two, fingerprint(1));
+    assert!(!trials.allow(at(20), &two, fingerprint(1)));
+    trials.release(&one, fingerprint(1));
+
+    assert!(trials.allow(at(30), &two, fingerprint(1)));
+}
+
+/// Guards against a trial between an ending and the judgement that follows it.
+#[test]
+fn call_is_not_tried_while_it_is_judged() {
+    let mut trials = TrialTable::default();
+    let (one, two) = ("one".into(), "two".into());
+    trials.allow(at(0), &one, fingerprint(1));
+
+    trials.record_ending(at(100), fingerprint(1));
+    trials.release(&one, fingerprint(1));
+
+    assert!(!trials.allow(at(1_000), &two, fingerprint(1)));
+    assert!(trials.allow(at(1_100), &two, fingerprint(1)));
+}
+
+/// Guards against a call that is held back for good, because the entry that tried it has died.
+#[test]
+fn trial_ends_by_itself() {
+    let mut trials = TrialTable::default();
+    trials.allow(at(0), &"one".into(), fingerprint(1));
+
+    assert!(!trials.allow(at(2_999), &"two".into(), fingerprint(1)));
+    assert!(trials.allow(at(3_000), &"two".into(), fingerprint(1)));
+}
+
+/// Guards against two calls of one entry that use the same permission, and against one that is used late.
+#[test]
+fn permission_is_used_once_and_soon() {
+    let mut view = SuspectView::default();
+    let allowed = || SuspectAnswer {
+        trials: vec![fingerprint(1)],
+        ..SuspectAnswer::default()
+    };
+    assert!(!view.begin_trial(at(0), fingerprint(1)));
+    assert_eq!(view.take_report().wanted_trials, [fingerprint(1)]);
+    view.apply_answer(at(10), allowed());
+
+    assert!(view.begin_trial(at(20), fingerprint(1)));
+    assert!(!view.begin_trial(at(30), fingerprint(1)));
+    assert!(view.take_report().wanted_trials.is_empty());
+    view.end_trial(fingerprint(1));
+    assert_eq!(view.take_report().ended_trials, [fingerprint(1)]);
+    view.apply_answer(at(40), allowed());
+
+    assert!(!view.begin_trial(at(1_040), fingerprint(1)));
+}
+
 const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 80);
 
 fn reported(incarnation: u64, sequence: u64, phase: EndpointPhase) -> ServingEndpoint {
