Count endings against a call only one after the other

Cause: three endings in all, two in sequence, were enough; and a whole answer did not end examinations that were still open. Change: three endings one after the other are needed, simultaneous ones count as one; a call with three endings in all or two in sequence is tried by one entry at a time; a whole answer ends the open examinations of its call. Why it works: identical reads can be on all endpoints at one moment only once in a chain, and any answer between breaks the chain.

--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -162,7 +162,11 @@
     /// Returns the fingerprint of a call that may be suspect, and `None` for any other without computing it.
     fn possible_suspect(&self, call: &TrackedCall<'_>) -> Option<CallFingerprint> {
         let CallContent { customer, body, .. } = call.content;
-        let may_know = self.state.lock().view.may_know(customer, body.len() as u64);
+        let may_know = {
+            let state = self.state.lock();
+            let body_bytes = body.len() as u64;
+            state.view.may_know(customer, body_bytes) || state.breaks.may_contain(customer, body_bytes)
+        };
         may_know.then(|| self.fingerprint(call)).flatten()
     }
 
@@ -224,7 +228,10 @@
         let Some(fingerprint) = self.possible_suspect(call) else {
             return;
         };
-        if self.state.lock().view.record_whole_answer(fingerprint) {
+        let mut state = self.state.lock();
+        state.breaks.forget(&fingerprint);
+        if state.view.record_whole_answer(fingerprint) {
+            drop(state);
             self.report_due.notify_waiters();
         }
     }
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -140,6 +140,17 @@
         self.breaks.iter().any(|broken| broken.call.fingerprint == *fingerprint)
     }
 
+    /// Returns false if no break of a call with this customer and body length is under examination.
+    pub fn may_contain(&self, customer: Option<&CustomerName>, body_bytes: u64) -> bool {
+        let mut calls = self.breaks.iter().map(|broken| &broken.call);
+        calls.any(|call| call.body_bytes == body_bytes && call.customer.as_ref() == customer)
+    }
+
+    /// Removes the breaks of a call that was answered whole since.
+    pub fn forget(&mut self, fingerprint: &CallFingerprint) {
+        self.breaks.retain(|broken| broken.call.fingerprint != *fingerprint);
+    }
+
     /// Returns the addresses at which a connection has to be attempted.
     pub fn unknown_ports(&self) -> BTreeSet<SocketAddr> {
         let unknown = self.breaks.iter().filter(|broken| broken.port == PortState::Unknown);
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -1,9 +1,10 @@
 //! Record of the calls under which endpoints have ended, and the quarantine of those that end them.
 //!
 //! An endpoint that ends takes all its calls with it, so most calls in the table are innocent. A call is quarantined once
-//! [`QUARANTINE_ENDINGS`] endpoints have ended while they ran it, unless another quarantined call explains those endings,
-//! and unless the endings all happened at once, as in a loss of many endpoints. A call that is answered whole is removed. A
-//! quarantine lapses after an hour, and the next ending brings it back.
+//! [`QUARANTINE_ENDINGS`] endpoints have ended one after the other while they ran it, unless another quarantined call
+//! explains those endings. Endings that happened at once count as one: if many endpoints are lost, a call that many callers
+//! send at the same time runs on several of them. A call that is answered whole is removed. A quarantine lapses after an
+//! hour, and the next ending brings it back.
 //!
 //! The table is part of the replicated state, so that neither a new leader nor a restart of all hosts forgets it. Entries
 //! apply the same rules to the table that the leader sent them and to what they have seen since.
@@ -18,11 +19,10 @@
 use super::endpoint_registry::EndpointIncarnation;
 use crate::core::name::{CustomerName, EndpointName};
 
-/// Number of endpoints that must have ended while they ran a call before the call is quarantined.
+/// Number of endpoints that must have ended one after the other while they ran a call before the call is quarantined.
 pub const QUARANTINE_ENDINGS: usize = 3;
-/// Minimum number of these endings that must have followed one another. If many endpoints are lost at once, a call that
-/// many callers send at the same time runs on several of them.
-const MIN_SEQUENTIAL_ENDINGS: usize = 2;
+/// Number of endings one after the other from which a call is tried by one entry at a time.
+const TRIAL_ENDINGS: usize = 2;
 /// Number of endings from which entries are told of a call. Most calls that an ending hits are hit only once.
 const PUBLISHED_ENDINGS: usize = 2;
 /// Time after the commit of an ending during which other entries may still report the calls that they had at the same endpoint, in
@@ -108,29 +108,33 @@
     fn lapse(&mut self, now_ms: u64) {
         if self.is_lapsed(now_ms) {
             self.quarantined_ms = None;
-            let surplus = self.endings.len().saturating_sub(QUARANTINE_ENDINGS - 1);
-            self.endings.drain(..surplus);
+            let chain = sequential_endings(self.endings.iter());
+            let surplus = chain.len().saturating_sub(QUARANTINE_ENDINGS - 1);
+            let kept = chain.into_iter().skip(surplus).cloned().collect();
+            self.endings = kept;
         }
     }
 
-    /// Returns true if at least two endings followed one another, so that chance alone hardly explains them.
-    pub fn is_repeated(&self) -> bool {
-        sequential_endings(self.endings.iter()) >= MIN_SEQUENTIAL_ENDINGS
+    /// Returns true if the call has ended so many endpoints, at once or one after the other, that it is to be tried by one
+    /// entry at a time.
+    pub fn needs_trial(&self) -> bool {
+        self.endings.len() >= QUARANTINE_ENDINGS || sequential_endings(self.endings.iter()).len() >= TRIAL_ENDINGS
     }
 }
 
-/// Returns the maximum number of endings of which each attempt was sent after the ending before.
-fn sequential_endings<'call>(endings: impl Iterator<Item = &'call EndpointEnding>) -> usize {
+/// Returns as many endings as possible of which each attempt was sent after the ending before.
+fn sequential_endings<'call>(endings: impl Iterator<Item = &'call EndpointEnding>) -> Vec<&'call EndpointEnding> {
     let mut sorted: Vec<_> = endings.collect();
     sorted.sort_unstable_by_key(|ending| ending.ended_ms);
-    let (mut count, mut last_ended) = (0, 0);
-    for ending in sorted {
-        if ending.sent_ms >= last_ended {
-            count += 1;
+    let mut last_ended = 0;
+    sorted.retain(|ending| {
+        let follows = ending.sent_ms >= last_ended;
+        if follows {
             last_ended = ending.ended_ms;
         }
-    }
-    count
+        follows
+    });
+    sorted
 }
 
 /// The calls under which endpoints have ended.
@@ -247,11 +251,11 @@
                 .filter(|ending| ending.recorded_ms + SETTLING_MS <= now_ms)
                 .filter(|ending| !explained.contains(&(&ending.endpoint, ending.incarnation)))
                 .collect();
-            let is_cause = endings.len() >= QUARANTINE_ENDINGS
-                && sequential_endings(endings.iter().copied()) >= MIN_SEQUENTIAL_ENDINGS;
+            let sequential = sequential_endings(endings.iter().copied()).len();
+            let is_cause = sequential >= QUARANTINE_ENDINGS;
             // A call that ends endpoints does so at about the same age each time; one that travels with it is of any age.
             let oldest = endings.iter().map(|ending| ending.age_ms()).max().unwrap_or(0);
-            is_cause.then_some(((endings.len(), Reverse(oldest)), call.identity.fingerprint))
+            is_cause.then_some(((sequential, endings.len(), Reverse(oldest)), call.identity.fingerprint))
         });
         causes
             .max_by_key(|(weight, _)| *weight)
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -53,7 +53,7 @@
 pub enum CallStanding {
     /// Nothing speaks against the call.
     Unsuspected,
-    /// Endpoints have ended under the call one after the other. It is sent only by the one entry that the leader allows to
+    /// Several endpoints have ended under the call. It is sent only by the one entry that the leader allows to
     /// try it, and not again within the same request.
     Suspected,
     /// This entry has seen an ending that may prove the call to be the cause. Until the leader has judged the call, it is
@@ -137,7 +137,7 @@
             CallStanding::Quarantined
         } else if self.held_back.contains(fingerprint) {
             CallStanding::HeldBack
-        } else if call.is_some_and(SuspectCall::is_repeated) || self.own_endings(fingerprint) >= SUSPECT_ENDINGS {
+        } else if call.is_some_and(SuspectCall::needs_trial) || self.own_endings(fingerprint) >= SUSPECT_ENDINGS {
             CallStanding::Suspected
         } else {
             CallStanding::Unsuspected
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -12,7 +12,9 @@
 use acaciabay::core::serving::endpoint_registry::{
     EndpointIncarnation, EndpointPhase, EndpointRegistry, ServingEndpoint,
 };
-use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable, SuspectUpdate};
+use acaciabay::core::serving::suspect_table::{
+    EndingEvidence, EndpointEnding, SuspectCall, SuspectTable, SuspectUpdate,
+};
 use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectView};
 use acaciabay::core::serving::trial_table::TrialTable;
 use proptest::prelude::*;
@@ -137,6 +139,20 @@
     assert!(quarantined(&table).is_empty());
 }
 
+/// Guards against the refusal of such a read because of one ending more, at another time.
+#[test]
+fn simultaneous_endings_count_as_one() {
+    let mut table = SuspectTable::default();
+    commit(&mut table, 10_000, vec![ending(1, 1, 10_000, 30)]);
+    let lost = (2..=8).map(|engine| ending(1, engine, 20_000 + engine, 30)).collect();
+
+    commit(&mut table, 20_010, lost);
+    settle(&mut table, 20_010);
+
+    assert!(quarantined(&table).is_empty());
+    assert!(table.get(&fingerprint(1)).is_some_and(SuspectCall::needs_trial));
+}
+
 /// Guards against the refusal of a read that is under way at most crashes and answered in between.
 #[test]
 fn whole_answer_clears_a_call() {
@@ -521,6 +537,17 @@
     assert_eq!(examine(at(5_000), PortState::Silent, &alone), BreakVerdict::Innocent);
 }
 
+/// Guards against a break that is examined for longer than it takes until the call is answered whole elsewhere.
+#[test]
+fn whole_answer_ends_the_examination() {
+    let mut examination = BreakExamination::default();
+    examination.add(broken(PortState::Open));
+
+    examination.forget(&fingerprint(1));
+
+    assert!(examination.is_empty());
+}
+
 /// Guards against a connection attempt before the break that is taken for one after it.
 #[test]
 fn port_state_from_before_a_break_says_nothing() {
