Hold customers' allowances over all entries

Cause: the configuration's allowances were dropped when it was read; nothing counted tokens against a limit.

Ruled out: fixed shares (a small customer gets one call in 17 s at an entry), grants of whole calls to entries (80 x 17,000 tokens are seven times the slack); by arithmetic, not by measurement.

Change: entries report asked and admitted use with their renewals, as absolute counters; the leader keeps the buckets and broadcasts, while a customer is near its limit, the fraction of its calls that may be admitted. Refusals are 429, before any prefill, with the time until the bucket has room. A new leader charges what entries have admitted since its predecessor.

--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -5,12 +5,14 @@
 //! * `shared` holds the state that the tasks share. `session` serves one entry or replica, `renewals` answers the lease
 //!   renewals of entries with configurations from `config_cache`, and `observer` receives the endpoint reports that
 //!   other replicas got.
+//! * `allowances` limits the use of customers over all entries.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
 //! * `duties` runs the work that only one process at a time may do, through a [`PlatformCodec`]: `usage_windows`,
 //!   `pool_orders`, and `stage_orders` with `engine_orders`.
 //!
 //! Only the two codecs know the format of the HTTP calls. The design is described in `docs/design/machines.md`.
 
+mod allowances;
 mod bootstrap;
 mod codec;
 mod config_cache;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -24,6 +24,7 @@
 use acaciabay::util::number::whole_millis;
 use prost::Message;
 
+use super::allowances::record_usage;
 use super::shared::{ControlShared, EntryState};
 
 /// Confirms an entry's lease, if this replica leads, and updates its configuration. Otherwise names the leader.
@@ -45,6 +46,7 @@
     }
     let mut request = request;
     let suspects = answer_suspects(shared, hello, request.suspects.take());
+    record_usage(shared, hello, request.usage.as_ref());
     let newest = shared.newest_config();
     let (entries, others) = record_entry_state(shared, hello, &request);
     let content = config_update(shared, hello, &request, &newest, &mut sent.config);
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -27,6 +27,7 @@
 use slog::Logger;
 use tokio::sync::broadcast;
 
+use super::allowances::LeaderAllowances;
 use super::codec::{ControlCodec, PlatformCodec};
 use super::config_cache::ConfigCache;
 use crate::group::GroupHandle;
@@ -76,6 +77,8 @@
     /// Counts of started calls that entries have reported and that are not committed yet.
     pub(super) uncommitted_counts: Vec<GatheredRow>,
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
+    /// Allowances of customers, since this replica leads.
+    pub(super) allowances: LeaderAllowances,
     /// Prompt parts that engines have cached, as announced by entries.
     pub(super) cached_parts: KeptLog,
     /// Configuration that was parsed last. It is reused while its number is the newest.
@@ -230,6 +233,11 @@
         let _no_receiver = self.updates.send(Arc::new(Body::News(EndpointNews { rows })));
     }
 
+    /// Broadcasts a message to all sessions.
+    pub(super) fn broadcast(&self, body: Body) {
+        let _no_receiver = self.updates.send(Arc::new(body));
+    }
+
     /// Broadcasts to all sessions the engines that take no calls until they have carried out an order. Entries should
     /// learn of an order before the engine does, but nothing here enforces that sequence. An entry that learned of it
     /// only from the engine's next report would send calls to the engine in vain for a second.
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::allowances::broadcast_allowances;
 use super::bootstrap::{SeedList, await_admission, load_or_create_identity, was_removed};
 use super::codec::{ControlCodec, PlatformCodec};
 use super::control_http;
@@ -187,6 +188,7 @@
     let tasks = TaskTracker::new();
     tasks.spawn(serve_peers(peers, Arc::clone(shared), stop.clone()));
     tasks.spawn(observe_replicas(Arc::clone(shared), stop.clone()));
+    tasks.spawn(broadcast_allowances(Arc::clone(shared), stop.clone()));
     tasks.spawn(run_duties(Arc::clone(shared), stop.clone()));
     tasks.spawn(Arc::clone(&shared.suspects).run(stop.clone()));
     tasks.spawn(forget_silent_endpoints(Arc::clone(shared), stop.clone()));
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -14,6 +14,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
+use super::allowance_charge::AllowanceCharge;
 use super::call::AcceptedCall;
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
@@ -142,6 +143,11 @@
         .shared
         .client
         .send(sent_at, chosen.endpoint.address, ConnectionChoice::Pooled, request);
+    let was_charged = match role {
+        // Prefilling a prompt does not run the call.
+        AttemptRole::ReadPrompt { .. } => None,
+        AttemptRole::Whole | AttemptRole::MakeTokens { .. } => call.charge.as_ref().map(AllowanceCharge::keep),
+    };
     let mut pending = PendingAttempt {
         call,
         chosen,
@@ -197,6 +203,23 @@
         }
     };
     let (outcome, reason) = outcome;
+    if matches!(outcome, AttemptOutcome::NotRun { .. })
+        && was_charged == Some(false)
+        && let Some(charge) = &call.charge
+    {
+        charge.release();
+    }
+    record_failed_attempt(call, chosen, role, sent_at, (&outcome, reason));
+    outcome
+}
+
+fn record_failed_attempt(
+    call: &AcceptedCall,
+    chosen: &ChosenEndpoint,
+    role: AttemptRole<'_>,
+    sent_at: BootTime,
+    (outcome, reason): (&AttemptOutcome, String),
+) {
     slog::info!(call.shared.log, "attempt failed"; "event" => event::ATTEMPT_FAILED, "request" => &call.head.request,
         "endpoint" => chosen.name.as_str(), "address" => %chosen.endpoint.address, "role" => ?role,
         "outcome" => ?outcome, "reason" => reason, "after_ms" => whole_millis(boot_now().since(sent_at)),
@@ -209,8 +232,6 @@
         // `NotRun { arrived: true }`. `Answered` and `HeldBack` have already been returned.
         _ => state.loads.record_failure(boot_now(), &chosen.name),
     }
-    drop(state);
-    outcome
 }
 
 /// Marks an endpoint as silent if it has not answered after `suspect_after`. Never completes, so that the call keeps
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -21,6 +21,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 
+use super::allowance_charge::{AllowanceCharge, charge_call};
 use super::codec::{CallHead, HeadError};
 use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
@@ -48,6 +49,8 @@
     fingerprint: LazyFingerprint,
     /// Permission of the leader, if the call was suspect when it came.
     trial: Option<CallTrial>,
+    /// Cost of the call, if its customer has an allowance.
+    pub(super) charge: Option<AllowanceCharge>,
 }
 
 impl AcceptedCall {
@@ -231,12 +234,18 @@
         request_hash,
         fingerprint: LazyFingerprint::default(),
         trial: None,
+        charge: None,
     };
     let trial = shared.suspects.request_trial(&call.tracked()).await;
     let call = AcceptedCall { trial, ..call };
     if let Some(refusal) = call.held_back() {
         return Err((Some(call.head), refusal));
     }
+    let charge = match charge_call(boot_now(), shared, &call.head, &call.admitted) {
+        Ok(charge) => charge,
+        Err(refusal) => return Err((Some(call.head), refusal)),
+    };
+    let call = AcceptedCall { charge, ..call };
     shared.record_call(boot_now(), &call.service, call.head.prompt.as_ref());
     Ok(call)
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -31,7 +31,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::config_install::{ReceivedConfig, ReplicaSession};
-use super::endpoint_news::{apply_endpoint_news, apply_resting_engines, apply_suspects};
+use super::endpoint_news::{apply_allowances, apply_endpoint_news, apply_resting_engines, apply_suspects};
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
 
@@ -167,7 +167,9 @@
                 let config_number = held.number;
                 let number = session.lock().renewals.record_request(now, held);
                 self.log_config_request(now, address, number);
-                writer.send(renewal_frame(&self.shared, number, config_number)).await?;
+                writer
+                    .send(renewal_frame(now, &self.shared, number, config_number))
+                    .await?;
             }
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
@@ -266,6 +268,7 @@
                     self.trigger_renewals();
                 }
                 Body::Suspects(suspects) => apply_suspects(&self.shared, suspects),
+                Body::Allowances(table) => apply_allowances(&self.shared, &table),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
                 Body::Alive(sign) => self
                     .shared
@@ -308,6 +311,7 @@
             .suspects
             .apply_answer(suspects.map_err(|_malformed| std::io::ErrorKind::InvalidData)?);
         let mut state = self.shared.state();
+        state.allowances.confirm(received.requested_at);
         // Another replica has meanwhile sent a newer configuration, so this answer confirms an outdated one.
         if state.config.number != received.config.number {
             return Ok(());
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -4,9 +4,9 @@
 
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
+use acacia_wire::generated::serving::{AllowanceTable, EndpointNews, RestingEngine, RestingEngines};
 use acacia_wire::generated::state::SuspectTable;
-use acacia_wire::{endpoint_from_wire, stage_from_wire, suspects_from_wire};
+use acacia_wire::{allowance_row_from_wire, endpoint_from_wire, stage_from_wire, suspects_from_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::StageSwitch;
@@ -57,6 +57,12 @@
     }
 }
 
+/// Replaces the customers that are near their allowances.
+pub(super) fn apply_allowances(shared: &EntryShared, table: &AllowanceTable) {
+    let rows = table.rows.iter().map(allowance_row_from_wire);
+    shared.state().allowances.set_rows(rows);
+}
+
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, StageSwitch)> {
     let order = StageSwitch {
         birth: EndpointIncarnation(engine.birth),
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Entry process that routes calls by host and path.
 //!
 //! `call` checks the lease, route, key and body of a call and passes it to `plain_call` or `stream_call`. A plain call
+//! and `allowance_charge` takes its cost from the customer's allowance. A plain call
 //! is answered by a single endpoint. The prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
@@ -10,6 +11,7 @@
 //! `config_install` and `endpoint_news` handle what the replicas send. The wire format of calls is defined by a
 //! [`CallCodec`].
 
+mod allowance_charge;
 mod attempt;
 mod call;
 mod codec;
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -27,6 +27,13 @@
         /// Delay before the retry.
         retry_after: Duration,
     },
+    /// The allowance of the customer is used up. The call has not run and will not run.
+    OverAllowance {
+        /// Time until the allowance should have room for the call.
+        retry_after: Duration,
+    },
+    /// The call costs more than the allowance of the customer can ever pay. It has not run and will not run.
+    LargerThanAllowance,
     /// Endpoints have ended while they ran the call, under whatever identifier it was sent. It has not run under this
     /// identifier and will not run.
     Quarantined,
@@ -46,6 +53,8 @@
             Self::BodyLate => "body late",
             Self::NoRoute => "no route",
             Self::UnknownKey => "unknown key",
+            Self::OverAllowance { .. } => "allowance used up",
+            Self::LargerThanAllowance => "call larger than the allowance",
             Self::Quarantined => "quarantined",
             Self::AnswerLost => "answer lost",
             Self::TimedOut => "timed out",
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -3,11 +3,13 @@
 
 use std::collections::BTreeMap;
 
-use acacia_runtime::clock::boot_now;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
-use acacia_wire::{counts_to_wire, kept_to_wire, pace_to_wire, suspect_report_to_wire, use_to_wire};
+use acacia_wire::{
+    counts_to_wire, kept_to_wire, pace_to_wire, suspect_report_to_wire, usage_report_to_wire, use_to_wire,
+};
+use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::config::ConfigNumber;
 
 use super::shared::EntryShared;
@@ -16,8 +18,9 @@
 ///
 /// Removes the demand and the announcements of cached parts from the state, since each is reported only once. All other
 /// values are absolute and repeated in every request.
-pub(super) fn renewal_frame(shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
+pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
     let mut state = shared.state();
+    let usage = state.allowances.report(now);
     let uses = state
         .loads
         .own_work()
@@ -47,13 +50,10 @@
         counts: counts.collect(),
         uses,
         demands: demands.collect(),
-        silent: state
-            .loads
-            .silent_endpoints(boot_now())
-            .map(ToString::to_string)
-            .collect(),
+        silent: state.loads.silent_endpoints(now).map(ToString::to_string).collect(),
         kept: kept.iter().map(kept_to_wire).collect(),
         suspects: Some(suspect_report_to_wire(&shared.suspects.take_report())),
+        usage: Some(usage_report_to_wire(&usage)),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -10,6 +10,7 @@
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
+use acaciabay::core::serving::allowance_gate::AllowanceGate;
 use acaciabay::core::serving::answer_pace::AnswerLatency;
 use acaciabay::core::serving::cached_parts::{CachedPartOutbox, KeptPart};
 use acaciabay::core::serving::config::EngineSpec;
@@ -70,6 +71,7 @@
     pub(super) has_endpoints: bool,
     pub(super) loads: LoadTable,
     pub(super) entry_count: u32,
+    pub(super) allowances: AllowanceGate,
     pub(super) start_counts: CallCounts,
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -80,6 +80,8 @@
     CALL_HELD_BACK = "E0234";
     /// Evidence against calls was dropped, because too much of it waits for a leader.
     EVIDENCE_DROPPED = "E0235";
+    /// A call was refused because its customer's allowance is used up.
+    ALLOWANCE_USED_UP = "E0236";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -39,6 +39,19 @@
     pub usage_due: Duration,
     /// Within which time duties must not go back and forth between two hosts.
     pub duty_lease: Duration,
+    /// How far all entries together may exceed a customer's allowance; not at all without it.
+    pub allowance_tolerance: Option<AllowanceToleranceSettings>,
+}
+
+/// How far all entries together may exceed an allowance within a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceToleranceSettings {
+    /// The length of the window.
+    pub window: Duration,
+    /// A fraction of what the allowance admits in it.
+    pub ratio: f64,
+    /// Units beyond that.
+    pub slack: f64,
 }
 
 /// What an entry process is told at its start.
@@ -122,6 +135,10 @@
     let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
     let usage_due = reader.required("usage_due_s", findings, as_seconds(0.1..=86_400.0));
     let duty_lease = reader.required("duty_lease_ms", findings, as_count(0..=600_000));
+    let has_tolerance = document.get("allowance_tolerance").is_some();
+    let mut tolerance = reader.child("allowance_tolerance", findings);
+    let allowance_tolerance = has_tolerance.then(|| read_tolerance(&mut tolerance, findings));
+    tolerance.finish(findings);
     reader.finish(findings);
     Some(ServingControlSettings {
         host: host?.to_owned(),
@@ -137,6 +154,10 @@
         usage_window: usage_window?,
         usage_due: usage_due?,
         duty_lease: Duration::from_millis(duty_lease?),
+        allowance_tolerance: match allowance_tolerance {
+            Some(tolerance) => Some(tolerance?),
+            None => None,
+        },
     })
 }
 
@@ -184,6 +205,17 @@
     })
 }
 
+fn read_tolerance(reader: &mut ObjectReader<'_>, findings: &mut Findings) -> Option<AllowanceToleranceSettings> {
+    let window = reader.required("window_s", findings, as_seconds(0.1..=3_600.0));
+    let ratio = reader.required("ratio", findings, as_number(0.0..=10.0));
+    let slack = reader.required("slack", findings, as_number(0.0..=1e12));
+    Some(AllowanceToleranceSettings {
+        window: window?,
+        ratio: ratio?,
+        slack: slack?,
+    })
+}
+
 /// Reads an address that a template leaves empty where there is none.
 fn as_optional_address(value: &Value) -> Result<Option<SocketAddr>, String> {
     match as_text(value)? {
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! convert each of them to and from the library's own types, so that generated types stay at the border of a process.
 //! A message that lacks a field or holds an impossible value is refused with a [`WireError`] that names the field.
 
+mod allowance_message;
 mod control_command;
 mod control_state;
 mod entry_message;
@@ -14,6 +15,9 @@
 mod suspect_message;
 mod table_row;
 
+pub use allowance_message::{
+    allowance_row_from_wire, allowance_row_to_wire, usage_report_from_wire, usage_report_to_wire,
+};
 pub use control_command::{command_from_bytes, command_to_bytes};
 pub use control_state::{state_from_bytes, state_to_bytes};
 pub use entry_message::{
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::allowance::UsageAllowance;
 use crate::core::name::{CustomerName, DomainName, ServiceName};
 use crate::util::digest::ContentDigest;
 
@@ -180,7 +181,7 @@
 }
 
 /// Customer with its keys.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CustomerRow {
     /// Name of the customer.
     pub name: CustomerName,
@@ -188,6 +189,8 @@
     pub keys: Vec<ContentDigest>,
     /// Priority of the customer's calls. It overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Limit on the use of the customer over all entries, if it has one.
+    pub allowance: Option<UsageAllowance>,
 }
 
 /// Complete configuration.
@@ -241,6 +244,7 @@
                     findings.push(finding(customer.name.as_str(), "another customer has the same key"));
                 }
             }
+            check_allowance(customer, &mut findings);
         }
         findings
     }
@@ -264,6 +268,19 @@
     }
 }
 
+fn check_allowance(customer: &CustomerRow, findings: &mut Vec<ConfigFinding>) {
+    let Some(allowance) = &customer.allowance else {
+        return;
+    };
+    let name = customer.name.as_str();
+    if !(allowance.rate > 0.0 && allowance.rate.is_finite()) {
+        findings.push(finding(name, "the rate of the allowance is not a positive number"));
+    }
+    if !(allowance.burst >= 0.0 && allowance.burst.is_finite()) {
+        findings.push(finding(name, "the burst of the allowance is negative or not a number"));
+    }
+}
+
 fn finding(place: &str, message: impl Into<String>) -> ConfigFinding {
     ConfigFinding {
         place: place.to_owned(),
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -9,6 +9,8 @@
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
+//! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
+//!   [`allowance_gate`] admits calls at an entry.
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
 //! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
@@ -30,6 +32,9 @@
 //!
 //! `docs/design/machines.md` describes the programs that combine these modules.
 
+pub mod allowance;
+pub mod allowance_gate;
+pub mod allowance_ledger;
 pub mod answer_pace;
 pub mod broken_attempt;
 pub mod cached_parts;
--- a/crates/acaciabay/src/util/number.rs
+++ b/crates/acaciabay/src/util/number.rs
@@ -12,6 +12,15 @@
     value.ceil() as u64
 }
 
+/// Rounds `value` to the nearest integer; NaN yields 0.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "float-to-integer casts saturate, which is the right result for an estimate out of range"
+)]
+pub fn rounded(value: f64) -> i64 {
+    value.round() as i64
+}
+
 /// Converts a duration to whole milliseconds, the unit used in messages and logs.
 pub fn whole_millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/acaciabay/tests/serving/fixtures.rs
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -107,6 +107,7 @@
         name: name.into(),
         keys: keys.iter().map(ContentDigest::of).collect(),
         priority: None,
+        allowance: None,
     }
 }
 
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Tests of serving by host and path. Each decision is compared with its expected result, and some with a naive
 //! implementation.
 
+mod allowances;
 mod cached_parts;
 mod clock;
 mod config;
