Report endings at once also while a renewal is on its way

Cause: the report of an ending was asked for by a notification that only a waiting session takes. A session that was sending, or whose last renewal was not answered yet, told the leader a renewal interval later (the interface by route and pool lost the notification whenever a renewal was on its way).

Change: a counter in place of the notification, and a renewal at once after an answer if something is unreported. Two events say when evidence was received (E0338) and committed (E0339), each with its age. SuspectView::has_uncommitted, unused, goes. An entry's own uncommitted endings have a test now: own_endings returning 0 failed none before, and fails own_endings_make_a_call_suspect_before_they_are_committed now.

Announcing a quarantine before its commit is not needed for this: a received ending already keeps other entries from trying the call (TrialTable::record_ending).

--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -15,6 +15,7 @@
 use acaciabay::core::serving::suspect_table::{EndingEvidence, SuspectCall, SuspectTable, SuspectUpdate};
 use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
 use acaciabay::core::serving::trial_table::TrialTable;
+use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use slog::Logger;
@@ -37,6 +38,8 @@
 #[derive(Debug, Default)]
 struct PendingReports {
     evidence: Vec<EndingEvidence>,
+    /// Time at which the first of this evidence was received.
+    received_at: Option<BootTime>,
     answered: Vec<CallFingerprint>,
     progress: BTreeMap<HostName, EvidenceProgress>,
     trials: TrialTable,
@@ -62,6 +65,7 @@
             if number > progress.received {
                 self.trials.record_ending(now, evidence.call.fingerprint);
                 self.evidence.push(evidence);
+                self.received_at.get_or_insert(now);
                 progress.received = number;
             }
         }
@@ -117,10 +121,19 @@
         report: SuspectReport,
     ) -> SuspectAnswer {
         let table = (report.version != suspects.version).then(|| suspects.published_table());
+        self.log_received(host, &report);
         let answer = self.pending.lock().add(boot_now(), host, start, report);
         SuspectAnswer { table, ..answer }
     }
 
+    fn log_received(&self, host: &HostName, report: &SuspectReport) {
+        let Some(newest) = report.evidence.last() else { return };
+        let now_ms = wall_nanos() / 1_000_000;
+        slog::info!(self.log, "evidence received"; "event" => event::EVIDENCE_RECEIVED, "entry" => host.as_str(),
+            "first" => report.first_ending, "last" => report.first_ending + report.evidence.len() as u64 - 1,
+            "ended_ms" => now_ms.saturating_sub(newest.ending.ended_ms));
+    }
+
     /// Commits updates while this replica leads, until `stop` is cancelled.
     pub(crate) async fn run(self: Arc<Self>, stop: CancellationToken) {
         loop {
@@ -134,8 +147,14 @@
             let Some((update, taken)) = self.next_update() else {
                 continue;
             };
+            let endings = update.evidence.len();
+            let received_at = self.pending.lock().received_at.take();
             if self.commit(update).await.is_ok() {
                 self.pending.lock().confirm(&taken);
+                if let Some(received_at) = received_at {
+                    slog::info!(self.log, "evidence committed"; "event" => event::EVIDENCE_COMMITTED,
+                        "endings" => endings, "waited_ms" => whole_millis(boot_now().since(received_at)));
+                }
             } else {
                 // Entries tell the next leader again, or this one if it still leads.
                 *self.pending.lock() = PendingReports::default();
--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -51,6 +51,7 @@
     let mut status = entry.link.status();
     let mut mark = 0;
     let mut connection = status.borrow().connection;
+    let mut reports_due = entry.suspects.reports_due();
     loop {
         let latest = *status.borrow_and_update();
         if latest.connection != connection {
@@ -58,6 +59,7 @@
             mark = 0;
             connection = latest.connection;
         }
+        reports_due.mark_unchanged();
         let asked_at = boot_now();
         let call = EntryCall::Renew(lease_request(entry, mark));
         let renewal = match entry.link.call(call, "").await? {
@@ -83,7 +85,7 @@
         }
         tokio::select! {
             _changed = status.changed() => {}
-            () = entry.suspects.report_due() => {}
+            _ = reports_due.changed() => {}
             () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
         }
     }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -17,7 +17,8 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames, suspect_answer_from_wire, use_from_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames,
+    suspect_answer_from_wire, use_from_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
@@ -31,7 +32,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::config_install::{ReceivedConfig, ReplicaSession};
-use super::endpoint_news::{apply_allowances, apply_endpoint_news, apply_resting_engines, apply_suspects};
+use super::endpoint_news::{
+    apply_allowances, apply_endpoint_news, apply_resting_engines, apply_suspects,
+};
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
 
@@ -157,8 +160,10 @@
         session: &Mutex<ReplicaSession>,
     ) -> std::io::Result<()> {
         let mut renewal_triggers = self.renewal_triggers.subscribe();
+        let mut reports_due = self.shared.suspects.reports_due();
         loop {
             renewal_triggers.mark_unchanged();
+            reports_due.mark_unchanged();
             let now = boot_now();
             self.clear_overdue_leader(now, address, session);
             let should_ask = self.replicas.lock().should_ask(now, address);
@@ -174,7 +179,7 @@
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
                 _ = renewal_triggers.changed() => {}
-                () = self.shared.suspects.report_due() => {}
+                _ = reports_due.changed() => {}
             }
         }
     }
@@ -310,6 +315,10 @@
         self.shared
             .suspects
             .apply_answer(suspects.map_err(|_malformed| std::io::ErrorKind::InvalidData)?);
+        // A report was due while this renewal was on its way.
+        if self.shared.suspects.has_unreported() {
+            self.trigger_renewals();
+        }
         let mut state = self.shared.state();
         state.allowances.confirm(received.requested_at);
         // Another replica has meanwhile sent a newer configuration, so this answer confirms an outdated one.
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -27,7 +27,7 @@
 use futures::future::join_all;
 use parking_lot::Mutex;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 /// Interval at which breaks are examined while there are any.
@@ -104,7 +104,9 @@
     state: Mutex<TrackerState>,
     log: Logger,
     break_recorded: Notify,
-    report_due: Notify,
+    /// Counter of the times at which the leader was to be told something at once. A counter, because a notification is lost
+    /// on a session that is just sending.
+    reports_due: watch::Sender<u64>,
     /// Notified when the leader has answered a report or sent a table.
     news: Notify,
 }
@@ -115,14 +117,23 @@
             state: Mutex::default(),
             log,
             break_recorded: Notify::new(),
-            report_due: Notify::new(),
+            reports_due: watch::Sender::new(0),
             news: Notify::new(),
         })
     }
 
-    /// Waits until the leader is to be told something at once.
-    pub(crate) async fn report_due(&self) {
-        self.report_due.notified().await;
+    /// Returns a receiver that changes when the leader is to be told something at once.
+    pub(crate) fn reports_due(&self) -> watch::Receiver<u64> {
+        self.reports_due.subscribe()
+    }
+
+    fn request_report(&self) {
+        self.reports_due.send_modify(|count| *count += 1);
+    }
+
+    /// Returns true if the leader has to be told something that no report has contained yet.
+    pub(crate) fn has_unreported(&self) -> bool {
+        self.state.lock().view.has_unreported()
     }
 
     /// Returns what the leader has to be told with the next renewal.
@@ -204,7 +215,7 @@
             if self.state.lock().view.begin_trial(boot_now(), fingerprint) {
                 return true;
             }
-            self.report_due.notify_waiters();
+            self.request_report();
             news.await;
             // The answer to a report that was on its way does not know of the call yet.
             tokio::time::sleep(TRIAL_INTERVAL).await;
@@ -219,7 +230,7 @@
         }
         state.view.end_trial(fingerprint);
         drop(state);
-        self.report_due.notify_waiters();
+        self.request_report();
         self.news.notify_waiters();
     }
 
@@ -232,7 +243,7 @@
         state.breaks.forget(&fingerprint);
         if state.view.record_whole_answer(fingerprint) {
             drop(state);
-            self.report_due.notify_waiters();
+            self.request_report();
         }
     }
 
@@ -320,7 +331,7 @@
                 "fingerprint" => %fingerprint, "by" => "this entry");
         }
         drop(state);
-        self.report_due.notify_waiters();
+        self.request_report();
     }
 
     fn log_break(&self, now: BootTime, broken: &BrokenAttempt, verdict: BreakVerdict) {
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -149,6 +149,10 @@
     CALL_QUARANTINED = "E0336";
     /// A quarantine was lifted, expired, or refuted by a whole answer.
     QUARANTINE_ENDED = "E0337";
+    /// Evidence against calls was received from an entry.
+    EVIDENCE_RECEIVED = "E0338";
+    /// Evidence against calls was committed.
+    EVIDENCE_COMMITTED = "E0339";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -84,6 +84,8 @@
     published: SuspectTable,
     uncommitted: VecDeque<UncommittedEvidence>,
     last_number: u64,
+    /// Number of the last piece of evidence that a report contained.
+    last_reported: u64,
     watched: BTreeMap<CallFingerprint, WatchedCall>,
     answered: BTreeSet<CallFingerprint>,
     /// Calls that this entry holds back until the leader has committed its evidence and judged them.
@@ -223,6 +225,7 @@
 
     /// Returns what the leader has to be told with the next renewal. Whole answers are told only once.
     pub fn take_report(&mut self) -> SuspectReport {
+        self.last_reported = self.last_number;
         let evidence = self.uncommitted.iter().map(|waiting| waiting.evidence.clone());
         SuspectReport {
             version: self.published.version,
@@ -245,9 +248,12 @@
         quarantined.unwrap_or_default()
     }
 
-    /// Returns true if evidence waits to be committed.
-    pub fn has_uncommitted(&self) -> bool {
-        !self.uncommitted.is_empty()
+    /// Returns true if the leader has to be told something that no report has contained yet.
+    pub fn has_unreported(&self) -> bool {
+        self.last_number > self.last_reported
+            || !self.answered.is_empty()
+            || !self.wanted_trials.is_empty()
+            || !self.ended_trials.is_empty()
     }
 
     /// Removes the evidence up to this number, which is committed.
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -627,3 +627,32 @@
         }
     }
 }
+
+/// An ending is found while a renewal is on its way, and the leader hears of it only with the one after the next.
+#[test]
+fn evidence_after_a_report_is_known_to_be_unreported() {
+    let mut view = SuspectView::default();
+    let was_unreported = view.has_unreported();
+    view.record_ending(at(0), ending(1, 1, 1_000, 50));
+    let is_unreported = view.has_unreported();
+    view.take_report();
+    let after_report = view.has_unreported();
+    view.record_ending(at(10), ending(1, 2, 1_010, 50));
+
+    assert_eq!((was_unreported, is_unreported, after_report), (false, true, false));
+    assert!(view.has_unreported());
+}
+
+/// Two engines end under a call, and the entry sends it to a third one before the leader has committed the endings.
+#[test]
+fn own_endings_make_a_call_suspect_before_they_are_committed() {
+    let mut view = SuspectView::default();
+    view.record_ending(at(0), ending(1, 1, 1_000, 50));
+    view.judge();
+    let after_one = view.standing(&fingerprint(1));
+    view.record_ending(at(100), ending(1, 2, 1_100, 50));
+    view.judge();
+
+    assert_eq!(after_one, CallStanding::Unsuspected);
+    assert_eq!(view.standing(&fingerprint(1)), CallStanding::Suspected);
+}
