Pass reports without news on as numbers, and share frames between sessions

Cause: every report of an endpoint went to every session as a row of its own, encoded for each: at 301 entries and 3,000 endpoints about 150,000 rows a second a replica. A session that lagged, or began, got a copy of all rows: the processes of the group ran out of memory.

Ruled out: the work of others in renewals' answers, summed anew for each entry (entries times entries in processor time, few bytes).

Change: an endpoint has a number in the messages of a replica; reports without news are collected for 0.4 s and sent as numbers. Frames to all sessions are encoded once; sessions that begin together share the frames with all endpoints, 64 rows each. The work of all entries is a sum that is updated by what changes. Sessions of an earlier release get rows as before.

--- a/crates/acacia-control/src/serving/observer.rs
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -13,7 +13,8 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello};
-use acacia_wire::{CONNECT_TIMEOUT, endpoint_from_wire, split_frames};
+use acacia_wire::{CONNECT_TIMEOUT, MESSAGE_REVISION, endpoint_from_wire, split_frames};
+use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -80,16 +81,28 @@
         start: 0,
         entry: false,
         takes_deltas: false,
+        revision: MESSAGE_REVISION,
     };
     writer.send(Frame::ServingHello(hello)).await?;
+    let mut handles = ReceivedHandles::default();
     while let Some(frame) = reader.next_within(SILENCE_LIMIT).await? {
         let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
             return Err(std::io::ErrorKind::InvalidData.into());
         };
-        let Body::News(news) = body else { continue };
+        let news = match body {
+            Body::News(news) => news,
+            Body::Reported(reports) => {
+                shared.record_unchanged(&handles, &reports);
+                continue;
+            }
+            _ => continue,
+        };
         for row in &news.rows {
             match endpoint_from_wire(row) {
-                Ok((name, endpoint)) => shared.record_relayed_report(&name, endpoint),
+                Ok((name, endpoint)) => {
+                    handles.record(EndpointHandle(row.handle), name.clone(), endpoint.incarnation);
+                    shared.record_relayed_report(&name, endpoint);
+                }
                 Err(error) => {
                     slog::warn!(shared.log, "malformed endpoint report"; "event" => event::MESSAGE_REFUSED,
                         "from" => address, "error" => %error);
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -187,7 +187,7 @@
         traffic.wait_us = traffic.wait_us.max(demand.wait_us);
     }
     let work = request.uses.iter().map(use_from_wire).collect();
-    let known = soft.entries.remove(&host);
+    let known = soft.entry(&host).cloned();
     // A renewal names only services with calls since the last one, so the other paces are kept.
     let mut paces = known.map(|row| row.paces).unwrap_or_default();
     let measured = request.demands.iter();
@@ -199,9 +199,9 @@
         silent: request.silent.iter().map(|name| name.as_str().into()).collect(),
         paces,
     };
-    soft.entries.insert(host.clone(), state);
+    soft.set_entry(&host, state);
     let entries = u32::try_from(soft.live_entries(now)).unwrap_or(u32::MAX);
-    let others = soft.work_except(Some(&host));
+    let others = soft.work_except(&host);
     let others = others.iter().map(|(name, work)| use_to_wire(name, *work));
     (entries, others.collect())
 }
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -8,7 +8,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{Leadership, ReplicaAddresses, ServingFrame, ServingHello, SignOfLife};
-use acacia_wire::{FrameReader, FrameWriter};
+use acacia_wire::{EncodedFrame, FrameReader, FrameWriter};
 use acaciabay::core::clock::BootTime;
 use acaciabay::util::number::whole_millis;
 use tokio::net::TcpStream;
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::renewals::{SentState, answer_renewal};
-use super::shared::ControlShared;
+use super::shared::{ControlShared, encoded_frame};
 
 /// Interval of keepalive messages, from whose absence the other side detects a dead connection.
 pub(super) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
@@ -37,7 +37,7 @@
     let ended = tokio::select! {
         ended = read_frames(reader, &shared, &hello, frames.clone()) => ended,
         ended = write_frames(writer, queue, &shared, &hello) => ended,
-        () = send_updates(&shared, frames) => Ok(()),
+        () = send_updates(&shared, &hello, frames) => Ok(()),
     };
     slog::info!(shared.log, "session ended"; "event" => event::SESSION_ENDED,
         "peer" => &hello.host, "start" => hello.start, "outcome" => ?ended.as_ref().err());
@@ -68,7 +68,7 @@
 /// A frame in the queue of a connection.
 #[derive(Debug)]
 struct QueuedFrame {
-    body: Body,
+    frame: EncodedFrame,
     /// Number of the configuration that the frame carries, if any, and the time at which it was queued.
     queued_config: Option<(u64, BootTime)>,
 }
@@ -79,19 +79,28 @@
             Body::Renewed(renewed) => renewed.content.as_ref().map(|_| (renewed.config_number, now)),
             _ => None,
         };
-        Self { body, queued_config }
+        Self {
+            frame: encoded_frame(body),
+            queued_config,
+        }
     }
 }
 
-impl From<Body> for QueuedFrame {
-    fn from(body: Body) -> Self {
+impl From<EncodedFrame> for QueuedFrame {
+    fn from(frame: EncodedFrame) -> Self {
         Self {
-            body,
+            frame,
             queued_config: None,
         }
     }
 }
 
+impl From<Body> for QueuedFrame {
+    fn from(body: Body) -> Self {
+        encoded_frame(body).into()
+    }
+}
+
 async fn write_frames(
     mut writer: FrameWriter<TcpStream>,
     mut queue: mpsc::Receiver<QueuedFrame>,
@@ -109,10 +118,10 @@
             }
         };
         let mut queued_config = frame.queued_config;
-        writer.feed(serving_frame(frame.body)).await?;
+        writer.feed_encoded(frame.frame).await?;
         while let Ok(frame) = queue.try_recv() {
             queued_config = queued_config.or(frame.queued_config);
-            writer.feed(serving_frame(frame.body)).await?;
+            writer.feed_encoded(frame.frame).await?;
         }
         writer.flush().await?;
         if let Some((number, since)) = queued_config {
@@ -128,40 +137,42 @@
     })
 }
 
-pub(super) const fn serving_frame(body: Body) -> Frame {
-    Frame::Serving(ServingFrame { body: Some(body) })
-}
-
 /// Sends all endpoints, and then every change until the session ends: endpoints, replica addresses, leadership of this
 /// replica, and the number of the configuration.
-async fn send_updates(shared: &Arc<ControlShared>, frames: mpsc::Sender<QueuedFrame>) {
+async fn send_updates(shared: &Arc<ControlShared>, hello: &ServingHello, frames: mpsc::Sender<QueuedFrame>) {
     let mut updates = shared.subscribe();
     let mut numbers = shared.group.serving_config_numbers();
     let mut suspects = shared.group.suspects_versions();
     let mut status = shared.group.status();
     let mut addresses = Vec::new();
     let mut was_leading = false;
-    let first = Body::News(shared.all_endpoints());
-    if frames.send(first.into()).await.is_err() {
+    if !send_all_endpoints(shared, &frames).await {
         return;
     }
     numbers.mark_changed();
     status.mark_changed();
     loop {
-        let body = tokio::select! {
+        let frame: QueuedFrame = tokio::select! {
             received = updates.recv() => match received {
-                Ok(update) => update.as_ref().clone(),
-                Err(RecvError::Lagged(_)) => Body::News(shared.all_endpoints()),
+                Ok(update) if update.revision <= hello.revision => update.frame.clone().into(),
+                Ok(update) if update.reported.is_empty() => continue,
+                Ok(update) => shared.rows_of(&update.reported).into(),
+                Err(RecvError::Lagged(_)) => {
+                    if !send_all_endpoints(shared, &frames).await {
+                        return;
+                    }
+                    continue;
+                }
                 Err(RecvError::Closed) => return,
             },
-            Ok(()) = numbers.changed() => Body::NewerConfig(numbers.borrow_and_update().0),
+            Ok(()) = numbers.changed() => Body::NewerConfig(numbers.borrow_and_update().0).into(),
             Ok(()) = suspects.changed() => {
                 suspects.mark_unchanged();
                 // Each entry has a session with every replica, and needs the table only once.
                 if status.borrow().leading_since.is_none() {
                     continue;
                 }
-                Body::Suspects(shared.published_suspects())
+                Body::Suspects(shared.published_suspects()).into()
             }
             Ok(()) = status.changed() => {
                 let (leads, voters) = {
@@ -177,16 +188,26 @@
                     continue;
                 }
                 addresses.clone_from(&voters);
-                Body::Replicas(ReplicaAddresses { addresses: voters })
+                Body::Replicas(ReplicaAddresses { addresses: voters }).into()
             },
             else => return,
         };
-        if frames.send(body.into()).await.is_err() {
+        if frames.send(frame).await.is_err() {
             return;
         }
     }
 }
 
+/// Sends all endpoints. Returns false if the session has ended.
+async fn send_all_endpoints(shared: &ControlShared, frames: &mpsc::Sender<QueuedFrame>) -> bool {
+    for frame in shared.all_endpoints(boot_now()).await {
+        if frames.send(frame.into()).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 fn voter_addresses(members: &acaciabay::core::consensus::MemberSet) -> Vec<String> {
     let voters = members.rows().filter(|(_, row)| row.voter);
     voters.map(|(_, row)| row.address.clone()).collect()
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -8,21 +8,26 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_settings::ServingControlSettings;
+use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
-use acacia_wire::generated::serving::{EndpointNews, RestingEngine, RestingEngines};
+use acacia_wire::generated::serving::{
+    EndpointNews, EndpointReports, EndpointRow, RestingEngine, RestingEngines, ServingFrame,
+};
 use acacia_wire::generated::state;
-use acacia_wire::{endpoint_to_wire, suspects_to_wire};
+use acacia_wire::{EncodedFrame, MESSAGE_REVISION, endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptLog;
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
 use acaciabay::core::serving::config_transfer::ConfigDocument;
+use acaciabay::core::serving::endpoint_handles::{EndpointHandle, HandleTable, ReceivedHandles};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{
     EndpointIncarnation, EndpointRegistry, ReportEffect, ServingEndpoint,
 };
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::start_counts::GatheredRow;
+use acaciabay::core::serving::work_sums::WorkSums;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 use tokio::sync::broadcast;
@@ -35,6 +40,10 @@
 
 /// Maximum number of updates that a session may lag behind. Beyond it, the session sends all endpoints again.
 const MAX_QUEUED_UPDATES: usize = 1_024;
+/// Shortest interval at which the frames with all endpoints are made anew.
+const FRAMES_INTERVAL: Duration = Duration::from_millis(100);
+/// Endpoints in one of these frames. A connection buffers one frame at a time.
+const ROWS_PER_FRAME: usize = 64;
 /// Time from the creation of [`ControlShared`] until the registry counts as complete. Endpoints report about once a
 /// second, and send their first report up to two seconds after the group has begun to answer. If the group begins to
 /// answer only after that creation, the delay falls within this value too.
@@ -73,7 +82,9 @@
 #[derive(Debug, Default)]
 pub(super) struct SoftState {
     pub(super) registry: EndpointRegistry,
-    pub(super) entries: BTreeMap<HostName, EntryState>,
+    pub(super) handles: HandleTable,
+    entries: BTreeMap<HostName, EntryState>,
+    work_sums: WorkSums,
     /// Counts of started calls that entries have reported and that are not committed yet.
     pub(super) uncommitted_counts: Vec<GatheredRow>,
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
@@ -89,10 +100,29 @@
     /// Removes the entries whose last renewal is at least [`ENTRY_TIMEOUT`] ago, and returns the number of the
     /// remaining entries.
     pub(super) fn live_entries(&mut self, now: BootTime) -> usize {
-        self.entries.retain(|_, row| now.since(row.heard_at) < ENTRY_TIMEOUT);
+        let sums = &mut self.work_sums;
+        self.entries.retain(|_, row| {
+            let is_live = now.since(row.heard_at) < ENTRY_TIMEOUT;
+            if !is_live {
+                sums.replace(&row.work, &[]);
+            }
+            is_live
+        });
         self.entries.len()
     }
 
+    /// Returns the state that an entry sent with its last renewal.
+    pub(super) fn entry(&self, host: &HostName) -> Option<&EntryState> {
+        self.entries.get(host)
+    }
+
+    /// Replaces the state of an entry.
+    pub(super) fn set_entry(&mut self, host: &HostName, state: EntryState) {
+        let old = self.entries.get(host).map_or(&[][..], |old| &old.work);
+        self.work_sums.replace(old, &state.work);
+        self.entries.insert(host.clone(), state);
+    }
+
     /// Returns the prefill time per token of a service in milliseconds: the median over the entries, or 0 before the
     /// first measurement.
     pub(super) fn prefill_ms_per_token(&self, service: &ServiceName) -> f64 {
@@ -110,6 +140,13 @@
         silences.max().unwrap_or_default()
     }
 
+    /// Removes endpoints that have not reported for a long time.
+    pub(super) fn forget_silent(&mut self, now: BootTime) {
+        let Self { registry, handles, .. } = self;
+        registry.remove_expired(now);
+        handles.retain_registered(registry);
+    }
+
     /// Returns true if any entry has a running call at an endpoint.
     pub(super) fn has_calls(&self) -> bool {
         self.entries.values().any(|row| !row.work.is_empty())
@@ -121,19 +158,74 @@
         shared_suspicions(rows.flat_map(|row| row.silent.iter().map(|endpoint| (&row.domain, endpoint))))
     }
 
-    /// Returns the work that entries have at each endpoint, summed over all entries except `host`.
-    pub(super) fn work_except(&self, host: Option<&HostName>) -> BTreeMap<EndpointName, EndpointWork> {
-        let mut sums: BTreeMap<EndpointName, EndpointWork> = BTreeMap::new();
-        for (_, row) in self.entries.iter().filter(|(name, _)| Some(*name) != host) {
-            for (endpoint, own) in &row.work {
-                let sum = sums.entry(endpoint.clone()).or_default();
-                *sum = sum.plus(*own);
+    /// Returns the work that all entries except `host` have at each endpoint.
+    pub(super) fn work_except(&self, host: &HostName) -> BTreeMap<EndpointName, EndpointWork> {
+        let own = self.entries.get(host).map_or(&[][..], |row| &row.work);
+        self.work_sums.without(own)
+    }
+
+    /// Returns the work that all entries have at each endpoint.
+    pub(super) const fn work(&self) -> &BTreeMap<EndpointName, EndpointWork> {
+        self.work_sums.all()
+    }
+}
+
+/// A message to all sessions, encoded once.
+#[derive(Debug)]
+pub(super) struct SessionUpdate {
+    pub(super) frame: EncodedFrame,
+    /// Revision of the messages that a session must understand.
+    pub(super) revision: u32,
+    /// Endpoints that the message is about, if it stands for their rows.
+    pub(super) reported: Vec<EndpointHandle>,
+}
+
+impl SessionUpdate {
+    fn new(body: Body) -> Self {
+        let (revision, reported) = match &body {
+            Body::Reported(reports) => {
+                let handles = reports.handles.iter().copied().map(EndpointHandle);
+                (MESSAGE_REVISION, handles.collect())
             }
+            Body::Allowances(_) => (MESSAGE_REVISION, Vec::new()),
+            _ => (0, Vec::new()),
+        };
+        Self {
+            frame: encoded_frame(body),
+            revision,
+            reported,
         }
-        sums
     }
 }
 
+/// Frames with all endpoints, and the time at which they were made.
+#[derive(Debug, Default)]
+struct EndpointFrames {
+    made_at: BootTime,
+    frames: Vec<EncodedFrame>,
+}
+
+/// Returns frames with the rows; an empty one if there are none.
+fn news_frames(rows: &[EndpointRow]) -> Vec<EncodedFrame> {
+    let mut frames = Vec::new();
+    let mut rest = rows;
+    loop {
+        let (chunk, after) = rest.split_at(rest.len().min(ROWS_PER_FRAME));
+        rest = after;
+        frames.push(encoded_frame(Body::News(EndpointNews {
+            rows: chunk.to_vec(),
+            more: !rest.is_empty(),
+        })));
+        if rest.is_empty() {
+            return frames;
+        }
+    }
+}
+
+pub(super) fn encoded_frame(body: Body) -> EncodedFrame {
+    EncodedFrame::new(Frame::Serving(ServingFrame { body: Some(body) }))
+}
+
 /// Settings, handles and soft state that the tasks of a control process share.
 #[derive(Debug)]
 pub(super) struct ControlShared {
@@ -144,8 +236,9 @@
     pub(super) platform: Arc<dyn PlatformCodec>,
     pub(super) log: Logger,
     started_at: BootTime,
-    updates: broadcast::Sender<Arc<Body>>,
+    updates: broadcast::Sender<Arc<SessionUpdate>>,
     soft_state: Mutex<SoftState>,
+    endpoint_frames: Mutex<EndpointFrames>,
     config_cache: Mutex<ConfigCache>,
 }
 
@@ -168,6 +261,7 @@
             started_at: boot_now(),
             updates: broadcast::Sender::new(MAX_QUEUED_UPDATES),
             soft_state: Mutex::default(),
+            endpoint_frames: Mutex::default(),
             config_cache: Mutex::default(),
         }
     }
@@ -183,7 +277,7 @@
     }
 
     /// Subscribes to the updates that are broadcast to all sessions.
-    pub(super) fn subscribe(&self) -> broadcast::Receiver<Arc<Body>> {
+    pub(super) fn subscribe(&self) -> broadcast::Receiver<Arc<SessionUpdate>> {
         self.updates.subscribe()
     }
 
@@ -213,14 +307,33 @@
             .apply_relayed_report(boot_now(), name, endpoint);
     }
 
+    /// Records the endpoints that another replica has heard without anything new.
+    pub(super) fn record_unchanged(&self, handles: &ReceivedHandles, reports: &EndpointReports) {
+        let now = boot_now();
+        let mut soft = self.soft_state();
+        let reported = reports
+            .handles
+            .iter()
+            .filter_map(|handle| handles.get(EndpointHandle(*handle)));
+        for (name, incarnation) in reported {
+            soft.registry.record_unchanged(now, name, incarnation);
+        }
+    }
+
     fn broadcast_endpoint(&self, name: &EndpointName, effect: ReportEffect) {
-        let soft = self.soft_state();
-        let Some(endpoint) = soft.registry.get(name) else {
+        let mut soft = self.soft_state();
+        let SoftState { registry, handles, .. } = &mut *soft;
+        let Some(endpoint) = registry.get(name) else {
             return;
         };
         match effect {
             ReportEffect::Ignored => return,
-            ReportEffect::Unchanged => {}
+            ReportEffect::Unchanged => {
+                if let Some(handle) = handles.get(name) {
+                    handles.record_report(handle);
+                    return;
+                }
+            }
             ReportEffect::Changed => {
                 slog::info!(self.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
                     "endpoint" => name.as_str(), "service" => endpoint.service.as_str(),
@@ -228,31 +341,85 @@
                     "birth" => endpoint.incarnation.0, "sequence" => endpoint.sequence);
             }
         }
-        let rows = vec![endpoint_to_wire(name, endpoint)];
-        // Sending fails if there is no session. A session that begins later starts with all endpoints.
-        let _no_receiver = self.updates.send(Arc::new(Body::News(EndpointNews { rows })));
+        let rows = vec![EndpointRow {
+            handle: handles.assign(name).0,
+            ..endpoint_to_wire(name, endpoint)
+        }];
+        self.broadcast(Body::News(EndpointNews { rows, more: false }));
+    }
+
+    /// Broadcasts which endpoints have reported nothing new since the last call.
+    pub(super) fn broadcast_reports(&self) {
+        let reported = self.soft_state().handles.take_reported();
+        if reported.is_empty() {
+            return;
+        }
+        let handles = reported.into_iter().map(|handle| handle.0).collect();
+        self.broadcast(Body::Reported(EndpointReports { handles }));
     }
 
-    /// Broadcasts a message to all sessions.
+    /// Broadcasts a message to all sessions that understand it.
     pub(super) fn broadcast(&self, body: Body) {
-        let _no_receiver = self.updates.send(Arc::new(body));
+        let update = SessionUpdate::new(body);
+        // Sending fails if there is no session. A session that begins later starts with all endpoints.
+        let _no_receiver = self.updates.send(Arc::new(update));
     }
 
     /// Broadcasts to all sessions the engines that take no calls until they have carried out an order. Entries should
     /// learn of an order before the engine does, but nothing here enforces that sequence. An entry that learned of it
     /// only from the engine's next report would send calls to the engine in vain for a second.
     pub(super) fn broadcast_resting(&self, engines: Vec<RestingEngine>) {
-        let _no_receiver = self.updates.send(Arc::new(Body::Resting(RestingEngines { engines })));
+        self.broadcast(Body::Resting(RestingEngines { engines }));
     }
 
-    /// Returns all endpoints, for the beginning of a session.
-    pub(super) fn all_endpoints(&self) -> EndpointNews {
+    /// Returns the rows of endpoints, for a session that does not understand their handles.
+    pub(super) fn rows_of(&self, handles: &[EndpointHandle]) -> Body {
         let soft = self.soft_state();
-        let rows = soft
-            .registry
+        let rows = handles.iter().filter_map(|handle| {
+            let name = soft.handles.name(*handle)?;
+            Some(endpoint_to_wire(name, soft.registry.get(name)?))
+        });
+        Body::News(EndpointNews {
+            rows: rows.collect(),
+            more: false,
+        })
+    }
+
+    /// Returns all endpoints as they are at `asked_at` or later, for the beginning of a session.
+    ///
+    /// Sessions that begin together share the encoded frames: after the loss of all hosts every entry comes back at
+    /// once, and a copy for each would take the memory of the process.
+    pub(super) async fn all_endpoints(&self, asked_at: BootTime) -> Vec<EncodedFrame> {
+        loop {
+            if let Some(frames) = self.endpoint_frames(boot_now(), asked_at) {
+                return frames;
+            }
+            tokio::time::sleep(FRAMES_INTERVAL / 4).await;
+        }
+    }
+
+    /// Returns the frames with all endpoints, if they were made after `asked_at` or may be made now.
+    fn endpoint_frames(&self, now: BootTime, asked_at: BootTime) -> Option<Vec<EncodedFrame>> {
+        let mut frames = self.endpoint_frames.lock();
+        if frames.made_at > asked_at {
+            return Some(frames.frames.clone());
+        }
+        if now <= asked_at || now.since(frames.made_at) < FRAMES_INTERVAL {
+            return None;
+        }
+        let mut soft = self.soft_state();
+        let SoftState { registry, handles, .. } = &mut *soft;
+        let rows: Vec<EndpointRow> = registry
             .rows()
-            .map(|(name, endpoint)| endpoint_to_wire(name, endpoint));
-        EndpointNews { rows: rows.collect() }
+            .map(|(name, endpoint)| EndpointRow {
+                handle: handles.assign(name).0,
+                ..endpoint_to_wire(name, endpoint)
+            })
+            .collect();
+        drop(soft);
+        frames.frames = news_frames(&rows);
+        frames.made_at = now;
+        Some(frames.frames.clone())
     }
 
     /// Returns the configuration in force, or `None` if there is none or it cannot be parsed. A configuration that was
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -157,7 +157,7 @@
         .filter(|(_, endpoint)| endpoint.stage.is_some())
         .map(|(name, endpoint)| (name.clone(), endpoint.clone()))
         .collect();
-    let uses = soft.work_except(None);
+    let uses = soft.work();
     let mut present = StreamDemand::default();
     for (name, _) in engines.iter().filter(|(_, endpoint)| is_decode_engine(endpoint)) {
         let work = uses.get(name).copied().unwrap_or_default();
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -35,6 +35,9 @@
 
 /// Time without a leader after which a replica asks whether it still belongs to the group.
 const NO_LEADER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which the reports without news are passed on. It adds to the age of an endpoint's last report, which
+/// counts as silent after seconds.
+const REPORTS_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval at which endpoints that have not reported for a long time are removed from the registry.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -191,6 +194,7 @@
     tasks.spawn(broadcast_allowances(Arc::clone(shared), stop.clone()));
     tasks.spawn(run_duties(Arc::clone(shared), stop.clone()));
     tasks.spawn(Arc::clone(&shared.suspects).run(stop.clone()));
+    tasks.spawn(broadcast_reports(Arc::clone(shared), stop.clone()));
     tasks.spawn(forget_silent_endpoints(Arc::clone(shared), stop.clone()));
     let (cache_shared, cache_stop) = (Arc::clone(shared), stop.clone());
     tasks.spawn(async move {
@@ -211,11 +215,20 @@
     tasks
 }
 
+async fn broadcast_reports(shared: Arc<ControlShared>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(REPORTS_INTERVAL) => shared.broadcast_reports(),
+        }
+    }
+}
+
 async fn forget_silent_endpoints(shared: Arc<ControlShared>, stop: CancellationToken) {
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = tokio::time::sleep(CLEANUP_INTERVAL) => shared.soft_state().registry.remove_expired(boot_now()),
+            () = tokio::time::sleep(CLEANUP_INTERVAL) => shared.soft_state().forget_silent(boot_now()),
         }
     }
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -17,12 +17,13 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, kept_from_wire, split_frames,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, kept_from_wire, split_frames,
     suspect_answer_from_wire, use_from_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
+use acaciabay::core::serving::endpoint_handles::ReceivedHandles;
 use acaciabay::core::serving::replica_tracker::{LEADER_TIMEOUT, ReplicaTracker};
 use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
@@ -33,7 +34,7 @@
 
 use super::config_install::{ReceivedConfig, ReplicaSession};
 use super::endpoint_news::{
-    apply_allowances, apply_endpoint_news, apply_resting_engines, apply_suspects,
+    apply_allowances, apply_endpoint_news, apply_reports, apply_resting_engines, apply_suspects,
 };
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
@@ -141,6 +142,7 @@
             start: self.start_id,
             entry: true,
             takes_deltas: true,
+            revision: MESSAGE_REVISION,
         };
         writer.send(Frame::ServingHello(hello)).await?;
         *was_open = true;
@@ -242,6 +244,7 @@
         mut reader: FrameReader<TcpStream>,
         session: &Mutex<ReplicaSession>,
     ) -> std::io::Result<()> {
+        let mut handles = ReceivedHandles::default();
         while let Some(frame) = reader.next_within(SILENCE_TIMEOUT).await? {
             let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
                 return Err(std::io::ErrorKind::InvalidData.into());
@@ -253,7 +256,8 @@
                     let named: Option<SocketAddr> = elsewhere.leader_address.parse().ok();
                     self.replicas.lock().record_not_leader(address, named);
                 }
-                Body::News(news) => apply_endpoint_news(&self.shared, &news),
+                Body::News(news) => apply_endpoint_news(&self.shared, &news, &mut handles),
+                Body::Reported(reports) => apply_reports(&self.shared, &reports, &handles),
                 Body::Replicas(replicas) => {
                     let voters: BTreeSet<_> = replicas.addresses.iter().filter_map(|text| text.parse().ok()).collect();
                     if !voters.is_empty() {
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -4,21 +4,22 @@
 
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_wire::generated::serving::{AllowanceTable, EndpointNews, RestingEngine, RestingEngines};
+use acacia_wire::generated::serving::{AllowanceTable, EndpointNews, EndpointReports, RestingEngine, RestingEngines};
 use acacia_wire::generated::state::SuspectTable;
 use acacia_wire::{allowance_row_from_wire, endpoint_from_wire, stage_from_wire, suspects_from_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
 use acaciabay::core::serving::endpoint_load::StageSwitch;
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect};
 
 use super::shared::EntryShared;
 
 /// Applies the reports that endpoints have sent to a replica.
-pub(super) fn apply_endpoint_news(shared: &EntryShared, news: &EndpointNews) {
+pub(super) fn apply_endpoint_news(shared: &EntryShared, news: &EndpointNews, handles: &mut ReceivedHandles) {
     let now = boot_now();
     let mut state = shared.state();
-    state.has_endpoints = true;
+    state.has_endpoints |= !news.more;
     for row in &news.rows {
         let (name, endpoint) = match endpoint_from_wire(row) {
             Ok(read) => read,
@@ -28,6 +29,7 @@
                 continue;
             }
         };
+        handles.record(EndpointHandle(row.handle), name.clone(), endpoint.incarnation);
         let phase = endpoint.phase;
         if state.registry.apply_relayed_report(now, &name, endpoint) == ReportEffect::Changed {
             slog::info!(shared.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
@@ -36,6 +38,19 @@
     }
 }
 
+/// Records the endpoints that a replica has heard without anything new.
+pub(super) fn apply_reports(shared: &EntryShared, reports: &EndpointReports, handles: &ReceivedHandles) {
+    let now = boot_now();
+    let mut state = shared.state();
+    let reported = reports
+        .handles
+        .iter()
+        .filter_map(|handle| handles.get(EndpointHandle(*handle)));
+    for (name, incarnation) in reported {
+        state.registry.record_unchanged(now, name, incarnation);
+    }
+}
+
 /// Replaces the set of engines that are changing their stage and therefore take no calls.
 pub(super) fn apply_resting_engines(shared: &EntryShared, resting: &RestingEngines) {
     let now = boot_now();
--- a/crates/acacia-wire/src/frame.rs
+++ b/crates/acacia-wire/src/frame.rs
@@ -143,6 +143,15 @@
         self.frames.feed(encode(frame)).await
     }
 
+    /// Adds one encoded frame to the connection's buffer, to be flushed with others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks.
+    pub async fn feed_encoded(&mut self, frame: EncodedFrame) -> io::Result<()> {
+        self.frames.feed(frame.0).await
+    }
+
     /// Waits until the connection has taken all that was fed.
     ///
     /// # Errors
@@ -153,6 +162,17 @@
     }
 }
 
+/// A frame as it is written. Connections that carry the same frame share its bytes.
+#[derive(Clone, Debug)]
+pub struct EncodedFrame(bytes::Bytes);
+
+impl EncodedFrame {
+    /// Encodes a frame.
+    pub fn new(frame: Frame) -> Self {
+        Self(encode(frame))
+    }
+}
+
 fn encode(frame: Frame) -> bytes::Bytes {
     PeerFrame { frame: Some(frame) }.encode_to_vec().into()
 }
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -25,7 +25,7 @@
     call_from_wire, call_to_wire,
 };
 pub use error::WireError;
-pub use frame::{CONNECT_TIMEOUT, FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
+pub use frame::{CONNECT_TIMEOUT, EncodedFrame, FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
 pub use replica_message::{
     entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire, message_from_wire, message_to_wire,
     snapshot_from_wire, snapshot_to_wire,
@@ -42,6 +42,9 @@
     suspects_from_wire, suspects_to_wire,
 };
 
+/// Revision of the messages between entries and replicas that this release understands, as a session's first message says.
+pub const MESSAGE_REVISION: u32 = 1;
+
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
 #[expect(clippy::pedantic, clippy::large_enum_variant, reason = "generated code")]
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -72,6 +72,7 @@
         reclaimable: endpoint.reclaimable,
         birth: endpoint.incarnation.0,
         sequence: endpoint.sequence,
+        handle: 0,
     }
 }
 
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -35,7 +35,9 @@
         }
     }
 
-    const fn minus(self, other: Self) -> Self {
+    /// Returns the difference of `self` and `other`, in which nothing is negative.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
         Self {
             unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
             calls: self.calls.saturating_sub(other.calls),
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Records that an endpoint has reported nothing new. A report of another incarnation than the stored one is ignored.
+    pub fn record_unchanged(&mut self, now: BootTime, name: &EndpointName, incarnation: EndpointIncarnation) {
+        if let Some(row) = self.rows.get_mut(name)
+            && row.endpoint.incarnation == incarnation
+        {
+            row.reported_at = now;
+        }
+    }
+
     /// Applies a report that another process has relayed. A departure is applied even if its sequence number is stale,
     /// since a departure has no number of its own; it does not affect a later incarnation.
     pub fn apply_relayed_report(
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -6,11 +6,13 @@
 //! * [`config_transfer`] sends configurations over a connection as deltas, and [`pending_renewals`] tracks the lease
 //!   renewals that an entry has requested.
 //! * [`endpoint_registry`] orders the reports of endpoints, which may arrive late, repeatedly and by several paths.
+//!   [`endpoint_handles`] numbers the endpoints in the messages of a replica.
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
 //!   [`allowance_gate`] admits calls at an entry.
+//! * [`work_sums`] adds up the work that all entries have at each endpoint.
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
 //! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
@@ -44,6 +46,7 @@
 pub mod config_index;
 pub mod config_transfer;
 pub mod duty;
+pub mod endpoint_handles;
 pub mod endpoint_load;
 pub mod endpoint_registry;
 pub mod event_stream;
@@ -65,3 +68,4 @@
 pub mod suspect_table;
 pub mod suspect_view;
 pub mod trial_table;
+pub mod work_sums;
