Let small calls pass where a bucket is nearly empty, and remember debts of the last leader

Cause: over its limit, a customer's calls were admitted with one probability. A bucket passes what it has room for: a booking of 200 tokens nearly always, a history of 17,000 seldom. And a new leader forgave what a bucket owed: a flood of ten times the rate ran 7,400 units where 6,640 are allowed once the leader was killed (allowances::a_flood_is_held_while_the_leader_is_killed, red twice beside load).

Ruled out: the exact cost of each call in the probability (7,400: calls of one size are then admitted at another rate than the leader meant); smallest first (starves the largest).

Change: entries report what is offered by cost class; the leader finds the scale under which an exponential probability of the class's cost admits what the bucket pays. Reports carry the debt of the last leader's row.

--- a/crates/acacia-control/src/serving/allowances.rs
+++ b/crates/acacia-control/src/serving/allowances.rs
@@ -127,7 +127,7 @@
 impl BroadcastState {
     /// Returns true if the rows are to be sent now, and assumes that they are.
     fn is_due(&mut self, now: BootTime, rows: &[AllowanceRow]) -> bool {
-        let has_limits = rows.iter().any(|row| row.admitted_fraction < 1.0);
+        let has_limits = rows.iter().any(AllowanceRow::is_limited);
         let has_rows = !rows.is_empty();
         let is_calm_due = now.since(self.sent_at) >= CALM_INTERVAL && (has_rows || self.had_rows);
         if !has_limits && !self.had_limits && !is_calm_due {
--- a/crates/acacia-entry/src/serving/allowance_charge.rs
+++ b/crates/acacia-entry/src/serving/allowance_charge.rs
@@ -85,7 +85,7 @@
 fn log_refusal(shared: &EntryShared, head: &CallHead, call: &AllowanceCall<'_>, refusal: &AllowanceRefusal) {
     slog::info!(shared.log, "allowance used up"; "event" => event::ALLOWANCE_USED_UP, "request" => &head.request,
         "customer" => call.customer.as_str(), "cost" => call.cost, "rate" => call.allowance.rate,
-        "burst" => call.allowance.burst, "level" => refusal.level, "fraction" => refusal.admitted_fraction,
+        "burst" => call.allowance.burst, "level" => refusal.level, "probability" => refusal.probability,
         "news_ms" => refusal.news_age.map(whole_millis), "retry_ms" => whole_millis(refusal.retry_after));
     metrics::counter!("acacia_allowance_refused_total", "customer" => call.customer.to_string()).increment(1);
 }
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -299,7 +299,7 @@
         let attempted_at = boot_now();
         let attempts = addresses
             .into_iter()
-            .map(async |address| (address, port_state(address).await));
+            .map(|address| async move { (address, port_state(address).await) });
         for (address, port) in join_all(attempts).await {
             self.state.lock().breaks.record_port(attempted_at, address, port);
         }
--- a/crates/acacia-wire/src/allowance_message.rs
+++ b/crates/acacia-wire/src/allowance_message.rs
@@ -3,13 +3,11 @@
 use std::time::Duration;
 
 use acaciabay::core::name::CustomerName;
-use acaciabay::core::serving::allowance::{AllowanceRow, CustomerUse, UsageReport, UsageRow};
+use acaciabay::core::serving::allowance::{AllowanceRow, CustomerUse, OfferedCost, UsageReport, UsageRow};
 use acaciabay::util::number::{round_up, rounded, whole_millis};
 
 use crate::generated::serving;
 
-/// Parts of a fraction of 1.
-const PPM: f64 = 1_000_000.0;
 const PERMILLE: f64 = 1_000.0;
 
 /// Encodes the use that an entry reports.
@@ -31,10 +29,11 @@
 fn usage_row_to_wire(row: &UsageRow) -> serving::UsageRow {
     serving::UsageRow {
         customer: row.customer.to_string(),
-        offered: row.total.offered,
+        offered: row.total.offered.0.to_vec(),
         taken: row.total.taken,
-        unconfirmed_offered: row.unconfirmed.offered,
+        unconfirmed_offered: row.unconfirmed.offered.0.to_vec(),
         unconfirmed_taken: row.unconfirmed.taken,
+        debt: row.debt,
     }
 }
 
@@ -42,21 +41,31 @@
     UsageRow {
         customer: CustomerName::new(&message.customer),
         total: CustomerUse {
-            offered: message.offered,
+            offered: offered_from_wire(&message.offered),
             taken: message.taken,
         },
         unconfirmed: CustomerUse {
-            offered: message.unconfirmed_offered,
+            offered: offered_from_wire(&message.unconfirmed_offered),
             taken: message.unconfirmed_taken,
         },
+        debt: message.debt,
     }
 }
 
+/// Decodes costs by class; what is missing was not offered.
+fn offered_from_wire(costs: &[u64]) -> OfferedCost {
+    OfferedCost(std::array::from_fn(|class| costs.get(class).copied().unwrap_or(0)))
+}
+
 /// Encodes a row of the allowance table.
 pub fn allowance_row_to_wire(row: &AllowanceRow) -> serving::AllowanceRow {
     serving::AllowanceRow {
         customer: row.customer.to_string(),
-        admitted_ppm: round_up(row.admitted_fraction * PPM),
+        cost_scale_milli: if row.is_limited() {
+            round_up(row.cost_scale * PERMILLE).max(1)
+        } else {
+            0
+        },
         level: rounded(row.level),
         headroom_permille: round_up(row.headroom * PERMILLE),
     }
@@ -66,7 +75,10 @@
 pub fn allowance_row_from_wire(message: &serving::AllowanceRow) -> AllowanceRow {
     AllowanceRow {
         customer: CustomerName::new(&message.customer),
-        admitted_fraction: message.admitted_ppm as f64 / PPM,
+        cost_scale: match message.cost_scale_milli {
+            0 => f64::INFINITY,
+            milli => milli as f64 / PERMILLE,
+        },
         level: message.level as f64,
         headroom: message.headroom_permille as f64 / PERMILLE,
     }
--- a/crates/acaciabay/src/core/serving/allowance.rs
+++ b/crates/acaciabay/src/core/serving/allowance.rs
@@ -51,12 +51,59 @@
     }
 }
 
+/// Number of cost classes.
+pub const COST_CLASSES: usize = 9;
+/// Costs below which a call belongs to a class; the last class has no bound.
+const CLASS_BOUNDS: [u64; COST_CLASSES - 1] = [256, 1_024, 2_048, 4_096, 8_192, 16_384, 32_768, 65_536];
+/// Typical cost of a call of each class.
+const CLASS_COSTS: [f64; COST_CLASSES] = [
+    200.0, 600.0, 1_500.0, 3_000.0, 6_000.0, 12_000.0, 24_000.0, 48_000.0, 90_000.0,
+];
+
+/// Cost of the calls that callers sent, by the cost of the single call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OfferedCost(pub [u64; COST_CLASSES]);
+
+impl OfferedCost {
+    /// Adds a call.
+    pub fn add(&mut self, cost: u64) {
+        let class = cost_class(cost);
+        self.0[class] = self.0[class].saturating_add(cost);
+    }
+
+    /// Returns what was added since an earlier state.
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Self {
+        let classes = std::array::from_fn(|class| self.0[class].saturating_sub(before.0[class]));
+        Self(classes)
+    }
+}
+
+fn cost_class(cost: u64) -> usize {
+    CLASS_BOUNDS.iter().filter(|bound| cost >= **bound).count()
+}
+
+impl UsageAllowance {
+    /// Returns the typical cost of calls of the class that a call of this cost belongs to, in units.
+    pub fn typical_cost(&self, cost: u64) -> f64 {
+        self.class_cost(cost_class(cost))
+    }
+
+    /// Returns the typical cost of a call of a class, in units.
+    pub const fn class_cost(&self, class: usize) -> f64 {
+        match self.unit {
+            AllowanceUnit::Calls => 1.0,
+            AllowanceUnit::Tokens { .. } => CLASS_COSTS[class],
+        }
+    }
+}
+
 /// Use of one customer at one entry since the start of the entry. Both counters are absolute, so that a report may be
 /// lost or repeated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CustomerUse {
     /// Cost of all calls that callers sent, refused ones included.
-    pub offered: u64,
+    pub offered: OfferedCost,
     /// Cost of the admitted calls, except for those that did not run.
     pub taken: u64,
 }
@@ -70,6 +117,8 @@
     pub total: CustomerUse,
     /// Part of it that no leader has confirmed to the entry.
     pub unconfirmed: CustomerUse,
+    /// Units that the bucket owed by the last leader's row.
+    pub debt: u64,
 }
 
 /// What an entry tells the leader about the use of its customers.
@@ -86,11 +135,33 @@
 pub struct AllowanceRow {
     /// The customer.
     pub customer: CustomerName,
-    /// Fraction of the offered cost that every entry admits, from 0 to 1.
-    pub admitted_fraction: f64,
+    /// Scale of the costs that entries admit, or infinity if they admit all calls.
+    ///
+    /// A call passes with a probability that falls exponentially with its cost in this scale, as it does with a bucket
+    /// that is nearly empty: a small call finds room where a large one does not.
+    pub cost_scale: f64,
     /// Units in the bucket. Negative if entries have admitted more than it held.
     pub level: f64,
     /// Rate of the allowance as a multiple of what all entries together admit at present. An entry that hears no leader
     /// may admit this multiple of what it has admitted before.
     pub headroom: f64,
 }
+
+impl AllowanceRow {
+    /// Returns true if entries refuse calls of the customer.
+    pub const fn is_limited(&self) -> bool {
+        self.cost_scale.is_finite()
+    }
+}
+
+/// Returns the probability with which a call is admitted under a cost scale.
+///
+/// Its cost is the typical one of its class, from which the leader has found the scale: with the exact cost, entries would
+/// admit more or less than the leader meant to.
+pub fn admission_probability(typical_cost: f64, cost_scale: f64) -> f64 {
+    if cost_scale > 0.0 {
+        (-typical_cost / cost_scale).exp()
+    } else {
+        0.0
+    }
+}
--- a/crates/acaciabay/src/core/serving/allowance_gate.rs
+++ b/crates/acaciabay/src/core/serving/allowance_gate.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::allowance::{AllowanceRow, CustomerUse, UsageAllowance, UsageReport, UsageRow};
+use super::allowance::{AllowanceRow, CustomerUse, UsageAllowance, UsageReport, UsageRow, admission_probability};
 use crate::core::clock::BootTime;
 use crate::core::name::CustomerName;
+use crate::util::number::round_up;
 
 /// Time since the last confirmed report after which the entry relies on its own pace.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,8 +63,8 @@
     pub retry_after: Duration,
     /// Units in the bucket, as the leader last reported.
     pub level: f64,
-    /// Fraction of calls that the leader lets entries admit.
-    pub admitted_fraction: f64,
+    /// Probability with which the leader lets entries admit such a call.
+    pub probability: f64,
     /// Time since the last confirmed report, or `None` if there was none.
     pub news_age: Option<Duration>,
 }
@@ -120,13 +121,14 @@
     /// Admits or refuses a call.
     pub fn admit(&mut self, now: BootTime, call: &AllowanceCall<'_>) -> AllowanceDecision {
         let gate = self.customers.entry(call.customer.clone()).or_default();
-        gate.total.offered += call.cost;
+        gate.total.offered.add(call.cost);
         if !call.allowance.can_ever_pay(call.cost) {
             return AllowanceDecision::TooLarge;
         }
         let row = self.rows.get(call.customer);
         let news_age = self.confirmed_at.map(|confirmed_at| now.since(confirmed_at));
-        let admitted_fraction = row.map_or(1.0, |row| row.admitted_fraction);
+        let typical_cost = call.allowance.typical_cost(call.cost);
+        let probability = row.map_or(1.0, |row| admission_probability(typical_cost, row.cost_scale));
         let alone_since = alone_since(now, self.confirmed_at, self.takeover);
         let is_admitted = match alone_since {
             Some(last_news) => {
@@ -134,8 +136,8 @@
                 // What was admitted later may be a flood of which no leader has heard.
                 let pace = gate.pace_before(last_news);
                 let taken = gate.taken_alone as f64;
-                match row.filter(|row| row.admitted_fraction < 1.0) {
-                    Some(row) => call.draw < admitted_fraction && taken <= row.headroom * pace * alone,
+                match row.filter(|row| row.is_limited()) {
+                    Some(row) => call.draw < probability && taken <= row.headroom * pace * alone,
                     None if pace > 0.0 => {
                         let headroom = row.map_or(MAX_HEADROOM, |row| row.headroom.min(MAX_HEADROOM));
                         taken <= headroom * pace * alone + FREE_CALLS * call.cost as f64
@@ -145,14 +147,14 @@
                 }
             }
             // Without any confirmation the entry has no lease either.
-            None => self.confirmed_at.is_some() && call.draw < admitted_fraction,
+            None => self.confirmed_at.is_some() && call.draw < probability,
         };
         if !is_admitted {
             let level = row.map_or(0.0, |row| row.level);
             return AllowanceDecision::Exhausted(AllowanceRefusal {
                 retry_after: retry_delay(call, level),
                 level,
-                admitted_fraction,
+                probability,
                 news_age,
             });
         }
@@ -182,9 +184,10 @@
                 customer: customer.clone(),
                 total: gate.total,
                 unconfirmed: CustomerUse {
-                    offered: gate.total.offered.saturating_sub(gate.confirmed.offered),
+                    offered: gate.total.offered.since(&gate.confirmed.offered),
                     taken: gate.total.taken.saturating_sub(gate.confirmed.taken),
                 },
+                debt: self.rows.get(customer).map_or(0, |row| round_up(-row.level)),
             })
             .collect();
         if self.sent.len() == MAX_UNCONFIRMED_REPORTS {
--- a/crates/acaciabay/src/core/serving/allowance_ledger.rs
+++ b/crates/acaciabay/src/core/serving/allowance_ledger.rs
@@ -1,12 +1,14 @@
 //! The buckets of all customers with an allowance, as the leader keeps them.
 //!
 //! Nothing of it is replicated. A new leader assumes that all buckets were empty when its predecessor confirmed the last
-//! reports, and charges what entries have admitted since then.
+//! reports, or owed what entries know from their last rows, and charges what entries have admitted since then.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::allowance::{AllowanceRow, CustomerUse, UsageAllowance, UsageReport, UsageRow};
+use super::allowance::{
+    AllowanceRow, COST_CLASSES, CustomerUse, OfferedCost, UsageAllowance, UsageReport, UsageRow, admission_probability,
+};
 use super::start_counts::EntryStart;
 use crate::core::clock::BootTime;
 use crate::core::name::CustomerName;
@@ -26,7 +28,11 @@
 /// Part of the tolerance that may be used up while the calls of a customer come unevenly. The rest covers use that has
 /// not been reported yet.
 const USABLE_TOLERANCE: f64 = 0.2;
-/// Time within which all entries that know an earlier leader report to a new one.
+/// Range of the cost scale, and number of halvings by which it is found to a thousandth.
+const SCALE_RANGE: (f64, f64) = (0.1, 1e8);
+const SCALE_STEPS: u32 = 15;
+/// Time within which all entries that know an earlier leader report to a new one. What an entry knows that comes later is
+/// too old.
 const TAKEOVER_TIME: Duration = Duration::from_secs(2);
 /// Longest time without a leader for which a bucket fills up. The serving leases of entries last no longer.
 const MAX_OUTAGE: Duration = Duration::from_secs(4);
@@ -56,15 +62,20 @@
 #[derive(Clone, Copy, Debug)]
 struct UseSample {
     at: BootTime,
-    offered: f64,
+    offered: OfferedCost,
     taken: f64,
 }
 
+/// Offered pace of each cost class, in units a second.
+type ClassPaces = [f64; COST_CLASSES];
+
 #[derive(Clone, Debug)]
 struct CustomerBucket {
     level: f64,
     /// All units taken from the bucket.
     charged: f64,
+    /// Units that it owed when this leader took over.
+    debt: f64,
     refilled_at: BootTime,
     samples: VecDeque<UseSample>,
 }
@@ -81,6 +92,12 @@
         self.level = self.level.min(allowance.burst);
     }
 
+    fn assume_debt(&mut self, debt: f64) {
+        let added = (debt - self.debt).max(0.0);
+        self.debt += added;
+        self.level -= added;
+    }
+
     fn record(&mut self, sample: UseSample) {
         self.level -= sample.taken;
         self.charged += sample.taken;
@@ -97,11 +114,30 @@
         }
     }
 
-    /// Returns the pace over the short or the long window, whichever is higher, in units a second.
-    fn pace(&self, now: BootTime, units: impl Fn(&UseSample) -> f64) -> f64 {
+    /// Returns the offered pace over the short or the long window, whichever is higher.
+    fn offered_paces(&self, now: BootTime) -> ClassPaces {
+        let over = |window: Duration| {
+            let mut paces = ClassPaces::default();
+            for sample in self.samples.iter().filter(|sample| now.since(sample.at) < window) {
+                for (pace, units) in paces.iter_mut().zip(sample.offered.0) {
+                    *pace += units as f64 / window.as_secs_f64();
+                }
+            }
+            paces
+        };
+        let (short, long) = (over(SHORT_WINDOW), over(LONG_WINDOW));
+        if short.iter().sum::<f64>() > long.iter().sum() {
+            short
+        } else {
+            long
+        }
+    }
+
+    /// Returns the admitted pace over the short or the long window, whichever is higher.
+    fn admitted_pace(&self, now: BootTime) -> f64 {
         let over = |window: Duration| {
             let recent = self.samples.iter().filter(|sample| now.since(sample.at) < window);
-            recent.map(&units).sum::<f64>().max(0.0) / window.as_secs_f64()
+            recent.map(|sample| sample.taken).sum::<f64>().max(0.0) / window.as_secs_f64()
         };
         over(SHORT_WINDOW).max(over(LONG_WINDOW))
     }
@@ -145,9 +181,8 @@
         report: &UsageReport,
         allowance_of: impl Fn(&CustomerName) -> Option<UsageAllowance>,
     ) {
-        if !self.entries.contains_key(&entry)
-            && let Some(unconfirmed_for) = report.unconfirmed_for
-        {
+        let is_taken_over = !self.entries.contains_key(&entry) && now.since(self.began_at) < TAKEOVER_TIME;
+        if let Some(unconfirmed_for) = report.unconfirmed_for.filter(|_| is_taken_over) {
             self.assume_empty(now, unconfirmed_for, &allowance_of);
         }
         let known = self.entries.entry(entry).or_insert_with(|| EntryUse {
@@ -166,6 +201,9 @@
                 .entry(row.customer.clone())
                 .or_insert_with(|| first_bucket(now, self.empty_at, &allowance));
             bucket.refill(now, &allowance);
+            if is_taken_over {
+                bucket.assume_debt(row.debt as f64);
+            }
             bucket.record(sample);
         }
         self.entries
@@ -204,14 +242,13 @@
     ) {
         let confirmed_at = BootTime::from_boot(now.since_boot().saturating_sub(unconfirmed_for));
         let is_known = self.empty_at.is_some_and(|empty_at| empty_at >= confirmed_at);
-        // An entry that was cut off for long knows a report of long ago.
-        if is_known || now.since(self.began_at) >= TAKEOVER_TIME {
+        if is_known {
             return;
         }
         for (customer, bucket) in &mut self.buckets {
             if let Some(allowance) = allowance_of(customer) {
                 let filled = filled_since(confirmed_at, now, &allowance);
-                bucket.level = bucket.level.min(filled - bucket.charged);
+                bucket.level = bucket.level.min(filled - bucket.charged - bucket.debt);
             }
         }
         self.empty_at = Some(confirmed_at);
@@ -226,6 +263,7 @@
     CustomerBucket {
         level: empty_at.map_or(allowance.burst, |empty_at| filled_since(empty_at, now, allowance)),
         charged: 0.0,
+        debt: 0.0,
         refilled_at: now,
         samples: VecDeque::new(),
     }
@@ -234,17 +272,13 @@
 /// Returns what a row adds to what the entry reported before to this leader, or the unconfirmed use if it reported
 /// nothing yet. Units that an entry has given back are negative.
 fn sample_of(now: BootTime, row: &UsageRow, before: Option<CustomerUse>) -> UseSample {
-    let CustomerUse { offered, taken } = row.unconfirmed;
-    let (offered, taken) = before.map_or((offered as f64, taken as f64), |before| {
-        (
-            row.total.offered as f64 - before.offered as f64,
-            row.total.taken as f64 - before.taken as f64,
-        )
-    });
+    let unconfirmed = row.unconfirmed;
     UseSample {
         at: now,
-        offered,
-        taken,
+        offered: before.map_or(unconfirmed.offered, |before| row.total.offered.since(&before.offered)),
+        taken: before.map_or(unconfirmed.taken as f64, |before| {
+            row.total.taken as f64 - before.taken as f64
+        }),
     }
 }
 
@@ -255,15 +289,38 @@
     allowance: &UsageAllowance,
     tolerated: f64,
 ) -> Option<AllowanceRow> {
-    let offered = bucket.pace(now, |sample| sample.offered);
-    let admitted = bucket.pace(now, |sample| sample.taken);
+    let paces = bucket.offered_paces(now);
+    let offered: f64 = paces.iter().sum();
+    let admitted = bucket.admitted_pace(now);
     let expected = bucket.level + tolerated - admitted * REPORT_AGE.as_secs_f64();
     let payable = (allowance.rate + expected / CORRECTION_TIME.as_secs_f64()).max(0.0);
     let is_listed = offered > payable || offered > LISTED_LOAD * allowance.rate;
     is_listed.then(|| AllowanceRow {
         customer: customer.clone(),
-        admitted_fraction: (payable / offered).min(1.0),
+        cost_scale: cost_scale(&paces, payable, allowance),
         level: bucket.level,
         headroom: (allowance.rate / admitted).min(MAX_HEADROOM),
     })
 }
+
+/// Returns the scale of costs under which entries admit what the bucket can pay, or infinity if that is everything.
+fn cost_scale(paces: &ClassPaces, payable: f64, allowance: &UsageAllowance) -> f64 {
+    let admitted_at = |scale: f64| {
+        let classes = paces.iter().enumerate();
+        let admitted = classes.map(|(class, pace)| pace * admission_probability(allowance.class_cost(class), scale));
+        admitted.sum::<f64>()
+    };
+    if paces.iter().sum::<f64>() <= payable {
+        return f64::INFINITY;
+    }
+    let (mut low, mut high) = SCALE_RANGE;
+    for _step in 0..SCALE_STEPS {
+        let middle = (low * high).sqrt();
+        if admitted_at(middle) < payable {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
