--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -7,6 +7,9 @@
 
 /// Time constant with which the peak of the prefill load decays: to about a third within this time.
 const PEAK_DECAY: Duration = Duration::from_secs(15);
+/// Time constant with which the peak decays that the number of endpoints follows. It is longer, because a mix that swings
+/// back needs them again sooner than ordered ones arrive.
+const POOL_PEAK_DECAY: Duration = Duration::from_secs(40);
 /// Fraction of the distance to a higher measurement by which the peak rises at once. Endpoints are not ordered for a
 /// burst of half a second.
 const PEAK_RISE: f64 = 0.4;
@@ -32,6 +35,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadingNeed {
     tokens_per_second: f64,
+    pool_tokens_per_second: f64,
     readers: f64,
     measured_at: Option<BootTime>,
     needed: u32,
@@ -67,14 +71,15 @@
             return;
         };
         let rate = measure.unread_tokens as f64 / since.as_secs_f64();
-        let faded = self.tokens_per_second * (-since.as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
-        self.tokens_per_second = faded + PEAK_RISE * (rate - faded).max(0.0);
+        self.tokens_per_second = next_peak(self.tokens_per_second, rate, since, PEAK_DECAY);
+        self.pool_tokens_per_second = next_peak(self.pool_tokens_per_second, rate, since, POOL_PEAK_DECAY);
         if measure.pace <= 0.0 {
             return;
         }
         self.is_measured = true;
-        self.readers = self.tokens_per_second * measure.pace / 1_000.0 / TARGET_UTILIZATION;
-        let wanted = u32::try_from(round_up(self.readers))
+        let engines_for = |tokens_per_second: f64| tokens_per_second * measure.pace / 1_000.0 / TARGET_UTILIZATION;
+        self.readers = engines_for(self.tokens_per_second);
+        let wanted = u32::try_from(round_up(engines_for(self.pool_tokens_per_second)))
             .unwrap_or(u32::MAX)
             .saturating_add(decode_engines);
         self.needed_now = wanted;
@@ -113,3 +118,9 @@
         self.is_measured
     }
 }
+
+/// Returns the decaying peak after a measurement.
+fn next_peak(peak: f64, rate: f64, since: Duration, decay: Duration) -> f64 {
+    let faded = peak * (-since.as_secs_f64() / decay.as_secs_f64()).exp();
+    faded + PEAK_RISE * (rate - faded).max(0.0)
+}
