Test each mechanism of the allowances by itself

Taken out one at a time before this: without the pause after a takeover, with forgotten debts and with full buckets at a new leader the library's tests stayed green (a process test had caught the debts, beside load). Now each fails a test; without the own pace and without charging three and two failed already.

--- a/crates/acaciabay/tests/serving/allowances.rs
+++ b/crates/acaciabay/tests/serving/allowances.rs
@@ -6,7 +6,9 @@
 
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::CustomerName;
-use acaciabay::core::serving::allowance::{AllowanceRow, AllowanceUnit, UsageAllowance, UsageReport};
+use acaciabay::core::serving::allowance::{
+    AllowanceRow, AllowanceUnit, CustomerUse, OfferedCost, UsageAllowance, UsageReport, UsageRow,
+};
 use acaciabay::core::serving::allowance_gate::{AllowanceCall, AllowanceDecision, AllowanceGate};
 use acaciabay::core::serving::allowance_ledger::{AllowanceLedger, AllowanceTolerance};
 use acaciabay::core::serving::prompt::PromptShape;
@@ -388,3 +390,68 @@
     assert_eq!(cost, u64::MAX);
     assert!(!allowance(1_000.0).can_ever_pay(cost));
 }
+
+/// Report of an entry that has offered and taken 50,000 units which no leader has confirmed, and whose last row said that the
+/// bucket owed this much.
+fn first_report(unconfirmed_for: Duration, debt: u64) -> UsageReport {
+    let mut offered = OfferedCost::default();
+    offered.add(50_000);
+    let use_of_entry = CustomerUse { offered, taken: 50_000 };
+    let row = UsageRow {
+        customer: "atelier".into(),
+        total: use_of_entry,
+        unconfirmed: use_of_entry,
+        debt,
+    };
+    UsageReport {
+        unconfirmed_for: Some(unconfirmed_for),
+        rows: vec![row],
+    }
+}
+
+fn level_after(report: &UsageReport) -> f64 {
+    let allowance_of = |_: &CustomerName| Some(allowance(100_000.0));
+    let mut ledger = AllowanceLedger::new(at(0.0), TOLERANCE);
+    ledger.record(at(0.1), EntryStart(1), report, allowance_of);
+    let rows = ledger.rows(at(0.1), allowance_of);
+    rows.first().map_or(f64::INFINITY, |row| row.level)
+}
+
+/// Each change of leader grants every customer a full burst.
+#[test]
+fn new_leader_takes_buckets_for_empty_at_the_last_confirmed_report() {
+    let level = level_after(&first_report(Duration::from_millis(800), 0));
+
+    assert!((level - 30_000.0).abs() < 1.0, "{level}");
+}
+
+/// Each change of leader forgives what a customer has used beyond its allowance.
+#[test]
+fn new_leader_remembers_what_a_bucket_owed() {
+    let level = level_after(&first_report(Duration::from_millis(800), 70_000));
+
+    assert!((level + 40_000.0).abs() < 1.0, "{level}");
+}
+
+/// A new leader has heard one entry of eighty, and that one admits as if nobody else had used anything.
+#[test]
+fn entry_stays_at_its_own_pace_until_a_new_leader_knows_all() {
+    let customer: CustomerName = "atelier".into();
+    let allowance = allowance(100_000.0);
+    let call = AllowanceCall {
+        customer: &customer,
+        allowance: &allowance,
+        cost: 10_000,
+        draw: 0.0,
+    };
+    let mut gate = AllowanceGate::default();
+    gate.confirm(at(0.0));
+    let reported_at = at(2.0);
+    gate.report(reported_at);
+    gate.confirm(reported_at);
+
+    let decisions = [2.1, 2.2, 2.3, 2.4].map(|seconds| gate.admit(at(seconds), &call));
+
+    let is_admitted = decisions.map(|decision| decision == AllowanceDecision::Admitted);
+    assert_eq!(is_admitted, [false, false, false, true], "{decisions:?}");
+}
