Size pools by a slower peak than stages

Change: the number of endpoints follows a peak that decays in 40 s, stages one that decays in 15 s. The test that the need falls late now asks for half after 40 s and for the floor after 120 s; it had asked for the floor after 40 s. A new test replays a swing.

--- a/crates/acaciabay/tests/serving/pools.rs
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -208,12 +208,43 @@
     for second in 2..40 {
         need.measure(at(second * 1_000), measure(0), 2);
     }
+    let after_a_trough = need.needed();
+    for second in 40..120 {
+        need.measure(at(second * 1_000), measure(0), 2);
+    }
 
     assert!(risen > 9, "{risen}");
     assert_eq!(after_a_pause, risen);
+    assert!(after_a_trough < risen / 2 + 2, "{after_a_trough} of {risen}");
     assert!(need.needed() < 5, "{}", need.needed());
 }
 
+/// A mix swings back every fourteen seconds, and the endpoints that it needs then were given back in between.
+#[test]
+fn mix_that_swings_back_finds_its_endpoints() {
+    const SWING: u64 = 14;
+    let mut need = ReadingNeed::default();
+    let mut least_in_trough = u32::MAX;
+    let mut most = 0;
+    for second in 0..6 * SWING {
+        let is_long = (second / SWING).is_multiple_of(2);
+        let measure = ReadingMeasure {
+            unread_tokens: if is_long { 3_000_000 } else { 1_000_000 },
+            pace: 0.02,
+        };
+        need.measure(at(second * 1_000), measure, 4);
+        most = most.max(need.needed());
+        if second >= SWING && !is_long {
+            least_in_trough = least_in_trough.min(need.needed());
+        }
+    }
+
+    assert!(
+        f64::from(least_in_trough) >= 0.65 * f64::from(most),
+        "{least_in_trough} of {most}"
+    );
+}
+
 #[test]
 fn what_operators_start_with_is_taken_for_the_need_with_a_reserve() {
     let mut need = ReadingNeed::default();
