--- a/crates/acaciabay/src/core/serving/allowance_gate.rs
+++ b/crates/acaciabay/src/core/serving/allowance_gate.rs
@@ -87,6 +87,32 @@
         recent.map(|(_, cost)| *cost as f64).sum::<f64>() / PACE_WINDOW.as_secs_f64()
     }
 
+    /// Returns true if a call is admitted without news since `last_news`.
+    fn admits_alone(
+        &self,
+        now: BootTime,
+        last_news: BootTime,
+        call: &AllowanceCall<'_>,
+        row: Option<&AllowanceRow>,
+    ) -> bool {
+        let alone = now.since(last_news + NEWS_TIMEOUT).as_secs_f64();
+        // What was admitted later may be a flood of which no leader has heard.
+        let pace = self.pace_before(last_news);
+        let taken = self.taken_alone as f64;
+        match row {
+            Some(row) if row.is_limited() => {
+                let typical_cost = call.allowance.typical_cost(call.cost);
+                call.draw < admission_probability(typical_cost, row.cost_scale) && taken <= row.headroom * pace * alone
+            }
+            Some(_) | None if pace > 0.0 => {
+                let headroom = row.map_or(MAX_HEADROOM, |row| row.headroom.min(MAX_HEADROOM));
+                taken <= headroom * pace * alone + FREE_CALLS * call.cost as f64
+            }
+            // Many entries may each see the first call of a flood.
+            Some(_) | None => taken == 0.0 && call.draw * RARE_CALLS_TIME.as_secs_f64() >= alone,
+        }
+    }
+
     fn expire(&mut self, end: BootTime) {
         while self
             .admitted
@@ -121,31 +147,18 @@
     /// Admits or refuses a call.
     pub fn admit(&mut self, now: BootTime, call: &AllowanceCall<'_>) -> AllowanceDecision {
         let gate = self.customers.entry(call.customer.clone()).or_default();
-        gate.total.offered.add(call.cost);
         if !call.allowance.can_ever_pay(call.cost) {
+            // It is not counted either: an absurd cost would leave no room for the customer's other calls.
             return AllowanceDecision::TooLarge;
         }
+        gate.total.offered.add(call.cost);
         let row = self.rows.get(call.customer);
         let news_age = self.confirmed_at.map(|confirmed_at| now.since(confirmed_at));
         let typical_cost = call.allowance.typical_cost(call.cost);
         let probability = row.map_or(1.0, |row| admission_probability(typical_cost, row.cost_scale));
         let alone_since = alone_since(now, self.confirmed_at, self.takeover);
         let is_admitted = match alone_since {
-            Some(last_news) => {
-                let alone = now.since(last_news + NEWS_TIMEOUT).as_secs_f64();
-                // What was admitted later may be a flood of which no leader has heard.
-                let pace = gate.pace_before(last_news);
-                let taken = gate.taken_alone as f64;
-                match row.filter(|row| row.is_limited()) {
-                    Some(row) => call.draw < probability && taken <= row.headroom * pace * alone,
-                    None if pace > 0.0 => {
-                        let headroom = row.map_or(MAX_HEADROOM, |row| row.headroom.min(MAX_HEADROOM));
-                        taken <= headroom * pace * alone + FREE_CALLS * call.cost as f64
-                    }
-                    // Many entries may each see the first call of a flood.
-                    None => taken == 0.0 && call.draw * RARE_CALLS_TIME.as_secs_f64() >= alone,
-                }
-            }
+            Some(last_news) => gate.admits_alone(now, last_news, call, row),
             // Without any confirmation the entry has no lease either.
             None => self.confirmed_at.is_some() && call.draw < probability,
         };
--- a/crates/acaciabay/tests/serving/allowances.rs
+++ b/crates/acaciabay/tests/serving/allowances.rs
@@ -371,9 +371,14 @@
         draw: 0.0,
     };
 
-    let decision = AllowanceGate::default().admit(at(0.0), &call);
+    let mut gate = AllowanceGate::default();
+    let decision = gate.admit(at(0.0), &call);
 
     assert_eq!(decision, AllowanceDecision::TooLarge);
+    assert!(
+        gate.report(at(0.1)).rows.is_empty(),
+        "it counts against the customer's other calls"
+    );
 }
 
 /// A call with an absurd number of tokens overflows the sum and passes for nothing.
