--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -309,15 +309,8 @@
 
     /// Records the endpoints that another replica has heard without anything new.
     pub(super) fn record_unchanged(&self, handles: &ReceivedHandles, reports: &EndpointReports) {
-        let now = boot_now();
-        let mut soft = self.soft_state();
-        let reported = reports
-            .handles
-            .iter()
-            .filter_map(|handle| handles.get(EndpointHandle(*handle)));
-        for (name, incarnation) in reported {
-            soft.registry.record_unchanged(now, name, incarnation);
-        }
+        let reported = reports.handles.iter().copied().map(EndpointHandle);
+        handles.apply_reports(boot_now(), reported, &mut self.soft_state().registry);
     }
 
     fn broadcast_endpoint(&self, name: &EndpointName, effect: ReportEffect) {
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -40,15 +40,8 @@
 
 /// Records the endpoints that a replica has heard without anything new.
 pub(super) fn apply_reports(shared: &EntryShared, reports: &EndpointReports, handles: &ReceivedHandles) {
-    let now = boot_now();
-    let mut state = shared.state();
-    let reported = reports
-        .handles
-        .iter()
-        .filter_map(|handle| handles.get(EndpointHandle(*handle)));
-    for (name, incarnation) in reported {
-        state.registry.record_unchanged(now, name, incarnation);
-    }
+    let reported = reports.handles.iter().copied().map(EndpointHandle);
+    handles.apply_reports(boot_now(), reported, &mut shared.state().registry);
 }
 
 /// Replaces the set of engines that are changing their stage and therefore take no calls.
--- a/crates/acaciabay/src/core/serving/endpoint_handles.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_handles.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::endpoint_registry::{EndpointIncarnation, EndpointRegistry};
+use crate::core::clock::BootTime;
 use crate::core::name::EndpointName;
 
 /// Number of an endpoint in the messages of one replica, from 1.
@@ -73,6 +74,19 @@
         self.endpoints.insert(handle, (name, incarnation));
     }
 
+    /// Records in a registry that the endpoints behind these handles have reported nothing new.
+    pub fn apply_reports(
+        &self,
+        now: BootTime,
+        handles: impl IntoIterator<Item = EndpointHandle>,
+        registry: &mut EndpointRegistry,
+    ) {
+        let reported = handles.into_iter().filter_map(|handle| self.get(handle));
+        for (name, incarnation) in reported {
+            registry.record_unchanged(now, name, incarnation);
+        }
+    }
+
     /// Returns the endpoint behind a handle, and the incarnation of the row that brought it.
     pub fn get(&self, handle: EndpointHandle) -> Option<(&EndpointName, EndpointIncarnation)> {
         let (name, incarnation) = self.endpoints.get(&handle)?;
--- a/crates/acaciabay/tests/serving/endpoint_handles.rs
+++ b/crates/acaciabay/tests/serving/endpoint_handles.rs
@@ -58,8 +58,7 @@
     handles.record(handle, name("e"), EndpointIncarnation(1));
     let late = at(0) + REPORT_TIMEOUT + Duration::from_secs(1);
 
-    let (reported, incarnation) = handles.get(handle).expect("the row was received");
-    registry.record_unchanged(late, reported, incarnation);
+    handles.apply_reports(late, [handle], &mut registry);
 
     let service = "app".into();
     let ready = registry.ready(late, &service);
