Call nothing foreign under the lock of the suspect tracker

Both interfaces could stand still for good.

Change: the examination copies the breaks, asks for their sightings without the lock, and then judges those it has asked about; a break that came in between is judged next time.

No deterministic test of the order exists.

--- a/crates/acacia-entry/src/lease_keeper.rs
+++ b/crates/acacia-entry/src/lease_keeper.rs
@@ -92,8 +92,6 @@
 }
 
 fn lease_request(entry: &Entry, endpoint_mark: u64) -> LeaseRequest {
-    // Not under the lock of the endpoints: the examination of breaks takes both in the other order.
-    let suspects = entry.suspects.take_report();
     let mut view = entry.endpoints.lock();
     let names = std::mem::take(&mut view.unsent);
     let config = entry.config();
@@ -108,7 +106,7 @@
         demands,
         reports: rows.collect(),
         endpoint_mark,
-        suspects,
+        suspects: entry.suspects.take_report(),
     }
 }
 
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -19,8 +19,6 @@
 /// Removes the demand and the announcements of cached parts from the state, since each is reported only once. All other
 /// values are absolute and repeated in every request.
 pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
-    // Not under the lock of the state: the examination of breaks takes both in the other order.
-    let suspects = shared.suspects.take_report();
     let mut state = shared.state();
     let usage = state.allowances.report(now);
     let uses = state
@@ -54,7 +52,7 @@
         demands: demands.collect(),
         silent: state.loads.silent_endpoints(now).map(ToString::to_string).collect(),
         kept: kept.iter().map(kept_to_wire).collect(),
-        suspects: Some(suspect_report_to_wire(&suspects)),
+        suspects: Some(suspect_report_to_wire(&shared.suspects.take_report())),
         usage: Some(usage_report_to_wire(&usage)),
     };
     Frame::Serving(ServingFrame {
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -307,9 +307,16 @@
 
     /// Records the breaks whose examination has a result, and holds back the calls that they may prove to be the cause.
     fn apply_decided(&self, now: BootTime, now_ms: u64, sighting: impl Fn(&BrokenAttempt) -> EndpointSighting) {
+        // `sighting` takes a lock under which others ask this tracker, so it is not called under the tracker's own.
+        let breaks: Vec<BrokenAttempt> = self.state.lock().breaks.breaks().cloned().collect();
+        let sightings: Vec<_> = breaks.iter().map(|broken| (broken, sighting(broken))).collect();
+        let sighting_of = |broken: &BrokenAttempt| {
+            let seen = sightings.iter().find(|(seen, _)| *seen == broken);
+            seen.map(|(_, sighting)| *sighting)
+        };
         let mut state = self.state.lock();
         let mut has_ended = false;
-        for (broken, verdict) in state.breaks.take_decided(now, sighting) {
+        for (broken, verdict) in state.breaks.take_decided(now, sighting_of) {
             self.log_break(now, &broken, verdict);
             if state.ending_trials.remove(&broken.call.fingerprint) {
                 state.view.end_trial(broken.call.fingerprint);
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -165,16 +165,24 @@
         }
     }
 
+    /// Returns the breaks under examination.
+    pub fn breaks(&self) -> impl Iterator<Item = &BrokenAttempt> {
+        self.breaks.iter()
+    }
+
     /// Removes and returns the breaks whose examination has a result. `sighting` returns what is known of the endpoint of a
-    /// break.
+    /// break, or `None` if the break is not to be judged yet.
     pub fn take_decided(
         &mut self,
         now: BootTime,
-        sighting: impl Fn(&BrokenAttempt) -> EndpointSighting,
+        sighting: impl Fn(&BrokenAttempt) -> Option<EndpointSighting>,
     ) -> Vec<(BrokenAttempt, BreakVerdict)> {
         let mut decided = Vec::new();
         for broken in std::mem::take(&mut self.breaks) {
-            match examine_break(now, &broken, &sighting(&broken)) {
+            let verdict = sighting(&broken).map_or(BreakVerdict::Undecided, |sighting| {
+                examine_break(now, &broken, &sighting)
+            });
+            match verdict {
                 BreakVerdict::Undecided => self.breaks.push_back(broken),
                 verdict @ (BreakVerdict::Ended | BreakVerdict::Innocent) => decided.push((broken, verdict)),
             }
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -558,7 +558,7 @@
     assert_eq!(examination.unknown_ports().len(), 1);
     examination.record_port(at(1_000), ADDRESS, PortState::Refused);
 
-    let decided = examination.take_decided(at(1_001), |_broken| EndpointSighting::default());
+    let decided = examination.take_decided(at(1_001), |_broken| Some(EndpointSighting::default()));
     assert_eq!(decided.len(), 1);
     assert!(examination.is_empty());
 }
