Tidy up after the allowances and numbers

One function finds the ledger of the term for both its users; ratio, slack and window are one type of settings, each reader keeps its own bound; a renewal no longer copies the work of its entry; entries that fell silent are dropped ten times a second in place of at each report.

--- a/crates/acacia-control/src/serving/allowances.rs
+++ b/crates/acacia-control/src/serving/allowances.rs
@@ -27,52 +27,55 @@
 /// The ledger of this term, and the allowances in force.
 #[derive(Debug, Default)]
 pub(super) struct LeaderAllowances {
-    /// Start of the leadership that the ledger belongs to.
-    leading_since: Option<BootTime>,
-    ledger: Option<AllowanceLedger>,
+    /// The ledger, with the start of the leadership that it belongs to.
+    ledger: Option<(Option<BootTime>, AllowanceLedger)>,
     number: ConfigNumber,
     in_force: HashMap<CustomerName, UsageAllowance>,
 }
 
 impl LeaderAllowances {
-    fn update(
-        &mut self,
-        now: BootTime,
-        leading_since: Option<BootTime>,
-        config: &ServingConfig,
-        tolerance: AllowanceTolerance,
-    ) {
-        if self.leading_since != leading_since || self.ledger.is_none() {
-            self.leading_since = leading_since;
-            self.ledger = Some(AllowanceLedger::new(now, tolerance));
-        }
-        if self.number != config.number {
-            self.number = config.number;
-            let customers = config.customers.iter();
-            self.in_force = customers
-                .filter_map(|customer| Some((customer.name.clone(), customer.allowance?)))
-                .collect();
+    fn apply_config(&mut self, config: &ServingConfig) {
+        if self.number == config.number {
+            return;
         }
+        self.number = config.number;
+        let customers = config.customers.iter();
+        self.in_force = customers
+            .filter_map(|customer| Some((customer.name.clone(), customer.allowance?)))
+            .collect();
     }
 }
 
+/// Passes the ledger of the present term and the allowances in force to `act`. Returns `None` if there is no configuration.
+fn with_ledger<T>(
+    shared: &ControlShared,
+    now: BootTime,
+    act: impl FnOnce(&mut AllowanceLedger, &HashMap<CustomerName, UsageAllowance>) -> T,
+) -> Option<T> {
+    let config = shared.config()?;
+    let leading_since = shared.group.status().borrow().leading_since;
+    let mut soft = shared.soft_state();
+    let allowances = &mut soft.allowances;
+    allowances.apply_config(&config);
+    // The ledger of an earlier term does not know what other leaders have charged since.
+    allowances.ledger.take_if(|(term, _)| *term != leading_since);
+    let (_, ledger) = allowances
+        .ledger
+        .get_or_insert_with(|| (leading_since, AllowanceLedger::new(now, tolerance_of(shared))));
+    Some(act(ledger, &allowances.in_force))
+}
+
 /// Charges the use that an entry has reported.
 pub(super) fn record_usage(shared: &ControlShared, hello: &ServingHello, report: Option<&serving::UsageReport>) {
-    let (Some(report), Some(config)) = (report, shared.config()) else {
+    let Some(report) = report.map(usage_report_from_wire) else {
         return;
     };
     let now = boot_now();
-    let leading_since = shared.group.status().borrow().leading_since;
-    let mut soft = shared.soft_state();
-    soft.allowances
-        .update(now, leading_since, &config, tolerance_of(shared));
-    let LeaderAllowances { ledger, in_force, .. } = &mut soft.allowances;
-    if let Some(ledger) = ledger {
-        let report = usage_report_from_wire(report);
-        ledger.record(now, EntryStart(hello.start), &report, |customer| {
-            in_force.get(customer).copied()
-        });
-    }
+    // Without a configuration, no customer has an allowance.
+    let _charged = with_ledger(shared, now, |ledger, in_force| {
+        let allowance_of = |customer: &CustomerName| in_force.get(customer).copied();
+        ledger.record(now, EntryStart(hello.start), &report, allowance_of);
+    });
 }
 
 /// Broadcasts the rows while this process leads, until `stop` is cancelled.
@@ -84,13 +87,13 @@
             () = tokio::time::sleep(ROWS_INTERVAL) => {}
         }
         let now = boot_now();
-        let leading_since = shared.group.status().borrow().leading_since;
-        if leading_since.is_none() || !shared.group.may_act(now) {
+        if !shared.group.may_act(now) {
             continue;
         }
-        let Some(rows) = current_rows(&shared, now, leading_since) else {
-            continue;
-        };
+        let rows = with_ledger(&shared, now, |ledger, in_force| {
+            ledger.rows(now, |customer| in_force.get(customer).copied())
+        });
+        let Some(rows) = rows else { continue };
         if broadcast.is_due(now, &rows) {
             let rows = rows.iter().map(allowance_row_to_wire).collect();
             shared.broadcast(Body::Allowances(AllowanceTable { rows }));
@@ -98,15 +101,6 @@
     }
 }
 
-fn current_rows(shared: &ControlShared, now: BootTime, leading_since: Option<BootTime>) -> Option<Vec<AllowanceRow>> {
-    let config = shared.config()?;
-    let mut soft = shared.soft_state();
-    soft.allowances
-        .update(now, leading_since, &config, tolerance_of(shared));
-    let LeaderAllowances { ledger, in_force, .. } = &mut soft.allowances;
-    Some(ledger.as_mut()?.rows(now, |customer| in_force.get(customer).copied()))
-}
-
 fn tolerance_of(shared: &ControlShared) -> AllowanceTolerance {
     let settings = shared.settings.allowance_tolerance;
     settings.map_or_else(AllowanceTolerance::default, |settings| AllowanceTolerance {
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -187,9 +187,8 @@
         traffic.wait_us = traffic.wait_us.max(demand.wait_us);
     }
     let work = request.uses.iter().map(use_from_wire).collect();
-    let known = soft.entry(&host).cloned();
     // A renewal names only services with calls since the last one, so the other paces are kept.
-    let mut paces = known.map(|row| row.paces).unwrap_or_default();
+    let mut paces = soft.entry(&host).map(|row| row.paces.clone()).unwrap_or_default();
     let measured = request.demands.iter();
     paces.extend(measured.filter_map(|row| Some((row.service.as_str().into(), pace_from_wire(row.pace_us)?))));
     let state = EntryState {
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -143,7 +143,7 @@
         .shared
         .client
         .send(sent_at, chosen.endpoint.address, ConnectionChoice::Pooled, request);
-    let was_charged = match role {
+    let was_kept = match role {
         // Prefilling a prompt does not run the call.
         AttemptRole::ReadPrompt { .. } => None,
         AttemptRole::Whole | AttemptRole::MakeTokens { .. } => call.charge.as_ref().map(AllowanceCharge::keep),
@@ -204,7 +204,7 @@
     };
     let (outcome, reason) = outcome;
     if matches!(outcome, AttemptOutcome::NotRun { .. })
-        && was_charged == Some(false)
+        && was_kept == Some(false)
         && let Some(charge) = &call.charge
     {
         charge.release();
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -10,6 +10,10 @@
 use crate::finding::Findings;
 use crate::object_reader::{ObjectReader, as_address, as_count, as_flag, as_name, as_number, as_seconds, as_text};
 
+/// Largest slack of a bound on second sends, in sends, and on the use of an allowance, in units.
+const MOST_SENDS: f64 = 1e9;
+const MOST_UNITS: f64 = 1e12;
+
 /// What a control process is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServingControlSettings {
@@ -40,18 +44,7 @@
     /// Within which time duties must not go back and forth between two hosts.
     pub duty_lease: Duration,
     /// How far all entries together may exceed a customer's allowance; not at all without it.
-    pub allowance_tolerance: Option<AllowanceToleranceSettings>,
-}
-
-/// How far all entries together may exceed an allowance within a window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AllowanceToleranceSettings {
-    /// The length of the window.
-    pub window: Duration,
-    /// A fraction of what the allowance admits in it.
-    pub ratio: f64,
-    /// Units beyond that.
-    pub slack: f64,
+    pub allowance_tolerance: Option<WindowBoundSettings>,
 }
 
 /// What an entry process is told at its start.
@@ -80,15 +73,15 @@
     /// How long the process may take to stop.
     pub stop_grace: Duration,
     /// The bound on second sends.
-    pub send_bound: SendBoundSettings,
+    pub send_bound: WindowBoundSettings,
 }
 
-/// The bound on second sends over all entries.
+/// A bound on what all entries together do within any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SendBoundSettings {
-    /// Second sends for each call.
+pub struct WindowBoundSettings {
+    /// Fraction of what the bound refers to: second sends of the calls, or use beyond what an allowance admits.
     pub ratio: f64,
-    /// Second sends beyond that in a window.
+    /// What may be added to it.
     pub slack: f64,
     /// The length of the window.
     pub window: Duration,
@@ -137,7 +130,7 @@
     let duty_lease = reader.required("duty_lease_ms", findings, as_count(0..=600_000));
     let has_tolerance = document.get("allowance_tolerance").is_some();
     let mut tolerance = reader.child("allowance_tolerance", findings);
-    let allowance_tolerance = has_tolerance.then(|| read_tolerance(&mut tolerance, findings));
+    let allowance_tolerance = has_tolerance.then(|| read_window_bound(&mut tolerance, findings, MOST_UNITS));
     tolerance.finish(findings);
     reader.finish(findings);
     Some(ServingControlSettings {
@@ -175,7 +168,7 @@
     let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
     let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
     let mut bound = reader.child("send_bound", findings);
-    let send_bound = read_send_bound(&mut bound, findings);
+    let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
     bound.finish(findings);
     reader.finish(findings);
     Some(ServingEntrySettings {
@@ -194,28 +187,21 @@
     })
 }
 
-fn read_send_bound(reader: &mut ObjectReader<'_>, findings: &mut Findings) -> Option<SendBoundSettings> {
+fn read_window_bound(
+    reader: &mut ObjectReader<'_>,
+    findings: &mut Findings,
+    most_slack: f64,
+) -> Option<WindowBoundSettings> {
     let ratio = reader.required("ratio", findings, as_number(0.0..=10.0));
-    let slack = reader.required("slack", findings, as_number(0.0..=1e9));
+    let slack = reader.required("slack", findings, as_number(0.0..=most_slack));
     let window = reader.required("window_s", findings, as_seconds(0.1..=3_600.0));
-    Some(SendBoundSettings {
+    Some(WindowBoundSettings {
         ratio: ratio?,
         slack: slack?,
         window: window?,
     })
 }
 
-fn read_tolerance(reader: &mut ObjectReader<'_>, findings: &mut Findings) -> Option<AllowanceToleranceSettings> {
-    let window = reader.required("window_s", findings, as_seconds(0.1..=3_600.0));
-    let ratio = reader.required("ratio", findings, as_number(0.0..=10.0));
-    let slack = reader.required("slack", findings, as_number(0.0..=1e12));
-    Some(AllowanceToleranceSettings {
-        window: window?,
-        ratio: ratio?,
-        slack: slack?,
-    })
-}
-
 /// Reads an address that a template leaves empty where there is none.
 fn as_optional_address(value: &Value) -> Result<Option<SocketAddr>, String> {
     match as_text(value)? {
--- a/crates/acaciabay/src/core/serving/allowance_ledger.rs
+++ b/crates/acaciabay/src/core/serving/allowance_ledger.rs
@@ -206,8 +206,6 @@
             }
             bucket.record(sample);
         }
-        self.entries
-            .retain(|_, known| now.since(known.reported_at) < ENTRY_RETENTION);
     }
 
     /// Returns the rows that entries have to know, in the order of the customers' names.
@@ -216,6 +214,8 @@
         now: BootTime,
         allowance_of: impl Fn(&CustomerName) -> Option<UsageAllowance>,
     ) -> Vec<AllowanceRow> {
+        self.entries
+            .retain(|_, known| now.since(known.reported_at) < ENTRY_RETENTION);
         self.buckets.retain(|customer, _| allowance_of(customer).is_some());
         let mut rows = Vec::new();
         for (customer, bucket) in &mut self.buckets {
--- a/crates/acaciabay/tests/serving/allowances.rs
+++ b/crates/acaciabay/tests/serving/allowances.rs
@@ -78,6 +78,20 @@
     }
 }
 
+/// A call that is admitted wherever chance decides.
+fn lucky_call<'call>(
+    customer: &'call CustomerName,
+    allowance: &'call UsageAllowance,
+    cost: u64,
+) -> AllowanceCall<'call> {
+    AllowanceCall {
+        customer,
+        allowance,
+        cost,
+        draw: 0.0,
+    }
+}
+
 fn at(seconds: f64) -> BootTime {
     BootTime::from_boot(Duration::from_secs_f64(1_000.0 + seconds))
 }
@@ -362,14 +376,8 @@
 /// A call that no allowance can pay waits in vain, unless it is told so.
 #[test]
 fn call_larger_than_the_allowance_is_told_so() {
-    let allowance = allowance(1_000.0);
-    let customer: CustomerName = "atelier".into();
-    let call = AllowanceCall {
-        customer: &customer,
-        allowance: &allowance,
-        cost: 1_000_000,
-        draw: 0.0,
-    };
+    let (customer, allowance) = ("atelier".into(), allowance(1_000.0));
+    let call = lucky_call(&customer, &allowance, 1_000_000);
 
     let mut gate = AllowanceGate::default();
     let decision = gate.admit(at(0.0), &call);
@@ -441,14 +449,8 @@
 /// A new leader has heard one entry of eighty, and that one admits as if nobody else had used anything.
 #[test]
 fn entry_stays_at_its_own_pace_until_a_new_leader_knows_all() {
-    let customer: CustomerName = "atelier".into();
-    let allowance = allowance(100_000.0);
-    let call = AllowanceCall {
-        customer: &customer,
-        allowance: &allowance,
-        cost: 10_000,
-        draw: 0.0,
-    };
+    let (customer, allowance) = ("atelier".into(), allowance(100_000.0));
+    let call = lucky_call(&customer, &allowance, 10_000);
     let mut gate = AllowanceGate::default();
     gate.confirm(at(0.0));
     let reported_at = at(2.0);
