Split the tests of suspect calls by what they test

suspects.rs (658 lines) held the table, an entry's view with trials, the examination of breaks and the fingerprint; each has a file now.

--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -2,7 +2,9 @@
 //! implementation.
 
 mod allowances;
+mod broken_attempts;
 mod cached_parts;
+mod call_fingerprint;
 mod clock;
 mod config;
 mod config_freshness;
@@ -26,6 +28,7 @@
 mod stages;
 mod state;
 mod stopping;
+mod suspect_view;
 mod suspects;
 mod suspicion;
 mod windows;
