Send the allowance table once a second also while it is empty

Cause: found in reading the change: a leader sent an empty table only after rows of its own. An entry that held rows of an earlier leader, or had missed the message that lifted a limit, went on refusing the customer by them for good. The new test a_customer_is_served_again_after_a_flood_and_its_leader_have_ended failed on the code before: 2 of 20 calm calls refused 8 s after the leader's death.

Change: the table goes out once a second, with or without rows, where any customer has an allowance; where none has, the leader keeps no ledger and sends nothing.

--- a/crates/acacia-control/src/serving/allowances.rs
+++ b/crates/acacia-control/src/serving/allowances.rs
@@ -21,7 +21,8 @@
 
 /// Interval at which the leader computes the rows.
 const ROWS_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which it sends rows that limit nobody.
+/// Interval at which it sends the rows while they limit nobody, and also while there are none: an entry may hold rows of an
+/// earlier leader, or have missed the message that lifted a limit.
 const CALM_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The ledger of this term, and the allowances in force.
@@ -46,7 +47,7 @@
     }
 }
 
-/// Passes the ledger of the present term and the allowances in force to `act`. Returns `None` if there is no configuration.
+/// Passes the ledger of the present term and the allowances in force to `act`. Returns `None` if there are no allowances.
 fn with_ledger<T>(
     shared: &ControlShared,
     now: BootTime,
@@ -57,6 +58,9 @@
     let mut soft = shared.soft_state();
     let allowances = &mut soft.allowances;
     allowances.apply_config(&config);
+    if allowances.in_force.is_empty() {
+        return None;
+    }
     // The ledger of an earlier term does not know what other leaders have charged since.
     allowances.ledger.take_if(|(term, _)| *term != leading_since);
     let (_, ledger) = allowances
@@ -71,7 +75,7 @@
         return;
     };
     let now = boot_now();
-    // Without a configuration, no customer has an allowance.
+    // Without allowances there is nothing to charge.
     let _charged = with_ledger(shared, now, |ledger, in_force| {
         let allowance_of = |customer: &CustomerName| in_force.get(customer).copied();
         ledger.record(now, EntryStart(hello.start), &report, allowance_of);
@@ -115,22 +119,19 @@
 struct BroadcastState {
     sent_at: BootTime,
     had_limits: bool,
-    had_rows: bool,
 }
 
 impl BroadcastState {
     /// Returns true if the rows are to be sent now, and assumes that they are.
     fn is_due(&mut self, now: BootTime, rows: &[AllowanceRow]) -> bool {
         let has_limits = rows.iter().any(AllowanceRow::is_limited);
-        let has_rows = !rows.is_empty();
-        let is_calm_due = now.since(self.sent_at) >= CALM_INTERVAL && (has_rows || self.had_rows);
+        let is_calm_due = now.since(self.sent_at) >= CALM_INTERVAL;
         if !has_limits && !self.had_limits && !is_calm_due {
             return false;
         }
         *self = Self {
             sent_at: now,
             had_limits: has_limits,
-            had_rows: has_rows,
         };
         true
     }
