--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::util::number::whole_millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -178,6 +179,7 @@
         Ok(Ok(answer)) => {
             let head = call.shared.codec.read_answer_head(answer.response.headers());
             let status = answer.response.status();
+            record_limit_notice(call, chosen, sent_at, status, head.limit);
             if head
                 .request
                 .as_ref()
@@ -213,6 +215,32 @@
     outcome
 }
 
+/// Records what an answer says about the limit of its endpoint, and logs it if that has changed.
+fn record_limit_notice(
+    call: &AcceptedCall,
+    chosen: &ChosenEndpoint,
+    sent_at: BootTime,
+    status: StatusCode,
+    notice: LimitNotice,
+) {
+    // The answer of another endpoint at this address says nothing about this one.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let key = (chosen.name.clone(), chosen.endpoint.incarnation);
+    let mut state = call.shared.state();
+    let before = state.limit_notices.get(&key).copied().unwrap_or_default();
+    if notice == before {
+        return;
+    }
+    state.limit_notices.insert(key, notice);
+    drop(state);
+    slog::info!(call.shared.log, "endpoint limit changed"; "event" => event::LIMIT_NAMED,
+        "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "birth" => chosen.endpoint.incarnation.0,
+        "before" => ?before, "notice" => ?notice, "status" => status.as_u16(),
+        "sent_ms" => whole_millis(boot_now().since(sent_at)));
+}
+
 fn record_failed_attempt(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
--- a/crates/acacia-entry/src/serving/codec.rs
+++ b/crates/acacia-entry/src/serving/codec.rs
@@ -9,6 +9,7 @@
 use acacia_http::ResponseBody;
 use acaciabay::core::name::{CustomerName, EndpointName};
 use acaciabay::core::serving::config::{ConfigFinding, ServingConfig};
+use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::core::serving::prompt::PromptShape;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -80,7 +81,7 @@
 }
 
 /// Contents of the head of an endpoint's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Identifier of the answered request, if the endpoint sent it.
     pub request: Option<String>,
@@ -88,6 +89,8 @@
     pub not_run: bool,
     /// Time for which the endpoint keeps the connection open, if it sent one.
     pub keep_alive: Option<Duration>,
+    /// Rate limit that the endpoint names.
+    pub limit: LimitNotice,
 }
 
 /// Translator between HTTP messages and the entry's types.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -17,8 +17,9 @@
 use acaciabay::core::serving::config_freshness::ConfigFreshness;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::config_transfer::ConfigDocument;
+use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
-use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
+use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointRegistry};
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::lease_recovery::LeaseOutage;
 use acaciabay::core::serving::prefill_pace::{PrefillPace, PrefillTime};
@@ -72,6 +73,7 @@
     pub(super) loads: LoadTable,
     pub(super) entry_count: u32,
     pub(super) allowances: AllowanceGate,
+    pub(super) limit_notices: HashMap<(EndpointName, EndpointIncarnation), LimitNotice>,
     pub(super) start_counts: CallCounts,
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -82,6 +82,8 @@
     EVIDENCE_DROPPED = "E0235";
     /// A call was refused because its customer's allowance is used up.
     ALLOWANCE_USED_UP = "E0236";
+    /// An endpoint named a rate limit, changed it, or no longer names it.
+    LIMIT_NAMED = "E0237";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -12,6 +12,7 @@
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
 //!   [`allowance_gate`] admits calls at an entry.
+//! * [`endpoint_limit`] reads the rate limits that endpoints name in their answers.
 //! * [`work_sums`] adds up the work that all entries have at each endpoint.
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
@@ -47,6 +48,7 @@
 pub mod config_transfer;
 pub mod duty;
 pub mod endpoint_handles;
+pub mod endpoint_limit;
 pub mod endpoint_load;
 pub mod endpoint_registry;
 pub mod event_stream;
