Divide an endpoint's limit among entries in whole permits

A lower limit binds at once, a higher one or none only by an answer to a request that was sent in knowledge of the newest state. Nothing uses it yet.

--- a/crates/acaciabay/src/core/serving/endpoint_limit.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_limit.rs
@@ -1,5 +1,12 @@
 //! The rate limits that endpoints name in their answers: how many requests a second an endpoint takes from all entries
 //! together, for as long as it says so.
+//!
+//! [`LimitLedger`](super::limit_ledger::LimitLedger) divides each limit among the entries at the leader, in whole
+//! permits, and [`LimitGate`](super::limit_gate::LimitGate) lets an entry send under them. They exchange [`LimitReport`]
+//! and [`LimitAnswer`]. `docs/design/endpoint-limits.md` compares this with other ways.
+
+use super::endpoint_registry::EndpointIncarnation;
+use crate::core::name::EndpointName;
 
 /// Largest rate that counts as a limit, in requests a second. No endpoint is sent as much, and sums of rates stay finite.
 const MAX_RATE: f64 = 1e6;
@@ -59,3 +66,84 @@
     rate.and_then(RateLimit::per_second)
         .map_or(LimitNotice::Unreadable, LimitNotice::Limited)
 }
+
+/// Number of a state of an endpoint's limit. The leader numbers them, one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LimitVersion(pub u64);
+
+/// Limit of one incarnation of an endpoint, as the leader has told it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitState {
+    /// Incarnation that named the limit.
+    pub incarnation: EndpointIncarnation,
+    /// Number of this state among those of the incarnation. 0 if no leader has told it.
+    pub version: LimitVersion,
+    /// The limit in force, or `None` if the endpoint no longer names one.
+    pub limit: Option<RateLimit>,
+}
+
+/// What an answer that the leader does not know of has said.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSighting {
+    /// The limit that it named, or `None` if it named none.
+    pub limit: Option<RateLimit>,
+    /// Version that the entry knew when it sent the request. A higher limit, or none, counts only if it is the newest:
+    /// otherwise the answer may be older than the naming.
+    pub known: LimitVersion,
+}
+
+/// Permits of one entry for one endpoint, counted since the first grant of a leader's term. The counters are absolute,
+/// so that a report or an answer may be lost or repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PermitCounts {
+    /// Permits that the entry has received.
+    pub granted: u64,
+    /// Permits under which it has sent a request.
+    pub spent: u64,
+    /// Permits that have expired unspent.
+    pub expired: u64,
+}
+
+/// What an entry reports of one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitReportRow {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The newest state that the entry knows.
+    pub state: LimitState,
+    /// What it has seen since.
+    pub sighting: Option<LimitSighting>,
+    /// Its permits of the reported term.
+    pub permits: PermitCounts,
+    /// Requests for which the endpoint was the best choice, since the start of the entry.
+    pub asked: u64,
+}
+
+/// What an entry reports of all endpoints of which something has changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LimitReport {
+    /// Term of the leader that granted the permits.
+    pub term: u64,
+    /// The rows.
+    pub rows: Vec<LimitReportRow>,
+}
+
+/// What the leader tells an entry about one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitRow {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Its limit.
+    pub state: LimitState,
+    /// All permits that the leader has granted to the entry in its term.
+    pub granted: u64,
+}
+
+/// What the leader answers to a report: the rows of which the entry does not know everything.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LimitAnswer {
+    /// Term of the leader.
+    pub term: u64,
+    /// The rows.
+    pub rows: Vec<LimitRow>,
+}
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -12,7 +12,8 @@
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
 //!   [`allowance_gate`] admits calls at an entry.
-//! * [`endpoint_limit`] reads the rate limits that endpoints name in their answers.
+//! * [`endpoint_limit`] is the rate limit that an endpoint names in its answers. [`limit_ledger`] divides it among the
+//!   entries at the leader, [`limit_gate`] keeps an entry to its part.
 //! * [`work_sums`] adds up the work that all entries have at each endpoint.
 //! * [`answer_pace`] computes after which silence an engine is suspected of having failed, and [`shared_suspicion`]
 //!   selects the suspected endpoints that all entries avoid.
@@ -55,6 +56,8 @@
 pub mod group_clock;
 pub mod issued_order;
 pub mod lease_recovery;
+pub mod limit_gate;
+pub mod limit_ledger;
 pub mod pending_renewals;
 pub mod prefill_pace;
 pub mod prompt;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod config_transfer;
 mod counts;
 mod endpoint_handles;
+mod endpoint_limits;
 mod endpoint_registry;
 mod events;
 mod fixtures;
