Keep to the limits that endpoints name, over all entries

Callers of an endpoint in need saw slow answers while others were free: it named its limit in each answer, and all eight entries went on sending to it. Cause: what an endpoint says of itself beside 'not run' and keep-alive was carried through to the caller and read by nobody; endpoints are chosen by outstanding work, of which an endpoint that takes little has little.

Now an entry stops as soon as it reads a limit and sends under permits of the leader, taken where the request is written (calls, streams, prefills, second sends, resumes, freed handles).

--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -5,7 +5,8 @@
 //! * `shared` holds the state that the tasks share. `session` serves one entry or replica, `renewals` answers the lease
 //!   renewals of entries with configurations from `config_cache`, and `observer` receives the endpoint reports that
 //!   other replicas got.
-//! * `allowances` limits the use of customers over all entries.
+//! * `allowances` limits the use of customers over all entries, and `endpoint_limits` divides the limits that endpoints
+//!   name among them.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
 //! * `duties` runs the work that only one process at a time may do, through a [`PlatformCodec`]: `usage_windows`,
 //!   `pool_orders`, and `stage_orders` with `engine_orders`.
@@ -18,6 +19,7 @@
 mod config_cache;
 mod control_http;
 mod duties;
+mod endpoint_limits;
 mod engine_orders;
 mod observer;
 mod peers;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -25,6 +25,7 @@
 use prost::Message;
 
 use super::allowances::record_usage;
+use super::endpoint_limits::exchange_limits;
 use super::shared::{ControlShared, EntryState};
 
 /// Confirms an entry's lease, if this replica leads, and updates its configuration. Otherwise names the leader.
@@ -47,6 +48,7 @@
     let mut request = request;
     let suspects = answer_suspects(shared, hello, request.suspects.take());
     record_usage(shared, hello, request.usage.as_ref());
+    let limits = exchange_limits(shared, hello, request.limits.as_ref());
     let newest = shared.newest_config();
     let (entries, others) = record_entry_state(shared, hello, &request);
     let content = config_update(shared, hello, &request, &newest, &mut sent.config);
@@ -62,6 +64,7 @@
         kept: exchange_cached_parts(shared, &request, &mut sent.cached_parts_position),
         silent: silent_endpoint_names(shared),
         suspects: Some(suspects),
+        limits,
     })
 }
 
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -14,7 +14,7 @@
     EndpointNews, EndpointReports, EndpointRow, RestingEngine, RestingEngines, ServingFrame,
 };
 use acacia_wire::generated::state;
-use acacia_wire::{EncodedFrame, MESSAGE_REVISION, endpoint_to_wire, suspects_to_wire};
+use acacia_wire::{ALLOWANCES_REVISION, EncodedFrame, LIMITS_REVISION, endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptLog;
@@ -25,6 +25,7 @@
 use acaciabay::core::serving::endpoint_registry::{
     EndpointIncarnation, EndpointRegistry, ReportEffect, ServingEndpoint,
 };
+use acaciabay::core::serving::limit_ledger::LimitLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use acaciabay::core::serving::work_sums::WorkSums;
@@ -90,6 +91,8 @@
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
+    /// Limits of endpoints in the term in which this replica led last.
+    pub(super) limits: Option<LimitLedger>,
     /// Prompt parts that engines have cached, as announced by entries.
     pub(super) cached_parts: KeptLog,
     /// Configuration that was parsed last. It is reused while its number is the newest.
@@ -185,9 +188,10 @@
         let (revision, reported) = match &body {
             Body::Reported(reports) => {
                 let handles = reports.handles.iter().copied().map(EndpointHandle);
-                (MESSAGE_REVISION, handles.collect())
+                (ALLOWANCES_REVISION, handles.collect())
             }
-            Body::Allowances(_) => (MESSAGE_REVISION, Vec::new()),
+            Body::Allowances(_) => (ALLOWANCES_REVISION, Vec::new()),
+            Body::Limits(_) => (LIMITS_REVISION, Vec::new()),
             _ => (0, Vec::new()),
         };
         Self {
--- a/crates/acacia-entry/src/serving/allowance_charge.rs
+++ b/crates/acacia-entry/src/serving/allowance_charge.rs
@@ -93,7 +93,5 @@
 /// Returns a number from 0 to 1 that does not depend on which endpoint the call is sent to.
 fn draw_from(request: &str) -> f64 {
     const SALT: &str = "allowance";
-    const BITS: u32 = 53;
-    let hash = rendezvous::hash([SALT, request].concat().as_bytes());
-    (hash >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+    rendezvous::fraction(rendezvous::hash([SALT, request].concat().as_bytes()))
 }
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -8,17 +8,18 @@
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::util::number::whole_millis;
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 
 use super::allowance_charge::AllowanceCharge;
 use super::call::AcceptedCall;
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
+use super::endpoint_limits::{LimitAnswerHead, record_detour, record_limit_notice};
 use super::refusal::CallRefusal;
 
 /// Safety margin before the endpoint's keep-alive timeout: an idle connection is no longer used this long before the
@@ -39,6 +40,8 @@
     Lost,
     /// The call may no longer be sent to any endpoint, and nothing was sent.
     HeldBack(CallRefusal),
+    /// The endpoint has a limit, and the entry no permit for it. Nothing was sent.
+    LimitReached,
     /// The time limit of the attempt passed. The endpoint may still be running the call.
     TimedOut,
 }
@@ -111,19 +114,14 @@
     pub(super) give_up_after: Duration,
 }
 
-/// Sends a call to an endpoint and waits for the head of the answer, but not for its body. A failed attempt is logged,
-/// counted in the metrics and recorded in the load table.
-pub(super) async fn send(
+/// Builds the request of an attempt that is sent at `sent_at`.
+fn build_request(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
     role: AttemptRole<'_>,
     resume_after: Option<u64>,
-    timeouts: AttemptTimeouts,
-) -> AttemptOutcome {
-    if let Some(refusal) = call.held_back() {
-        return AttemptOutcome::HeldBack(refusal);
-    }
-    let sent_at = boot_now();
+    sent_at: BootTime,
+) -> Request<Full<Bytes>> {
     let attempt = AttemptHead {
         endpoint: &chosen.name,
         customer: call.customer(),
@@ -140,6 +138,27 @@
     if !call.body.is_empty() || call.parts.headers.contains_key(CONTENT_LENGTH) {
         request.headers_mut().insert(CONTENT_LENGTH, call.body.len().into());
     }
+    request
+}
+
+/// Sends a call to an endpoint and waits for the head of the answer, but not for its body. A failed attempt is logged,
+/// counted in the metrics and recorded in the load table.
+pub(super) async fn send(
+    call: &AcceptedCall,
+    chosen: &ChosenEndpoint,
+    role: AttemptRole<'_>,
+    resume_after: Option<u64>,
+    timeouts: AttemptTimeouts,
+) -> AttemptOutcome {
+    if let Some(refusal) = call.held_back() {
+        return AttemptOutcome::HeldBack(refusal);
+    }
+    let sent_at = boot_now();
+    let Some(known_limit) = call.shared.acquire_permit(sent_at, chosen) else {
+        return AttemptOutcome::LimitReached;
+    };
+    record_detour(call, chosen);
+    let request = build_request(call, chosen, role, resume_after, sent_at);
     let sending = call
         .shared
         .client
@@ -179,12 +198,17 @@
         Ok(Ok(answer)) => {
             let head = call.shared.codec.read_answer_head(answer.response.headers());
             let status = answer.response.status();
-            record_limit_notice(call, chosen, sent_at, status, head.limit);
-            if head
+            let is_crossed = head
                 .request
                 .as_ref()
-                .is_some_and(|request| *request != call.head.request)
-            {
+                .is_some_and(|request| *request != call.head.request);
+            let answered = LimitAnswerHead {
+                notice: head.limit,
+                status,
+                has_run: !is_crossed && !head.not_run,
+            };
+            record_limit_notice(call, chosen, known_limit, answered);
+            if is_crossed {
                 slog::warn!(call.shared.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
                 (AttemptOutcome::Lost, "answer to another request".to_owned())
@@ -215,32 +239,6 @@
     outcome
 }
 
-/// Records what an answer says about the limit of its endpoint, and logs it if that has changed.
-fn record_limit_notice(
-    call: &AcceptedCall,
-    chosen: &ChosenEndpoint,
-    sent_at: BootTime,
-    status: StatusCode,
-    notice: LimitNotice,
-) {
-    // The answer of another endpoint at this address says nothing about this one.
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
-    let key = (chosen.name.clone(), chosen.endpoint.incarnation);
-    let mut state = call.shared.state();
-    let before = state.limit_notices.get(&key).copied().unwrap_or_default();
-    if notice == before {
-        return;
-    }
-    state.limit_notices.insert(key, notice);
-    drop(state);
-    slog::info!(call.shared.log, "endpoint limit changed"; "event" => event::LIMIT_NAMED,
-        "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "birth" => chosen.endpoint.incarnation.0,
-        "before" => ?before, "notice" => ?notice, "status" => status.as_u16(),
-        "sent_ms" => whole_millis(boot_now().since(sent_at)));
-}
-
 fn record_failed_attempt(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
@@ -257,7 +255,7 @@
     match outcome {
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
         AttemptOutcome::Lost | AttemptOutcome::TimedOut => state.loads.record_silence(boot_now(), &chosen.name),
-        // `NotRun { arrived: true }`. `Answered` and `HeldBack` have already been returned.
+        // `NotRun { arrived: true }`. `Answered`, `HeldBack` and `LimitReached` have already been returned.
         _ => state.loads.record_failure(boot_now(), &chosen.name),
     }
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -34,7 +34,7 @@
 
 use super::config_install::{ReceivedConfig, ReplicaSession};
 use super::endpoint_news::{
-    apply_allowances, apply_endpoint_news, apply_reports, apply_resting_engines, apply_suspects,
+    apply_allowances, apply_endpoint_news, apply_limit_states, apply_reports, apply_resting_engines, apply_suspects,
 };
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
@@ -163,9 +163,11 @@
     ) -> std::io::Result<()> {
         let mut renewal_triggers = self.renewal_triggers.subscribe();
         let mut reports_due = self.shared.suspects.reports_due();
+        let mut limit_reports_due = self.shared.limit_reports_due.subscribe();
         loop {
             renewal_triggers.mark_unchanged();
             reports_due.mark_unchanged();
+            limit_reports_due.mark_unchanged();
             let now = boot_now();
             self.clear_overdue_leader(now, address, session);
             let should_ask = self.replicas.lock().should_ask(now, address);
@@ -182,6 +184,7 @@
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
                 _ = renewal_triggers.changed() => {}
                 _ = reports_due.changed() => {}
+                _ = limit_reports_due.changed() => {}
             }
         }
     }
@@ -278,6 +281,7 @@
                 }
                 Body::Suspects(suspects) => apply_suspects(&self.shared, suspects),
                 Body::Allowances(table) => apply_allowances(&self.shared, &table),
+                Body::Limits(table) => apply_limit_states(&self.shared, &table),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
                 Body::Alive(sign) => self
                     .shared
@@ -305,6 +309,7 @@
             kept,
             silent,
             suspects,
+            limits,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -319,8 +324,11 @@
         self.shared
             .suspects
             .apply_answer(suspects.map_err(|_malformed| std::io::ErrorKind::InvalidData)?);
+        if let Some(limits) = limits {
+            self.shared.apply_limits(received.requested_at, &limits)?;
+        }
         // A report was due while this renewal was on its way.
-        if self.shared.suspects.has_unreported() {
+        if self.shared.suspects.has_unreported() || self.shared.state().limits.has_unreported() {
             self.trigger_renewals();
         }
         let mut state = self.shared.state();
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -2,11 +2,13 @@
 
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
-use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::endpoint_load::LoadTable;
+use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 
+use super::endpoint_limits::{LimitDetour, NamedChoice, choose_within_limits, limited};
 use super::shared::{EntryShared, EntryState};
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
@@ -14,6 +16,8 @@
 pub(super) struct ChosenEndpoint {
     pub(super) name: EndpointName,
     pub(super) endpoint: ServingEndpoint,
+    /// Endpoint that would have been chosen but for its limit.
+    pub(super) detour: Option<LimitDetour>,
 }
 
 /// Engine that prefills a prompt.
@@ -25,6 +29,12 @@
     pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
+impl NamedChoice for PromptPlacement {
+    fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+}
+
 impl EntryShared {
     /// Chooses an endpoint for a plain call.
     pub(super) fn choose_for_plain_call(
@@ -34,15 +44,40 @@
         tried: &[EndpointName],
         request_hash: u64,
     ) -> Option<ChosenEndpoint> {
-        let state = self.state();
-        let candidates = without_tried(state.registry.ready(now, service), tried);
-        let name = place_plain(&self.placement(now, &state), &candidates, request_hash)?;
-        find_chosen(&candidates, &name)
+        let mut state = self.state();
+        let EntryState {
+            registry,
+            loads,
+            limits,
+            ..
+        } = &mut *state;
+        let candidates = without_tried(registry.ready(now, service), tried);
+        let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
+            place_plain(&self.placement(now, loads, permitted), candidates, request_hash)
+        })?;
+        find_chosen(&candidates, &name, detour)
     }
 
-    /// Returns true if the service has separate engines for prefill that take calls at present.
+    /// Returns true if the service has separate engines for prefill that may be sent a prompt at present.
     pub(super) fn has_prefill_engines(&self, now: BootTime, service: &ServiceName) -> bool {
-        !available_of_stage(&self.state(), now, service, EngineStage::Prefill).is_empty()
+        let mut state = self.state();
+        let EntryState {
+            registry,
+            loads,
+            limits,
+            ..
+        } = &mut *state;
+        let engines = available_of_stage(registry, loads, now, service, EngineStage::Prefill);
+        let has_room = engines
+            .iter()
+            .any(|(name, endpoint)| limits.admits(now, limited(name, endpoint)));
+        if !has_room {
+            // Without demand the leader would grant no permits, and decode engines would read all prompts from now on.
+            for (name, endpoint) in &engines {
+                limits.record_demand(limited(name, endpoint));
+            }
+        }
+        has_room
     }
 
     /// Chooses an engine to prefill a prompt.
@@ -53,22 +88,34 @@
         tried: &[EndpointName],
         prompt: &PromptShape,
     ) -> Option<ChosenPrefillEngine> {
-        let state = self.state();
-        let readers = without_tried(available_of_stage(&state, now, service, EngineStage::Prefill), tried);
-        let mut keepers = state.registry.answering(now, service);
-        keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
+        let mut state = self.state();
         let spec = state.engine_spec(service);
-        let engines = PromptEngines {
-            prefill_engines: &readers,
-            sources: &keepers,
-            pace: state.prefill_pace(service),
-            link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
-        };
-        let place = place_prompt(&self.placement(now, &state), &engines, prompt)?;
-        let copy_from = place.copy_from.as_ref().and_then(|name| find_chosen(&keepers, name));
+        let usual_pace = state.prefill_pace(service);
+        let EntryState {
+            registry,
+            loads,
+            limits,
+            ..
+        } = &mut *state;
+        let readers = without_tried(
+            available_of_stage(registry, loads, now, service, EngineStage::Prefill),
+            tried,
+        );
+        let mut keepers = registry.answering(now, service);
+        keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
+        let (place, detour) = choose_within_limits(now, limits, &readers, |readers, permitted| {
+            let engines = PromptEngines {
+                prefill_engines: readers,
+                sources: &keepers,
+                pace: usual_pace,
+                link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
+            };
+            place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
+        })?;
+        let copy_from = place.copy_from.as_ref();
         Some(ChosenPrefillEngine {
-            engine: find_chosen(&readers, &place.endpoint)?,
-            copy_from,
+            copy_from: copy_from.and_then(|name| find_chosen(&keepers, name, None)),
+            engine: find_chosen(&readers, &place.endpoint, detour)?,
             place,
         })
     }
@@ -83,29 +130,38 @@
         request_hash: u64,
     ) -> Option<ChosenEndpoint> {
         let memory = self.engine_memory(service);
-        let state = self.state();
-        let mut candidates = available_of_stage(&state, now, service, EngineStage::Decode);
+        let mut state = self.state();
+        let EntryState {
+            registry,
+            loads,
+            limits,
+            ..
+        } = &mut *state;
+        let mut candidates = available_of_stage(registry, loads, now, service, EngineStage::Decode);
         if candidates.is_empty() {
             // Endpoints that report no stage both prefill and decode.
-            candidates = state.registry.ready(now, service);
+            candidates = registry.ready(now, service);
             candidates.retain(|(_, endpoint)| endpoint.stage.is_none());
         }
         let candidates = without_tried(candidates, tried);
-        let name = place_stream(
-            &self.placement(now, &state),
-            &candidates,
-            memory,
-            prefill_domain,
-            request_hash,
-        )?;
-        find_chosen(&candidates, &name)
+        let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
+            let view = self.placement(now, loads, permitted);
+            place_stream(&view, candidates, memory, prefill_domain, request_hash)
+        })?;
+        find_chosen(&candidates, &name, detour)
     }
 
-    fn placement<'state>(&'state self, now: BootTime, state: &'state EntryState) -> PlacementView<'state> {
+    const fn placement<'state>(
+        &'state self,
+        now: BootTime,
+        loads: &'state LoadTable,
+        permitted: &'state [EndpointName],
+    ) -> PlacementView<'state> {
         PlacementView {
             now,
             domain: &self.domain,
-            loads: &state.loads,
+            loads,
+            permitted,
         }
     }
 }
@@ -113,15 +169,14 @@
 type EndpointRow<'state> = (&'state EndpointName, &'state ServingEndpoint);
 
 fn available_of_stage<'state>(
-    entry: &'state EntryState,
+    registry: &'state EndpointRegistry,
+    loads: &LoadTable,
     now: BootTime,
     service: &'state ServiceName,
     stage: EngineStage,
 ) -> Vec<EndpointRow<'state>> {
-    let mut rows = entry.registry.ready(now, service);
-    rows.retain(|(name, endpoint)| {
-        endpoint.stage == Some(stage) && !entry.loads.is_switching_stage(now, name, endpoint)
-    });
+    let mut rows = registry.ready(now, service);
+    rows.retain(|(name, endpoint)| endpoint.stage == Some(stage) && !loads.is_switching_stage(now, name, endpoint));
     rows
 }
 
@@ -130,10 +185,11 @@
     rows
 }
 
-fn find_chosen(rows: &[EndpointRow<'_>], name: &EndpointName) -> Option<ChosenEndpoint> {
+fn find_chosen(rows: &[EndpointRow<'_>], name: &EndpointName, detour: Option<LimitDetour>) -> Option<ChosenEndpoint> {
     let row = rows.iter().find(|(known, _)| *known == name)?;
     Some(ChosenEndpoint {
         name: row.0.clone(),
         endpoint: row.1.clone(),
+        detour,
     })
 }
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -4,9 +4,13 @@
 
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_wire::generated::serving::{AllowanceTable, EndpointNews, EndpointReports, RestingEngine, RestingEngines};
+use acacia_wire::generated::serving::{
+    AllowanceTable, EndpointNews, EndpointReports, LimitTable, RestingEngine, RestingEngines,
+};
 use acacia_wire::generated::state::SuspectTable;
-use acacia_wire::{allowance_row_from_wire, endpoint_from_wire, stage_from_wire, suspects_from_wire};
+use acacia_wire::{
+    allowance_row_from_wire, endpoint_from_wire, limit_answer_from_wire, stage_from_wire, suspects_from_wire,
+};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
@@ -71,6 +75,16 @@
     shared.state().allowances.set_rows(rows);
 }
 
+/// Applies the limits of endpoints that have changed.
+pub(super) fn apply_limit_states(shared: &EntryShared, table: &LimitTable) {
+    match limit_answer_from_wire(table) {
+        Ok(answer) => shared.state().limits.apply_states(answer.term, &answer.rows),
+        Err(error) => {
+            slog::warn!(shared.log, "malformed limits received"; "event" => event::MESSAGE_REFUSED, "error" => %error);
+        }
+    }
+}
+
 fn resting_from_wire(now: BootTime, engine: &RestingEngine) -> Option<(EndpointName, StageSwitch)> {
     let order = StageSwitch {
         birth: EndpointIncarnation(engine.birth),
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,7 +6,8 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
 //!
-//! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints. `control_sessions` keeps this
+//! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
+//! (`endpoint_limits`). `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
 //! `config_install` and `endpoint_news` handle what the replicas send. The wire format of calls is defined by a
 //! [`CallCodec`].
@@ -18,6 +19,7 @@
 mod config_install;
 mod control_sessions;
 mod endpoint_choice;
+mod endpoint_limits;
 mod endpoint_news;
 mod plain_call;
 mod prefill;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -19,7 +19,8 @@
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
+use super::endpoint_limits::choose_with_permit;
+use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
 use super::stream_body::{PlainStream, stream_answer};
 
@@ -59,13 +60,12 @@
 async fn run(call: &Arc<AcceptedCall>) -> Result<(Response<ResponseBody>, EndpointName), CallRefusal> {
     let mut attempts = PlainAttempts::default();
     loop {
+        let chosen = choose_with_permit(call, "no endpoint", &attempts.tried, |now| {
+            call.shared
+                .choose_for_plain_call(now, &call.service, &attempts.tried, call.request_hash)
+        });
+        let chosen = chosen.await.map_err(|refusal| attempts.held_back(refusal))?;
         let now = boot_now();
-        let chosen = call
-            .shared
-            .choose_for_plain_call(now, &call.service, &attempts.tried, call.request_hash);
-        let Some(chosen) = chosen else {
-            return Err(attempts.refusal("no endpoint", NO_ENDPOINT_RETRY_DELAY));
-        };
         let guard = call.shared.add_work(&chosen.name, single_call());
         let timeouts = AttemptTimeouts {
             suspect_after: None,
@@ -99,6 +99,7 @@
                     return Err(CallRefusal::AnswerLost);
                 }
             }
+            AttemptOutcome::LimitReached => {}
             AttemptOutcome::HeldBack(refusal) => return Err(attempts.held_back(refusal)),
             AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
         }
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -1,13 +1,12 @@
 //! Prefill of a prompt on one engine, so that another engine can decode it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::{BodyRefusal, ConnectionChoice, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acaciabay::core::name::{DomainName, EndpointName};
+use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::prefill_pace::PrefillTime;
 use acaciabay::core::serving::prompt::PromptShape;
@@ -23,7 +22,8 @@
 use super::call::AcceptedCall;
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
+use super::endpoint_limits::choose_with_permit;
+use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 
 /// Multiple of the expected prefill time, including the queue, after which another engine is asked.
@@ -44,9 +44,8 @@
 /// the value frees the prompt on the engine, unless a decode engine has taken it.
 #[derive(Debug)]
 pub(super) struct PrefilledPrompt {
-    pub(super) address: SocketAddr,
+    pub(super) engine: ChosenEndpoint,
     pub(super) handle: String,
-    pub(super) domain: DomainName,
     shared: Arc<EntryShared>,
     is_taken: bool,
 }
@@ -65,7 +64,13 @@
             return;
         }
         let (method, path) = self.shared.codec.free_handle_request(&self.handle);
-        let (shared, address) = (Arc::clone(&self.shared), self.address);
+        let (shared, address) = (Arc::clone(&self.shared), self.engine.endpoint.address);
+        if shared.acquire_permit(boot_now(), &self.engine).is_none() {
+            // It expires on the engine.
+            slog::info!(shared.log, "prompt not freed because of a limit"; "event" => event::PROMPT_READ,
+                "endpoint" => self.engine.name.as_str(), "handle" => &self.handle);
+            return;
+        }
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -105,11 +110,11 @@
     let mut arrived = is_retry;
     let mut failed = 0;
     while failed < MAX_FAILED_ENGINES && tried.len() - failed < MAX_UNREACHABLE_ENGINES {
+        let reader = choose_with_permit(call, "no engine reads prompts", &tried, |now| {
+            call.shared.choose_prefill_engine(now, &call.service, &tried, prompt)
+        });
+        let reader = reader.await?;
         let now = boot_now();
-        let found = call.shared.choose_prefill_engine(now, &call.service, &tried, prompt);
-        let Some(reader) = found else {
-            return Err(not_run("no engine reads prompts", NO_ENDPOINT_RETRY_DELAY));
-        };
         let left = call.deadline.since(now);
         let wait = reader.place.wait;
         // Demand is recorded for each engine chosen, and before the call may be refused, because the callers of refused
@@ -189,7 +194,7 @@
     .await;
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
-        AttemptOutcome::NotRun { arrived: false } => return PrefillOutcome::NotReached,
+        AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::LimitReached => return PrefillOutcome::NotReached,
         AttemptOutcome::HeldBack(refusal) => return PrefillOutcome::HeldBack(refusal),
         AttemptOutcome::NotRun { arrived: true } | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
             return PrefillOutcome::Failed;
@@ -223,9 +228,8 @@
     state.kept_news.record_prefill(&chosen.name, prompt.shared_parts());
     drop(state);
     PrefillOutcome::Prefilled(PrefilledPrompt {
-        address: chosen.endpoint.address,
+        engine: chosen.clone(),
         handle,
-        domain: chosen.endpoint.domain.clone(),
         shared: Arc::clone(&call.shared),
         is_taken: false,
     })
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -7,7 +7,8 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
 use acacia_wire::{
-    counts_to_wire, kept_to_wire, pace_to_wire, suspect_report_to_wire, usage_report_to_wire, use_to_wire,
+    counts_to_wire, kept_to_wire, limit_report_to_wire, pace_to_wire, suspect_report_to_wire, usage_report_to_wire,
+    use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::config::ConfigNumber;
@@ -21,6 +22,7 @@
 pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
     let mut state = shared.state();
     let usage = state.allowances.report(now);
+    let limits = state.limits.report(now);
     let uses = state
         .loads
         .own_work()
@@ -54,6 +56,7 @@
         kept: kept.iter().map(kept_to_wire).collect(),
         suspects: Some(suspect_report_to_wire(&shared.suspects.take_report())),
         usage: Some(usage_report_to_wire(&usage)),
+        limits: Some(limit_report_to_wire(&limits)),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -17,11 +17,11 @@
 use acaciabay::core::serving::config_freshness::ConfigFreshness;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::config_transfer::ConfigDocument;
-use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
-use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointRegistry};
+use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::lease_recovery::LeaseOutage;
+use acaciabay::core::serving::limit_gate::LimitGate;
 use acaciabay::core::serving::prefill_pace::{PrefillPace, PrefillTime};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
@@ -30,7 +30,7 @@
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::codec::CallCodec;
@@ -73,7 +73,7 @@
     pub(super) loads: LoadTable,
     pub(super) entry_count: u32,
     pub(super) allowances: AllowanceGate,
-    pub(super) limit_notices: HashMap<(EndpointName, EndpointIncarnation), LimitNotice>,
+    pub(super) limits: LimitGate,
     pub(super) start_counts: CallCounts,
     pub(super) group_clock: GroupClock,
     /// Announcements of the prompt parts that engines have cached.
@@ -99,12 +99,19 @@
             .unwrap_or_else(|| wall_nanos() / 1_000_000)
     }
 
-    /// Removes endpoints that have not reported for a long time, and the announcements of what they have cached.
+    /// Removes endpoints that have not reported for a long time, with what they have cached and their limits.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
         let Self {
-            registry, kept_news, ..
+            registry,
+            kept_news,
+            limits,
+            ..
         } = self;
         registry.remove_expired(now);
+        limits.retain(|limited| {
+            let endpoint = registry.get(limited.name);
+            endpoint.is_some_and(|endpoint| endpoint.incarnation <= limited.incarnation)
+        });
         kept_news.retain(|engine| registry.get(engine).is_some());
     }
 
@@ -161,6 +168,10 @@
     lease: Arc<LeaseEnd>,
     /// Notifies the calls that wait for a lease.
     lease_extended: Notify,
+    /// Counter of the times at which the leader was to be told of a limit, or asked for permits, at once.
+    pub(super) limit_reports_due: watch::Sender<u64>,
+    /// Notifies the calls that wait for permits.
+    pub(super) limit_news: Notify,
     state: Mutex<EntryState>,
 }
 
@@ -227,6 +238,8 @@
             stop_phase: Mutex::default(),
             lease,
             lease_extended: Notify::new(),
+            limit_reports_due: watch::Sender::new(0),
+            limit_news: Notify::new(),
             state: Mutex::default(),
         }
     }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -19,9 +19,10 @@
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
+use super::endpoint_limits::choose_with_permit;
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
 use super::stream_body::stream_events;
 
@@ -134,15 +135,13 @@
             if prefilled.is_none() {
                 prefilled = self.prefill_if_separate().await?;
             }
-            let domain = prefilled.as_ref().map(|prefilled| &prefilled.domain);
-            let now = boot_now();
-            let chosen =
+            let domain = prefilled.as_ref().map(|prefilled| &prefilled.engine.endpoint.domain);
+            let chosen = choose_with_permit(&self.call, "no engine makes tokens", &tried, |now| {
                 self.call
                     .shared
-                    .choose_decode_engine(now, &self.call.service, &tried, domain, self.call.request_hash);
-            let Some(chosen) = chosen else {
-                return Err(self.refusal("no engine makes tokens", NO_ENDPOINT_RETRY_DELAY));
-            };
+                    .choose_decode_engine(now, &self.call.service, &tried, domain, self.call.request_hash)
+            });
+            let chosen = chosen.await.map_err(|refusal| self.held_back(refusal))?;
             let guard = self.call.shared.add_work(&chosen.name, self.decode_work());
             let outcome = self.send_to(&chosen, prefilled.as_ref(), resume_after).await;
             match outcome {
@@ -186,6 +185,7 @@
                         return Err(self.refusal("turned away", SHORT_RETRY_DELAY));
                     }
                 }
+                AttemptOutcome::LimitReached => {}
                 AttemptOutcome::HeldBack(refusal) => return Err(self.held_back(refusal)),
                 AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
                     self.possible_runs += 1;
@@ -234,7 +234,7 @@
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
         let role = prefilled.map_or(AttemptRole::Whole, |prefilled| AttemptRole::MakeTokens {
-            reader: prefilled.address,
+            reader: prefilled.engine.endpoint.address,
             handle: &prefilled.handle,
         });
         let suspect_after = self.call.shared.state().suspicion_timeout(&self.call.service);
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -84,6 +84,10 @@
     ALLOWANCE_USED_UP = "E0236";
     /// An endpoint named a rate limit, changed it, or no longer names it.
     LIMIT_NAMED = "E0237";
+    /// A call was refused because all endpoints of its service have reached their limits.
+    LIMITS_REACHED = "E0238";
+    /// A call was sent to another endpoint than the best one because of a limit.
+    LIMIT_DETOUR = "E0239";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -155,6 +159,10 @@
     EVIDENCE_RECEIVED = "E0338";
     /// Evidence against calls was committed.
     EVIDENCE_COMMITTED = "E0339";
+    /// The rate limit of an endpoint was recorded, changed, or ended.
+    LIMIT_RECORDED = "E0340";
+    /// An entry was told of limits, and granted permits.
+    PERMITS_GRANTED = "E0341";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/limit_gate.rs
+++ b/crates/acaciabay/src/core/serving/limit_gate.rs
@@ -191,6 +191,11 @@
         self.row(endpoint)?.limit()
     }
 
+    /// Returns true if any endpoint has a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.rows.is_empty()
+    }
+
     /// Returns the endpoints with a limit.
     pub fn limits(&self) -> impl Iterator<Item = (&EndpointName, RateLimit)> {
         self.rows.iter().filter_map(|(name, row)| Some((name, row.limit()?)))
@@ -356,6 +361,12 @@
         });
     }
 
+    /// Returns true if a call for the service was refused a moment ago.
+    pub fn has_queue(&self, now: BootTime, service: &ServiceName) -> bool {
+        let last = self.refused.get(service).and_then(VecDeque::back);
+        last.is_some_and(|at| now.since(*at) < MIN_RETRY_DELAY)
+    }
+
     /// Refuses a call for which all endpoints of its service have reached their limits, `limits`. `entries` is the number
     /// of entries that serve, and `draw` a random number from 0 to 1.
     pub fn refuse(
--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -22,6 +22,8 @@
     pub domain: &'table DomainName,
     /// The load of the endpoints.
     pub loads: &'table LoadTable,
+    /// Endpoints with a limit for which the entry holds a permit that would otherwise expire.
+    pub permitted: &'table [EndpointName],
 }
 
 /// Penalties added to an endpoint's load, in fractions of its slots. A prompt takes twice as long to reach another
@@ -29,6 +31,7 @@
 const SLOT_PENALTY: EndpointPenalty = EndpointPenalty {
     other_domain: 0.15,
     suspect: 8.0,
+    permitted: -0.3,
 };
 
 /// Range of the random term added to an engine's load, as a fraction of its slots. Entries learn of each other's
@@ -88,6 +91,8 @@
     pub(super) other_domain: f64,
     /// Penalty for an endpoint that has failed recently.
     pub(super) suspect: f64,
+    /// Penalty, a negative one, for an endpoint for which the entry holds a permit.
+    pub(super) permitted: f64,
 }
 
 impl EndpointPenalty {
@@ -100,6 +105,9 @@
     ) -> f64 {
         let is_remote = endpoint.domain != *preferred_domain;
         let is_suspected = view.loads.is_suspected(view.now, name);
-        f64::from(u8::from(is_remote)) * self.other_domain + f64::from(u8::from(is_suspected)) * self.suspect
+        let is_permitted = view.permitted.contains(name);
+        f64::from(u8::from(is_remote)) * self.other_domain
+            + f64::from(u8::from(is_suspected)) * self.suspect
+            + f64::from(u8::from(is_permitted)) * self.permitted
     }
 }
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -61,6 +61,7 @@
 const PREFILL_PENALTY: EndpointPenalty = EndpointPenalty {
     other_domain: 3.0,
     suspect: 60_000.0,
+    permitted: -20.0,
 };
 
 /// The engines of a service among which a prompt is placed.
--- a/crates/acaciabay/src/util/rendezvous.rs
+++ b/crates/acaciabay/src/util/rendezvous.rs
@@ -20,6 +20,12 @@
     u64::from_be_bytes(first)
 }
 
+/// Turns a hash into a number from 0 to 1 (exclusive).
+pub fn fraction(hash: u64) -> f64 {
+    const BITS: u32 = 53;
+    (hash >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+}
+
 /// Computes the score of a pair from the hashes of the key and the candidate.
 ///
 /// The multipliers and shifts are those of the `SplitMix64` finalizer.
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -35,6 +35,7 @@
         now: at(0),
         domain: &domain,
         loads,
+        permitted: &[],
     };
     let link = link();
     let engines = PromptEngines {
@@ -168,6 +169,7 @@
         now: at(0),
         domain: &domain,
         loads: &loads,
+        permitted: &[],
     };
     let expected = |pace| {
         let engines = PromptEngines {
@@ -206,6 +208,7 @@
         now: at(0),
         domain: &domain,
         loads: &loads,
+        permitted: &[],
     };
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
@@ -320,6 +323,7 @@
         now: at(0),
         domain: &domain,
         loads: &loads,
+        permitted: &[],
     };
     let link = link();
     let engines = PromptEngines {
