Plan stages without the engines that name a limit

Callers of a service with two engines, one with a limit of 1 a second, were refused 1,068 times in 9 s although the other engine was free. Cause: the plan of stages counts each engine alike; it kept the limited one as the only engine that makes tokens and ordered the other to read prompts. The record shows the same at 11.82 s: an engine with a limit of 1 became one of three decode engines.

--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -95,6 +95,7 @@
             .into_iter()
             .map(|(name, endpoint)| self.orders.with_open_order(name, endpoint))
             .collect();
+        let engines = without_limited(context, engines);
         let stages = self.services.entry(service.clone()).or_default();
         stages.peak.see(now, present);
         let demand = stages.peak.demand();
@@ -144,6 +145,20 @@
     }
 }
 
+/// Returns the engines without those that name a limit, unless all do. An engine in need takes few calls, so that a stage
+/// that counts on it has too few engines.
+fn without_limited(context: &DutyContext<'_>, engines: Vec<EngineRow>) -> Vec<EngineRow> {
+    let soft = context.shared.soft_state();
+    let Some(limits) = &soft.limits else {
+        return engines;
+    };
+    let is_limited = |(name, endpoint): &EngineRow| limits.limit(name, endpoint.incarnation).is_some();
+    if engines.iter().all(is_limited) {
+        return engines;
+    }
+    engines.into_iter().filter(|engine| !is_limited(engine)).collect()
+}
+
 fn is_decode_engine(endpoint: &ServingEndpoint) -> bool {
     endpoint.stage == Some(EngineStage::Decode)
 }
