--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -12,9 +12,10 @@
 use acaciabay::core::serving::serving_state::{ServingCommand, ServingOutcome};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 
 use super::codec::{ControlAnswer, ControlCall};
+use super::endpoint_limits::list_limits;
 use super::shared::ControlShared;
 use crate::operator_api::OperatorRefusal;
 use crate::operator_quarantine::operate_quarantine;
@@ -33,6 +34,12 @@
             json_response(StatusCode::OK, &value)
         });
     }
+    if (&parts.method, segments.as_slice()) == (&Method::GET, &["v1", "limits"]) {
+        let listed = list_limits(&shared).await;
+        return listed.map_or_else(OperatorRefusal::into_response, |value| {
+            json_response(StatusCode::OK, &value)
+        });
+    }
     let answer = match read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => match shared.codec.read_call(&parts, &body) {
             ControlCall::PutConfig => put_config(&shared, body).await,
--- a/crates/acacia-control/src/serving/endpoint_limits.rs
+++ b/crates/acacia-control/src/serving/endpoint_limits.rs
@@ -9,8 +9,11 @@
 use acaciabay::core::serving::endpoint_limit::{LimitAnswer, LimitReport, LimitRow, RateLimit};
 use acaciabay::core::serving::limit_ledger::{LimitChange, LimitLedger};
 use acaciabay::core::serving::start_counts::EntryStart;
+use acaciabay::util::number::whole_millis;
+use serde_json::json;
 
 use super::shared::ControlShared;
+use crate::operator_api::OperatorResult;
 
 /// Records what an entry reports of limits, and returns what it has to be told. Returns `None` if this replica no longer
 /// leads.
@@ -41,6 +44,31 @@
     Some(limit_answer_to_wire(&answer))
 }
 
+/// Returns the limits in force, for operators.
+///
+/// # Errors
+///
+/// Fails if this replica does not lead, or cannot be sure of it.
+pub(super) async fn list_limits(shared: &ControlShared) -> OperatorResult {
+    shared.group.confirm_leadership().await?;
+    let now = boot_now();
+    let views = shared.soft_state().limits.as_ref().map(|ledger| ledger.views(now));
+    let rows = views.unwrap_or_default().into_iter().map(|view| {
+        json!({
+            "endpoint": view.endpoint.as_str(),
+            "birth": view.state.incarnation.0,
+            "version": view.state.version.0,
+            "limit": view.state.limit.map(RateLimit::rate),
+            "age_ms": whole_millis(view.age),
+            "available": view.available,
+            "outstanding": view.outstanding,
+            "demand": view.demand,
+            "entries": view.entries,
+        })
+    });
+    Ok(json!({ "limits": rows.collect::<Vec<_>>() }))
+}
+
 fn leading_term(shared: &ControlShared) -> Option<u64> {
     let status = shared.group.status();
     let status = status.borrow();
--- a/crates/acaciabay/src/core/serving/limit_ledger.rs
+++ b/crates/acaciabay/src/core/serving/limit_ledger.rs
@@ -52,6 +52,25 @@
     pub state: LimitState,
 }
 
+/// A limit in force, for operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitView {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Its state.
+    pub state: LimitState,
+    /// Time since the limit was last changed.
+    pub age: Duration,
+    /// Permits that may be granted at once.
+    pub available: u64,
+    /// Permits that entries hold unspent, as far as they have reported.
+    pub outstanding: u64,
+    /// Requests a second that entries would send to the endpoint.
+    pub demand: f64,
+    /// Entries that know the limit.
+    pub entries: usize,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct EntryShare {
     heard_at: BootTime,
@@ -312,6 +331,21 @@
             .flatten()
     }
 
+    /// Returns all limits in force.
+    pub fn views(&self, now: BootTime) -> Vec<LimitView> {
+        let limited = self.buckets.iter().filter(|(_, bucket)| bucket.state.limit.is_some());
+        let views = limited.map(|(name, bucket)| LimitView {
+            endpoint: name.clone(),
+            state: bucket.state,
+            age: now.since(bucket.changed_at),
+            available: rounded_down(bucket.level),
+            outstanding: bucket.shares.values().map(EntryShare::outstanding).sum(),
+            demand: bucket.shares.values().map(|share| share.demand).sum(),
+            entries: bucket.shares.len(),
+        });
+        views.collect()
+    }
+
     /// Returns the bucket of an endpoint, which begins anew with a new incarnation.
     fn bucket(&mut self, now: BootTime, row: &LimitReportRow) -> &mut LimitBucket {
         let unknown = LimitState {
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -3,6 +3,7 @@
 mod endpoints;
 mod entries;
 mod keys;
+mod limits;
 mod members;
 mod pools;
 mod quarantine;
@@ -29,6 +30,7 @@
     Members(members::MembersArgs),
     Entries(entries::EntriesArgs),
     Endpoints(endpoints::EndpointsArgs),
+    Limits(limits::LimitsArgs),
     Quarantine(quarantine::QuarantineArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
@@ -44,6 +46,7 @@
             Self::Members(args) => args.exec(client).await,
             Self::Entries(args) => args.exec(client).await,
             Self::Endpoints(args) => args.exec(client).await,
+            Self::Limits(args) => args.exec(client).await,
             Self::Quarantine(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
