Read no prompt while limits leave no engine to answer it

Cause: the choice of the engine that reads a prompt does not look at those that have to make its tokens. The call now waits for a permit, or is refused, before its prompt is read.

--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -4,6 +4,7 @@
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::endpoint_load::LoadTable;
 use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::limit_gate::LimitGate;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
@@ -72,14 +73,32 @@
             .iter()
             .any(|(name, endpoint)| limits.admits(now, limited(name, endpoint)));
         if !has_room {
-            // Without demand the leader would grant no permits, and decode engines would read all prompts from now on.
-            for (name, endpoint) in &engines {
-                limits.record_demand(limited(name, endpoint));
-            }
+            record_demand(limits, &engines);
         }
         has_room
     }
 
+    /// Returns false if limits stand against all engines that could decode a call. A prompt that is prefilled for it would be
+    /// prefilled in vain.
+    pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, tried: &[EndpointName]) -> bool {
+        let mut state = self.state();
+        let EntryState {
+            registry,
+            loads,
+            limits,
+            ..
+        } = &mut *state;
+        if !limits.has_limits() {
+            return true;
+        }
+        let engines = without_tried(decode_candidates(registry, loads, now, service), tried);
+        let mut rows = engines.iter().map(|(name, endpoint)| limited(name, endpoint));
+        engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) || {
+            record_demand(limits, &engines);
+            false
+        }
+    }
+
     /// Chooses an engine to prefill a prompt.
     pub(super) fn choose_prefill_engine(
         &self,
@@ -137,13 +156,7 @@
             limits,
             ..
         } = &mut *state;
-        let mut candidates = available_of_stage(registry, loads, now, service, EngineStage::Decode);
-        if candidates.is_empty() {
-            // Endpoints that report no stage both prefill and decode.
-            candidates = registry.ready(now, service);
-            candidates.retain(|(_, endpoint)| endpoint.stage.is_none());
-        }
-        let candidates = without_tried(candidates, tried);
+        let candidates = without_tried(decode_candidates(registry, loads, now, service), tried);
         let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
             let view = self.placement(now, loads, permitted);
             place_stream(&view, candidates, memory, prefill_domain, request_hash)
@@ -180,6 +193,29 @@
     rows
 }
 
+fn decode_candidates<'state>(
+    registry: &'state EndpointRegistry,
+    loads: &LoadTable,
+    now: BootTime,
+    service: &'state ServiceName,
+) -> Vec<EndpointRow<'state>> {
+    let engines = available_of_stage(registry, loads, now, service, EngineStage::Decode);
+    if !engines.is_empty() {
+        return engines;
+    }
+    // Endpoints that report no stage both prefill and decode.
+    let mut rows = registry.ready(now, service);
+    rows.retain(|(_, endpoint)| endpoint.stage.is_none());
+    rows
+}
+
+/// Records that a call would go to any of these engines. Without demand the leader would grant no permits for them.
+fn record_demand(limits: &mut LimitGate, engines: &[EndpointRow<'_>]) {
+    for (name, endpoint) in engines {
+        limits.record_demand(limited(name, endpoint));
+    }
+}
+
 fn without_tried<'state>(mut rows: Vec<EndpointRow<'state>>, tried: &[EndpointName]) -> Vec<EndpointRow<'state>> {
     rows.retain(|(name, _)| !tried.contains(name));
     rows
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -133,6 +133,7 @@
         let mut prefilled: Option<PrefilledPrompt> = None;
         loop {
             if prefilled.is_none() {
+                self.check_decode_room(&tried).await?;
                 prefilled = self.prefill_if_separate().await?;
             }
             let domain = prefilled.as_ref().map(|prefilled| &prefilled.engine.endpoint.domain);
@@ -204,6 +205,15 @@
         }
     }
 
+    /// Refuses the call if limits stand against all engines that could decode it.
+    async fn check_decode_room(&self, tried: &[EndpointName]) -> Result<(), CallRefusal> {
+        let (shared, service) = (&self.call.shared, &self.call.service);
+        let has_room = choose_with_permit(&self.call, "no engine makes tokens", tried, |now| {
+            shared.has_decode_room(now, service, tried).then_some(())
+        });
+        has_room.await.map_err(|refusal| self.held_back(refusal))
+    }
+
     /// Has the prompt prefilled if the service has separate engines for it and the prompt is long enough to gain by it.
     async fn prefill_if_separate(&mut self) -> Result<Option<PrefilledPrompt>, CallRefusal> {
         let Some(prompt) = &self.call.head.prompt else {
