Keep an engine a home of its parts while a limit stands against it

Prompts of shared parts whose home names a limit would be read again: the homes were found among the engines that may be sent a prompt, so that they moved each time a permit came or went. They are found among all engines that read prompts now. Test: prefill_placement::an_engine_that_may_not_be_used_for_a_moment_remains_a_home failed with the homes among admitted engines.

--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -122,9 +122,10 @@
         );
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
-        let (place, detour) = choose_within_limits(now, limits, &readers, |readers, permitted| {
+        let (place, detour) = choose_within_limits(now, limits, &readers, |admitted, permitted| {
             let engines = PromptEngines {
-                prefill_engines: readers,
+                prefill_engines: admitted,
+                home_engines: &readers,
                 sources: &keepers,
                 pace: usual_pace,
                 link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -67,8 +67,11 @@
 /// The engines of a service among which a prompt is placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptEngines<'table> {
-    /// Engines that prefill prompts.
+    /// Engines that may be sent a prompt now.
     pub prefill_engines: &'table [Candidate<'table>],
+    /// Engines that prefill prompts, among which each shared part has its homes. An engine whose limit stands against it for
+    /// a moment remains a home: if homes moved with each permit, parts would be prefilled again.
+    pub home_engines: &'table [Candidate<'table>],
     /// Engines that may cache parts of prompts: prefill engines, and those that are leaving but still serve copies.
     pub sources: &'table [Candidate<'table>],
     /// Usual prefill time per prompt token in milliseconds, if known.
@@ -110,7 +113,7 @@
     prompt: &PromptShape,
 ) -> Option<PromptPlacement> {
     let homes = PartHomes::of(
-        engines.prefill_engines,
+        engines.home_engines,
         prompt,
         busy_fraction(view, engines.prefill_engines),
     );
@@ -151,7 +154,7 @@
 }
 
 impl<'table> PartHomes<'table> {
-    fn of(prefill_engines: &[Candidate<'table>], prompt: &PromptShape, busy_fraction: f64) -> Self {
+    fn of(home_engines: &[Candidate<'table>], prompt: &PromptShape, busy_fraction: f64) -> Self {
         let Some(part) = prompt.affinity() else {
             // Without a shared part there are no homes, and the key serves only to separate engines of equal cost.
             return Self {
@@ -161,7 +164,7 @@
             };
         };
         let key = part.0.to_be_bytes();
-        let mut ranked: Vec<_> = prefill_engines
+        let mut ranked: Vec<_> = home_engines
             .iter()
             .map(|(name, _)| (hash_rank(&key, name), *name))
             .collect();
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use acaciabay::core::name::{DomainName, EndpointName};
-use acaciabay::core::serving::endpoint_load::LoadTable;
+use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::PlacementView;
@@ -40,6 +40,7 @@
     let link = link();
     let engines = PromptEngines {
         prefill_engines: &candidates(prefill_engines),
+        home_engines: &candidates(prefill_engines),
         sources: &candidates(sources),
         pace: None,
         link: copies.then_some(&link),
@@ -174,6 +175,7 @@
     let expected = |pace| {
         let engines = PromptEngines {
             prefill_engines: &candidates(&prefill_engines),
+            home_engines: &candidates(&prefill_engines),
             sources: &candidates(&prefill_engines),
             pace,
             link: Some(&link),
@@ -212,6 +214,7 @@
     };
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
+        home_engines: &candidates(&prefill_engines),
         sources: &candidates(&prefill_engines),
         pace: None,
         link: None,
@@ -328,6 +331,7 @@
     let link = link();
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
+        home_engines: &candidates(&prefill_engines),
         sources: &candidates(&prefill_engines),
         pace: None,
         link: Some(&link),
@@ -337,3 +341,48 @@
 
     assert_eq!(place.copy_from, None);
 }
+
+/// An entry holds a permit for a limited engine now and then. If the homes of a part moved each time, engines would prefill it
+/// again and again.
+#[test]
+fn an_engine_that_may_not_be_used_for_a_moment_remains_a_home() {
+    let all = rows(7, EngineStage::Prefill);
+    let domain = DomainName::new("a");
+    let mut loads = LoadTable::default();
+    let place_among = |loads: &LoadTable, admitted: &EngineRows| {
+        let view = PlacementView {
+            now: at(0),
+            domain: &domain,
+            loads,
+            permitted: &[],
+        };
+        let engines = PromptEngines {
+            prefill_engines: &candidates(admitted),
+            home_engines: &candidates(&all),
+            sources: &[],
+            pace: None,
+            link: None,
+        };
+        let place = place_prompt(&view, &engines, &prompt(5, 99));
+        place.expect("there are engines").endpoint
+    };
+    let without = |excluded: &[&EndpointName]| -> Vec<_> {
+        let admitted = all.iter().filter(|(name, _)| !excluded.contains(&name));
+        admitted.cloned().collect()
+    };
+    let first = place_among(&loads, &all);
+    let second = place_among(&loads, &without(&[&first]));
+    let third = place_among(&loads, &without(&[&first, &second]));
+    // Longer than the cost of a second home, shorter than that of an engine that is none.
+    let queue = EndpointWork {
+        unread_tokens: 90_000,
+        calls: 1,
+        held_tokens: 0,
+    };
+    loads.begin(&second, queue);
+    loads.begin(&third, queue);
+
+    let chosen = place_among(&loads, &without(&[&first]));
+
+    assert!(chosen == second || chosen == third, "{chosen}");
+}
