Plan stages as soon as a limit changes, and remember demand for longer

Callers of a service whose engines that make tokens name limits are refused until other engines have taken over: the stage order waited for the next plan, up to 0.5 s. It is given at the next tick of the duties now.

--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -8,6 +8,7 @@
 use acaciabay::core::name::{EndpointName, ServiceName};
 use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::limit_ledger::LimitLedger;
 use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
 use acaciabay::ops::plan_stages::{StageLoad, plan_stages, wanted_decoders};
 
@@ -37,6 +38,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StageOrders {
     next_plan: BootTime,
+    /// Number of changes of endpoints' limits that the last plan has taken into account.
+    planned_limit_changes: u64,
     suspended_until: BootTime,
     services: BTreeMap<ServiceName, ServiceStages>,
     orders: EngineOrders,
@@ -48,10 +51,14 @@
     /// Plans the stages of each service's engines and orders the changes.
     pub(super) fn tick(&mut self, context: &DutyContext<'_>) {
         let now = context.now;
-        if now < self.next_plan.max(self.suspended_until) || !context.shared.is_registry_complete(now) {
+        let limit_changes = limit_change_count(context);
+        // An engine that takes fewer calls from now on is replaced as soon as that is known.
+        let is_due = now >= self.next_plan || limit_changes != self.planned_limit_changes;
+        if !is_due || now < self.suspended_until || !context.shared.is_registry_complete(now) {
             return;
         }
         self.next_plan = now + PLAN_INTERVAL;
+        self.planned_limit_changes = limit_changes;
         let Some(config) = context.shared.config() else { return };
         for (service, spec) in &config.services {
             if let Some(engine) = &spec.engine {
@@ -145,6 +152,11 @@
     }
 }
 
+fn limit_change_count(context: &DutyContext<'_>) -> u64 {
+    let soft = context.shared.soft_state();
+    soft.limits.as_ref().map_or(0, LimitLedger::change_count)
+}
+
 /// Returns the engines without those that name a limit, unless all do. An engine in need takes few calls, so that a stage
 /// that counts on it has too few engines.
 fn without_limited(context: &DutyContext<'_>, engines: Vec<EngineRow>) -> Vec<EngineRow> {
--- a/crates/acaciabay/src/core/serving/limit_ledger.rs
+++ b/crates/acaciabay/src/core/serving/limit_ledger.rs
@@ -28,7 +28,7 @@
 /// Time for which an entry is granted permits in advance: two renewals.
 const GRANT_TIME: f64 = 0.5;
 /// Time constant with which the demand of an entry that asks for less is forgotten, in seconds.
-const DEMAND_DECAY: f64 = 0.5;
+const DEMAND_DECAY: f64 = 2.0;
 /// Shortest and longest time over which demand is measured, in seconds. Entries that seldom ask are granted a permit for
 /// each time that they do.
 const DEMAND_TIMES: (f64, f64) = (0.1, 1.0);
@@ -267,6 +267,7 @@
 #[derive(Clone, Debug)]
 pub struct LimitLedger {
     term: u64,
+    changes: u64,
     buckets: BTreeMap<EndpointName, LimitBucket>,
 }
 
@@ -275,6 +276,7 @@
     pub const fn new(term: u64) -> Self {
         Self {
             term,
+            changes: 0,
             buckets: BTreeMap::new(),
         }
     }
@@ -284,6 +286,11 @@
         self.term
     }
 
+    /// Returns how often limits have changed since the beginning of the ledger.
+    pub const fn change_count(&self) -> u64 {
+        self.changes
+    }
+
     /// Records what an entry reports. Returns the limits that have changed.
     pub fn record(&mut self, now: BootTime, entry: EntryStart, report: &LimitReport) -> Vec<LimitChange> {
         let is_own_term = report.term == self.term;
@@ -307,6 +314,7 @@
             }
             bucket.record_share(now, entry, row, is_own_term);
         }
+        self.changes += changes.len() as u64;
         changes
     }
 
