Plan stages by requests while engines name limits

Engines now change to decode, those first that take the most requests, until all calls could be decoded, or more than could be prefilled.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -183,6 +183,7 @@
     let mut soft = shared.soft_state();
     soft.uncommitted_counts.extend(new_rows);
     for demand in &request.demands {
+        *soft.calls.entry(demand.service.as_str().into()).or_default() += demand.calls;
         let traffic = soft.traffic.entry(demand.service.as_str().into()).or_default();
         traffic.calls += demand.calls;
         traffic.unread_tokens += demand.unread_tokens;
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -89,6 +89,8 @@
     /// Counts of started calls that entries have reported and that are not committed yet.
     pub(super) uncommitted_counts: Vec<GatheredRow>,
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
+    /// Calls of each service since its stages were last planned on this replica.
+    pub(super) calls: BTreeMap<ServiceName, u64>,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -7,10 +7,11 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, ServiceName};
 use acaciabay::core::serving::config::EngineSpec;
+use acaciabay::core::serving::endpoint_limit::RateLimit;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_ledger::LimitLedger;
 use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
-use acaciabay::ops::plan_stages::{StageLoad, plan_stages, wanted_decoders};
+use acaciabay::ops::plan_stages::{RequestLoad, StageLoad, plan_limited_stages, plan_stages, wanted_decoders};
 
 use super::duties::DutyContext;
 use super::engine_orders::EngineOrders;
@@ -22,6 +23,29 @@
 /// Time for which a surplus of decode engines has to last before some of them change to prefill.
 const SURPLUS_DELAY: Duration = Duration::from_secs(1);
 
+/// Time constant with which the rate of calls is averaged, in seconds.
+const CALL_RATE_TIME: f64 = 2.0;
+
+/// Average rate of a service's calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct CallRate {
+    /// Calls a second.
+    rate: f64,
+    recorded_at: BootTime,
+}
+
+impl CallRate {
+    /// Records the calls since the last record.
+    fn record(&mut self, now: BootTime, calls: u64) {
+        let time = now.since(self.recorded_at).as_secs_f64();
+        if time > 0.0 {
+            let weight = 1.0 - (-time / CALL_RATE_TIME).exp();
+            self.rate += weight * (calls as f64 / time - self.rate);
+        }
+        self.recorded_at = now;
+    }
+}
+
 /// Planning state of a service.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceStages {
@@ -31,6 +55,7 @@
     expected: usize,
     /// Engines that the prefill load needs.
     prefill_engines: f64,
+    calls: CallRate,
     surplus_since: Option<BootTime>,
 }
 
@@ -102,9 +127,10 @@
             .into_iter()
             .map(|(name, endpoint)| self.orders.with_open_order(name, endpoint))
             .collect();
-        let engines = without_limited(context, engines);
+        let limits = limits_of(context, &engines);
         let stages = self.services.entry(service.clone()).or_default();
         stages.peak.see(now, present);
+        stages.calls.record(now, take_calls(context, service));
         let demand = stages.peak.demand();
         let domains: BTreeSet<_> = engines.iter().map(|(_, endpoint)| &endpoint.domain).collect();
         let decode_engines = engines
@@ -128,7 +154,14 @@
         // Before any call has come, a change costs nobody anything.
         let is_new_surplus = decode_engines > wanted && !is_idle && now.since(surplus_since) < SURPLUS_DELAY;
         let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
-        let mut changes = if is_new_surplus {
+        let mut changes = if !limits.is_empty() {
+            let load = RequestLoad {
+                rate: stages.calls.rate,
+                decoders: wanted,
+                prefill_engines: stages.prefill_engines,
+            };
+            plan_limited_stages(&rows, &load, |(name, _)| limits.get(*name).copied())
+        } else if is_new_surplus {
             Vec::new()
         } else {
             plan_stages(&rows, wanted)
@@ -157,18 +190,22 @@
     soft.limits.as_ref().map_or(0, LimitLedger::change_count)
 }
 
-/// Returns the engines without those that name a limit, unless all do. An engine in need takes few calls, so that a stage
-/// that counts on it has too few engines.
-fn without_limited(context: &DutyContext<'_>, engines: Vec<EngineRow>) -> Vec<EngineRow> {
+/// Returns the limits that engines name.
+fn limits_of(context: &DutyContext<'_>, engines: &[EngineRow]) -> BTreeMap<EndpointName, RateLimit> {
     let soft = context.shared.soft_state();
-    let Some(limits) = &soft.limits else {
-        return engines;
+    let Some(ledger) = &soft.limits else {
+        return BTreeMap::new();
     };
-    let is_limited = |(name, endpoint): &EngineRow| limits.limit(name, endpoint.incarnation).is_some();
-    if engines.iter().all(is_limited) {
-        return engines;
-    }
-    engines.into_iter().filter(|engine| !is_limited(engine)).collect()
+    let limited = engines.iter().filter_map(|(name, endpoint)| {
+        let limit = ledger.limit(name, endpoint.incarnation)?;
+        Some((name.clone(), limit))
+    });
+    limited.collect()
+}
+
+/// Returns the calls of a service since the last plan.
+fn take_calls(context: &DutyContext<'_>, service: &ServiceName) -> u64 {
+    context.shared.soft_state().calls.remove(service).unwrap_or(0)
 }
 
 fn is_decode_engine(endpoint: &ServingEndpoint) -> bool {
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -12,6 +12,7 @@
 
 use crate::core::name::{DomainName, EndpointName};
 use crate::core::serving::config::EngineSpec;
+use crate::core::serving::endpoint_limit::RateLimit;
 use crate::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
 use crate::core::serving::stream_peak::StreamDemand;
 use crate::util::number::round_up;
@@ -36,6 +37,9 @@
 /// traffic, and each change of stage takes seconds.
 const ENGINES_PER_IDLE_DECODER: usize = 16;
 
+/// Parts in which rates are compared.
+const PERMILLE: f64 = 1_000.0;
+
 /// A change of an engine's stage.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StageChange {
@@ -158,6 +162,70 @@
     changes
 }
 
+/// Requests of a service, from which engines are assigned while some of them name limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RequestLoad {
+    /// Calls a second. Each of them is a request to a prefill engine and one to a decode engine.
+    pub rate: f64,
+    /// Decode engines that the load would need without limits.
+    pub decoders: usize,
+    /// Prefill engines that it would need.
+    pub prefill_engines: f64,
+}
+
+impl RequestLoad {
+    /// Returns how many requests a second a decode engine takes.
+    fn decode_rate(&self, limit: Option<RateLimit>) -> f64 {
+        let usual = self.rate / self.decoders.max(1) as f64;
+        limit.map_or(usual, |limit| limit.rate().min(usual))
+    }
+
+    /// Returns how many requests a second a prefill engine takes.
+    fn prefill_rate(&self, limit: Option<RateLimit>) -> f64 {
+        let usual = self.rate / self.prefill_engines.max(1.0);
+        limit.map_or(usual, |limit| limit.rate().min(usual))
+    }
+}
+
+/// Returns the engines that change to decode while engines name limits, as `limit_of` says.
+///
+/// Decode needs few engines, each with many calls, so that a limit which hardly concerns a prefill engine stops most calls
+/// at a decode engine. Engines change to decode, those first that take the most, until all calls could be decoded or more
+/// could be decoded than prefilled. None changes to prefill: it would be missing when the limits end.
+pub fn plan_limited_stages(
+    engines: &[Engine<'_>],
+    load: &RequestLoad,
+    limit_of: impl Fn(&Engine<'_>) -> Option<RateLimit>,
+) -> Vec<StageChange> {
+    let mut decoders = engines_in_stage(engines, EngineStage::Decode);
+    let mut prefill_engines = engines_in_stage(engines, EngineStage::Prefill);
+    let mut decoded: f64 = decoders.iter().map(|engine| load.decode_rate(limit_of(engine))).sum();
+    let mut prefilled: f64 = prefill_engines
+        .iter()
+        .map(|engine| load.prefill_rate(limit_of(engine)))
+        .sum();
+    let mut changes = Vec::new();
+    while decoded < load.rate.min(prefilled) {
+        let counts = decoders_by_domain(engines, &decoders);
+        let index = best_index(&prefill_engines, |engine| {
+            let (_, endpoint) = engine;
+            let taken = round_up(PERMILLE * load.decode_rate(limit_of(engine)));
+            let in_domain = counts.get(&endpoint.domain).copied().unwrap_or(0);
+            (taken, !endpoint.reclaimable, usize::MAX - in_domain)
+        });
+        let Some(index) = index else { break };
+        let engine = prefill_engines.remove(index);
+        decoders.push(engine);
+        decoded += load.decode_rate(limit_of(&engine));
+        prefilled -= load.prefill_rate(limit_of(&engine));
+        changes.push(StageChange {
+            endpoint: engine.0.clone(),
+            stage: EngineStage::Decode,
+        });
+    }
+    changes
+}
+
 fn engines_in_stage<'table>(engines: &[Engine<'table>], stage: EngineStage) -> Vec<Engine<'table>> {
     let engines = engines.iter().filter(|(_, endpoint)| endpoint.stage == Some(stage));
     engines.copied().collect()
--- a/crates/acaciabay/tests/serving/stages.rs
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -1,9 +1,10 @@
 //! Tests of the assignment of engines to the prefill and decode stages.
 
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_limit::RateLimit;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
 use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
-use acaciabay::ops::plan_stages::{StageLoad, plan_stages, wanted_decoders};
+use acaciabay::ops::plan_stages::{RequestLoad, StageLoad, plan_limited_stages, plan_stages, wanted_decoders};
 use proptest::prelude::*;
 
 use crate::fixtures::{at, engine, fixed_cases, name, numbered};
@@ -18,6 +19,13 @@
     (name(&format!("e{number}")), endpoint)
 }
 
+/// Returns engines that decode, followed by engines that prefill.
+fn engines(decoders: u8, prefill_engines: u8) -> Rows {
+    let decoders = (0..decoders).map(|number| row(number, "a", EngineStage::Decode, false));
+    let prefill_engines = (0..prefill_engines).map(|number| row(100 + number, "a", EngineStage::Prefill, false));
+    decoders.chain(prefill_engines).collect()
+}
+
 fn plan(rows: &Rows, wanted: usize) -> Vec<(String, EngineStage)> {
     let engines: Vec<_> = rows.iter().map(|(name, endpoint)| (name, endpoint)).collect();
     let changes = plan_stages(&engines, wanted).into_iter();
@@ -180,3 +188,42 @@
         prop_assert_eq!(decoders(&rows), wanted);
     }
 }
+
+/// All engines name limits, and the two that decode take far fewer calls than the prefill engines could read.
+#[test]
+fn engines_with_limits_change_to_decode_until_both_stages_take_as_much() {
+    let engines = engines(2, 6);
+    let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
+    let load = RequestLoad {
+        rate: 100.0,
+        decoders: 2,
+        prefill_engines: 3.0,
+    };
+
+    let limited = plan_limited_stages(&rows, &load, |_| RateLimit::per_second(5.0));
+    let unlimited = plan_limited_stages(&rows, &load, |_| None);
+
+    assert_eq!(limited.len(), 2, "{limited:?}");
+    assert!(limited.iter().all(|change| change.stage == EngineStage::Decode));
+    assert!(unlimited.is_empty(), "{unlimited:?}");
+}
+
+/// Half of the engines name limits, among them those that decode. An engine without a limit takes over most.
+#[test]
+fn an_engine_without_a_limit_changes_to_decode_first() {
+    let engines = engines(2, 6);
+    let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
+    let load = RequestLoad {
+        rate: 100.0,
+        decoders: 2,
+        prefill_engines: 3.0,
+    };
+    let unlimited: Vec<_> = rows[5..].iter().map(|(name, _)| (*name).clone()).collect();
+
+    let changes = plan_limited_stages(&rows, &load, |(name, _)| {
+        RateLimit::per_second(1.0).filter(|_| !unlimited.contains(name))
+    });
+
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert!(changes.iter().all(|change| unlimited.contains(&change.endpoint)));
+}
