--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -10,7 +10,7 @@
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 
 use super::endpoint_limits::{LimitDetour, NamedChoice, choose_within_limits, limited};
-use super::shared::{EntryShared, EntryState};
+use super::shared::EntryShared;
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
 #[derive(Clone, Debug)]
@@ -46,12 +46,7 @@
         request_hash: u64,
     ) -> Option<ChosenEndpoint> {
         let mut state = self.state();
-        let EntryState {
-            registry,
-            loads,
-            limits,
-            ..
-        } = &mut *state;
+        let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(registry.ready(now, service), tried);
         let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
             place_plain(&self.placement(now, loads, permitted), candidates, request_hash)
@@ -62,12 +57,7 @@
     /// Returns true if the service has separate engines for prefill that may be sent a prompt at present.
     pub(super) fn has_prefill_engines(&self, now: BootTime, service: &ServiceName) -> bool {
         let mut state = self.state();
-        let EntryState {
-            registry,
-            loads,
-            limits,
-            ..
-        } = &mut *state;
+        let (registry, loads, limits) = state.choice_parts();
         let engines = available_of_stage(registry, loads, now, service, EngineStage::Prefill);
         let has_room = engines
             .iter()
@@ -82,12 +72,7 @@
     /// prefilled in vain.
     pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, tried: &[EndpointName]) -> bool {
         let mut state = self.state();
-        let EntryState {
-            registry,
-            loads,
-            limits,
-            ..
-        } = &mut *state;
+        let (registry, loads, limits) = state.choice_parts();
         if !limits.has_limits() {
             return true;
         }
@@ -110,12 +95,7 @@
         let mut state = self.state();
         let spec = state.engine_spec(service);
         let usual_pace = state.prefill_pace(service);
-        let EntryState {
-            registry,
-            loads,
-            limits,
-            ..
-        } = &mut *state;
+        let (registry, loads, limits) = state.choice_parts();
         let readers = without_tried(
             available_of_stage(registry, loads, now, service, EngineStage::Prefill),
             tried,
@@ -151,12 +131,7 @@
     ) -> Option<ChosenEndpoint> {
         let memory = self.engine_memory(service);
         let mut state = self.state();
-        let EntryState {
-            registry,
-            loads,
-            limits,
-            ..
-        } = &mut *state;
+        let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(decode_candidates(registry, loads, now, service), tried);
         let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
             let view = self.placement(now, loads, permitted);
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -99,6 +99,11 @@
             .unwrap_or_else(|| wall_nanos() / 1_000_000)
     }
 
+    /// Returns what endpoints are chosen by. Only limits change with a choice.
+    pub(super) const fn choice_parts(&mut self) -> (&EndpointRegistry, &LoadTable, &mut LimitGate) {
+        (&self.registry, &self.loads, &mut self.limits)
+    }
+
     /// Removes endpoints that have not reported for a long time, with what they have cached and their limits.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
         let Self {
--- a/crates/acaciabay/tests/serving/stages.rs
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -189,19 +189,21 @@
     }
 }
 
+/// Load that two decode engines and three prefill engines could bear without limits.
+const REQUESTS: RequestLoad = RequestLoad {
+    rate: 100.0,
+    decoders: 2,
+    prefill_engines: 3.0,
+};
+
 /// All engines name limits, and the two that decode take far fewer calls than the prefill engines could read.
 #[test]
 fn engines_with_limits_change_to_decode_until_both_stages_take_as_much() {
     let engines = engines(2, 6);
     let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
-    let load = RequestLoad {
-        rate: 100.0,
-        decoders: 2,
-        prefill_engines: 3.0,
-    };
 
-    let limited = plan_limited_stages(&rows, &load, |_| RateLimit::per_second(5.0));
-    let unlimited = plan_limited_stages(&rows, &load, |_| None);
+    let limited = plan_limited_stages(&rows, &REQUESTS, |_| RateLimit::per_second(5.0));
+    let unlimited = plan_limited_stages(&rows, &REQUESTS, |_| None);
 
     assert_eq!(limited.len(), 2, "{limited:?}");
     assert!(limited.iter().all(|change| change.stage == EngineStage::Decode));
@@ -213,14 +215,9 @@
 fn an_engine_without_a_limit_changes_to_decode_first() {
     let engines = engines(2, 6);
     let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
-    let load = RequestLoad {
-        rate: 100.0,
-        decoders: 2,
-        prefill_engines: 3.0,
-    };
     let unlimited: Vec<_> = rows[5..].iter().map(|(name, _)| (*name).clone()).collect();
 
-    let changes = plan_limited_stages(&rows, &load, |(name, _)| {
+    let changes = plan_limited_stages(&rows, &REQUESTS, |(name, _)| {
         RateLimit::per_second(1.0).filter(|_| !unlimited.contains(name))
     });
 
