Count no retained decode engine as needed while engines name limits

Found by reading: decode engines are retained while prefill does not need them, and the plan by requests took them for needed, so that each engine that changed to decode lowered what an engine was expected to take and made another change. Callers would have missed the prefill engines. The load is computed without retained engines now. Test: stages::retained_decode_engines_make_no_others_necessary; the rule of limits is not concerned.

--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -155,12 +155,8 @@
         let is_new_surplus = decode_engines > wanted && !is_idle && now.since(surplus_since) < SURPLUS_DELAY;
         let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
         let mut changes = if !limits.is_empty() {
-            let load = RequestLoad {
-                rate: stages.calls.rate,
-                decoders: wanted,
-                prefill_engines: stages.prefill_engines,
-            };
-            plan_limited_stages(&rows, &load, |(name, _)| limits.get(*name).copied())
+            let requests = RequestLoad::of(stages.calls.rate, &work, spec);
+            plan_limited_stages(&rows, &requests, |(name, _)| limits.get(*name).copied())
         } else if is_new_surplus {
             Vec::new()
         } else {
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -174,6 +174,17 @@
 }
 
 impl RequestLoad {
+    /// Returns the requests of a service with this rate of calls and this load. Decode engines that are only retained are not
+    /// needed: if they were, each engine that changes to decode would make another one necessary.
+    pub fn of(rate: f64, load: &StageLoad, spec: &EngineSpec) -> Self {
+        let needed = StageLoad { decoders: 0, ..*load };
+        Self {
+            rate,
+            decoders: wanted_decoders(&needed, spec),
+            prefill_engines: load.prefill_engines,
+        }
+    }
+
     /// Returns how many requests a second a decode engine takes.
     fn decode_rate(&self, limit: Option<RateLimit>) -> f64 {
         let usual = self.rate / self.decoders.max(1) as f64;
--- a/crates/acaciabay/tests/serving/stages.rs
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -224,3 +224,15 @@
     assert_eq!(changes.len(), 2, "{changes:?}");
     assert!(changes.iter().all(|change| unlimited.contains(&change.endpoint)));
 }
+
+/// Engines that decode because of limits must not count as needed, or more and more would change to decode.
+#[test]
+fn retained_decode_engines_make_no_others_necessary() {
+    let few = work(12, 3, 40.0, 1.0);
+    let many = StageLoad { decoders: 8, ..few };
+
+    let requests = RequestLoad::of(60.0, &many, &engine());
+
+    assert_eq!(requests, RequestLoad::of(60.0, &few, &engine()));
+    assert!(requests.decoders < wanted_decoders(&many, &engine()));
+}
