Grant no permits again that were granted before a limit ended

Found by reading, then by two tests that failed: an endpoint that names a limit by turns got 73 requests in 4 s where 53 are allowed, and an entry that had removed an endpoint was granted 42 permits at once where 10 may be out. Cause: permits are counted as totals of a term; the entry dropped its counters with the limit, and the leader's total then looked like new permits. The entry keeps the counters for as long as it knows the endpoint, and the leader takes a total that has fallen for a new beginning. Tests: endpoint_limits::a_limit_that_returns_brings_no_earlier_permits_back, an_entry_that_forgot_an_endpoint_gets_no_earlier_permits.

--- a/crates/acaciabay/src/core/serving/limit_gate.rs
+++ b/crates/acaciabay/src/core/serving/limit_gate.rs
@@ -180,6 +180,8 @@
 pub struct LimitGate {
     /// Term of the leader that answered last.
     term: u64,
+    /// Endpoints that have named a limit. A row outlives its limit: without its counters, all permits that were granted
+    /// before would be granted again when the endpoint names one again.
     rows: BTreeMap<EndpointName, GateRow>,
     sent: VecDeque<SentReport>,
     refused: BTreeMap<ServiceName, VecDeque<BootTime>>,
@@ -193,7 +195,7 @@
 
     /// Returns true if any endpoint has a limit.
     pub fn has_limits(&self) -> bool {
-        !self.rows.is_empty()
+        self.rows.values().any(|row| row.limit().is_some())
     }
 
     /// Returns the endpoints with a limit.
@@ -337,8 +339,6 @@
                 known.counts.granted += granted;
             }
         }
-        self.rows
-            .retain(|_, row| row.sighting.is_some() || row.state.limit.is_some());
     }
 
     /// Applies states that the leader has sent to all entries.
--- a/crates/acaciabay/src/core/serving/limit_ledger.rs
+++ b/crates/acaciabay/src/core/serving/limit_ledger.rs
@@ -182,20 +182,24 @@
         } else {
             PermitCounts::default()
         };
+        // Where the entry or this ledger has forgotten what it counted, the permits so far are taken to be spent.
+        let all_spent = PermitCounts {
+            granted: reported.granted,
+            spent: reported.granted,
+            expired: 0,
+        };
         let share = self.shares.entry(entry).or_insert_with(|| EntryShare {
             heard_at: now,
-            // Permits of a share that was forgotten are taken to be spent.
-            counts: PermitCounts {
-                granted: reported.granted,
-                spent: reported.granted,
-                expired: 0,
-            },
+            counts: all_spent,
             known: row.state.version,
             received: reported.granted,
             asked: row.asked,
             asked_at: now,
             demand: if row.asked > 0 { 1.0 / DEMAND_TIMES.1 } else { 0.0 },
         });
+        if reported.granted < share.received {
+            share.counts = all_spent;
+        }
         share.known = row.state.version;
         share.received = reported.granted;
         let counts = &mut share.counts;
--- a/crates/acaciabay/tests/serving/endpoint_limits.rs
+++ b/crates/acaciabay/tests/serving/endpoint_limits.rs
@@ -535,6 +535,70 @@
     assert!(idle.0.rows.is_empty() && idle.1.rows.is_empty(), "{idle:?}");
 }
 
+/// An endpoint that names a limit by turns. What was granted and spent before must not be granted again.
+#[test]
+fn a_limit_that_returns_brings_no_earlier_permits_back() {
+    const LIMIT: f64 = 8.0;
+    let mut pair = Pair::new();
+    let mut sent = Vec::new();
+    let known = pair.send(at(1.0)).expect("no limit is known");
+    pair.answer(known, Some(LIMIT));
+    let step_time = Duration::from_millis(50);
+    let mut now = at(1.0);
+    let mut turn = |pair: &mut Pair, steps: u32, limit: Option<f64>| {
+        for _ in 0..steps {
+            now = now + step_time;
+            pair.renew(now);
+            while let Some(known) = pair.send(now) {
+                sent.push(now);
+                pair.answer(known, limit);
+                if pair.limit().is_none() {
+                    break;
+                }
+            }
+        }
+        now
+    };
+
+    turn(&mut pair, 100, Some(LIMIT));
+    let ended_at = turn(&mut pair, 20, None);
+    let ended = pair.limit();
+    turn(&mut pair, 80, Some(LIMIT));
+
+    assert_eq!(ended, None);
+    assert_eq!(pair.limit(), Some(LIMIT));
+    let later = sent.iter().filter(|at| at.since(ended_at) > Duration::ZERO);
+    assert!(
+        later.clone().count() as f64 <= permitted(LIMIT),
+        "{} requests",
+        later.count()
+    );
+}
+
+/// An entry removes an endpoint that does not report, which may come back.
+#[test]
+fn an_entry_that_forgot_an_endpoint_gets_no_earlier_permits() {
+    const LIMIT: f64 = 8.0;
+    let mut pair = Pair::new();
+    let known = pair.send(at(1.0)).expect("no limit is known");
+    pair.answer(known, Some(LIMIT));
+    for step in 0..100 {
+        let now = at(1.0) + Duration::from_millis(50) * step;
+        pair.renew(now);
+        pair.send(now);
+    }
+
+    pair.gate.retain(|_| false);
+    pair.answer(known, Some(LIMIT));
+    pair.send(at(6.0));
+    pair.renew(at(6.1));
+    pair.renew(at(6.2));
+    let sent = (0..100).filter_map(|_| pair.send(at(6.3))).count();
+
+    assert!(sent > 0);
+    assert!(sent as f64 <= LIMIT + 2.0, "{sent} permits");
+}
+
 /// Callers that are refused together would come back together.
 #[test]
 fn refused_calls_come_back_one_after_the_other() {
