Keep the sums over the shares of a limit instead of adding them up with each renewal

Found by reading the change: the leader went over the shares of all entries three times for each limited endpoint and each renewal. At 350 entries and 100 limited endpoints the renewals of one second took it 976 ms, more than the processor it has, and leases would have ended with it.

--- a/crates/acaciabay/src/core/serving/limit_ledger.rs
+++ b/crates/acaciabay/src/core/serving/limit_ledger.rs
@@ -13,6 +13,7 @@
     RateLimit,
 };
 use super::endpoint_registry::EndpointIncarnation;
+use super::limit_shares::ShareTable;
 use super::start_counts::EntryStart;
 use crate::core::clock::BootTime;
 use crate::core::name::EndpointName;
@@ -25,17 +26,6 @@
 const SAVED_PERMITS: f64 = 2.0;
 /// Permits in the bucket of an endpoint that has just named its limit.
 const FIRST_PERMITS: f64 = 1.0;
-/// Time for which an entry is granted permits in advance: two renewals.
-const GRANT_TIME: f64 = 0.5;
-/// Time constant with which the demand of an entry that asks for less is forgotten, in seconds.
-const DEMAND_DECAY: f64 = 2.0;
-/// Shortest and longest time over which demand is measured, in seconds. Entries that seldom ask are granted a permit for
-/// each time that they do.
-const DEMAND_TIMES: (f64, f64) = (0.1, 1.0);
-/// Demand below which an entry is granted nothing, in requests a second.
-const MIN_DEMAND: f64 = 0.1;
-/// Time without a renewal after which the permits of an entry count as spent. They have expired long before.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which a limit that has ended is kept, so that all entries are told, and any limit without an entry that
 /// knows of it.
 const ENDED_RETENTION: Duration = Duration::from_secs(10);
@@ -71,36 +61,6 @@
     pub entries: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct EntryShare {
-    heard_at: BootTime,
-    /// Granted by the leader; spent and expired as the entry has reported.
-    counts: PermitCounts,
-    /// Newest state and number of permits that the entry has reported to know.
-    known: LimitVersion,
-    received: u64,
-    asked: u64,
-    asked_at: BootTime,
-    /// Requests a second that the entry would send.
-    demand: f64,
-}
-
-impl EntryShare {
-    const fn outstanding(&self) -> u64 {
-        self.counts
-            .granted
-            .saturating_sub(self.counts.spent + self.counts.expired)
-    }
-
-    fn measure_demand(&mut self, now: BootTime, asked: u64) {
-        let time = now.since(self.asked_at).as_secs_f64();
-        let measured = asked.saturating_sub(self.asked) as f64 / time.clamp(DEMAND_TIMES.0, DEMAND_TIMES.1);
-        self.demand = measured.max(self.demand * (-time / DEMAND_DECAY).exp());
-        self.asked = asked;
-        self.asked_at = now;
-    }
-}
-
 #[derive(Clone, Debug)]
 struct LimitBucket {
     state: LimitState,
@@ -108,7 +68,7 @@
     heard_at: BootTime,
     level: f64,
     refilled_at: BootTime,
-    shares: BTreeMap<EntryStart, EntryShare>,
+    shares: ShareTable,
 }
 
 impl LimitBucket {
@@ -119,7 +79,7 @@
             heard_at: now,
             level,
             refilled_at: now,
-            shares: BTreeMap::new(),
+            shares: ShareTable::new(now),
         }
     }
 
@@ -131,8 +91,7 @@
 
     fn refill(&mut self, now: BootTime) {
         let rate = self.state.limit.map_or(0.0, RateLimit::rate).max(PROBE_RATE);
-        let outstanding: u64 = self.shares.values().map(EntryShare::outstanding).sum();
-        let room = (self.capacity() - outstanding as f64).max(0.0);
+        let room = (self.capacity() - self.shares.outstanding() as f64).max(0.0);
         let added = rate * now.since(self.refilled_at).as_secs_f64();
         self.level = (self.level + added).min(room);
         self.refilled_at = now;
@@ -182,70 +141,21 @@
         } else {
             PermitCounts::default()
         };
-        // Where the entry or this ledger has forgotten what it counted, the permits so far are taken to be spent.
-        let all_spent = PermitCounts {
-            granted: reported.granted,
-            spent: reported.granted,
-            expired: 0,
-        };
-        let share = self.shares.entry(entry).or_insert_with(|| EntryShare {
-            heard_at: now,
-            counts: all_spent,
-            known: row.state.version,
-            received: reported.granted,
-            asked: row.asked,
-            asked_at: now,
-            demand: if row.asked > 0 { 1.0 / DEMAND_TIMES.1 } else { 0.0 },
-        });
-        if reported.granted < share.received {
-            share.counts = all_spent;
-        }
-        share.known = row.state.version;
-        share.received = reported.granted;
-        let counts = &mut share.counts;
-        counts.spent = counts.spent.max(reported.spent);
-        let returned = reported
-            .expired
-            .saturating_sub(counts.expired)
-            .min(counts.granted.saturating_sub(counts.spent + counts.expired));
-        counts.expired += returned;
-        share.measure_demand(now, row.asked);
-        self.level += returned as f64;
-    }
-
-    /// Takes the permits of entries that do not renew to be spent.
-    fn write_off_silent(&mut self, now: BootTime) {
-        for share in self.shares.values_mut() {
-            if now.since(share.heard_at) >= ENTRY_TIMEOUT {
-                share.counts.spent += share.outstanding();
-                share.demand = 0.0;
-            }
-        }
-        self.shares
-            .retain(|_, share| now.since(share.heard_at) < BUCKET_RETENTION);
+        self.level += self.shares.record(now, entry, row, reported) as f64;
     }
 
     /// Grants an entry its part of the bucket. Returns the row that it has to be told, if any.
     fn grant(&mut self, now: BootTime, name: &EndpointName, entry: EntryStart) -> Option<LimitRow> {
-        self.write_off_silent(now);
+        self.shares.sweep(now);
         self.refill(now);
-        let total_demand: f64 = self.shares.values().map(|share| share.demand).sum();
-        let level = self.level;
-        let Some(share) = self.shares.get_mut(&entry) else {
+        // Without a limit there is nothing to divide.
+        let level = if self.state.limit.is_some() { self.level } else { 0.0 };
+        let Some(grant) = self.shares.grant(now, entry, level, self.state.version) else {
             // An entry that has not reported the endpoint does not know its limit.
             return self.state.limit.is_some().then(|| self.row(name, 0));
         };
-        share.heard_at = now;
-        if self.state.limit.is_some() && share.demand >= MIN_DEMAND {
-            let wanted = round_up(share.demand * GRANT_TIME).saturating_sub(share.outstanding());
-            let fair = round_up(level * share.demand / total_demand);
-            let granted = wanted.min(fair).min(rounded_down(level));
-            share.counts.granted += granted;
-            self.level -= granted as f64;
-        }
-        let granted = share.counts.granted;
-        let is_told = share.known == self.state.version && share.received == granted;
-        (!is_told).then(|| self.row(name, granted))
+        self.level -= grant.new as f64;
+        (!grant.is_known).then(|| self.row(name, grant.total))
     }
 
     fn row(&self, name: &EndpointName, granted: u64) -> LimitRow {
@@ -262,10 +172,6 @@
     }
 }
 
-fn rounded_down(value: f64) -> u64 {
-    round_up(value.floor())
-}
-
 /// The limits of all endpoints that name one, and the permits that entries hold under them. A replica that becomes leader
 /// begins with a new ledger.
 #[derive(Clone, Debug)]
@@ -350,9 +256,9 @@
             endpoint: name.clone(),
             state: bucket.state,
             age: now.since(bucket.changed_at),
-            available: rounded_down(bucket.level),
-            outstanding: bucket.shares.values().map(EntryShare::outstanding).sum(),
-            demand: bucket.shares.values().map(|share| share.demand).sum(),
+            available: round_up(bucket.level.floor()),
+            outstanding: bucket.shares.outstanding(),
+            demand: bucket.shares.demand(),
             entries: bucket.shares.len(),
         });
         views.collect()
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -58,6 +58,7 @@
 pub mod lease_recovery;
 pub mod limit_gate;
 pub mod limit_ledger;
+mod limit_shares;
 pub mod pending_renewals;
 pub mod prefill_pace;
 pub mod prompt;
