Decide on the rate of calls in the library, and count them once

The average that stages are planned by stood untested in the control process, where nothing is decided otherwise. It is call_rate in the library now, with a test of how soon it follows. ServiceTraffic counted calls as well, and nobody read them: that field is gone.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -185,7 +185,6 @@
     for demand in &request.demands {
         *soft.calls.entry(demand.service.as_str().into()).or_default() += demand.calls;
         let traffic = soft.traffic.entry(demand.service.as_str().into()).or_default();
-        traffic.calls += demand.calls;
         traffic.unread_tokens += demand.unread_tokens;
         traffic.output_tokens += demand.output_tokens;
         traffic.wait_us = traffic.wait_us.max(demand.wait_us);
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -71,7 +71,6 @@
 /// Demand for a service over all entries since the pool of the service was last planned on this replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct ServiceTraffic {
-    pub(super) calls: u64,
     pub(super) unread_tokens: u64,
     pub(super) output_tokens: u64,
     /// Longest wait for prefill that an entry has expected, in microseconds.
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -6,6 +6,7 @@
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, ServiceName};
+use acaciabay::core::serving::call_rate::CallRate;
 use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::endpoint_limit::RateLimit;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
@@ -23,29 +24,6 @@
 /// Time for which a surplus of decode engines has to last before some of them change to prefill.
 const SURPLUS_DELAY: Duration = Duration::from_secs(1);
 
-/// Time constant with which the rate of calls is averaged, in seconds.
-const CALL_RATE_TIME: f64 = 2.0;
-
-/// Average rate of a service's calls.
-#[derive(Clone, Copy, Debug, Default)]
-struct CallRate {
-    /// Calls a second.
-    rate: f64,
-    recorded_at: BootTime,
-}
-
-impl CallRate {
-    /// Records the calls since the last record.
-    fn record(&mut self, now: BootTime, calls: u64) {
-        let time = now.since(self.recorded_at).as_secs_f64();
-        if time > 0.0 {
-            let weight = 1.0 - (-time / CALL_RATE_TIME).exp();
-            self.rate += weight * (calls as f64 / time - self.rate);
-        }
-        self.recorded_at = now;
-    }
-}
-
 /// Planning state of a service.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceStages {
@@ -155,7 +133,7 @@
         let is_new_surplus = decode_engines > wanted && !is_idle && now.since(surplus_since) < SURPLUS_DELAY;
         let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
         let mut changes = if !limits.is_empty() {
-            let requests = RequestLoad::of(stages.calls.rate, &work, spec);
+            let requests = RequestLoad::of(stages.calls.per_second(), &work, spec);
             plan_limited_stages(&rows, &requests, |(name, _)| limits.get(*name).copied())
         } else if is_new_surplus {
             Vec::new()
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -22,7 +22,7 @@
 //!   that end endpoints; [`suspect_view`] is what one entry knows of it, and
 //!   [`trial_table`] lets one entry at a time try a suspect call.
 //! * [`event_stream`] splits an answer into complete events.
-//! * [`stream_peak`] tracks the recent peak of concurrent streams.
+//! * [`stream_peak`] tracks the recent peak of concurrent streams, and [`call_rate`] the average rate of calls.
 //! * [`group_clock`] computes the median wall clock of the replicas.
 //! * [`replica_tracker`] tracks the replicas that an entry keeps sessions with, and the one that it takes for the
 //!   leader.
@@ -43,6 +43,7 @@
 pub mod broken_attempt;
 pub mod cached_parts;
 pub mod call_fingerprint;
+pub mod call_rate;
 pub mod config;
 pub mod config_freshness;
 pub mod config_index;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -5,6 +5,7 @@
 mod broken_attempts;
 mod cached_parts;
 mod call_fingerprint;
+mod call_rate;
 mod clock;
 mod config;
 mod config_freshness;
