Say by a function which endpoint a choice names

A trait with two implementations stood inside a process for one call site; the users' style has traits at the edges only. The row type stood twice beside ops::place_call::Candidate, the answer to operators was mapped twice, and LimitGate::limits had no caller. Behaviour is unchanged.

--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -29,17 +29,15 @@
 pub(super) async fn answer(shared: Arc<ControlShared>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
-    if let Some(result) = operate_quarantine(&shared.suspects, &parts.method, &segments).await {
+    let operated = match (&parts.method, segments.as_slice()) {
+        (&Method::GET, ["v1", "limits"]) => Some(list_limits(&shared).await),
+        _ => operate_quarantine(&shared.suspects, &parts.method, &segments).await,
+    };
+    if let Some(result) = operated {
         return result.map_or_else(OperatorRefusal::into_response, |value| {
             json_response(StatusCode::OK, &value)
         });
     }
-    if (&parts.method, segments.as_slice()) == (&Method::GET, &["v1", "limits"]) {
-        let listed = list_limits(&shared).await;
-        return listed.map_or_else(OperatorRefusal::into_response, |value| {
-            json_response(StatusCode::OK, &value)
-        });
-    }
     let answer = match read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => match shared.codec.read_call(&parts, &body) {
             ControlCall::PutConfig => put_config(&shared, body).await,
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -6,10 +6,10 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
 use acaciabay::core::serving::prompt::PromptShape;
-use acaciabay::ops::place_call::{PlacementView, place_plain, place_stream};
+use acaciabay::ops::place_call::{Candidate, PlacementView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 
-use super::endpoint_limits::{LimitDetour, NamedChoice, choose_within_limits, limited};
+use super::endpoint_limits::{LimitDetour, choose_within_limits, limited};
 use super::shared::EntryShared;
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
@@ -30,12 +30,6 @@
     pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
-impl NamedChoice for PromptPlacement {
-    fn endpoint(&self) -> &EndpointName {
-        &self.endpoint
-    }
-}
-
 impl EntryShared {
     /// Chooses an endpoint for a plain call.
     pub(super) fn choose_for_plain_call(
@@ -48,9 +42,13 @@
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(registry.ready(now, service), tried);
-        let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
-            place_plain(&self.placement(now, loads, permitted), candidates, request_hash)
-        })?;
+        let (name, detour) = choose_within_limits(
+            now,
+            limits,
+            &candidates,
+            |name| name,
+            |candidates, permitted| place_plain(&self.placement(now, loads, permitted), candidates, request_hash),
+        )?;
         find_chosen(&candidates, &name, detour)
     }
 
@@ -102,16 +100,22 @@
         );
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
-        let (place, detour) = choose_within_limits(now, limits, &readers, |admitted, permitted| {
-            let engines = PromptEngines {
-                prefill_engines: admitted,
-                home_engines: &readers,
-                sources: &keepers,
-                pace: usual_pace,
-                link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
-            };
-            place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
-        })?;
+        let (place, detour) = choose_within_limits(
+            now,
+            limits,
+            &readers,
+            |place: &PromptPlacement| &place.endpoint,
+            |admitted, permitted| {
+                let engines = PromptEngines {
+                    prefill_engines: admitted,
+                    home_engines: &readers,
+                    sources: &keepers,
+                    pace: usual_pace,
+                    link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
+                };
+                place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
+            },
+        )?;
         let copy_from = place.copy_from.as_ref();
         Some(ChosenPrefillEngine {
             copy_from: copy_from.and_then(|name| find_chosen(&keepers, name, None)),
@@ -133,10 +137,16 @@
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(decode_candidates(registry, loads, now, service), tried);
-        let (name, detour) = choose_within_limits(now, limits, &candidates, |candidates, permitted| {
-            let view = self.placement(now, loads, permitted);
-            place_stream(&view, candidates, memory, prefill_domain, request_hash)
-        })?;
+        let (name, detour) = choose_within_limits(
+            now,
+            limits,
+            &candidates,
+            |name| name,
+            |candidates, permitted| {
+                let view = self.placement(now, loads, permitted);
+                place_stream(&view, candidates, memory, prefill_domain, request_hash)
+            },
+        )?;
         find_chosen(&candidates, &name, detour)
     }
 
@@ -155,15 +165,13 @@
     }
 }
 
-type EndpointRow<'state> = (&'state EndpointName, &'state ServingEndpoint);
-
 fn available_of_stage<'state>(
     registry: &'state EndpointRegistry,
     loads: &LoadTable,
     now: BootTime,
     service: &'state ServiceName,
     stage: EngineStage,
-) -> Vec<EndpointRow<'state>> {
+) -> Vec<Candidate<'state>> {
     let mut rows = registry.ready(now, service);
     rows.retain(|(name, endpoint)| endpoint.stage == Some(stage) && !loads.is_switching_stage(now, name, endpoint));
     rows
@@ -174,7 +182,7 @@
     loads: &LoadTable,
     now: BootTime,
     service: &'state ServiceName,
-) -> Vec<EndpointRow<'state>> {
+) -> Vec<Candidate<'state>> {
     let engines = available_of_stage(registry, loads, now, service, EngineStage::Decode);
     if !engines.is_empty() {
         return engines;
@@ -186,18 +194,18 @@
 }
 
 /// Records that a call would go to any of these engines. Without demand the leader would grant no permits for them.
-fn record_demand(limits: &mut LimitGate, engines: &[EndpointRow<'_>]) {
+fn record_demand(limits: &mut LimitGate, engines: &[Candidate<'_>]) {
     for (name, endpoint) in engines {
         limits.record_demand(limited(name, endpoint));
     }
 }
 
-fn without_tried<'state>(mut rows: Vec<EndpointRow<'state>>, tried: &[EndpointName]) -> Vec<EndpointRow<'state>> {
+fn without_tried<'state>(mut rows: Vec<Candidate<'state>>, tried: &[EndpointName]) -> Vec<Candidate<'state>> {
     rows.retain(|(name, _)| !tried.contains(name));
     rows
 }
 
-fn find_chosen(rows: &[EndpointRow<'_>], name: &EndpointName, detour: Option<LimitDetour>) -> Option<ChosenEndpoint> {
+fn find_chosen(rows: &[Candidate<'_>], name: &EndpointName, detour: Option<LimitDetour>) -> Option<ChosenEndpoint> {
     let row = rows.iter().find(|(known, _)| *known == name)?;
     Some(ChosenEndpoint {
         name: row.0.clone(),
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -12,6 +12,7 @@
 use acaciabay::core::serving::endpoint_limit::{LimitNotice, LimitVersion, RateLimit};
 use acaciabay::core::serving::endpoint_registry::ServingEndpoint;
 use acaciabay::core::serving::limit_gate::{LimitGate, LimitObservation, LimitedEndpoint};
+use acaciabay::ops::place_call::Candidate;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
 use hyper::StatusCode;
@@ -189,36 +190,23 @@
         .collect()
 }
 
-/// A choice that names an endpoint.
-pub(super) trait NamedChoice {
-    /// Returns the endpoint.
-    fn endpoint(&self) -> &EndpointName;
-}
-
-impl NamedChoice for EndpointName {
-    fn endpoint(&self) -> &EndpointName {
-        self
-    }
-}
-
-type EndpointRow<'state> = (&'state EndpointName, &'state ServingEndpoint);
-
 /// Chooses among the candidates to which the entry may send, and says which one a limit stood against. `choose` gets
-/// candidates, and those of them whose permits would otherwise expire.
-pub(super) fn choose_within_limits<T: NamedChoice>(
+/// candidates, and those of them whose permits would otherwise expire; `name_of` returns the endpoint of its choice.
+pub(super) fn choose_within_limits<T>(
     now: BootTime,
     limits: &mut LimitGate,
-    candidates: &[EndpointRow<'_>],
-    choose: impl Fn(&[EndpointRow<'_>], &[EndpointName]) -> Option<T>,
+    candidates: &[Candidate<'_>],
+    name_of: impl Fn(&T) -> &EndpointName,
+    choose: impl Fn(&[Candidate<'_>], &[EndpointName]) -> Option<T>,
 ) -> Option<(T, Option<LimitDetour>)> {
     let best = choose(candidates, &[])?;
     if !limits.has_limits() {
         return Some((best, None));
     }
     let row_of = |name: &EndpointName| candidates.iter().find(|(known, _)| *known == name).copied();
-    let best = row_of(best.endpoint()).map(|(name, endpoint)| limited(name, endpoint))?;
+    let best = row_of(name_of(&best)).map(|(name, endpoint)| limited(name, endpoint))?;
     limits.record_demand(best);
-    let admitted: Vec<EndpointRow<'_>> = candidates
+    let admitted: Vec<Candidate<'_>> = candidates
         .iter()
         .copied()
         .filter(|(name, endpoint)| limits.admits(now, limited(name, endpoint)))
--- a/crates/acaciabay/src/core/serving/limit_gate.rs
+++ b/crates/acaciabay/src/core/serving/limit_gate.rs
@@ -198,11 +198,6 @@
         self.rows.values().any(|row| row.limit().is_some())
     }
 
-    /// Returns the endpoints with a limit.
-    pub fn limits(&self) -> impl Iterator<Item = (&EndpointName, RateLimit)> {
-        self.rows.iter().filter_map(|(name, row)| Some((name, row.limit()?)))
-    }
-
     /// Returns true if a request may be sent to the endpoint now.
     pub fn admits(&self, now: BootTime, endpoint: LimitedEndpoint<'_>) -> bool {
         self.limit(endpoint).is_none() || self.has_permit(now, endpoint)
