--- /dev/null
+++ b/crates/acaciabay/tests/serving/limit_replay.rs
@@ -0,0 +1,302 @@
+//! Limits that endpoints name: the requests that all entries together send to one endpoint, compared with what the users'
+//! rule lets arrive.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::endpoint_limit::{LimitNotice, LimitReport, LimitVersion};
+use acaciabay::core::serving::limit_gate::{LimitGate, LimitObservation, LimitedEndpoint};
+use acaciabay::core::serving::limit_ledger::LimitLedger;
+use acaciabay::core::serving::start_counts::EntryStart;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::limit_rule::{INCARNATION, RULE_WINDOW, at, endpoint_name, limit_of, permitted};
+
+const TICK: Duration = Duration::from_millis(5);
+const RENEWAL_TICKS: u64 = 50;
+/// Ticks from a request to its answer, at an endpoint and at the leader.
+const ANSWER_TICKS: u64 = 8;
+const LEADER_TICKS: u64 = 1;
+/// Time after the first naming from which the rule has to be kept.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+const NAMED_AT: f64 = 2.0;
+const END: f64 = 16.0;
+
+/// What happens to the leader and to entries.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trouble {
+    /// Fraction of renewals whose answers are lost.
+    loss: f64,
+    /// From when until when there is no leader; the next one knows nothing of the earlier.
+    leaderless: Option<(f64, f64)>,
+    /// When a quarter of the entries restarts.
+    restart: Option<f64>,
+    /// From when until when a quarter of the entries is frozen.
+    freeze: Option<(f64, f64)>,
+    /// From when until when a quarter of the entries reaches no leader, but the endpoint.
+    cut: Option<(f64, f64)>,
+}
+
+impl Trouble {
+    fn is_leaderless(&self, now: BootTime) -> bool {
+        is_within(self.leaderless, now)
+    }
+
+    fn concerns(index: usize) -> bool {
+        index.is_multiple_of(4)
+    }
+}
+
+fn is_within(span: Option<(f64, f64)>, now: BootTime) -> bool {
+    span.is_some_and(|(from, until)| now >= at(from) && now < at(until))
+}
+
+/// Requests that entries would send to the endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    entries: usize,
+    /// Requests a second for which all entries together find the endpoint the best choice.
+    offered: f64,
+    /// Requests a second of each entry that may go to the endpoint.
+    calls: f64,
+    limit: f64,
+}
+
+/// Outcome of a replay.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    /// Requests in the worst window.
+    worst: usize,
+    /// Requests between [`SETTLING_TIME`] after the naming and the end, as a part of what the limit allows.
+    used: f64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    start: EntryStart,
+    gate: LimitGate,
+    phase: u64,
+    /// Answers of the endpoint under way: when they come, and whether they name the limit.
+    answers: VecDeque<(u64, LimitVersion, LimitNotice)>,
+    /// The report that the leader is to answer.
+    renewal: Option<(u64, BootTime, LimitReport)>,
+    renewal_due: bool,
+    /// Without a leader's answer, an entry has no lease and takes no calls.
+    has_lease: bool,
+}
+
+impl Entry {
+    fn new(start: u64, phase: u64) -> Self {
+        Self {
+            start: EntryStart(start),
+            gate: LimitGate::default(),
+            phase,
+            answers: VecDeque::new(),
+            renewal: None,
+            renewal_due: false,
+            has_lease: false,
+        }
+    }
+}
+
+/// Replays requests to one endpoint that names its limit from [`NAMED_AT`] on.
+fn replay(load: &Load, trouble: &Trouble, seed: u64) -> Outcome {
+    let mut random = StdRng::seed_from_u64(seed);
+    let name = endpoint_name();
+    let endpoint = LimitedEndpoint {
+        name: &name,
+        incarnation: INCARNATION,
+    };
+    let mut term = 1;
+    let mut ledger = LimitLedger::new(term);
+    let mut entries: Vec<Entry> = (0..load.entries)
+        .map(|index| Entry::new(index as u64, random.random_range(0..RENEWAL_TICKS)))
+        .collect();
+    let calls_per_tick = load.calls * TICK.as_secs_f64();
+    let natural = load.offered / (load.entries as f64 * load.calls);
+    let mut arrivals: Vec<BootTime> = Vec::new();
+    let mut was_leaderless = false;
+    let ticks = (END / TICK.as_secs_f64()).round();
+    for tick in 0.. {
+        let now = BootTime::from_boot(TICK.saturating_mul(tick));
+        let tick = u64::from(tick);
+        if tick as f64 >= ticks {
+            break;
+        }
+        let notice = if now >= at(NAMED_AT) {
+            LimitNotice::Limited(limit_of(load.limit))
+        } else {
+            LimitNotice::Unlimited
+        };
+        let is_leaderless = trouble.is_leaderless(now);
+        if was_leaderless && !is_leaderless {
+            term += 1;
+            ledger = LimitLedger::new(term);
+        }
+        was_leaderless = is_leaderless;
+        for (index, entry) in entries.iter_mut().enumerate() {
+            let is_concerned = Trouble::concerns(index);
+            if is_concerned && is_within(trouble.freeze, now) {
+                continue;
+            }
+            if is_concerned && trouble.restart.is_some_and(|restart| now == at(restart)) {
+                *entry = Entry::new(entry.start.0 + 10_000, entry.phase);
+            }
+            while entry.answers.front().is_some_and(|(due, _, _)| *due <= tick) {
+                let Some((_, known, notice)) = entry.answers.pop_front() else {
+                    break;
+                };
+                let observation = LimitObservation {
+                    known,
+                    notice,
+                    is_success: true,
+                };
+                entry.renewal_due |= entry.gate.observe(endpoint, &observation);
+            }
+            let is_cut = is_leaderless || is_concerned && is_within(trouble.cut, now);
+            let is_due = entry.renewal_due || tick % RENEWAL_TICKS == entry.phase;
+            if is_due && entry.renewal.is_none() && !is_cut {
+                entry.renewal_due = false;
+                entry.renewal = Some((tick + LEADER_TICKS, now, entry.gate.report(now)));
+            }
+            if let Some((_, reported_at, report)) = entry.renewal.take_if(|(due, _, _)| *due <= tick)
+                && !is_cut
+            {
+                ledger.record(now, entry.start, &report);
+                let answer = ledger.grant(now, entry.start);
+                if !random.random_bool(trouble.loss) {
+                    entry.gate.apply_answer(reported_at, &answer);
+                    entry.has_lease = true;
+                }
+                entry.renewal_due |= entry.gate.has_unreported();
+            }
+            if entry.has_lease && random.random_bool(calls_per_tick.min(1.0)) {
+                let is_natural = random.random_bool(natural.min(1.0));
+                if is_natural {
+                    entry.gate.record_demand(endpoint);
+                }
+                let is_chosen = is_natural || entry.gate.has_permit(now, endpoint);
+                if is_chosen && let Some(known) = entry.gate.acquire(now, endpoint) {
+                    arrivals.push(now);
+                    entry.answers.push_back((tick + ANSWER_TICKS, known, notice));
+                }
+            }
+        }
+    }
+    outcome(load, &arrivals)
+}
+
+fn outcome(load: &Load, arrivals: &[BootTime]) -> Outcome {
+    let settled = at(NAMED_AT) + SETTLING_TIME;
+    let counted: Vec<BootTime> = arrivals.iter().copied().filter(|arrival| *arrival >= settled).collect();
+    let mut worst = 0;
+    let mut end = 0;
+    for (begin, first) in counted.iter().enumerate() {
+        while counted
+            .get(end)
+            .is_some_and(|arrival| arrival.since(*first) < RULE_WINDOW)
+        {
+            end += 1;
+        }
+        worst = worst.max(end - begin);
+    }
+    let allowed = load.limit * at(END).since(settled).as_secs_f64();
+    Outcome {
+        worst,
+        used: counted.len() as f64 / allowed,
+    }
+}
+
+const ENTRY_COUNTS: [usize; 3] = [8, 80, 350];
+const SEEDS: std::ops::Range<u64> = 0..3;
+const LIMITS: [f64; 4] = [0.3, 1.0, 7.3, 100.0];
+/// Part of a limit that has to be used where it is 4 requests a second or more, and twice as much is asked for.
+const USED_PART: f64 = 0.8;
+const LEAST_USED_LIMIT: f64 = 4.0;
+/// Requests a second of one entry, as at the stated target of 3,600 by 350 entries.
+const CALLS_PER_ENTRY: f64 = 10.0;
+
+/// Replays all sizes and limits under the same trouble, and checks the rule.
+fn check_rule(trouble: &Trouble, must_be_used: bool) {
+    for entries in ENTRY_COUNTS {
+        for limit in LIMITS {
+            for seed in SEEDS {
+                let load = Load {
+                    entries,
+                    offered: 2.0 * limit,
+                    calls: CALLS_PER_ENTRY.max(2.0 * limit / entries as f64),
+                    limit,
+                };
+                let outcome = replay(&load, trouble, seed);
+                let case = format!("{entries} entries, limit {limit}, seed {seed}: {outcome:?}");
+                println!("{case}");
+                assert!(outcome.worst as f64 <= permitted(limit), "{case}");
+                if must_be_used && limit >= LEAST_USED_LIMIT {
+                    assert!(outcome.used >= USED_PART, "{case}");
+                }
+            }
+        }
+    }
+}
+
+/// Eight, eighty or 350 entries all find the endpoint idle, because it takes little.
+#[test]
+fn a_limit_holds_and_is_used_over_all_entries() {
+    check_rule(&Trouble::default(), true);
+}
+
+/// Lost answers carry permits that the leader has granted and the entry never received.
+#[test]
+fn a_limit_holds_while_answers_are_lost() {
+    let trouble = Trouble {
+        loss: 0.2,
+        ..Trouble::default()
+    };
+    check_rule(&trouble, false);
+}
+
+/// The next leader does not know what its predecessor granted, and grants again.
+#[test]
+fn a_limit_holds_when_the_leader_changes() {
+    for leaderless in [(NAMED_AT + 0.01, NAMED_AT + 0.5), (5.0, 5.2), (5.0, 8.0)] {
+        let trouble = Trouble {
+            leaderless: Some(leaderless),
+            ..Trouble::default()
+        };
+        check_rule(&trouble, false);
+    }
+}
+
+/// Entries restart and know nothing; the others keep to the limit together with them.
+#[test]
+fn a_limit_holds_when_entries_restart() {
+    let trouble = Trouble {
+        restart: Some(6.0),
+        ..Trouble::default()
+    };
+    check_rule(&trouble, false);
+}
+
+/// Entries wake up with permits that the leader has long granted to others.
+#[test]
+fn a_limit_holds_when_entries_freeze() {
+    for freeze in [(5.0, 5.6), (5.0, 9.0)] {
+        let trouble = Trouble {
+            freeze: Some(freeze),
+            ..Trouble::default()
+        };
+        check_rule(&trouble, false);
+    }
+}
+
+/// Entries that reach no leader must not go on at a rate of their own.
+#[test]
+fn a_limit_holds_when_entries_are_cut_off() {
+    let trouble = Trouble {
+        cut: Some((5.0, 9.0)),
+        ..Trouble::default()
+    };
+    check_rule(&trouble, false);
+}
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -18,6 +18,8 @@
 mod fixtures;
 mod issued_order;
 mod leases;
+mod limit_replay;
+mod limit_rule;
 mod members;
 mod pending_renewals;
 mod placement;
