--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -226,6 +226,7 @@
             connect_timeout: CONNECT_TIMEOUT,
             user_timeout: TCP_USER_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
+            source: settings.endpoint_source,
             // The process may be suspended after the check of the lease, and a key withdrawn meanwhile. The lease is
             // therefore checked again with each write.
             guard: Some(WriteGuard::new(move || lease_end.is_valid(boot_now()))),
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use acaciabay::core::attempt::AttemptState;
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpStream, ToSocketAddrs};
+use tokio::net::{TcpSocket, TcpStream, ToSocketAddrs};
 
 use crate::watched_stream::{WatchedStream, WriteGuard, WrittenBytes};
 
@@ -35,6 +35,8 @@
     pub idle_timeout: Duration,
     /// Maximum number of idle connections kept for each address.
     pub idle_connections: usize,
+    /// Address of this host from which connections are opened. Without it, the system chooses one.
+    pub source: Option<IpAddr>,
     /// Condition checked before each write, for clients whose authority to send may expire.
     pub guard: Option<WriteGuard>,
 }
@@ -46,6 +48,7 @@
             user_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(4),
             idle_connections: 64,
+            source: None,
             guard: None,
         }
     }
@@ -206,9 +209,10 @@
         let ClientOptions {
             connect_timeout,
             user_timeout,
+            source,
             ..
         } = self.options;
-        let stream = connect_within(address, connect_timeout, user_timeout).await?;
+        let stream = connect_from(source, address, connect_timeout, user_timeout).await?;
         let written = WrittenBytes::default();
         let watched = WatchedStream::new(stream, written.clone(), self.options.guard.clone());
         let (sender, connection) = handshake(TokioIo::new(watched)).await?;
@@ -265,6 +269,31 @@
     Ok(stream)
 }
 
+/// Connects as [`connect_within`] does, from this address of the host if there is one.
+///
+/// # Errors
+///
+/// Fails as [`connect_within`] does, or if `source` is not an address of this host.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    connect_timeout: Duration,
+    user_timeout: Duration,
+) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return connect_within(address, connect_timeout, user_timeout).await;
+    };
+    let socket = if source.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    let stream = tokio::time::timeout(connect_timeout, socket.connect(address)).await??;
+    prepare_socket(&stream, user_timeout)?;
+    Ok(stream)
+}
+
 /// Sets the socket options that detect a dead connection: keepalive while it is idle, and a user timeout while sent
 /// data is unacknowledged. Also disables Nagle's algorithm.
 ///
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the processes that serve calls by host and path.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -74,6 +74,8 @@
     pub stop_grace: Duration,
     /// The bound on second sends.
     pub send_bound: WindowBoundSettings,
+    /// The address of this host from which endpoints are called; the system chooses one without it.
+    pub endpoint_source: Option<IpAddr>,
 }
 
 /// A bound on what all entries together do within any window.
@@ -167,6 +169,7 @@
     let config_in_force = reader.required("config_in_force_ms", findings, as_count(100..=600_000));
     let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
     let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
+    let endpoint_source = reader.optional("endpoint_source_address", findings, as_ip_address);
     let mut bound = reader.child("send_bound", findings);
     let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
     bound.finish(findings);
@@ -184,6 +187,7 @@
         usage_window: usage_window?,
         stop_grace: stop_grace?,
         send_bound: send_bound?,
+        endpoint_source,
     })
 }
 
@@ -202,6 +206,12 @@
     })
 }
 
+fn as_ip_address(value: &Value) -> Result<IpAddr, String> {
+    let text = as_text(value)?;
+    text.parse()
+        .map_err(|_malformed| format!("`{text}` is not an IP address"))
+}
+
 /// Reads an address that a template leaves empty where there is none.
 fn as_optional_address(value: &Value) -> Result<Option<SocketAddr>, String> {
     match as_text(value)? {
