--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -7,7 +7,7 @@
 use acacia_runtime::event;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
-    EndpointUse, KeptPart, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
+    EndpointUse, KeptPart, RelayList, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
 };
 use acacia_wire::generated::state::{self, WindowCounts};
 use acacia_wire::{
@@ -19,6 +19,7 @@
 use acaciabay::core::serving::cached_parts::LogPlace;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_transfer::{ConfigDocument, ConfigSender};
+use acaciabay::core::serving::relay_choice::RelayOffer;
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use acaciabay::core::serving::suspect_view::SuspectReport;
 use acaciabay::util::number::whole_millis;
@@ -65,9 +66,21 @@
         silent: silent_endpoint_names(shared),
         suspects: Some(suspects),
         limits,
+        relay_token: shared.relay_token,
+        relays: request.wants_relays.then(|| relay_list(shared, hello)),
     })
 }
 
+/// Returns the entries over which this one can reach endpoints.
+fn relay_list(shared: &ControlShared, hello: &ServingHello) -> RelayList {
+    let (host, domain) = (hello.host.as_str().into(), hello.domain.as_str().into());
+    let soft = shared.soft_state();
+    let relays = soft.relays_for(boot_now(), &host, &domain).into_iter();
+    RelayList {
+        addresses: relays.map(|offer| offer.address.to_string()).collect(),
+    }
+}
+
 /// Returns the names of the endpoints that all entries should avoid.
 fn silent_endpoint_names(shared: &ControlShared) -> Vec<String> {
     let soft = shared.soft_state();
@@ -157,6 +170,14 @@
     peer.map(|peer| peer.to_string()).unwrap_or_default()
 }
 
+fn relay_offer(hello: &ServingHello, request: &RenewServing) -> Option<RelayOffer> {
+    Some(RelayOffer {
+        host: hello.host.as_str().into(),
+        domain: hello.domain.as_str().into(),
+        address: request.relay_address.parse().ok()?,
+    })
+}
+
 fn gathered_row(entry: EntryStart, message: &WindowCounts) -> GatheredRow {
     let (window, counts) = counts_from_wire(message.clone());
     GatheredRow { entry, window, counts }
@@ -200,6 +221,7 @@
         work,
         silent: request.silent.iter().map(|name| name.as_str().into()).collect(),
         paces,
+        relay: relay_offer(hello, request),
     };
     soft.set_entry(&host, state);
     let entries = u32::try_from(soft.live_entries(now)).unwrap_or(u32::MAX);
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -26,10 +26,12 @@
     EndpointIncarnation, EndpointRegistry, ReportEffect, ServingEndpoint,
 };
 use acaciabay::core::serving::limit_ledger::LimitLedger;
+use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use acaciabay::core::serving::work_sums::WorkSums;
 use parking_lot::{Mutex, MutexGuard};
+use rand::Rng;
 use slog::Logger;
 use tokio::sync::broadcast;
 
@@ -52,6 +54,9 @@
 /// Time without a renewal after which an entry no longer counts as serving. Its serving lease has ended long before.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time without a renewal after which an entry no longer counts as a relay: four renewals.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The state that an entry sent with its last renewal.
 #[derive(Clone, Debug)]
 pub(super) struct EntryState {
@@ -66,6 +71,8 @@
     /// Prefill time per token in milliseconds, as measured by the entry. A renewal names only services with calls since
     /// the last one, so the values of the others are kept from earlier renewals.
     pub(super) paces: BTreeMap<ServiceName, f64>,
+    /// The entry's offer to relay connections of other entries, while it makes one.
+    pub(super) relay: Option<RelayOffer>,
 }
 
 /// Demand for a service over all entries since the pool of the service was last planned on this replica.
@@ -162,6 +169,15 @@
         shared_suspicions(rows.flat_map(|row| row.silent.iter().map(|endpoint| (&row.domain, endpoint))))
     }
 
+    /// Returns the relays that an entry is told.
+    pub(super) fn relays_for(&self, now: BootTime, host: &HostName, domain: &DomainName) -> Vec<&RelayOffer> {
+        let live = self
+            .entries
+            .values()
+            .filter(|row| now.since(row.heard_at) < RELAY_TIMEOUT);
+        select_relays(host, domain, live.filter_map(|row| row.relay.as_ref()))
+    }
+
     /// Returns the work that all entries except `host` have at each endpoint.
     pub(super) fn work_except(&self, host: &HostName) -> BTreeMap<EndpointName, EndpointWork> {
         let own = self.entries.get(host).map_or(&[][..], |row| &row.work);
@@ -237,6 +253,8 @@
     pub(super) settings: ServingControlSettings,
     pub(super) group: GroupHandle,
     pub(super) suspects: Arc<SuspectRecorder>,
+    /// By which entries know each other while this replica leads.
+    pub(super) relay_token: u64,
     pub(super) codec: Arc<dyn ControlCodec>,
     pub(super) platform: Arc<dyn PlatformCodec>,
     pub(super) log: Logger,
@@ -260,6 +278,7 @@
             settings,
             group,
             suspects,
+            relay_token: rand::rng().random_range(1..=u64::MAX),
             codec,
             platform,
             log,
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, FinishedConnection};
+use acacia_http::{ConnectionChoice, ConnectionPath, FinishedConnection};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::attempt::AttemptState;
@@ -11,8 +11,8 @@
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
 use super::allowance_charge::AllowanceCharge;
@@ -42,6 +42,8 @@
     HeldBack(CallRefusal),
     /// The endpoint has a limit, and the entry no permit for it. Nothing was sent.
     LimitReached,
+    /// The entry is cut off from all endpoints, and no relay has taken the call. Nothing was sent.
+    NoPath,
     /// The time limit of the attempt passed. The endpoint may still be running the call.
     TimedOut,
 }
@@ -63,6 +65,14 @@
 }
 
 impl KeptConnection {
+    /// Returns the number of the connection in the logs of this entry and of the relay, if it goes over one.
+    const fn relayed(&self) -> Option<u64> {
+        match self.finished.path() {
+            ConnectionPath::Direct => None,
+            ConnectionPath::Relayed { connection, .. } => Some(connection),
+        }
+    }
+
     /// Returns the connection to the pool.
     pub(super) async fn return_to_pool(self, call: &AcceptedCall) {
         let client = &call.shared.client;
@@ -162,12 +172,13 @@
     let sending = call
         .shared
         .client
-        .send(sent_at, chosen.endpoint.address, ConnectionChoice::Pooled, request);
+        .send(sent_at, chosen.endpoint.address, connection_choice(call, role), request);
     let was_kept = match role {
         // Prefilling a prompt does not run the call.
         AttemptRole::ReadPrompt { .. } => None,
         AttemptRole::Whole | AttemptRole::MakeTokens { .. } => call.charge.as_ref().map(AllowanceCharge::keep),
     };
+    let _wait = call.shared.paths.begin_wait(sent_at, chosen.endpoint.address);
     let mut pending = PendingAttempt {
         call,
         chosen,
@@ -184,10 +195,11 @@
     let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => {
-            if failure.state != AttemptState::Unsent {
+            if failure.state != AttemptState::Unsent && !failure.is_path_lost {
                 call.record_break(chosen, sent_at);
             }
             let outcome = match failure.state {
+                AttemptState::Unsent if failure.is_path_lost && call.shared.paths.is_cut() => AttemptOutcome::NoPath,
                 AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
                 // The endpoint may have run the call. This includes `Ended`: the client returned an error, so there is
                 // no answer to pass on.
@@ -198,6 +210,7 @@
         Ok(Ok(answer)) => {
             let head = call.shared.codec.read_answer_head(answer.response.headers());
             let status = answer.response.status();
+            let is_relayed = answer.connection.path() != ConnectionPath::Direct;
             let is_crossed = head
                 .request
                 .as_ref()
@@ -212,6 +225,9 @@
                 slog::warn!(call.shared.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
                 (AttemptOutcome::Lost, "answer to another request".to_owned())
+            } else if is_relayed && !has_framed_body(&answer.response) {
+                // Its end cannot be told from a break of the way over the relay.
+                (AttemptOutcome::Lost, "relayed answer without a length".to_owned())
             } else if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
                 (AttemptOutcome::NotRun { arrived: true }, status.to_string())
             } else {
@@ -219,6 +235,10 @@
                     finished: answer.connection,
                     keep: head.keep_alive,
                 };
+                if let Some(number) = connection.relayed() {
+                    slog::info!(call.shared.log, "attempt answered over a relay"; "event" => event::ATTEMPT_RELAYED,
+                        "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "connection" => number);
+                }
                 let reply = EndpointReply {
                     response: answer.response,
                     connection,
@@ -229,7 +249,7 @@
         }
     };
     let (outcome, reason) = outcome;
-    if matches!(outcome, AttemptOutcome::NotRun { .. })
+    if matches!(outcome, AttemptOutcome::NotRun { .. } | AttemptOutcome::NoPath)
         && was_kept == Some(false)
         && let Some(charge) = &call.charge
     {
@@ -239,6 +259,25 @@
     outcome
 }
 
+/// Returns the choice of the connection for an attempt. One that may be made again does not wait for an answer that is lost.
+fn connection_choice(call: &AcceptedCall, role: AttemptRole<'_>) -> ConnectionChoice {
+    let may_repeat = matches!(role, AttemptRole::ReadPrompt { .. }) || call.route().kind.may_repeat();
+    if may_repeat {
+        ConnectionChoice::PooledWhileReachable
+    } else {
+        ConnectionChoice::Pooled
+    }
+}
+
+/// Returns true if the end of the body shows in the body itself, and not only in the end of its connection.
+fn has_framed_body(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    response.body().is_end_stream()
+        || response.body().size_hint().exact().is_some()
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn record_failed_attempt(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
@@ -251,8 +290,12 @@
         "outcome" => ?outcome, "reason" => reason, "after_ms" => whole_millis(boot_now().since(sent_at)),
         "report" => chosen.endpoint.sequence);
     metrics::counter!("acacia_attempts_failed_total").increment(1);
+    let is_path_lost = call.shared.paths.is_lost(chosen.endpoint.address);
     let mut state = call.shared.state();
     match outcome {
+        AttemptOutcome::NoPath => {}
+        AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::Lost | AttemptOutcome::TimedOut if is_path_lost => {
+        }
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
         AttemptOutcome::Lost | AttemptOutcome::TimedOut => state.loads.record_silence(boot_now(), &chosen.name),
         // `NotRun { arrived: true }`. `Answered`, `HeldBack` and `LimitReached` have already been returned.
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -164,10 +164,12 @@
         let mut renewal_triggers = self.renewal_triggers.subscribe();
         let mut reports_due = self.shared.suspects.reports_due();
         let mut limit_reports_due = self.shared.limit_reports_due.subscribe();
+        let mut path_changes = self.shared.paths.changes();
         loop {
             renewal_triggers.mark_unchanged();
             reports_due.mark_unchanged();
             limit_reports_due.mark_unchanged();
+            path_changes.mark_unchanged();
             let now = boot_now();
             self.clear_overdue_leader(now, address, session);
             let should_ask = self.replicas.lock().should_ask(now, address);
@@ -185,6 +187,7 @@
                 _ = renewal_triggers.changed() => {}
                 _ = reports_due.changed() => {}
                 _ = limit_reports_due.changed() => {}
+                _ = path_changes.changed() => {}
             }
         }
     }
@@ -310,6 +313,8 @@
             silent,
             suspects,
             limits,
+            relay_token,
+            relays,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -327,6 +332,11 @@
         if let Some(limits) = limits {
             self.shared.apply_limits(received.requested_at, &limits)?;
         }
+        self.shared.paths.record_token(relay_token);
+        if let Some(relays) = relays {
+            let addresses = relays.addresses.iter().filter_map(|address| address.parse().ok());
+            self.shared.paths.replace_relays(now, addresses);
+        }
         // A report was due while this renewal was on its way.
         if self.shared.suspects.has_unreported() || self.shared.state().limits.has_unreported() {
             self.trigger_renewals();
--- /dev/null
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -0,0 +1,443 @@
+//! Connections to endpoints, directly or over another entry.
+//!
+//! A connection attempt that does not succeed soon is made over a relay as well, and the first connection is used. Nothing of
+//! a call is sent before, so that this is safe for every call. Whichever way leads to the endpoint is remembered in a
+//! [`PathTable`].
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{ConnectFailure, ConnectionPath, Connector, NewConnection, connect_from, connect_within};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::generated::serving::RelayOutcome;
+use acacia_wire::{RelayHandshake, RelayRequest};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::broken_attempt::PortState;
+use acaciabay::core::serving::endpoint_paths::{PathChange, PathFault, PathOrder, PathTable, WaitNumber};
+use acaciabay::core::serving::relay_choice::RelayTable;
+use acaciabay::util::number::whole_millis;
+use anyhow::anyhow;
+use futures::FutureExt;
+use futures::future::{BoxFuture, join_all};
+use parking_lot::Mutex;
+use rand::Rng;
+use slog::Logger;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Time limit for connecting to an endpoint. Within a region this takes milliseconds. A lost packet is retransmitted
+/// only after a second, by which time another endpoint can have answered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which sent data may remain unacknowledged before the kernel closes a connection. An endpoint may be silent for a
+/// second and go on.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection attempt that has not succeeded is made over a relay as well: many times the usual one.
+const HEDGE_DELAY: Duration = Duration::from_millis(80);
+/// Time limit for a connection over one relay. It covers the relay's own attempt, [`CONNECT_TIMEOUT`].
+const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
+/// Number of relays that are asked for one connection.
+const MAX_RELAYS_ASKED: usize = 3;
+/// Number of relays that must find that an endpoint does not answer, if as many can say. One that has just been cut off
+/// itself does not know it yet.
+const MIN_AGREEING_RELAYS: usize = 2;
+/// Interval at which it is decided whether ways have to be checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Ways to the endpoints, shared by all tasks of an entry.
+#[derive(Debug)]
+pub(super) struct EndpointPaths {
+    /// Host of this entry, for the logs of relays.
+    host: String,
+    source: Option<IpAddr>,
+    state: Mutex<PathState>,
+    /// Counts the changes of what the entry reaches as a whole.
+    changes: watch::Sender<u64>,
+    /// Counts the ways that were lost.
+    losses: watch::Sender<u64>,
+    log: Logger,
+}
+
+#[derive(Debug, Default)]
+struct PathState {
+    paths: PathTable,
+    relays: RelayTable,
+    /// Token by which relays know the entries of this system.
+    token: u64,
+    /// The token before, which relays accept from entries that have not heard of the newest.
+    earlier_token: Option<u64>,
+}
+
+/// Why no connection over a relay was made.
+#[derive(Debug)]
+enum RelayFailure {
+    /// Relays found that the endpoint itself does not take it.
+    Endpoint(PortState),
+    /// No relay took it.
+    NoRelay,
+}
+
+/// Counts a connection over a relay until it is dropped.
+#[derive(Debug)]
+struct RelayUse {
+    paths: Arc<EndpointPaths>,
+    relay: SocketAddr,
+}
+
+impl Drop for RelayUse {
+    fn drop(&mut self) {
+        self.paths.state.lock().relays.record_closed(self.relay);
+    }
+}
+
+/// Marks a call that waits for an endpoint until it is dropped.
+#[derive(Debug)]
+pub(super) struct EndpointWait<'paths> {
+    paths: &'paths EndpointPaths,
+    number: WaitNumber,
+}
+
+impl Drop for EndpointWait<'_> {
+    fn drop(&mut self) {
+        self.paths.state.lock().paths.end_wait(self.number);
+    }
+}
+
+/// Connector over the ways of an entry.
+#[derive(Clone, Debug)]
+pub(super) struct PathConnector(pub(super) Arc<EndpointPaths>);
+
+impl Connector for PathConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>> {
+        self.0.connect(address).boxed()
+    }
+
+    fn may_use(&self, address: SocketAddr, path: ConnectionPath) -> bool {
+        let state = self.0.state.lock();
+        match path {
+            ConnectionPath::Direct => state.paths.may_use_open(address),
+            ConnectionPath::Relayed { relay, .. } => state.paths.is_lost(address) && state.relays.is_listed(relay),
+        }
+    }
+
+    fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()> {
+        self.0.wait_until_lost(address).boxed()
+    }
+
+    fn record_arrival(&self) {
+        let now = boot_now();
+        let change = self.0.state.lock().paths.record_heard(now);
+        self.0.announce(change);
+    }
+}
+
+impl EndpointPaths {
+    pub(super) fn new(host: String, source: Option<IpAddr>, log: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            host,
+            source,
+            state: Mutex::default(),
+            changes: watch::Sender::new(0),
+            losses: watch::Sender::new(0),
+            log,
+        })
+    }
+
+    /// Returns a receiver that changes when the entry is cut off from all endpoints, or reaches one again.
+    pub(super) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns true while the entry is cut off from all endpoints.
+    pub(super) fn is_cut(&self) -> bool {
+        self.state.lock().paths.is_cut()
+    }
+
+    /// Returns true if this entry can tell that an endpoint fails from the loss of its own way to it.
+    pub(super) fn may_judge(&self, now: BootTime) -> bool {
+        self.state.lock().paths.has_heard_lately(now)
+    }
+
+    /// Returns true if a missing answer of an endpoint says nothing about it.
+    pub(super) fn is_lost(&self, address: SocketAddr) -> bool {
+        self.state.lock().paths.is_lost(address)
+    }
+
+    /// Waits until open direct connections to an endpoint may no longer be used.
+    async fn wait_until_lost(&self, address: SocketAddr) {
+        let mut losses = self.losses.subscribe();
+        while self.state.lock().paths.may_use_open(address) {
+            if losses.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Marks a call as waiting for an endpoint until the returned value is dropped.
+    pub(super) fn begin_wait(&self, now: BootTime, address: SocketAddr) -> EndpointWait<'_> {
+        let number = self.state.lock().paths.begin_wait(now, address);
+        EndpointWait { paths: self, number }
+    }
+
+    /// Returns true if the leader is to be asked for the relays.
+    pub(super) fn wants_relays(&self, now: BootTime) -> bool {
+        let state = self.state.lock();
+        state.relays.is_outdated(now, state.paths.lost_count() > 0)
+    }
+
+    /// Replaces the relays by those that the leader has named.
+    pub(super) fn replace_relays(&self, now: BootTime, relays: impl IntoIterator<Item = SocketAddr>) {
+        self.state.lock().relays.replace(now, relays);
+    }
+
+    /// Records the token that the leader has told.
+    pub(super) fn record_token(&self, token: u64) {
+        let mut state = self.state.lock();
+        if token != state.token {
+            state.earlier_token = (state.token != 0).then_some(state.token);
+            state.token = token;
+        }
+    }
+
+    /// Returns true if a token is that of a leader that this entry knows.
+    pub(super) fn knows_token(&self, token: u64) -> bool {
+        let state = self.state.lock();
+        token != 0 && (token == state.token || Some(token) == state.earlier_token)
+    }
+
+    /// Connects directly to an endpoint for another entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint does not take the connection.
+    pub(super) async fn connect_directly(&self, address: SocketAddr) -> Result<TcpStream, PortState> {
+        match connect_from(self.source, address, CONNECT_TIMEOUT, USER_TIMEOUT).await {
+            Ok(stream) => {
+                let change = self.state.lock().paths.record_reached(boot_now(), address);
+                self.announce(change);
+                Ok(stream)
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => Err(PortState::Refused),
+            Err(_silent) => Err(PortState::Silent),
+        }
+    }
+
+    async fn connect(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
+        let order = self.state.lock().paths.order(address);
+        match order {
+            PathOrder::DirectFirst => self.connect_direct_first(address).await,
+            PathOrder::RelayFirst => match self.connect_over_relay(address).await {
+                Ok(connection) => Ok(connection),
+                Err(RelayFailure::Endpoint(state)) => Err(endpoint_failure(state)),
+                Err(RelayFailure::NoRelay) if self.is_cut() => Err(path_failure()),
+                Err(RelayFailure::NoRelay) => {
+                    let direct = self.connect_directly(address).await;
+                    direct.map(direct_connection).map_err(|_lost| path_failure())
+                }
+            },
+        }
+    }
+
+    async fn connect_direct_first(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
+        let mut direct = std::pin::pin!(self.connect_directly(address));
+        let early = tokio::select! {
+            connected = &mut direct => Some(connected),
+            () = tokio::time::sleep(HEDGE_DELAY) => None,
+        };
+        let direct_state = match early {
+            Some(Ok(stream)) => return Ok(direct_connection(stream)),
+            Some(Err(state)) => Some(state),
+            None => None,
+        };
+        let mut relayed = std::pin::pin!(self.connect_over_relay(address));
+        let relayed = if direct_state.is_some() {
+            relayed.await
+        } else {
+            tokio::select! {
+                connected = &mut direct => match connected {
+                    Ok(stream) => return Ok(direct_connection(stream)),
+                    Err(_silent) => relayed.await,
+                },
+                relayed = &mut relayed => match relayed {
+                    Ok(connection) => Ok(connection),
+                    Err(failure) => match direct.await {
+                        Ok(stream) => return Ok(direct_connection(stream)),
+                        Err(_silent) => Err(failure),
+                    },
+                },
+            }
+        };
+        match relayed {
+            Ok(connection) => {
+                let fault = match direct_state {
+                    Some(PortState::Refused) => PathFault::Refused,
+                    _ => PathFault::Silent,
+                };
+                self.record_lost(address, fault);
+                Ok(connection)
+            }
+            Err(RelayFailure::Endpoint(state)) => Err(endpoint_failure(state)),
+            Err(RelayFailure::NoRelay) if self.is_lost(address) => Err(path_failure()),
+            Err(RelayFailure::NoRelay) => Err(endpoint_failure(direct_state.unwrap_or(PortState::Silent))),
+        }
+    }
+
+    fn record_lost(&self, address: SocketAddr, fault: PathFault) {
+        let change = self.state.lock().paths.record_lost(boot_now(), address, fault);
+        slog::info!(self.log, "way to an endpoint lost"; "event" => event::PATH_LOST, "address" => %address,
+            "fault" => ?fault);
+        metrics::counter!("acacia_paths_lost_total").increment(1);
+        self.announce(change);
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    async fn connect_over_relay(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, RelayFailure> {
+        let mut asked = Vec::new();
+        let mut unreachable = Vec::new();
+        while asked.len() < MAX_RELAYS_ASKED && unreachable.len() < MIN_AGREEING_RELAYS {
+            let chosen = {
+                let state = self.state.lock();
+                let draw = |count| rand::rng().random_range(0..count);
+                let relay = state.relays.choose(boot_now(), &asked, draw);
+                relay.map(|relay| (relay, state.token))
+            };
+            let Some((relay, token)) = chosen else { break };
+            asked.push(relay);
+            let request = RelayRequest {
+                token,
+                host: self.host.clone(),
+                connection: rand::rng().random(),
+                address,
+            };
+            let opening = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
+            match opening {
+                Ok(Ok((RelayOutcome::Opened, stream))) => return Ok(self.relayed_connection(relay, &request, stream)),
+                Ok(Ok((RelayOutcome::Refused, _))) => unreachable.push(PortState::Refused),
+                Ok(Ok((RelayOutcome::Silent, _))) => unreachable.push(PortState::Silent),
+                refused => self.record_relay_refusal(relay, &request, &refused.map(|opened| opened.map(|row| row.0))),
+            }
+        }
+        let is_refused = unreachable.iter().all(|state| *state == PortState::Refused);
+        Err(match unreachable.as_slice() {
+            [] => RelayFailure::NoRelay,
+            [..] if is_refused => RelayFailure::Endpoint(PortState::Refused),
+            [..] => RelayFailure::Endpoint(PortState::Silent),
+        })
+    }
+
+    fn relayed_connection(
+        self: &Arc<Self>,
+        relay: SocketAddr,
+        request: &RelayRequest,
+        stream: TcpStream,
+    ) -> NewConnection {
+        self.state.lock().relays.record_opened(relay);
+        slog::info!(self.log, "connection opened over a relay"; "event" => event::RELAY_USED, "relay" => %relay,
+            "address" => %request.address, "connection" => request.connection);
+        metrics::counter!("acacia_relayed_connections_total").increment(1);
+        NewConnection {
+            stream,
+            path: ConnectionPath::Relayed {
+                relay,
+                connection: request.connection,
+            },
+            lifetime: Some(Arc::new(RelayUse {
+                paths: Arc::clone(self),
+                relay,
+            })),
+        }
+    }
+
+    fn record_relay_refusal(
+        &self,
+        relay: SocketAddr,
+        request: &RelayRequest,
+        outcome: &Result<std::io::Result<RelayOutcome>, tokio::time::error::Elapsed>,
+    ) {
+        self.state.lock().relays.record_refusal(boot_now(), relay);
+        slog::info!(self.log, "relay took no connection"; "event" => event::RELAY_UNAVAILABLE, "relay" => %relay,
+            "address" => %request.address, "connection" => request.connection, "outcome" => ?outcome);
+        metrics::counter!("acacia_relay_refusals_total").increment(1);
+    }
+
+    fn announce(&self, change: Option<PathChange>) {
+        match change {
+            None => return,
+            Some(PathChange::Cut) => {
+                let lost = self.state.lock().paths.lost_count();
+                slog::warn!(self.log, "cut off from all endpoints"; "event" => event::PATHS_CUT, "lost" => lost);
+                metrics::gauge!("acacia_cut_off").set(1.0);
+            }
+            Some(PathChange::Restored { lasted }) => {
+                slog::warn!(self.log, "endpoints reached again"; "event" => event::PATHS_RESTORED,
+                    "lasted_ms" => whole_millis(lasted));
+                metrics::gauge!("acacia_cut_off").set(0.0);
+            }
+        }
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets lost ways that no call has needed for a while.
+    pub(super) fn remove_expired(&self, now: BootTime) {
+        self.state.lock().paths.remove_expired(now);
+    }
+
+    /// Checks ways while calls wait and no endpoint gives a sign of life, and tries those that are lost, until `stop` is
+    /// cancelled. `open` opens a connection to an endpoint and keeps it for later calls.
+    pub(super) async fn check_ways<F: Future<Output = ()>>(
+        &self,
+        open: impl Fn(SocketAddr) -> F,
+        stop: CancellationToken,
+    ) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            }
+            let (checks, trials) = {
+                let mut state = self.state.lock();
+                (state.paths.due_checks(boot_now()), state.paths.due_trials(boot_now()))
+            };
+            let checking = join_all(checks.into_iter().map(&open));
+            // Whether the endpoint was reached is recorded; the connection was only needed to know.
+            let trying = join_all(trials.into_iter().map(|address| self.connect_directly(address)));
+            let (_checked, _tried) = futures::join!(checking, trying);
+        }
+    }
+}
+
+async fn open_over(relay: SocketAddr, request: &RelayRequest) -> std::io::Result<(RelayOutcome, TcpStream)> {
+    let stream = connect_within(relay, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
+    let mut handshake = RelayHandshake::new(stream);
+    let outcome = handshake.request(request).await?;
+    let (stream, early) = handshake.finish();
+    if !early.is_empty() {
+        // An endpoint says nothing before it is asked.
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    Ok((outcome, stream))
+}
+
+const fn direct_connection(stream: TcpStream) -> NewConnection {
+    NewConnection {
+        stream,
+        path: ConnectionPath::Direct,
+        lifetime: None,
+    }
+}
+
+fn endpoint_failure(state: PortState) -> ConnectFailure {
+    ConnectFailure {
+        is_path_lost: false,
+        source: anyhow!("the endpoint's port is {state:?}"),
+    }
+}
+
+fn path_failure() -> ConnectFailure {
+    ConnectFailure {
+        is_path_lost: true,
+        source: anyhow!("no way leads to the endpoint"),
+    }
+}
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -1,11 +1,14 @@
 //! Entry process that routes calls by host and path.
 //!
-//! `call` checks the lease, route, key and body of a call and passes it to `plain_call` or `stream_call`. A plain call
-//! and `allowance_charge` takes its cost from the customer's allowance. A plain call
-//! is answered by a single endpoint. The prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
+//! `call` checks the lease, route, key and body of a call and passes it to `plain_call` or `stream_call`, and
+//! `allowance_charge` takes its cost from the customer's allowance. A plain call is answered by a single endpoint. The
+//! prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
 //!
+//! `endpoint_paths` opens the connections to endpoints, over another entry where the direct way is lost; `relay_server` is
+//! the other entry's side of that.
+//!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
 //! (`endpoint_limits`). `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
@@ -21,9 +24,11 @@
 mod endpoint_choice;
 mod endpoint_limits;
 mod endpoint_news;
+mod endpoint_paths;
 mod plain_call;
 mod prefill;
 mod refusal;
+mod relay_server;
 mod renewal_message;
 mod shared;
 mod start;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -20,7 +20,7 @@
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::choose_with_permit;
-use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
 use super::stream_body::{PlainStream, stream_answer};
 
@@ -100,6 +100,7 @@
                 }
             }
             AttemptOutcome::LimitReached => {}
+            AttemptOutcome::NoPath => return Err(attempts.refusal(NO_PATH, NO_ENDPOINT_RETRY_DELAY)),
             AttemptOutcome::HeldBack(refusal) => return Err(attempts.held_back(refusal)),
             AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
         }
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -23,7 +23,7 @@
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
 use super::endpoint_limits::choose_with_permit;
-use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 
 /// Multiple of the expected prefill time, including the queue, after which another engine is asked.
@@ -196,6 +196,9 @@
         AttemptOutcome::Answered(reply) => reply,
         AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::LimitReached => return PrefillOutcome::NotReached,
         AttemptOutcome::HeldBack(refusal) => return PrefillOutcome::HeldBack(refusal),
+        AttemptOutcome::NoPath => {
+            return PrefillOutcome::HeldBack(not_run(NO_PATH, NO_ENDPOINT_RETRY_DELAY));
+        }
         AttemptOutcome::NotRun { arrived: true } | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
             return PrefillOutcome::Failed;
         }
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -67,6 +67,9 @@
 /// Retry delay of a call for which there is no endpoint. Endpoints report once a second.
 pub(super) const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Reason for which a call is refused while the entry is cut off from all endpoints and no relay takes it.
+pub(super) const NO_PATH: &str = "no way to the endpoints";
+
 /// Retry delay of a call that the leader is about to judge.
 pub(super) const JUDGEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay of a quarantined call. Only an operator or a change of the endpoints can help it.
--- /dev/null
+++ b/crates/acacia-entry/src/serving/relay_server.rs
@@ -0,0 +1,248 @@
+//! Relays connections of other entries to endpoints that they do not reach by themselves.
+//!
+//! The bytes of both directions are passed on as they come; all decisions on calls remain with the entry that has taken
+//! them. A connection is never relayed twice: it goes directly to the endpoint or not at all.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{prepare_socket, set_reset_on_close};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::generated::serving::RelayOutcome;
+use acacia_wire::{RelayHandshake, RelayRequest};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::broken_attempt::PortState;
+use acaciabay::util::number::whole_millis;
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::shared::EntryShared;
+
+/// Maximum number of relayed connections. Each takes two descriptors and two buffers.
+const MAX_RELAYED: usize = 512;
+/// Maximum number of connections on which a request is awaited.
+const MAX_HANDSHAKES: usize = 64;
+/// Time limit for reading the request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which sent data may remain unacknowledged before the kernel closes a connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay before the next attempt after accepting a connection has failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Size of the buffer of each direction, in bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
+/// Time without bytes after which a connection is closed that has no request under way, while the entry stops. By then, no
+/// other entry uses it any more.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// Interval at which that is checked.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Relays connections until `closing` is cancelled, and then those that are open until they end or `ended` is cancelled.
+pub(super) async fn serve_relays(
+    listener: TcpListener,
+    shared: Arc<EntryShared>,
+    closing: CancellationToken,
+    ended: CancellationToken,
+) {
+    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
+    let relayed = Arc::new(Semaphore::new(MAX_RELAYED));
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, from)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        // Strangers that connect and say nothing must not take the place of relayed connections.
+        let Ok(handshake) = Arc::clone(&handshakes).try_acquire_owned() else {
+            continue;
+        };
+        let (shared, relayed, ended) = (Arc::clone(&shared), Arc::clone(&relayed), ended.clone());
+        connections.spawn(async move {
+            tokio::select! {
+                () = ended.cancelled() => {}
+                () = serve_connection(stream, from, &shared, &relayed, handshake) => {}
+            }
+        });
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    from: SocketAddr,
+    shared: &EntryShared,
+    relayed: &Semaphore,
+    handshake_permit: tokio::sync::OwnedSemaphorePermit,
+) {
+    let mut handshake = RelayHandshake::new(stream);
+    let request = tokio::time::timeout(REQUEST_TIMEOUT, handshake.read_request()).await;
+    let request = match request {
+        Ok(Ok(request)) if shared.paths.knows_token(request.token) => request,
+        refused => {
+            let reason = match refused {
+                Ok(Ok(_stranger)) => "unknown token".to_owned(),
+                Ok(Err(error)) => error.to_string(),
+                Err(_elapsed) => "no request".to_owned(),
+            };
+            slog::warn!(shared.log, "relay request refused"; "event" => event::RELAY_REFUSED, "from" => %from,
+                "reason" => reason);
+            metrics::counter!("acacia_relay_strangers_total").increment(1);
+            return;
+        }
+    };
+    let permit = relayed.try_acquire().ok();
+    let outcome = match permit {
+        Some(_) => connect(shared, &request).await,
+        None => Err(RelayOutcome::Unavailable),
+    };
+    drop(handshake_permit);
+    let answer = outcome
+        .as_ref()
+        .map_or_else(|outcome| *outcome, |_stream| RelayOutcome::Opened);
+    let began_at = boot_now();
+    slog::info!(shared.log, "connection relayed"; "event" => event::RELAY_OPENED, "entry" => &request.host,
+        "address" => %request.address, "connection" => request.connection, "outcome" => ?answer);
+    if handshake.answer(answer).await.is_err() {
+        return;
+    }
+    let Ok(endpoint) = outcome else { return };
+    let (entry, early) = handshake.finish();
+    if !early.is_empty() {
+        return;
+    }
+    let passed = pass_both(shared, entry, endpoint).await;
+    slog::debug!(shared.log, "relayed connection ended"; "event" => event::RELAY_ENDED,
+        "connection" => request.connection, "end" => ?passed,
+        "lasted_ms" => whole_millis(boot_now().since(began_at)));
+}
+
+/// Connects to the endpoint of a request, unless this entry relays nothing to it at present.
+async fn connect(shared: &EntryShared, request: &RelayRequest) -> Result<TcpStream, RelayOutcome> {
+    let is_known = shared.state().registry.is_answering_at(request.address);
+    let may_relay = shared.offers_relay(boot_now()) && !shared.paths.is_lost(request.address);
+    if !is_known || !may_relay {
+        return Err(RelayOutcome::Unavailable);
+    }
+    let connected = shared.paths.connect_directly(request.address).await;
+    connected.map_err(|state| match state {
+        _ if !shared.paths.may_judge(boot_now()) => RelayOutcome::Unavailable,
+        PortState::Refused => RelayOutcome::Refused,
+        PortState::Silent | PortState::Unknown | PortState::Open => RelayOutcome::Silent,
+    })
+}
+
+/// How a relayed connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    /// The entry has closed its end: the call was abandoned.
+    EntryClosed,
+    /// The endpoint has closed its end after everything that it has sent.
+    EndpointClosed,
+    /// A connection broke.
+    Broken,
+}
+
+/// Passes bytes on until either end closes.
+async fn pass_both(shared: &EntryShared, entry: TcpStream, endpoint: TcpStream) -> RelayEnd {
+    // An answer without a length that breaks off here would look complete if the connection were closed in order.
+    if prepare_socket(&entry, USER_TIMEOUT).is_err() || set_reset_on_close(&entry, true).is_err() {
+        return RelayEnd::Broken;
+    }
+    let (mut from_entry, mut to_entry) = entry.into_split();
+    let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
+    let activity = Mutex::new(RelayActivity::default());
+    let end = {
+        let mut answer = std::pin::pin!(pass_answer(&mut from_endpoint, &mut to_entry, &activity));
+        tokio::select! {
+            end = &mut answer => end,
+            () = wait_until_idle(shared, &activity) => RelayEnd::EndpointClosed,
+            end = pass_request(shared, &mut from_entry, &mut to_endpoint, &activity) => match end {
+                // The endpoint takes nothing more, but may still answer.
+                RelayEnd::EndpointClosed => answer.await,
+                end => end,
+            },
+        }
+    };
+    if end == RelayEnd::EndpointClosed && set_reset_on_close(to_entry.as_ref(), false).is_err() {
+        return RelayEnd::Broken;
+    }
+    end
+}
+
+/// What has last passed on a relayed connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct RelayActivity {
+    /// True if a request was sent and nothing of its answer has come.
+    is_awaiting: bool,
+    passed_at: BootTime,
+}
+
+/// Completes when this entry stops and no request is under way on a connection.
+async fn wait_until_idle(shared: &EntryShared, activity: &Mutex<RelayActivity>) {
+    shared.stopping.cancelled().await;
+    let stopped_at = boot_now();
+    loop {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        let RelayActivity { is_awaiting, passed_at } = *activity.lock();
+        if !is_awaiting && boot_now().since(passed_at.max(stopped_at)) >= IDLE_LIMIT {
+            return;
+        }
+    }
+}
+
+async fn pass_request(
+    shared: &EntryShared,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+    activity: &Mutex<RelayActivity>,
+) -> RelayEnd {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        match from.read(&mut buffer).await {
+            Ok(0) => return RelayEnd::EntryClosed,
+            // This entry may have been paused, and a key have been withdrawn meanwhile.
+            Ok(_) if !shared.has_lease(boot_now()) => return RelayEnd::Broken,
+            Ok(count) => {
+                *activity.lock() = RelayActivity {
+                    is_awaiting: true,
+                    passed_at: boot_now(),
+                };
+                if to.write_all(&buffer[..count]).await.is_err() {
+                    return RelayEnd::EndpointClosed;
+                }
+            }
+            Err(_reset) => return RelayEnd::Broken,
+        }
+    }
+}
+
+async fn pass_answer(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, activity: &Mutex<RelayActivity>) -> RelayEnd {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        match from.read(&mut buffer).await {
+            Ok(0) => return RelayEnd::EndpointClosed,
+            Ok(count) => {
+                *activity.lock() = RelayActivity {
+                    is_awaiting: false,
+                    passed_at: boot_now(),
+                };
+                if to.write_all(&buffer[..count]).await.is_err() {
+                    return RelayEnd::Broken;
+                }
+            }
+            Err(_reset) => return RelayEnd::Broken,
+        }
+    }
+}
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -20,7 +20,14 @@
 /// Removes the demand and the announcements of cached parts from the state, since each is reported only once. All other
 /// values are absolute and repeated in every request.
 pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
+    let relay = shared.settings.relay_address.filter(|_| shared.offers_relay(now));
     let mut state = shared.state();
+    // Nothing is to be said against endpoints by an entry that reaches none.
+    let silent = if shared.paths.is_cut() {
+        Vec::new()
+    } else {
+        state.loads.silent_endpoints(now).map(ToString::to_string).collect()
+    };
     let usage = state.allowances.report(now);
     let limits = state.limits.report(now);
     let uses = state
@@ -52,11 +59,13 @@
         counts: counts.collect(),
         uses,
         demands: demands.collect(),
-        silent: state.loads.silent_endpoints(now).map(ToString::to_string).collect(),
+        silent,
         kept: kept.iter().map(kept_to_wire).collect(),
         suspects: Some(suspect_report_to_wire(&shared.suspects.take_report())),
         usage: Some(usage_report_to_wire(&usage)),
         limits: Some(limit_report_to_wire(&limits)),
+        relay_address: relay.map(|address| address.to_string()).unwrap_or_default(),
+        wants_relays: shared.paths.wants_relays(now),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -34,6 +34,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::codec::CallCodec;
+use super::endpoint_paths::{EndpointPaths, PathConnector};
 use crate::suspect_calls::SuspectTracker;
 
 /// Length of the lease as a fraction of the time within which a withdrawn key must stop working. The rest covers calls
@@ -43,11 +44,6 @@
 /// a few calls per second over a hundred endpoints reuses each connection within this time. A new connection costs both
 /// sides.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(45);
-/// Time for which sent data may remain unacknowledged before the kernel closes the connection to an endpoint.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time limit for connecting to an endpoint. Within a region this takes milliseconds. A lost packet is retransmitted
-/// only after a second, by which time another endpoint can have answered.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How many windows of counts are repeated to the leader: those that may still be open.
 const REPORTED_WINDOWS: u64 = 4;
 
@@ -162,6 +158,8 @@
     pub(super) domain: DomainName,
     pub(super) codec: Arc<dyn CallCodec>,
     pub(super) client: EndpointClient,
+    /// Ways to the endpoints.
+    pub(super) paths: Arc<EndpointPaths>,
     /// Calls under which endpoints have ended.
     pub(super) suspects: Arc<SuspectTracker>,
     pub(super) log: Logger,
@@ -222,11 +220,9 @@
     ) -> Self {
         let lease = Arc::new(LeaseEnd::default());
         let lease_end = Arc::clone(&lease);
+        let paths = EndpointPaths::new(settings.host.clone(), settings.endpoint_source, log.clone());
         let options = ClientOptions {
-            connect_timeout: CONNECT_TIMEOUT,
-            user_timeout: TCP_USER_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
-            source: settings.endpoint_source,
             // The process may be suspended after the check of the lease, and a key withdrawn meanwhile. The lease is
             // therefore checked again with each write.
             guard: Some(WriteGuard::new(move || lease_end.is_valid(boot_now()))),
@@ -236,7 +232,8 @@
             domain: settings.failure_domain.as_str().into(),
             settings,
             codec,
-            client: EndpointClient::new(options),
+            client: EndpointClient::with_connector(options, Arc::new(PathConnector(Arc::clone(&paths)))),
+            paths,
             suspects: SuspectTracker::new(log.clone()),
             log,
             stopping,
@@ -317,6 +314,11 @@
         knows_all && self.has_lease(now) && !self.stopping.is_cancelled()
     }
 
+    /// Returns true if this entry relays connections of other entries at present.
+    pub(super) fn offers_relay(&self, now: BootTime) -> bool {
+        self.settings.relay_address.is_some() && self.is_ready(now) && !self.paths.is_cut()
+    }
+
     /// Records an accepted call for the retry limit and the demand of its service.
     pub(super) fn record_call(&self, now: BootTime, service: &ServiceName, prompt: Option<&PromptShape>) {
         let limit = self.retry_limit();
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -21,6 +21,7 @@
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
+use super::relay_server::serve_relays;
 use super::shared::EntryShared;
 
 /// Maximum number of open connections from callers. The remaining file descriptors are for endpoints and replicas.
@@ -55,6 +56,10 @@
     let callers = listen(settings.caller_address).await?;
     let ready = listen(settings.ready_address).await?;
     let metrics = listen(settings.metrics_address).await?;
+    let relay = match settings.relay_address {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     slog::info!(log, "entry started"; "event" => event::STARTED, "domain" => &settings.failure_domain,
         "callers" => %settings.caller_address, "ready" => %settings.ready_address,
         "seeds" => ?settings.seed_addresses);
@@ -69,6 +74,12 @@
     background.spawn(sessions.run_sessions(ended.clone()));
     background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
     background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
+    background.spawn(check_paths(Arc::clone(&shared), ended.clone()));
+    background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
+    let relays = relay.map(|relay| {
+        let serving = serve_relays(relay, Arc::clone(&shared), closing.clone(), ended.clone());
+        tokio::spawn(serving)
+    });
     let entry = Arc::clone(&shared);
     background.spawn(serve_http(
         ready,
@@ -102,6 +113,12 @@
     tokio::time::sleep(ACCEPT_TIME_AFTER_STOP.min(grace / 2)).await;
     closing.cancel();
     let left = grace.saturating_sub(ACCEPT_TIME_AFTER_STOP.min(grace / 2));
+    let serving = async {
+        let _callers_served = serving.await;
+        if let Some(relays) = relays {
+            let _relayed_served = relays.await;
+        }
+    };
     if tokio::time::timeout(left, serving).await.is_err() {
         slog::warn!(log, "stopping with calls still running"; "event" => event::STOP_OVERDUE);
     }
@@ -139,6 +156,32 @@
     tracker.examine_breaks(sighting, wall_ms, stop).await;
 }
 
+/// Checks the ways to endpoints for which calls wait while no endpoint gives a sign of life.
+async fn check_paths(shared: Arc<EntryShared>, stop: CancellationToken) {
+    let open = |address| {
+        let shared = Arc::clone(&shared);
+        async move {
+            // Which way has led to the endpoint is recorded by the connector, also if none has.
+            let _unreachable = shared.client.open_idle(boot_now(), address).await;
+        }
+    };
+    shared.paths.check_ways(open, stop).await;
+}
+
+/// Takes back what this entry says against endpoints when it finds that its own ways are lost.
+async fn watch_paths(shared: Arc<EntryShared>, stop: CancellationToken) {
+    let mut changes = shared.paths.changes();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            Ok(()) = changes.changed() => {}
+        }
+        if shared.paths.is_cut() {
+            shared.state().loads.clear_suspicions();
+        }
+    }
+}
+
 async fn watch_readiness(shared: Arc<EntryShared>, stop: CancellationToken) {
     let mut was_ready = false;
     loop {
@@ -156,5 +199,6 @@
                 "lease" => shared.has_lease(now), "leaving" => shared.stopping.is_cancelled());
         }
         shared.state().forget_silent(now);
+        shared.paths.remove_expired(now);
     }
 }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -22,7 +22,7 @@
 use super::endpoint_limits::choose_with_permit;
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
-use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
 use super::stream_body::stream_events;
 
@@ -187,6 +187,7 @@
                     }
                 }
                 AttemptOutcome::LimitReached => {}
+                AttemptOutcome::NoPath => return Err(self.refusal(NO_PATH, NO_ENDPOINT_RETRY_DELAY)),
                 AttemptOutcome::HeldBack(refusal) => return Err(self.held_back(refusal)),
                 AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
                     self.possible_runs += 1;
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -4,14 +4,18 @@
 //! connection has passed to the kernel. A connection is reused only after its last response was read to the end.
 //! Otherwise, the rest of that response could be delivered to another caller.
 
+use std::any::Any;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
 use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::{FutureExt, TryFutureExt};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -54,11 +58,101 @@
     }
 }
 
+/// Way on which a connection reaches its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPath {
+    /// It leads to the endpoint itself.
+    Direct,
+    /// It leads over another host.
+    Relayed {
+        /// Address of that host.
+        relay: SocketAddr,
+        /// Number of the connection in the logs of both hosts.
+        connection: u64,
+    },
+}
+
+/// A connection to an endpoint that was just opened.
+#[derive(Debug)]
+pub struct NewConnection {
+    /// The connection, on which nothing has been sent to the endpoint.
+    pub stream: TcpStream,
+    /// Its way.
+    pub path: ConnectionPath,
+    /// Dropped when the connection is no longer used.
+    pub lifetime: Option<Arc<dyn Any + Send + Sync>>,
+}
+
+/// Error of a connection attempt.
+#[derive(Debug)]
+pub struct ConnectFailure {
+    /// True if the way to the endpoint is lost, which says nothing about the endpoint.
+    pub is_path_lost: bool,
+    /// What happened.
+    pub source: anyhow::Error,
+}
+
+/// Opens the connections of an [`EndpointClient`].
+pub trait Connector: fmt::Debug + Send + Sync + 'static {
+    /// Opens a connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no way leads to the endpoint.
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>>;
+
+    /// Returns true if an idle connection on this way may be used.
+    fn may_use(&self, address: SocketAddr, path: ConnectionPath) -> bool;
+
+    /// Records that bytes have arrived on a direct connection.
+    fn record_arrival(&self);
+
+    /// Completes when open direct connections to an endpoint are lost with the way to it.
+    fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()>;
+}
+
+/// Connector that knows no way but the direct one.
+#[derive(Debug)]
+struct DirectConnector {
+    source: Option<IpAddr>,
+    connect_timeout: Duration,
+    user_timeout: Duration,
+}
+
+impl Connector for DirectConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>> {
+        let connecting = connect_from(self.source, address, self.connect_timeout, self.user_timeout);
+        let connected = connecting.map_ok(|stream| NewConnection {
+            stream,
+            path: ConnectionPath::Direct,
+            lifetime: None,
+        });
+        let failed = |error: std::io::Error| ConnectFailure {
+            is_path_lost: false,
+            source: error.into(),
+        };
+        connected.map_err(failed).boxed()
+    }
+
+    fn may_use(&self, _address: SocketAddr, _path: ConnectionPath) -> bool {
+        true
+    }
+
+    fn record_arrival(&self) {}
+
+    fn lost(&self, _address: SocketAddr) -> BoxFuture<'_, ()> {
+        std::future::pending().boxed()
+    }
+}
+
 /// Choice between an idle connection and a new one for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionChoice {
     /// Uses an idle connection if there is one, or else opens a new one.
     Pooled,
+    /// As [`Pooled`](Self::Pooled), but gives up a request on a direct connection when the way to the endpoint is lost. For
+    /// requests that may be sent again.
+    PooledWhileReachable,
     /// Opens a new connection, for use when an idle one may be broken.
     Fresh,
 }
@@ -68,6 +162,8 @@
 pub struct SendFailure {
     /// Progress of the request: [`AttemptState::Unsent`] or [`AttemptState::Written`].
     pub state: AttemptState,
+    /// True if the way to the endpoint is lost, which says nothing about the endpoint.
+    pub is_path_lost: bool,
     source: anyhow::Error,
 }
 
@@ -75,11 +171,22 @@
     fn unsent(source: impl Into<anyhow::Error>) -> Self {
         Self {
             state: AttemptState::Unsent,
+            is_path_lost: false,
             source: source.into(),
         }
     }
 }
 
+impl From<ConnectFailure> for SendFailure {
+    fn from(failure: ConnectFailure) -> Self {
+        Self {
+            state: AttemptState::Unsent,
+            is_path_lost: failure.is_path_lost,
+            source: failure.source,
+        }
+    }
+}
+
 impl fmt::Display for SendFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.state {
@@ -109,10 +216,19 @@
     connection: OpenConnection,
 }
 
+impl FinishedConnection {
+    /// Returns the way of the connection.
+    pub const fn path(&self) -> ConnectionPath {
+        self.connection.path
+    }
+}
+
 #[derive(Debug)]
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     written: WrittenBytes,
+    path: ConnectionPath,
+    _lifetime: Option<Arc<dyn Any + Send + Sync>>,
 }
 
 #[derive(Debug)]
@@ -125,14 +241,26 @@
 #[derive(Debug)]
 pub struct EndpointClient {
     options: ClientOptions,
+    connector: Arc<dyn Connector>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl EndpointClient {
     /// Creates a client without open connections.
     pub fn new(options: ClientOptions) -> Self {
+        let connector = Arc::new(DirectConnector {
+            source: options.source,
+            connect_timeout: options.connect_timeout,
+            user_timeout: options.user_timeout,
+        });
+        Self::with_connector(options, connector)
+    }
+
+    /// Creates a client that opens its connections by `connector`.
+    pub fn with_connector(options: ClientOptions, connector: Arc<dyn Connector>) -> Self {
         Self {
             options,
+            connector,
             idle: Mutex::new(HashMap::new()),
         }
     }
@@ -153,17 +281,17 @@
         request: Request<Full<Bytes>>,
     ) -> Result<EndpointAnswer, SendFailure> {
         let mut request = request;
-        if choice == ConnectionChoice::Pooled {
+        if choice != ConnectionChoice::Fresh {
             while let Some(connection) = self.take_idle(now, address) {
-                match send_on(connection, address, request).await {
+                match self.send_on(connection, address, choice, request).await {
                     Ok(answer) => return Ok(answer),
                     Err(SendError::Unsent(unsent)) => request = *unsent,
                     Err(SendError::Failed(failure)) => return Err(failure),
                 }
             }
         }
-        let connection = self.connect(address).await.map_err(SendFailure::unsent)?;
-        match send_on(connection, address, request).await {
+        let connection = self.connect(address).await?;
+        match self.send_on(connection, address, choice, request).await {
             Ok(answer) => Ok(answer),
             Err(SendError::Unsent(_)) => Err(SendFailure::unsent(anyhow::anyhow!("new connection was closed"))),
             Err(SendError::Failed(failure)) => Err(failure),
@@ -194,10 +322,46 @@
         }
     }
 
+    async fn send_on(
+        &self,
+        connection: OpenConnection,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+        request: Request<Full<Bytes>>,
+    ) -> Result<EndpointAnswer, SendError> {
+        let gives_up = choice == ConnectionChoice::PooledWhileReachable && connection.path == ConnectionPath::Direct;
+        if !gives_up {
+            return send_on(connection, address, request).await;
+        }
+        tokio::select! {
+            sent = send_on(connection, address, request) => sent,
+            () = self.connector.lost(address) => Err(SendError::Failed(SendFailure {
+                state: AttemptState::Written,
+                is_path_lost: true,
+                source: anyhow::anyhow!("the way to the endpoint is lost"),
+            })),
+        }
+    }
+
+    /// Opens a connection and keeps it for later requests, for at most the usual time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be made.
+    pub async fn open_idle(&self, now: BootTime, address: SocketAddr) -> Result<(), SendFailure> {
+        let connection = self.connect(address).await?;
+        self.give_back(now, FinishedConnection { address, connection }).await;
+        Ok(())
+    }
+
     fn take_idle(&self, now: BootTime, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&address)?;
-        while let Some(IdleConnection { connection, until }) = list.pop() {
+        let may_use = |idle: &IdleConnection| self.connector.may_use(address, idle.connection.path);
+        // A direct connection that may not be used now may be whole, and is needed once its way is found again.
+        list.retain(|idle| idle.connection.path == ConnectionPath::Direct || may_use(idle));
+        while let Some(index) = list.iter().rposition(may_use) {
+            let IdleConnection { connection, until } = list.remove(index);
             if now < until && !connection.sender.is_closed() {
                 return Some(connection);
             }
@@ -205,19 +369,19 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> anyhow::Result<OpenConnection> {
-        let ClientOptions {
-            connect_timeout,
-            user_timeout,
-            source,
-            ..
-        } = self.options;
-        let stream = connect_from(source, address, connect_timeout, user_timeout).await?;
+    async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, SendFailure> {
+        let NewConnection { stream, path, lifetime } = self.connector.connect(address).await?;
         let written = WrittenBytes::default();
-        let watched = WatchedStream::new(stream, written.clone(), self.options.guard.clone());
-        let (sender, connection) = handshake(TokioIo::new(watched)).await?;
+        let arrivals = (path == ConnectionPath::Direct).then(|| Arc::clone(&self.connector));
+        let watched = WatchedStream::new(stream, written.clone(), self.options.guard.clone(), arrivals);
+        let (sender, connection) = handshake(TokioIo::new(watched)).await.map_err(SendFailure::unsent)?;
         tokio::spawn(connection);
-        Ok(OpenConnection { sender, written })
+        Ok(OpenConnection {
+            sender,
+            written,
+            path,
+            _lifetime: lifetime,
+        })
     }
 }
 
@@ -246,6 +410,7 @@
                 let source = anyhow::Error::new(error.into_error());
                 Err(SendError::Failed(SendFailure {
                     state: AttemptState::Written,
+                    is_path_lost: false,
                     source,
                 }))
             }
@@ -294,6 +459,15 @@
     Ok(stream)
 }
 
+/// Sets whether the end of a connection is a reset, also if the process is killed, or an orderly close.
+///
+/// # Errors
+///
+/// Fails if the socket option cannot be set.
+pub fn set_reset_on_close(stream: &TcpStream, is_reset: bool) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO))
+}
+
 /// Sets the socket options that detect a dead connection: keepalive while it is idle, and a user timeout while sent
 /// data is unacknowledged. Also disables Nagle's algorithm.
 ///
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use body::{BodyRefusal, ResponseBody, empty_body, full_body, json_response, read_body, text_response};
 pub use client::{
-    ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure, connect_from,
-    connect_within, prepare_socket,
+    ClientOptions, ConnectFailure, ConnectionChoice, ConnectionPath, Connector, EndpointAnswer, EndpointClient,
+    FinishedConnection, NewConnection, SendFailure, connect_from, connect_within, prepare_socket, set_reset_on_close,
 };
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
 pub use message_head::{head_size, keep_alive, path_of, without_hop_by_hop_headers};
--- a/crates/acacia-http/src/watched_stream.rs
+++ b/crates/acacia-http/src/watched_stream.rs
@@ -10,6 +10,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::client::Connector;
+
 /// Condition that is checked before each write to a connection.
 ///
 /// A process that is paused between the decision to send and the write may have lost its authority to send, such as a
@@ -54,11 +56,23 @@
     inner: TcpStream,
     written: WrittenBytes,
     guard: Option<WriteGuard>,
+    /// Told when bytes arrive.
+    arrivals: Option<Arc<dyn Connector>>,
 }
 
 impl WatchedStream {
-    pub(crate) const fn new(inner: TcpStream, written: WrittenBytes, guard: Option<WriteGuard>) -> Self {
-        Self { inner, written, guard }
+    pub(crate) const fn new(
+        inner: TcpStream,
+        written: WrittenBytes,
+        guard: Option<WriteGuard>,
+        arrivals: Option<Arc<dyn Connector>>,
+    ) -> Self {
+        Self {
+            inner,
+            written,
+            guard,
+            arrivals,
+        }
     }
 
     fn check_guard(&self) -> io::Result<()> {
@@ -83,7 +97,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if buffer.filled().len() > before
+            && let Some(arrivals) = &self.arrivals
+        {
+            arrivals.record_arrival();
+        }
+        read
     }
 }
 
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -88,6 +88,24 @@
     LIMITS_REACHED = "E0238";
     /// A call was sent to another endpoint than the best one because of a limit.
     LIMIT_DETOUR = "E0239";
+    /// An entry is cut off from all endpoints while others reach them.
+    PATHS_CUT = "E0240";
+    /// An entry that was cut off reaches an endpoint again.
+    PATHS_RESTORED = "E0241";
+    /// An entry does not reach an endpoint that another entry reaches.
+    PATH_LOST = "E0242";
+    /// A connection to an endpoint was opened over another entry.
+    RELAY_USED = "E0243";
+    /// Another entry took no connection to an endpoint.
+    RELAY_UNAVAILABLE = "E0244";
+    /// An entry has answered another one's request for a connection to an endpoint.
+    RELAY_OPENED = "E0245";
+    /// A relayed connection has ended.
+    RELAY_ENDED = "E0246";
+    /// A connection for relays was closed, because it does not come from an entry.
+    RELAY_REFUSED = "E0247";
+    /// An attempt was answered over a relay.
+    ATTEMPT_RELAYED = "E0248";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -74,6 +74,8 @@
     pub stop_grace: Duration,
     /// The bound on second sends.
     pub send_bound: WindowBoundSettings,
+    /// Where other entries connect that have lost their way to an endpoint; this one relays nothing without it.
+    pub relay_address: Option<SocketAddr>,
     /// The address of this host from which endpoints are called; the system chooses one without it.
     pub endpoint_source: Option<IpAddr>,
 }
@@ -169,6 +171,7 @@
     let config_in_force = reader.required("config_in_force_ms", findings, as_count(100..=600_000));
     let usage_window = reader.required("usage_window_s", findings, as_seconds(0.1..=86_400.0));
     let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
+    let relay_address = reader.optional("relay_address", findings, as_address);
     let endpoint_source = reader.optional("endpoint_source_address", findings, as_ip_address);
     let mut bound = reader.child("send_bound", findings);
     let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
@@ -187,6 +190,7 @@
         usage_window: usage_window?,
         stop_grace: stop_grace?,
         send_bound: send_bound?,
+        relay_address,
         endpoint_source,
     })
 }
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -212,6 +212,15 @@
         }
     }
 
+    /// Forgets all failures, since the way to the endpoints was at fault.
+    pub fn clear_suspicions(&mut self) {
+        for row in self.rows.values_mut() {
+            row.failures = 0;
+            row.suspected_until = BootTime::default();
+            row.silent_until = BootTime::default();
+        }
+    }
+
     /// Returns `true` if the endpoint has failed recently or other entries find it silent.
     pub fn is_suspected(&self, now: BootTime, name: &EndpointName) -> bool {
         let row = self.rows.get(name);
--- /dev/null
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -0,0 +1,213 @@
+//! What an entry knows of its own ways to the endpoints.
+//!
+//! An endpoint that does not answer may have failed, or the network between it and this entry. Only a third host can tell
+//! the two apart: if another entry reaches the endpoint while this one does not, the way of this one is at fault. Calls then
+//! take the way over the other entry, and the endpoint is not blamed. `docs/design/relays.md` describes the whole.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::core::clock::BootTime;
+
+/// Interval at which the direct way to one endpoint is tried again at first. It doubles up to [`MAX_TRIAL_INTERVAL`].
+const MIN_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest interval at which the direct way to one endpoint is tried again.
+const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(4);
+/// Interval at which any direct way is tried while the entry is cut off from all endpoints.
+const CUT_TRIAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a lost way is forgotten that was not tried again, since nobody uses it.
+const LOST_RETENTION: Duration = Duration::from_secs(10);
+/// Number of endpoints that others reach, and this entry does not, from which on it counts as cut off from all.
+const MIN_LOST_ENDPOINTS: usize = 2;
+/// Time without a sign of life of any endpoint after which this entry may be cut off from all. A call that still waits is
+/// then a reason to check the ways.
+const SILENCE_LIMIT: Duration = Duration::from_millis(250);
+/// Shortest interval between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of endpoints that are checked or tried at once.
+const MAX_CHECKED: usize = 3;
+
+/// Order in which the ways to an endpoint are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathOrder {
+    /// The direct way, and another entry if it does not lead to the endpoint soon.
+    DirectFirst,
+    /// Another entry.
+    RelayFirst,
+}
+
+/// How the direct way to an endpoint failed while another entry reached it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathFault {
+    /// Nothing answered. Open connections are lost too.
+    Silent,
+    /// The connection was refused or reset. Open connections may live on.
+    Refused,
+}
+
+/// Change of what the entry reaches as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathChange {
+    /// From now on it counts as cut off from all endpoints.
+    Cut,
+    /// It was cut off, and reaches an endpoint again.
+    Restored {
+        /// Time for which it was cut off.
+        lasted: Duration,
+    },
+}
+
+/// An endpoint that this entry does not reach by itself.
+#[derive(Clone, Copy, Debug)]
+struct LostPath {
+    fault: PathFault,
+    found_at: BootTime,
+    /// Time from which the direct way is tried again.
+    trial_at: BootTime,
+    trial_interval: Duration,
+}
+
+/// Call that waits for the answer of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WaitNumber(u64);
+
+/// The ways of one entry to all endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct PathTable {
+    lost: HashMap<SocketAddr, LostPath>,
+    /// Time of the last sign of life that came directly from any endpoint.
+    heard_at: BootTime,
+    cut_since: Option<BootTime>,
+    next_cut_trial: BootTime,
+    waits: HashMap<WaitNumber, (SocketAddr, BootTime)>,
+    next_wait: u64,
+    next_check: BootTime,
+}
+
+impl PathTable {
+    /// Returns the order in which the ways to an endpoint are tried for a call.
+    pub fn order(&self, address: SocketAddr) -> PathOrder {
+        if self.is_lost(address) {
+            PathOrder::RelayFirst
+        } else {
+            PathOrder::DirectFirst
+        }
+    }
+
+    /// Returns the endpoints to which the direct way has to be tried now, so that its return is noticed and no call waits for
+    /// it.
+    pub fn due_trials(&mut self, now: BootTime) -> Vec<SocketAddr> {
+        if self.cut_since.is_some() {
+            if now < self.next_cut_trial {
+                return Vec::new();
+            }
+            self.next_cut_trial = now + CUT_TRIAL_INTERVAL;
+        }
+        let is_due = |path: &LostPath| now >= path.trial_at;
+        let due = self.lost.iter_mut().filter(|(_, path)| is_due(path)).take(MAX_CHECKED);
+        let tried = due.map(|(address, path)| {
+            path.trial_interval = (path.trial_interval * 2).min(MAX_TRIAL_INTERVAL);
+            path.trial_at = now + path.trial_interval;
+            *address
+        });
+        tried.collect()
+    }
+
+    /// Forgets lost ways that no call has needed for a while.
+    pub fn remove_expired(&mut self, now: BootTime) {
+        self.lost.retain(|_, path| now.since(path.found_at) < LOST_RETENTION);
+    }
+
+    /// Records that another entry has reached an endpoint while the direct way failed.
+    pub fn record_lost(&mut self, now: BootTime, address: SocketAddr, fault: PathFault) -> Option<PathChange> {
+        let path = self.lost.entry(address).or_insert(LostPath {
+            fault,
+            found_at: now,
+            trial_at: now + MIN_TRIAL_INTERVAL,
+            trial_interval: MIN_TRIAL_INTERVAL,
+        });
+        (path.fault, path.found_at) = (fault, now);
+        let lost_since_heard = self.lost.values().filter(|path| path.found_at > self.heard_at);
+        let is_cut = lost_since_heard.count() >= MIN_LOST_ENDPOINTS && !self.has_heard_lately(now);
+        if self.cut_since.is_some() || !is_cut {
+            return None;
+        }
+        self.cut_since = Some(now);
+        Some(PathChange::Cut)
+    }
+
+    /// Records that a direct connection to an endpoint was made.
+    pub fn record_reached(&mut self, now: BootTime, address: SocketAddr) -> Option<PathChange> {
+        self.lost.remove(&address);
+        self.record_heard(now)
+    }
+
+    /// Records that bytes have arrived directly from an endpoint.
+    pub fn record_heard(&mut self, now: BootTime) -> Option<PathChange> {
+        self.heard_at = self.heard_at.max(now);
+        let since = self.cut_since.take()?;
+        Some(PathChange::Restored {
+            lasted: now.since(since),
+        })
+    }
+
+    /// Returns true if an endpoint has just given a sign of life. What this entry does not reach then is not lost to it because
+    /// it is cut off from all.
+    pub fn has_heard_lately(&self, now: BootTime) -> bool {
+        now.since(self.heard_at) < SILENCE_LIMIT
+    }
+
+    /// Returns true while the entry is cut off from all endpoints.
+    pub const fn is_cut(&self) -> bool {
+        self.cut_since.is_some()
+    }
+
+    /// Returns the number of endpoints that this entry does not reach by itself.
+    pub fn lost_count(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// Returns true if an open direct connection to an endpoint may be used.
+    pub fn may_use_open(&self, address: SocketAddr) -> bool {
+        let is_silent = |path: &LostPath| path.fault == PathFault::Silent;
+        let all_are_silent = self.cut_since.is_some() && self.lost.values().all(is_silent);
+        !all_are_silent && !self.lost.get(&address).is_some_and(is_silent)
+    }
+
+    /// Returns true if a missing answer of an endpoint says nothing about the endpoint, since the direct way to it is lost.
+    pub fn is_lost(&self, address: SocketAddr) -> bool {
+        self.cut_since.is_some() || self.lost.contains_key(&address)
+    }
+
+    /// Records that a call begins to wait for an endpoint.
+    pub fn begin_wait(&mut self, now: BootTime, address: SocketAddr) -> WaitNumber {
+        let number = WaitNumber(self.next_wait);
+        self.next_wait += 1;
+        self.waits.insert(number, (address, now));
+        number
+    }
+
+    /// Records that a call no longer waits.
+    pub fn end_wait(&mut self, number: WaitNumber) {
+        self.waits.remove(&number);
+    }
+
+    /// Returns the endpoints to which the ways have to be checked now: calls wait for them, and no endpoint at all has given
+    /// a sign of life for a while, or the ways to others are lost. A cut would otherwise be noticed only by calls that are
+    /// lost one by one on connections that were kept open.
+    pub fn due_checks(&mut self, now: BootTime) -> BTreeSet<SocketAddr> {
+        let is_doubtful = !self.has_heard_lately(now) || !self.lost.is_empty();
+        if self.cut_since.is_some() || !is_doubtful || now < self.next_check {
+            return BTreeSet::new();
+        }
+        let overdue = self.waits.values();
+        let overdue =
+            overdue.filter(|(address, since)| now.since(*since) >= SILENCE_LIMIT && !self.lost.contains_key(address));
+        let addresses: BTreeSet<SocketAddr> = overdue.map(|(address, _)| *address).take(MAX_CHECKED).collect();
+        if !addresses.is_empty() {
+            self.next_check = now + CHECK_INTERVAL;
+        }
+        addresses
+    }
+}
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -162,6 +162,12 @@
         self.rows.get(name).map(|row| &row.endpoint)
     }
 
+    /// Returns true if an endpoint that has not left is known at this address.
+    pub fn is_answering_at(&self, address: SocketAddr) -> bool {
+        let mut endpoints = self.rows.values().map(|row| &row.endpoint);
+        endpoints.any(|endpoint| endpoint.address == address && endpoint.phase != EndpointPhase::Gone)
+    }
+
     /// Returns all known endpoints, in the order of their names.
     pub fn rows(&self) -> impl Iterator<Item = (&EndpointName, &ServingEndpoint)> {
         self.rows.iter().map(|(name, row)| (name, &row.endpoint))
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -10,6 +10,8 @@
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
+//! * [`endpoint_paths`] tells an endpoint that has failed from a lost way to it, and [`relay_choice`] selects the entries over
+//!   which endpoints are reached then.
 //! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
 //!   [`allowance_gate`] admits calls at an entry.
 //! * [`endpoint_limit`] is the rate limit that an endpoint names in its answers. [`limit_ledger`] divides it among the
@@ -52,6 +54,7 @@
 pub mod endpoint_handles;
 pub mod endpoint_limit;
 pub mod endpoint_load;
+pub mod endpoint_paths;
 pub mod endpoint_registry;
 pub mod event_stream;
 pub mod group_clock;
@@ -65,6 +68,7 @@
 pub mod prompt;
 pub mod prompt_cache;
 pub mod reading_need;
+pub mod relay_choice;
 pub mod replica_tracker;
 pub mod retry_limiter;
 pub mod serving_state;
--- /dev/null
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -0,0 +1,140 @@
+//! Whether a missing answer speaks against an endpoint or against the way to it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::endpoint_paths::{PathChange, PathFault, PathOrder, PathTable};
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(10_000 + millis)
+}
+
+fn endpoint(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+/// Returns the table of an entry that has lost all endpoints at 0 ms and knows it at 400 ms.
+fn cut_table() -> PathTable {
+    let mut table = PathTable::default();
+    table.record_heard(at(0));
+    table.record_lost(at(350), endpoint(1), PathFault::Silent);
+    let change = table.record_lost(at(400), endpoint(2), PathFault::Silent);
+    assert_eq!(change, Some(PathChange::Cut));
+    table
+}
+
+#[test]
+fn an_entry_that_loses_several_endpoints_and_hears_none_is_cut_off() {
+    let table = cut_table();
+
+    let order = table.order(endpoint(3));
+
+    assert!(table.is_cut());
+    assert_eq!(order, PathOrder::RelayFirst);
+    assert!(!table.may_use_open(endpoint(3)));
+}
+
+/// Two lost ways beside answers of others would otherwise make the entry leave connections that work.
+#[test]
+fn an_entry_that_still_hears_endpoints_is_not_cut_off() {
+    let mut table = PathTable::default();
+
+    table.record_lost(at(100), endpoint(1), PathFault::Silent);
+    table.record_heard(at(390));
+    let change = table.record_lost(at(400), endpoint(2), PathFault::Silent);
+
+    assert_eq!(change, None);
+    assert!(!table.is_cut());
+    assert_eq!(table.order(endpoint(3)), PathOrder::DirectFirst);
+    assert!(table.may_use_open(endpoint(3)));
+    assert!(!table.may_use_open(endpoint(1)));
+}
+
+/// While new connections are refused, the open ones are all that leads to the endpoints directly.
+#[test]
+fn open_connections_are_used_while_new_ones_are_refused() {
+    let mut table = PathTable::default();
+    table.record_heard(at(0));
+
+    table.record_lost(at(350), endpoint(1), PathFault::Refused);
+    table.record_lost(at(400), endpoint(2), PathFault::Refused);
+
+    assert!(table.may_use_open(endpoint(1)));
+    assert!(table.may_use_open(endpoint(3)));
+    assert_eq!(table.order(endpoint(1)), PathOrder::RelayFirst);
+}
+
+/// Calls that tried whether the way is back would each wait for it.
+#[test]
+fn few_connections_try_whether_a_way_is_back() {
+    let mut table = cut_table();
+
+    let trials: usize = (0..60).map(|step| table.due_trials(at(400 + 100 * step)).len()).sum();
+
+    assert!((4..=8).contains(&trials), "{trials} trials of two endpoints in 6 s");
+}
+
+#[test]
+fn a_direct_answer_ends_the_cut_but_each_lost_way_is_tried_by_itself() {
+    let mut table = cut_table();
+
+    let change = table.record_reached(at(2_400), endpoint(1));
+
+    let lasted = Duration::from_secs(2);
+    assert_eq!(change, Some(PathChange::Restored { lasted }));
+    assert_eq!(table.order(endpoint(1)), PathOrder::DirectFirst);
+    assert_eq!(table.order(endpoint(2)), PathOrder::RelayFirst);
+    assert!(!table.may_use_open(endpoint(2)));
+    assert_eq!(table.due_trials(at(2_410)), [endpoint(2)]);
+    assert_eq!(table.due_trials(at(2_420)), []);
+}
+
+/// An endpoint that has left would otherwise count as lost for good.
+#[test]
+fn a_lost_way_that_nobody_needs_is_forgotten() {
+    let mut table = PathTable::default();
+    table.record_lost(at(0), endpoint(1), PathFault::Silent);
+    table.record_heard(at(5_900));
+    table.record_lost(at(6_000), endpoint(2), PathFault::Silent);
+
+    table.remove_expired(at(10_500));
+
+    assert!(!table.is_lost(endpoint(1)));
+    assert!(table.is_lost(endpoint(2)));
+}
+
+/// An entry with few calls keeps connections open and opens none, so that nothing tells it of a cut.
+#[test]
+fn calls_that_wait_in_silence_are_a_reason_to_check_their_endpoints() {
+    let mut table = PathTable::default();
+    table.record_heard(at(0));
+    let answered = table.begin_wait(at(10), endpoint(2));
+    let _waiting = table.begin_wait(at(10), endpoint(1));
+    table.end_wait(answered);
+
+    let early = table.due_checks(at(200));
+    let due = table.due_checks(at(270));
+    let again = table.due_checks(at(300));
+
+    assert_eq!(early, BTreeSet::new());
+    assert_eq!(due, BTreeSet::from([endpoint(1)]));
+    assert_eq!(again, BTreeSet::new());
+}
+
+/// A prompt may take seconds to read; that is no reason to open connections while other answers come.
+#[test]
+fn a_slow_answer_is_no_reason_for_a_check_while_others_come() {
+    let mut table = PathTable::default();
+    let _waiting = table.begin_wait(at(0), endpoint(1));
+
+    let due: Vec<_> = (0..30)
+        .flat_map(|step| {
+            table.record_heard(at(100 * step));
+            table.due_checks(at(100 * step + 50))
+        })
+        .collect();
+
+    assert_eq!(due, []);
+}
