Take a refused port for an ending only if other entries find it refused too

Cause: a port that refuses connections counted as proof that the endpoint had ended, though only this entry is refused. Class: one vantage point taken for the truth.

While ways are lost, a refused port is no proof either, and the endpoint's own reports decide. Relays whose own ways are lost, or who have not heard from any endpoint just before, give no opinion.

--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::endpoint_http::{answer_endpoint, show_endpoints};
 use crate::lease_keeper::keep_lease;
 use crate::shared::Entry;
+use crate::suspect_calls::direct_port_states;
 use crate::usage_sender::UsageSender;
 
 /// How often the state of the lease is looked at for the log and the metrics.
@@ -172,7 +173,9 @@
     let tracker = Arc::clone(&entry.suspects);
     let sighting = |broken: &BrokenAttempt| entry.endpoints.lock().table.sighting(broken);
     let wall_ms = |_now| wall_nanos() / 1_000_000;
-    tracker.examine_breaks(sighting, wall_ms, stop).await;
+    tracker
+        .examine_breaks(sighting, direct_port_states, wall_ms, stop)
+        .await;
 }
 
 /// Logs when the lease runs out; nothing else happens at that moment, since every request looks at the lease itself.
--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -4,6 +4,7 @@
 //! a call is sent before, so that this is safe for every call. Whichever way leads to the endpoint is remembered in a
 //! [`PathTable`].
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,7 +158,8 @@
 
     /// Returns true if this entry can tell that an endpoint fails from the loss of its own way to it.
     pub(super) fn may_judge(&self, now: BootTime) -> bool {
-        self.state.lock().paths.has_heard_lately(now)
+        let paths = &self.state.lock().paths;
+        paths.has_heard_lately(now) && paths.lost_count() == 0
     }
 
     /// Returns true if a missing answer of an endpoint says nothing about it.
@@ -224,6 +226,74 @@
         }
     }
 
+    /// Returns the states of endpoints' ports.
+    ///
+    /// A port that refuses connections is that of an endpoint that has ended, or the network refuses them. It counts as
+    /// refusing only if other entries find the same, as far as they can say, and no way of this one is found to be lost.
+    /// Otherwise the endpoints' own reports have to tell.
+    pub(super) async fn port_states(self: &Arc<Self>, addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
+        let attempts = addresses.into_iter().map(|address| async move {
+            let state = match self.connect_directly(address).await {
+                Ok(_connection) => PortState::Open,
+                Err(state) => self.port_state_elsewhere(address, state).await,
+            };
+            (address, state)
+        });
+        let mut states = join_all(attempts).await;
+        if self.has_lost_ways() {
+            let refused = states.iter_mut().filter(|(_, state)| *state == PortState::Refused);
+            refused.for_each(|(_, state)| *state = PortState::Silent);
+        }
+        states
+    }
+
+    /// Returns the state of the port of an endpoint that this entry does not reach, as other entries find it. They are asked
+    /// at once: an endpoint that has ended may do so with a call that others are about to send.
+    async fn port_state_elsewhere(self: &Arc<Self>, address: SocketAddr, direct: PortState) -> PortState {
+        let relays = self.choose_relays(MAX_RELAYS_ASKED);
+        let asked = relays.into_iter().map(|(relay, token)| async move {
+            let request = self.relay_request(token, address);
+            let outcome = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
+            outcome.ok()?.ok().map(|(outcome, _connection)| outcome)
+        });
+        let found = join_all(asked).await;
+        let found = |outcome| found.contains(&Some(outcome));
+        if found(RelayOutcome::Opened) {
+            self.record_lost(address, path_fault(direct));
+            PortState::Open
+        } else if found(RelayOutcome::Silent) {
+            PortState::Silent
+        } else {
+            direct
+        }
+    }
+
+    /// Chooses several different relays, as far as there are any, with the token to ask them with.
+    fn choose_relays(&self, count: usize) -> Vec<(SocketAddr, u64)> {
+        let state = self.state.lock();
+        let draw = |count| rand::rng().random_range(0..count);
+        let mut chosen = Vec::new();
+        while chosen.len() < count
+            && let Some(relay) = state.relays.choose(boot_now(), &chosen, draw)
+        {
+            chosen.push(relay);
+        }
+        chosen.into_iter().map(|relay| (relay, state.token)).collect()
+    }
+
+    fn relay_request(&self, token: u64, address: SocketAddr) -> RelayRequest {
+        RelayRequest {
+            token,
+            host: self.host.clone(),
+            connection: rand::rng().random(),
+            address,
+        }
+    }
+
+    fn has_lost_ways(&self) -> bool {
+        self.state.lock().paths.lost_count() > 0
+    }
+
     async fn connect(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
         let order = self.state.lock().paths.order(address);
         match order {
@@ -271,11 +341,7 @@
         };
         match relayed {
             Ok(connection) => {
-                let fault = match direct_state {
-                    Some(PortState::Refused) => PathFault::Refused,
-                    _ => PathFault::Silent,
-                };
-                self.record_lost(address, fault);
+                self.record_lost(address, path_fault(direct_state.unwrap_or(PortState::Silent)));
                 Ok(connection)
             }
             Err(RelayFailure::Endpoint(state)) => Err(endpoint_failure(state)),
@@ -305,12 +371,7 @@
             };
             let Some((relay, token)) = chosen else { break };
             asked.push(relay);
-            let request = RelayRequest {
-                token,
-                host: self.host.clone(),
-                connection: rand::rng().random(),
-                address,
-            };
+            let request = self.relay_request(token, address);
             let opening = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
             match opening {
                 Ok(Ok((RelayOutcome::Opened, stream))) => return Ok(self.relayed_connection(relay, &request, stream)),
@@ -420,6 +481,13 @@
     Ok((outcome, stream))
 }
 
+const fn path_fault(direct: PortState) -> PathFault {
+    match direct {
+        PortState::Refused => PathFault::Refused,
+        PortState::Silent | PortState::Unknown | PortState::Open => PathFault::Silent,
+    }
+}
+
 const fn direct_connection(stream: TcpStream) -> NewConnection {
     NewConnection {
         stream,
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -152,8 +152,9 @@
 async fn examine_breaks(shared: Arc<EntryShared>, stop: CancellationToken) {
     let tracker = Arc::clone(&shared.suspects);
     let sighting = |broken: &BrokenAttempt| shared.state().registry.sighting(broken);
+    let port_states = |addresses| shared.paths.port_states(addresses);
     let wall_ms = |now| shared.state().wall_millis(now);
-    tracker.examine_breaks(sighting, wall_ms, stop).await;
+    tracker.examine_breaks(sighting, port_states, wall_ms, stop).await;
 }
 
 /// Checks the ways to endpoints for which calls wait while no endpoint gives a sign of life.
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -271,11 +271,12 @@
         self.break_recorded.notify_one();
     }
 
-    /// Examines breaks until `stop` is cancelled. `sighting` returns what is known of the endpoint of a break, and `wall_ms`
-    /// the time in milliseconds since 1970.
-    pub(crate) async fn examine_breaks(
+    /// Examines breaks until `stop` is cancelled. `sighting` returns what is known of the endpoint of a break, `port_states`
+    /// attempts a connection to each of some endpoints, and `wall_ms` returns the time in milliseconds since 1970.
+    pub(crate) async fn examine_breaks<F: Future<Output = Vec<(SocketAddr, PortState)>>>(
         self: Arc<Self>,
         sighting: impl Fn(&BrokenAttempt) -> EndpointSighting,
+        port_states: impl Fn(BTreeSet<SocketAddr>) -> F,
         wall_ms: impl Fn(BootTime) -> u64,
         stop: CancellationToken,
     ) {
@@ -286,7 +287,7 @@
                 () = self.break_recorded.notified(), if is_idle => {}
                 () = tokio::time::sleep(EXAMINATION_INTERVAL), if !is_idle => {}
             }
-            self.attempt_connections().await;
+            self.attempt_connections(&port_states).await;
             let now = boot_now();
             self.apply_decided(now, wall_ms(now), &sighting);
         }
@@ -294,13 +295,16 @@
 
     /// Attempts a connection to each endpoint at which a connection has ended. A crashed process does not listen, while one
     /// that only ended a single connection does.
-    async fn attempt_connections(&self) {
+    async fn attempt_connections<F: Future<Output = Vec<(SocketAddr, PortState)>>>(
+        &self,
+        port_states: impl Fn(BTreeSet<SocketAddr>) -> F,
+    ) {
         let addresses: BTreeSet<SocketAddr> = self.state.lock().breaks.unknown_ports();
         let attempted_at = boot_now();
-        let attempts = addresses
-            .into_iter()
-            .map(|address| async move { (address, port_state(address).await) });
-        for (address, port) in join_all(attempts).await {
+        if addresses.is_empty() {
+            return;
+        }
+        for (address, port) in port_states(addresses).await {
             self.state.lock().breaks.record_port(attempted_at, address, port);
         }
     }
@@ -355,7 +359,13 @@
     }
 }
 
-async fn port_state(address: SocketAddr) -> PortState {
+/// Attempts a connection to each of some endpoints by the direct way.
+pub(crate) async fn direct_port_states(addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
+    let attempts = addresses.into_iter();
+    join_all(attempts.map(|address| async move { (address, direct_port_state(address).await) })).await
+}
+
+async fn direct_port_state(address: SocketAddr) -> PortState {
     match connect_within(address, CONNECT_TIMEOUT, CONNECT_TIMEOUT).await {
         Ok(_connection) => PortState::Open,
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => PortState::Refused,
