Ask the port of an endpoint again that was still open after a break

Cause: one connection attempt decided.

Change: a port found open is asked again 50, 150 and 350 ms after the break while the verdict is open. The unit test of the times and the one of the verdict cannot pass on the code before, which asked once.

--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -299,8 +299,8 @@
         &self,
         port_states: impl Fn(BTreeSet<SocketAddr>) -> F,
     ) {
-        let addresses: BTreeSet<SocketAddr> = self.state.lock().breaks.unknown_ports();
         let attempted_at = boot_now();
+        let addresses: BTreeSet<SocketAddr> = self.state.lock().breaks.due_ports(attempted_at);
         if addresses.is_empty() {
             return;
         }
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -115,10 +115,34 @@
 /// Maximum number of breaks that are under examination: more than an entry has calls at a dozen engines.
 const MAX_EXAMINED: usize = 1_024;
 
+/// Time from which on a port that was open is asked again. A process that ends may close it after its connections. The time
+/// doubles with each answer.
+const FIRST_REPEAT: Duration = Duration::from_millis(25);
+/// Number of times that a port is asked.
+const MAX_ASKS: u32 = 4;
+
+/// A break with the connection attempts to the endpoint since.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ExaminedBreak {
+    broken: BrokenAttempt,
+    asks: u32,
+    asked_at: BootTime,
+}
+
+impl ExaminedBreak {
+    fn is_port_due(&self, now: BootTime) -> bool {
+        match self.broken.port {
+            PortState::Unknown => true,
+            PortState::Open => self.asks < MAX_ASKS && now >= self.asked_at + FIRST_REPEAT * 2_u32.pow(self.asks),
+            PortState::Refused | PortState::Silent => false,
+        }
+    }
+}
+
 /// The breaks of an entry that are under examination, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct BreakExamination {
-    breaks: VecDeque<BrokenAttempt>,
+    breaks: VecDeque<ExaminedBreak>,
 }
 
 impl BreakExamination {
@@ -127,7 +151,11 @@
         if self.breaks.len() >= MAX_EXAMINED {
             self.breaks.pop_front();
         }
-        self.breaks.push_back(broken);
+        self.breaks.push_back(ExaminedBreak {
+            broken,
+            asks: 0,
+            asked_at: BootTime::default(),
+        });
     }
 
     /// Returns true if no break is under examination.
@@ -137,37 +165,39 @@
 
     /// Returns true if a break of this call is under examination.
     pub fn contains(&self, fingerprint: &CallFingerprint) -> bool {
-        self.breaks.iter().any(|broken| broken.call.fingerprint == *fingerprint)
+        self.breaks().any(|broken| broken.call.fingerprint == *fingerprint)
     }
 
     /// Returns false if no break of a call with this customer and body length is under examination.
     pub fn may_contain(&self, customer: Option<&CustomerName>, body_bytes: u64) -> bool {
-        let mut calls = self.breaks.iter().map(|broken| &broken.call);
+        let mut calls = self.breaks().map(|broken| &broken.call);
         calls.any(|call| call.body_bytes == body_bytes && call.customer.as_ref() == customer)
     }
 
     /// Removes the breaks of a call that was answered whole since.
     pub fn forget(&mut self, fingerprint: &CallFingerprint) {
-        self.breaks.retain(|broken| broken.call.fingerprint != *fingerprint);
+        self.breaks.retain(|row| row.broken.call.fingerprint != *fingerprint);
     }
 
-    /// Returns the addresses at which a connection has to be attempted.
-    pub fn unknown_ports(&self) -> BTreeSet<SocketAddr> {
-        let unknown = self.breaks.iter().filter(|broken| broken.port == PortState::Unknown);
-        unknown.map(|broken| broken.address).collect()
+    /// Returns the addresses at which a connection has to be attempted now.
+    pub fn due_ports(&self, now: BootTime) -> BTreeSet<SocketAddr> {
+        let due = self.breaks.iter().filter(|row| row.is_port_due(now));
+        due.map(|row| row.broken.address).collect()
     }
 
     /// Records the state of a port, as seen by a connection attempt that began at `attempted_at`.
     pub fn record_port(&mut self, attempted_at: BootTime, address: SocketAddr, port: PortState) {
-        let here = self.breaks.iter_mut().filter(|broken| broken.address == address);
-        for broken in here.filter(|broken| broken.port == PortState::Unknown && broken.broken_at <= attempted_at) {
-            broken.port = port;
+        let here = self.breaks.iter_mut().filter(|row| row.broken.address == address);
+        for row in here.filter(|row| row.is_port_due(attempted_at) && row.broken.broken_at <= attempted_at) {
+            row.broken.port = port;
+            row.asks += 1;
+            row.asked_at = attempted_at;
         }
     }
 
     /// Returns the breaks under examination.
     pub fn breaks(&self) -> impl Iterator<Item = &BrokenAttempt> {
-        self.breaks.iter()
+        self.breaks.iter().map(|row| &row.broken)
     }
 
     /// Removes and returns the breaks whose examination has a result. `sighting` returns what is known of the endpoint of a
@@ -178,13 +208,13 @@
         sighting: impl Fn(&BrokenAttempt) -> Option<EndpointSighting>,
     ) -> Vec<(BrokenAttempt, BreakVerdict)> {
         let mut decided = Vec::new();
-        for broken in std::mem::take(&mut self.breaks) {
-            let verdict = sighting(&broken).map_or(BreakVerdict::Undecided, |sighting| {
-                examine_break(now, &broken, &sighting)
+        for row in std::mem::take(&mut self.breaks) {
+            let verdict = sighting(&row.broken).map_or(BreakVerdict::Undecided, |sighting| {
+                examine_break(now, &row.broken, &sighting)
             });
             match verdict {
-                BreakVerdict::Undecided => self.breaks.push_back(broken),
-                verdict @ (BreakVerdict::Ended | BreakVerdict::Innocent) => decided.push((broken, verdict)),
+                BreakVerdict::Undecided => self.breaks.push_back(row),
+                verdict @ (BreakVerdict::Ended | BreakVerdict::Innocent) => decided.push((row.broken, verdict)),
             }
         }
         decided
--- a/crates/acaciabay/tests/serving/broken_attempts.rs
+++ b/crates/acaciabay/tests/serving/broken_attempts.rs
@@ -147,10 +147,42 @@
     examination.add(broken(PortState::Unknown));
 
     examination.record_port(at(999), ADDRESS, PortState::Refused);
-    assert_eq!(examination.unknown_ports().len(), 1);
+    assert_eq!(examination.due_ports(at(1_000)).len(), 1);
     examination.record_port(at(1_000), ADDRESS, PortState::Refused);
 
     let decided = examination.take_decided(at(1_001), |_broken| Some(EndpointSighting::default()));
     assert_eq!(decided.len(), 1);
     assert!(examination.is_empty());
 }
+
+/// Guards against a process that closes its port after its connections: found open, it would count as alive until its
+/// successor reports, and the call that ended it would end more.
+#[test]
+fn a_port_that_is_still_open_is_asked_again() {
+    let mut examination = BreakExamination::default();
+    examination.add(broken(PortState::Unknown));
+    let mut asked = Vec::new();
+
+    for millis in (1_000..2_000).step_by(10) {
+        if !examination.due_ports(at(millis)).is_empty() {
+            asked.push(millis - 1_000);
+            examination.record_port(at(millis), ADDRESS, PortState::Open);
+        }
+    }
+
+    assert_eq!(asked, [0, 50, 150, 350]);
+}
+
+#[test]
+fn a_port_that_refuses_when_asked_again_shows_that_the_endpoint_ended() {
+    let registry = registry_with(&[(at(500), "e", reported(1, 1, EndpointPhase::Ready))]);
+    let mut examination = BreakExamination::default();
+    examination.add(broken(PortState::Unknown));
+    examination.record_port(at(1_000), ADDRESS, PortState::Open);
+    examination.record_port(at(1_050), ADDRESS, PortState::Refused);
+
+    let decided = examination.take_decided(at(1_051), |broken| Some(registry.sighting(broken)));
+
+    let verdicts: Vec<BreakVerdict> = decided.iter().map(|(_, verdict)| *verdict).collect();
+    assert_eq!(verdicts, [BreakVerdict::Ended]);
+}
