Use no kept connection of a lost way after one of them was reset

Cause: where new connections are refused, kept ones were taken to live on, whether one of them had just been reset or not.

Change: a kept connection that breaks less than a second before its way is found lost, or after it, shows that the others to this endpoint are broken too; while the entry is cut off, that holds for all. Relays are asked about a port only if it refuses connections, and no longer for every break: they opened three connections to endpoints for each of them.

--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -123,6 +123,10 @@
         }
     }
 
+    fn record_broken(&self, address: SocketAddr) {
+        self.0.state.lock().paths.record_broken(boot_now(), address);
+    }
+
     fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()> {
         self.0.wait_until_lost(address).boxed()
     }
@@ -235,7 +239,8 @@
         let attempts = addresses.into_iter().map(|address| async move {
             let state = match self.connect_directly(address).await {
                 Ok(_connection) => PortState::Open,
-                Err(state) => self.port_state_elsewhere(address, state).await,
+                Err(PortState::Refused) if self.is_reached_elsewhere(address).await => PortState::Silent,
+                Err(state) => state,
             };
             (address, state)
         });
@@ -247,9 +252,9 @@
         states
     }
 
-    /// Returns the state of the port of an endpoint that this entry does not reach, as other entries find it. They are asked
-    /// at once: an endpoint that has ended may do so with a call that others are about to send.
-    async fn port_state_elsewhere(self: &Arc<Self>, address: SocketAddr, direct: PortState) -> PortState {
+    /// Returns true if another entry reaches an endpoint that refuses the connections of this one, or finds it silent. Several
+    /// are asked at once: an endpoint that has ended may do so with a call that others are about to send.
+    async fn is_reached_elsewhere(self: &Arc<Self>, address: SocketAddr) -> bool {
         let relays = self.choose_relays(MAX_RELAYS_ASKED);
         let asked = relays.into_iter().map(|(relay, token)| async move {
             let request = self.relay_request(token, address);
@@ -257,15 +262,11 @@
             outcome.ok()?.ok().map(|(outcome, _connection)| outcome)
         });
         let found = join_all(asked).await;
-        let found = |outcome| found.contains(&Some(outcome));
-        if found(RelayOutcome::Opened) {
-            self.record_lost(address, path_fault(direct));
-            PortState::Open
-        } else if found(RelayOutcome::Silent) {
-            PortState::Silent
-        } else {
-            direct
+        let is_reached = found.contains(&Some(RelayOutcome::Opened));
+        if is_reached {
+            self.record_lost(address, PathFault::Refused);
         }
+        is_reached || found.contains(&Some(RelayOutcome::Silent))
     }
 
     /// Chooses several different relays, as far as there are any, with the token to ask them with.
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -107,6 +107,9 @@
     /// Records that bytes have arrived on a direct connection.
     fn record_arrival(&self);
 
+    /// Records that an open direct connection to an endpoint has broken under a request.
+    fn record_broken(&self, address: SocketAddr);
+
     /// Completes when open direct connections to an endpoint are lost with the way to it.
     fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()>;
 }
@@ -140,6 +143,8 @@
 
     fn record_arrival(&self) {}
 
+    fn record_broken(&self, _address: SocketAddr) {}
+
     fn lost(&self, _address: SocketAddr) -> BoxFuture<'_, ()> {
         std::future::pending().boxed()
     }
@@ -329,13 +334,23 @@
         choice: ConnectionChoice,
         request: Request<Full<Bytes>>,
     ) -> Result<EndpointAnswer, SendError> {
-        let gives_up = choice == ConnectionChoice::PooledWhileReachable && connection.path == ConnectionPath::Direct;
-        if !gives_up {
+        if connection.path != ConnectionPath::Direct {
             return send_on(connection, address, request).await;
         }
+        let lost = async {
+            match choice {
+                ConnectionChoice::PooledWhileReachable => self.connector.lost(address).await,
+                ConnectionChoice::Pooled | ConnectionChoice::Fresh => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            sent = send_on(connection, address, request) => sent,
-            () = self.connector.lost(address) => Err(SendError::Failed(SendFailure {
+            sent = send_on(connection, address, request) => {
+                if let Err(SendError::Failed(_)) = &sent {
+                    self.connector.record_broken(address);
+                }
+                sent
+            }
+            () = lost => Err(SendError::Failed(SendFailure {
                 state: AttemptState::Written,
                 is_path_lost: true,
                 source: anyhow::anyhow!("the way to the endpoint is lost"),
--- a/crates/acaciabay/src/core/serving/endpoint_paths.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -16,6 +16,8 @@
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval at which any direct way is tried while the entry is cut off from all endpoints.
 const CUT_TRIAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the break of an open connection shows that others to the same endpoint are broken too.
+const BREAK_MEMORY: Duration = Duration::from_secs(1);
 /// Time after which a lost way is forgotten that was not tried again, since nobody uses it.
 const LOST_RETENTION: Duration = Duration::from_secs(10);
 /// Number of endpoints that others reach, and this entry does not, from which on it counts as cut off from all.
@@ -76,6 +78,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PathTable {
     lost: HashMap<SocketAddr, LostPath>,
+    /// Times at which open direct connections last broke.
+    broken: HashMap<SocketAddr, BootTime>,
     /// Time of the last sign of life that came directly from any endpoint.
     heard_at: BootTime,
     cut_since: Option<BootTime>,
@@ -117,6 +121,8 @@
     /// Forgets lost ways that no call has needed for a while.
     pub fn remove_expired(&mut self, now: BootTime) {
         self.lost.retain(|_, path| now.since(path.found_at) < LOST_RETENTION);
+        self.broken
+            .retain(|_, broken_at| now.since(*broken_at) < LOST_RETENTION);
     }
 
     /// Records that another entry has reached an endpoint while the direct way failed.
@@ -128,6 +134,10 @@
             trial_interval: MIN_TRIAL_INTERVAL,
         });
         (path.fault, path.found_at) = (fault, now);
+        let has_broken = self.broken.get(&address);
+        if has_broken.is_some_and(|broken_at| now.since(*broken_at) < BREAK_MEMORY) {
+            path.fault = PathFault::Silent;
+        }
         let lost_since_heard = self.lost.values().filter(|path| path.found_at > self.heard_at);
         let is_cut = lost_since_heard.count() >= MIN_LOST_ENDPOINTS && !self.has_heard_lately(now);
         if self.cut_since.is_some() || !is_cut {
@@ -137,6 +147,14 @@
         Some(PathChange::Cut)
     }
 
+    /// Records that an open direct connection to an endpoint has broken. If the way is lost, the other open ones are too.
+    pub fn record_broken(&mut self, now: BootTime, address: SocketAddr) {
+        self.broken.insert(address, now);
+        if let Some(path) = self.lost.get_mut(&address) {
+            path.fault = PathFault::Silent;
+        }
+    }
+
     /// Records that a direct connection to an endpoint was made.
     pub fn record_reached(&mut self, now: BootTime, address: SocketAddr) -> Option<PathChange> {
         self.lost.remove(&address);
@@ -171,8 +189,8 @@
     /// Returns true if an open direct connection to an endpoint may be used.
     pub fn may_use_open(&self, address: SocketAddr) -> bool {
         let is_silent = |path: &LostPath| path.fault == PathFault::Silent;
-        let all_are_silent = self.cut_since.is_some() && self.lost.values().all(is_silent);
-        !all_are_silent && !self.lost.get(&address).is_some_and(is_silent)
+        let any_is_silent = self.cut_since.is_some() && self.lost.values().any(is_silent);
+        !any_is_silent && !self.lost.get(&address).is_some_and(is_silent)
     }
 
     /// Returns true if a missing answer of an endpoint says nothing about the endpoint, since the direct way to it is lost.
--- a/crates/acaciabay/tests/serving/endpoint_paths.rs
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -66,6 +66,21 @@
     assert_eq!(table.order(endpoint(1)), PathOrder::RelayFirst);
 }
 
+/// While connections are reset, each open one would lose the call that is sent on it.
+#[test]
+fn open_connections_are_not_used_after_one_of_them_was_reset() {
+    let mut table = PathTable::default();
+    table.record_heard(at(0));
+
+    table.record_broken(at(300), endpoint(1));
+    table.record_lost(at(350), endpoint(1), PathFault::Refused);
+    table.record_lost(at(400), endpoint(2), PathFault::Refused);
+
+    assert!(table.is_cut());
+    assert!(!table.may_use_open(endpoint(1)));
+    assert!(!table.may_use_open(endpoint(3)));
+}
+
 /// Calls that tried whether the way is back would each wait for it.
 #[test]
 fn few_connections_try_whether_a_way_is_back() {
