Count the demand of a prompt once, however many engines are not reached

Cause: an entry recorded the unread tokens of a prompt for each engine that it chose for it, up to eight that it did not reach. An engine that was not reached has read nothing.

Change: the demand is recorded once, and again only after an engine that may have read the prompt in vain.

--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -109,6 +109,7 @@
     // An engine that was not reached has received nothing, so the next attempt is not a retry.
     let mut arrived = is_retry;
     let mut failed = 0;
+    let mut is_demand_recorded = false;
     while failed < MAX_FAILED_ENGINES && tried.len() - failed < MAX_UNREACHABLE_ENGINES {
         let reader = choose_with_permit(call, "no engine reads prompts", &tried, |now| {
             call.shared.choose_prefill_engine(now, &call.service, &tried, prompt)
@@ -117,9 +118,12 @@
         let now = boot_now();
         let left = call.deadline.since(now);
         let wait = reader.place.wait;
-        // Demand is recorded for each engine chosen, and before the call may be refused, because the callers of refused
-        // calls retry.
-        record_demand(call, &reader.place);
+        // Demand is recorded before the call may be refused, because the callers of refused calls retry. An engine that was
+        // not reached has read nothing, so the next one is no further demand.
+        if !is_demand_recorded {
+            record_demand(call, &reader.place);
+            is_demand_recorded = true;
+        }
         if wait >= left {
             return Err(not_run(
                 "prompt cannot be read in time",
@@ -134,6 +138,7 @@
             PrefillOutcome::NotReached => {}
             PrefillOutcome::HeldBack(refusal) => return Err(refusal),
             PrefillOutcome::Failed => {
+                is_demand_recorded = false;
                 arrived = true;
                 failed += 1;
             }
