--- a/crates/acaciabay/tests/serving/endpoint_limits.rs
+++ b/crates/acaciabay/tests/serving/endpoint_limits.rs
@@ -5,7 +5,10 @@
 
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
-use acaciabay::core::serving::endpoint_limit::{LimitAnswer, LimitNotice, LimitVersion, RateLimit};
+use acaciabay::core::serving::endpoint_limit::{
+    LimitAnswer, LimitNotice, LimitReport, LimitReportRow, LimitRow, LimitSighting, LimitState, LimitVersion,
+    PermitCounts, RateLimit,
+};
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::core::serving::limit_gate::{LimitGate, LimitObservation, LimitedEndpoint, PERMIT_LIFETIME};
 use acaciabay::core::serving::limit_ledger::LimitLedger;
@@ -309,3 +312,118 @@
     assert_eq!(delays[&7], Duration::from_secs(2));
     assert!(delays.values().is_sorted());
 }
+
+/// Each side checks by itself whether an answer may be older than the naming: the other may be of another release.
+#[test]
+fn an_entry_does_not_report_an_answer_that_may_be_older_than_the_naming() {
+    let mut pair = Pair::new();
+    let early = pair.send(at(1.0)).expect("no limit is known");
+    pair.answer(early, Some(3.0));
+    pair.renew(at(1.1));
+
+    pair.answer(early, None);
+    let after_none = pair.gate.has_unreported();
+    pair.answer(early, Some(9.0));
+
+    assert!(!after_none);
+    assert!(!pair.gate.has_unreported());
+}
+
+/// The leader gets the report of an entry that did not know the newest state when it sent its request.
+#[test]
+fn the_leader_takes_no_relief_that_may_be_older_than_the_naming() {
+    let mut ledger = LimitLedger::new(1);
+    let state = LimitState {
+        incarnation: INCARNATION,
+        version: LimitVersion::default(),
+        limit: None,
+    };
+    let report = |limit: Option<f64>| LimitReport {
+        term: 1,
+        rows: vec![LimitReportRow {
+            endpoint: endpoint_name(),
+            state,
+            sighting: Some(LimitSighting {
+                limit: limit.map(limit_of),
+                known: LimitVersion::default(),
+            }),
+            permits: PermitCounts::default(),
+            asked: 1,
+        }],
+    };
+    ledger.record(at(1.0), EntryStart(1), &report(Some(3.0)));
+
+    let changes_by_none = ledger.record(at(1.1), EntryStart(2), &report(None));
+    let changes_by_higher = ledger.record(at(1.2), EntryStart(2), &report(Some(9.0)));
+
+    assert_eq!(changes_by_none, []);
+    assert_eq!(changes_by_higher, []);
+    assert_eq!(ledger.limit(&endpoint_name(), INCARNATION), Some(limit_of(3.0)));
+}
+
+/// An entry dies with all permits that there are; the endpoint would get nothing until the next leader.
+#[test]
+fn permits_of_a_dead_entry_are_granted_to_others() {
+    const LIMIT: f64 = 4.0;
+    let mut pair = Pair::new();
+    let known = pair.send(at(1.0)).expect("no limit is known");
+    pair.answer(known, Some(LIMIT));
+    for step in 0..60 {
+        for _ in 0..4 {
+            pair.gate.record_demand(LimitedEndpoint {
+                name: &endpoint_name(),
+                incarnation: INCARNATION,
+            });
+        }
+        pair.renew(at(1.0) + Duration::from_millis(50) * step);
+    }
+    let died_at = at(4.0);
+
+    let mut other = Pair {
+        ledger: pair.ledger,
+        ..Pair::new()
+    };
+    let known = other.send(died_at).expect("no limit is known");
+    other.answer(known, Some(LIMIT));
+    let mut sent = 0;
+    for step in 0..160 {
+        let now = died_at + Duration::from_millis(50) * step;
+        let report = other.gate.report(now);
+        other.ledger.record(now, EntryStart(2), &report);
+        let answer = other.ledger.grant(now, EntryStart(2));
+        other.gate.apply_answer(now, &answer);
+        sent += usize::from(other.send(now).is_some());
+    }
+
+    assert!(sent as f64 >= 4.0 * LIMIT, "{sent} requests in 8 s");
+}
+
+/// A limit that one entry sees is told to others; one that goes back in time would free or bind them wrongly.
+#[test]
+fn a_state_of_an_older_version_changes_nothing() {
+    let mut gate = LimitGate::default();
+    let name = endpoint_name();
+    let row = |version: u64, limit: Option<f64>| LimitRow {
+        endpoint: name.clone(),
+        state: LimitState {
+            incarnation: INCARNATION,
+            version: LimitVersion(version),
+            limit: limit.map(limit_of),
+        },
+        granted: 0,
+    };
+    let endpoint = LimitedEndpoint {
+        name: &name,
+        incarnation: INCARNATION,
+    };
+    let told = LimitAnswer {
+        term: 1,
+        rows: vec![row(5, Some(3.0))],
+    };
+    gate.apply_answer(at(1.0), &told);
+
+    gate.apply_states(1, &[row(4, None)]);
+    gate.apply_states(0, &[row(6, None)]);
+
+    assert_eq!(gate.limit(endpoint), Some(limit_of(3.0)));
+}
--- a/crates/acaciabay/tests/serving/limit_replay.rs
+++ b/crates/acaciabay/tests/serving/limit_replay.rs
@@ -30,7 +30,7 @@
     /// Fraction of renewals whose answers are lost.
     loss: f64,
     /// From when until when there is no leader; the next one knows nothing of the earlier.
-    leaderless: Option<(f64, f64)>,
+    leaderless: &'static [(f64, f64)],
     /// When a quarter of the entries restarts.
     restart: Option<f64>,
     /// From when until when a quarter of the entries is frozen.
@@ -41,7 +41,7 @@
 
 impl Trouble {
     fn is_leaderless(&self, now: BootTime) -> bool {
-        is_within(self.leaderless, now)
+        self.leaderless.iter().any(|span| is_within(Some(*span), now))
     }
 
     fn concerns(index: usize) -> bool {
@@ -62,6 +62,28 @@
     /// Requests a second of each entry that may go to the endpoint.
     calls: f64,
     limit: f64,
+    spending: Spending,
+}
+
+/// How entries spend the permits that they are granted.
+#[derive(Clone, Copy, Debug, Default)]
+enum Spending {
+    #[default]
+    AtOnce,
+    /// They ask for more, but send nothing from half a second after the naming until this time.
+    From(f64),
+    /// Every other entry has calls only while it holds no permit: it asks, and lets each permit expire.
+    ByHalf,
+}
+
+impl Spending {
+    fn is_allowed(self, index: usize, now: BootTime) -> bool {
+        match self {
+            Self::AtOnce => true,
+            Self::From(seconds) => now < at(NAMED_AT + 0.5) || now >= at(seconds),
+            Self::ByHalf => index.is_multiple_of(2),
+        }
+    }
 }
 
 /// Outcome of a replay.
@@ -174,11 +196,13 @@
             }
             if entry.has_lease && random.random_bool(calls_per_tick.min(1.0)) {
                 let is_natural = random.random_bool(natural.min(1.0));
-                if is_natural {
+                let is_allowed = load.spending.is_allowed(index, now);
+                if is_natural && (is_allowed || !entry.gate.has_permit(now, endpoint)) {
                     entry.gate.record_demand(endpoint);
                 }
                 let is_chosen = is_natural || entry.gate.has_permit(now, endpoint);
-                if is_chosen && let Some(known) = entry.gate.acquire(now, endpoint) {
+                let is_sent = is_chosen && is_allowed;
+                if is_sent && let Some(known) = entry.gate.acquire(now, endpoint) {
                     arrivals.push(now);
                     entry.answers.push_back((tick + ANSWER_TICKS, known, notice));
                 }
@@ -228,6 +252,7 @@
                     offered: 2.0 * limit,
                     calls: CALLS_PER_ENTRY.max(2.0 * limit / entries as f64),
                     limit,
+                    spending: Spending::AtOnce,
                 };
                 let outcome = replay(&load, trouble, seed);
                 let case = format!("{entries} entries, limit {limit}, seed {seed}: {outcome:?}");
@@ -260,9 +285,10 @@
 /// The next leader does not know what its predecessor granted, and grants again.
 #[test]
 fn a_limit_holds_when_the_leader_changes() {
-    for leaderless in [(NAMED_AT + 0.01, NAMED_AT + 0.5), (5.0, 5.2), (5.0, 8.0)] {
+    const CHANGES: [&[(f64, f64)]; 3] = [&[(NAMED_AT + 0.01, NAMED_AT + 0.5)], &[(5.0, 5.2)], &[(5.0, 8.0)]];
+    for leaderless in CHANGES {
         let trouble = Trouble {
-            leaderless: Some(leaderless),
+            leaderless,
             ..Trouble::default()
         };
         check_rule(&trouble, false);
@@ -300,3 +326,59 @@
     };
     check_rule(&trouble, false);
 }
+
+/// Replays entries that all ask more than the limit allows and spend as told, and returns the outcome of each size and
+/// limit.
+fn replay_spending(trouble: &Trouble, spending: Spending) -> Vec<(Load, Outcome)> {
+    const ASKED_BY_EACH: f64 = 2.0;
+    let sizes = [8, 80];
+    let loads = sizes.into_iter().flat_map(|entries| {
+        LIMITS.map(|limit| Load {
+            entries,
+            offered: (2.0 * limit).max(ASKED_BY_EACH * entries as f64),
+            calls: CALLS_PER_ENTRY.max(2.0 * limit / entries as f64),
+            limit,
+            spending,
+        })
+    });
+    let replays = loads.flat_map(|load| SEEDS.map(move |seed| (load, replay(&load, trouble, seed))));
+    replays.collect()
+}
+
+fn check_savings(trouble: &Trouble, spend_at: f64) {
+    for (load, outcome) in replay_spending(trouble, Spending::From(spend_at)) {
+        assert!(outcome.worst as f64 <= permitted(load.limit), "{load:?}: {outcome:?}");
+    }
+}
+
+/// Entries that hold permits and have no calls spend them all in the same moment.
+#[test]
+fn a_limit_holds_when_entries_spend_at_last() {
+    check_savings(&Trouble::default(), 9.0);
+}
+
+/// Each of three leaders has granted permits that may be unspent.
+#[test]
+fn a_limit_holds_when_entries_spend_what_three_leaders_granted() {
+    let in_a_row = Trouble {
+        leaderless: &[(8.0, 8.05), (8.3, 8.35)],
+        ..Trouble::default()
+    };
+    check_savings(&in_a_row, 8.4);
+    let apart = Trouble {
+        leaderless: &[(4.0, 4.05), (6.0, 6.05)],
+        ..Trouble::default()
+    };
+    check_savings(&apart, 8.0);
+}
+
+/// Entries that ask and do not send would keep the others from what the limit allows.
+#[test]
+fn a_limit_is_used_although_half_of_the_entries_let_permits_expire() {
+    for (load, outcome) in replay_spending(&Trouble::default(), Spending::ByHalf) {
+        assert!(outcome.worst as f64 <= permitted(load.limit), "{load:?}: {outcome:?}");
+        if load.limit >= LEAST_USED_LIMIT {
+            assert!(outcome.used >= USED_PART, "{load:?}: {outcome:?}");
+        }
+    }
+}
