Avoid an endpoint that loses calls which came to it over a relay

Cause: whatever failed while the way to an endpoint was lost counted as the way's fault, also a call that had reached the endpoint over a relay and was lost there.

Change: only a call that was sent before the loss was found says nothing. One that was sent later went over a relay: its loss makes this entry avoid the endpoint for a while, and is not reported to others, since the relay may be the cause.

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -42,6 +42,8 @@
     HeldBack(CallRefusal),
     /// The endpoint has a limit, and the entry no permit for it. Nothing was sent.
     LimitReached,
+    /// The way to the endpoint is lost, and no relay has taken the call. Nothing was sent.
+    PathLost,
     /// The entry is cut off from all endpoints, and no relay has taken the call. Nothing was sent.
     NoPath,
     /// The time limit of the attempt passed. The endpoint may still be running the call.
@@ -200,6 +202,7 @@
             }
             let outcome = match failure.state {
                 AttemptState::Unsent if failure.is_path_lost && call.shared.paths.is_cut() => AttemptOutcome::NoPath,
+                AttemptState::Unsent if failure.is_path_lost => AttemptOutcome::PathLost,
                 AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
                 // The endpoint may have run the call. This includes `Ended`: the client returned an error, so there is
                 // no answer to pass on.
@@ -249,8 +252,10 @@
         }
     };
     let (outcome, reason) = outcome;
-    if matches!(outcome, AttemptOutcome::NotRun { .. } | AttemptOutcome::NoPath)
-        && was_kept == Some(false)
+    if matches!(
+        outcome,
+        AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost | AttemptOutcome::NoPath
+    ) && was_kept == Some(false)
         && let Some(charge) = &call.charge
     {
         charge.release();
@@ -290,15 +295,18 @@
         "outcome" => ?outcome, "reason" => reason, "after_ms" => whole_millis(boot_now().since(sent_at)),
         "report" => chosen.endpoint.sequence);
     metrics::counter!("acacia_attempts_failed_total").increment(1);
-    let is_path_lost = call.shared.paths.is_lost(chosen.endpoint.address);
+    let (paths, address) = (&call.shared.paths, chosen.endpoint.address);
+    let (is_lost, was_lost) = (paths.is_lost(address), paths.was_lost_after(sent_at, address));
     let mut state = call.shared.state();
     match outcome {
-        AttemptOutcome::NoPath => {}
-        AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::Lost | AttemptOutcome::TimedOut if is_path_lost => {
-        }
+        AttemptOutcome::NoPath | AttemptOutcome::PathLost => {}
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
-        AttemptOutcome::Lost | AttemptOutcome::TimedOut => state.loads.record_silence(boot_now(), &chosen.name),
-        // `NotRun { arrived: true }`. `Answered`, `HeldBack` and `LimitReached` have already been returned.
+        AttemptOutcome::Lost | AttemptOutcome::TimedOut if was_lost => {}
+        AttemptOutcome::Lost | AttemptOutcome::TimedOut if !is_lost => {
+            state.loads.record_silence(boot_now(), &chosen.name);
+        }
+        // `NotRun { arrived: true }`, or an answer that was lost over a relay, which may have lost it. `Answered`, `HeldBack`
+        // and `LimitReached` have already been returned.
         _ => state.loads.record_failure(boot_now(), &chosen.name),
     }
 }
--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -166,7 +166,12 @@
         paths.has_heard_lately(now) && paths.lost_count() == 0
     }
 
-    /// Returns true if a missing answer of an endpoint says nothing about it.
+    /// Returns true if the way of a call that was sent then has been lost since.
+    pub(super) fn was_lost_after(&self, sent_at: BootTime, address: SocketAddr) -> bool {
+        self.state.lock().paths.was_lost_after(sent_at, address)
+    }
+
+    /// Returns true if the direct way to an endpoint is lost.
     pub(super) fn is_lost(&self, address: SocketAddr) -> bool {
         self.state.lock().paths.is_lost(address)
     }
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -86,8 +86,9 @@
                     }
                 }
             }
-            AttemptOutcome::NotRun { arrived } => {
+            AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost => {
                 attempts.rejections += 1;
+                let arrived = matches!(outcome, AttemptOutcome::NotRun { arrived: true });
                 let is_free = !arrived || call.shared.acquire_retry(boot_now(), &call.service);
                 if attempts.rejections > MAX_REJECTIONS || !is_free {
                     return Err(attempts.refusal("turned away", SHORT_RETRY_DELAY));
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -199,7 +199,9 @@
     .await;
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
-        AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::LimitReached => return PrefillOutcome::NotReached,
+        AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::PathLost | AttemptOutcome::LimitReached => {
+            return PrefillOutcome::NotReached;
+        }
         AttemptOutcome::HeldBack(refusal) => return PrefillOutcome::HeldBack(refusal),
         AttemptOutcome::NoPath => {
             return PrefillOutcome::HeldBack(not_run(NO_PATH, NO_ENDPOINT_RETRY_DELAY));
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -168,7 +168,7 @@
                         guard,
                     });
                 }
-                AttemptOutcome::NotRun { arrived: false } => {
+                AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::PathLost => {
                     self.unreachable += 1;
                     if self.unreachable > MAX_UNREACHABLE {
                         return Err(self.refusal("no engine was reached", SHORT_RETRY_DELAY));
--- a/crates/acaciabay/src/core/serving/endpoint_paths.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -64,6 +64,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LostPath {
     fault: PathFault,
+    lost_since: BootTime,
+    /// Time at which another entry last reached the endpoint while this one did not.
     found_at: BootTime,
     /// Time from which the direct way is tried again.
     trial_at: BootTime,
@@ -129,6 +131,7 @@
     pub fn record_lost(&mut self, now: BootTime, address: SocketAddr, fault: PathFault) -> Option<PathChange> {
         let path = self.lost.entry(address).or_insert(LostPath {
             fault,
+            lost_since: now,
             found_at: now,
             trial_at: now + MIN_TRIAL_INTERVAL,
             trial_interval: MIN_TRIAL_INTERVAL,
@@ -193,7 +196,15 @@
         !any_is_silent && !self.lost.get(&address).is_some_and(is_silent)
     }
 
-    /// Returns true if a missing answer of an endpoint says nothing about the endpoint, since the direct way to it is lost.
+    /// Returns true if the way of a call that was sent then has been lost since. A missing answer says nothing about the
+    /// endpoint in that case. A call that was sent later went over a relay.
+    pub fn was_lost_after(&self, sent_at: BootTime, address: SocketAddr) -> bool {
+        let lost_since = self.lost.get(&address).map(|path| path.lost_since);
+        let since = lost_since.into_iter().chain(self.cut_since);
+        since.min().is_some_and(|since| since >= sent_at)
+    }
+
+    /// Returns true if the direct way to an endpoint is lost.
     pub fn is_lost(&self, address: SocketAddr) -> bool {
         self.cut_since.is_some() || self.lost.contains_key(&address)
     }
--- a/crates/acaciabay/tests/serving/endpoint_paths.rs
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -81,6 +81,22 @@
     assert!(!table.may_use_open(endpoint(3)));
 }
 
+/// An endpoint that loses the calls that come over relays would be chosen again and again.
+#[test]
+fn only_calls_that_were_sent_before_the_loss_say_nothing_about_their_endpoint() {
+    let mut table = PathTable::default();
+    table.record_heard(at(0));
+    table.record_lost(at(100), endpoint(1), PathFault::Silent);
+    table.record_lost(at(500), endpoint(1), PathFault::Silent);
+
+    let blames_way: Vec<bool> = [50, 200, 600]
+        .map(|sent| table.was_lost_after(at(sent), endpoint(1)))
+        .to_vec();
+
+    assert_eq!(blames_way, [true, false, false]);
+    assert!(!table.was_lost_after(at(50), endpoint(2)));
+}
+
 /// Calls that tried whether the way is back would each wait for it.
 #[test]
 fn few_connections_try_whether_a_way_is_back() {
