Hold no call longer at an endpoint that nobody reaches than before

Callers with 600 ms would have lost the time for another endpoint.

A relay's own attempt ends after 150 ms, and asking relays beside a direct attempt ends with it. Where the direct way is known to be lost, relays are asked for 400 ms at most. Not measured by itself.

--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -37,8 +37,12 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a connection attempt that has not succeeded is made over a relay as well: many times the usual one.
 const HEDGE_DELAY: Duration = Duration::from_millis(80);
-/// Time limit for a connection over one relay. It covers the relay's own attempt, [`CONNECT_TIMEOUT`].
-const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time limit for the attempt that a relay makes. It ends before that of the entry which has asked, [`CONNECT_TIMEOUT`].
+const RELAYED_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time limit for the answer of one relay.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for a connection over any relay.
+const RELAYS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of relays that are asked for one connection.
 const MAX_RELAYS_ASKED: usize = 3;
 /// Number of relays that must find that an endpoint does not answer, if as many can say. One that has just been cut off
@@ -218,13 +222,17 @@
         token != 0 && (token == state.token || Some(token) == state.earlier_token)
     }
 
-    /// Connects directly to an endpoint for another entry.
+    /// Connects to an endpoint for another entry.
     ///
     /// # Errors
     ///
     /// Fails if the endpoint does not take the connection.
-    pub(super) async fn connect_directly(&self, address: SocketAddr) -> Result<TcpStream, PortState> {
-        match connect_from(self.source, address, CONNECT_TIMEOUT, USER_TIMEOUT).await {
+    pub(super) async fn connect_for_other(&self, address: SocketAddr) -> Result<TcpStream, PortState> {
+        self.connect_directly(address, RELAYED_CONNECT_TIMEOUT).await
+    }
+
+    async fn connect_directly(&self, address: SocketAddr, timeout: Duration) -> Result<TcpStream, PortState> {
+        match connect_from(self.source, address, timeout, USER_TIMEOUT).await {
             Ok(stream) => {
                 let change = self.state.lock().paths.record_reached(boot_now(), address);
                 self.announce(change);
@@ -242,7 +250,7 @@
     /// Otherwise the endpoints' own reports have to tell.
     pub(super) async fn port_states(self: &Arc<Self>, addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
         let attempts = addresses.into_iter().map(|address| async move {
-            let state = match self.connect_directly(address).await {
+            let state = match self.connect_directly(address, CONNECT_TIMEOUT).await {
                 Ok(_connection) => PortState::Open,
                 Err(PortState::Refused) if self.is_reached_elsewhere(address).await => PortState::Silent,
                 Err(state) => state,
@@ -304,12 +312,12 @@
         let order = self.state.lock().paths.order(address);
         match order {
             PathOrder::DirectFirst => self.connect_direct_first(address).await,
-            PathOrder::RelayFirst => match self.connect_over_relay(address).await {
+            PathOrder::RelayFirst => match self.connect_over_relay(address, RELAYS_TIMEOUT).await {
                 Ok(connection) => Ok(connection),
                 Err(RelayFailure::Endpoint(state)) => Err(endpoint_failure(state)),
                 Err(RelayFailure::NoRelay) if self.is_cut() => Err(path_failure()),
                 Err(RelayFailure::NoRelay) => {
-                    let direct = self.connect_directly(address).await;
+                    let direct = self.connect_directly(address, CONNECT_TIMEOUT).await;
                     direct.map(direct_connection).map_err(|_lost| path_failure())
                 }
             },
@@ -317,7 +325,7 @@
     }
 
     async fn connect_direct_first(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
-        let mut direct = std::pin::pin!(self.connect_directly(address));
+        let mut direct = std::pin::pin!(self.connect_directly(address, CONNECT_TIMEOUT));
         let early = tokio::select! {
             connected = &mut direct => Some(connected),
             () = tokio::time::sleep(HEDGE_DELAY) => None,
@@ -327,7 +335,9 @@
             Some(Err(state)) => Some(state),
             None => None,
         };
-        let mut relayed = std::pin::pin!(self.connect_over_relay(address));
+        // An endpoint that nobody reaches must not hold the call longer than the direct attempt would.
+        let relayed_timeout = CONNECT_TIMEOUT.saturating_sub(HEDGE_DELAY);
+        let mut relayed = std::pin::pin!(self.connect_over_relay(address, relayed_timeout));
         let relayed = if direct_state.is_some() {
             relayed.await
         } else {
@@ -365,7 +375,17 @@
         self.losses.send_modify(|count| *count += 1);
     }
 
-    async fn connect_over_relay(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, RelayFailure> {
+    async fn connect_over_relay(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<NewConnection, RelayFailure> {
+        let connected = tokio::time::timeout(timeout, self.ask_relays(address)).await;
+        connected.unwrap_or(Err(RelayFailure::NoRelay))
+    }
+
+    /// Asks one relay after the other for a connection.
+    async fn ask_relays(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, RelayFailure> {
         let mut asked = Vec::new();
         let mut unreachable = Vec::new();
         while asked.len() < MAX_RELAYS_ASKED && unreachable.len() < MIN_AGREEING_RELAYS {
@@ -469,7 +489,11 @@
             };
             let checking = join_all(checks.into_iter().map(&open));
             // Whether the endpoint was reached is recorded; the connection was only needed to know.
-            let trying = join_all(trials.into_iter().map(|address| self.connect_directly(address)));
+            let trying = join_all(
+                trials
+                    .into_iter()
+                    .map(|address| self.connect_directly(address, CONNECT_TIMEOUT)),
+            );
             let (_checked, _tried) = futures::join!(checking, trying);
         }
     }
--- a/crates/acacia-entry/src/serving/relay_server.rs
+++ b/crates/acacia-entry/src/serving/relay_server.rs
@@ -135,7 +135,7 @@
     if !is_known || !may_relay {
         return Err(RelayOutcome::Unavailable);
     }
-    let connected = shared.paths.connect_directly(request.address).await;
+    let connected = shared.paths.connect_for_other(request.address).await;
     connected.map_err(|state| match state {
         _ if !shared.paths.may_judge(boot_now()) => RelayOutcome::Unavailable,
         PortState::Refused => RelayOutcome::Refused,
