--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -229,7 +229,7 @@
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
                 (AttemptOutcome::Lost, "answer to another request".to_owned())
             } else if is_relayed && !has_framed_body(&answer.response) {
-                // Its end cannot be told from a break of the way over the relay.
+                // Its end cannot be told from a break of the path over the relay.
                 (AttemptOutcome::Lost, "relayed answer without a length".to_owned())
             } else if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
                 (AttemptOutcome::NotRun { arrived: true }, status.to_string())
--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints, directly or over another entry.
 //!
 //! A connection attempt that does not succeed soon is made over a relay as well, and the first connection is used. Nothing of
-//! a call is sent before, so that this is safe for every call. Whichever way leads to the endpoint is remembered in a
+//! a call is sent before, so that this is safe for every call. Whichever path leads to the endpoint is remembered in a
 //! [`PathTable`].
 
 use std::collections::BTreeSet;
@@ -48,10 +48,10 @@
 /// Number of relays that must find that an endpoint does not answer, if as many can say. One that has just been cut off
 /// itself does not know it yet.
 const MIN_AGREEING_RELAYS: usize = 2;
-/// Interval at which it is decided whether ways have to be checked.
+/// Interval at which it is decided whether paths have to be checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Ways to the endpoints, shared by all tasks of an entry.
+/// Paths to the endpoints, shared by all tasks of an entry.
 #[derive(Debug)]
 pub(super) struct EndpointPaths {
     /// Host of this entry, for the logs of relays.
@@ -60,7 +60,7 @@
     state: Mutex<PathState>,
     /// Counts the changes of what the entry reaches as a whole.
     changes: watch::Sender<u64>,
-    /// Counts the ways that were lost.
+    /// Counts the paths that were lost.
     losses: watch::Sender<u64>,
     log: Logger,
 }
@@ -110,7 +110,7 @@
     }
 }
 
-/// Connector over the ways of an entry.
+/// Connector over the paths of an entry.
 #[derive(Clone, Debug)]
 pub(super) struct PathConnector(pub(super) Arc<EndpointPaths>);
 
@@ -164,18 +164,18 @@
         self.state.lock().paths.is_cut()
     }
 
-    /// Returns true if this entry can tell that an endpoint fails from the loss of its own way to it.
+    /// Returns true if this entry can tell that an endpoint fails from the loss of its own path to it.
     pub(super) fn may_judge(&self, now: BootTime) -> bool {
         let paths = &self.state.lock().paths;
         paths.has_heard_lately(now) && paths.lost_count() == 0
     }
 
-    /// Returns true if the way of a call that was sent then has been lost since.
+    /// Returns true if the path of a call that was sent then has been lost since.
     pub(super) fn was_lost_after(&self, sent_at: BootTime, address: SocketAddr) -> bool {
         self.state.lock().paths.was_lost_after(sent_at, address)
     }
 
-    /// Returns true if the direct way to an endpoint is lost.
+    /// Returns true if the direct path to an endpoint is lost.
     pub(super) fn is_lost(&self, address: SocketAddr) -> bool {
         self.state.lock().paths.is_lost(address)
     }
@@ -246,7 +246,7 @@
     /// Returns the states of endpoints' ports.
     ///
     /// A port that refuses connections is that of an endpoint that has ended, or the network refuses them. It counts as
-    /// refusing only if other entries find the same, as far as they can say, and no way of this one is found to be lost.
+    /// refusing only if other entries find the same, as far as they can say, and no path of this one is found to be lost.
     /// Otherwise the endpoints' own reports have to tell.
     pub(super) async fn port_states(self: &Arc<Self>, addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
         let attempts = addresses.into_iter().map(|address| async move {
@@ -258,7 +258,7 @@
             (address, state)
         });
         let mut states = join_all(attempts).await;
-        if self.has_lost_ways() {
+        if self.has_lost_paths() {
             let refused = states.iter_mut().filter(|(_, state)| *state == PortState::Refused);
             refused.for_each(|(_, state)| *state = PortState::Silent);
         }
@@ -304,7 +304,7 @@
         }
     }
 
-    fn has_lost_ways(&self) -> bool {
+    fn has_lost_paths(&self) -> bool {
         self.state.lock().paths.lost_count() > 0
     }
 
@@ -368,7 +368,7 @@
 
     fn record_lost(&self, address: SocketAddr, fault: PathFault) {
         let change = self.state.lock().paths.record_lost(boot_now(), address, fault);
-        slog::info!(self.log, "way to an endpoint lost"; "event" => event::PATH_LOST, "address" => %address,
+        slog::info!(self.log, "path to an endpoint lost"; "event" => event::PATH_LOST, "address" => %address,
             "fault" => ?fault);
         metrics::counter!("acacia_paths_lost_total").increment(1);
         self.announce(change);
@@ -466,14 +466,14 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Forgets lost ways that no call has needed for a while.
+    /// Forgets lost paths that no call has needed for a while.
     pub(super) fn remove_expired(&self, now: BootTime) {
         self.state.lock().paths.remove_expired(now);
     }
 
-    /// Checks ways while calls wait and no endpoint gives a sign of life, and tries those that are lost, until `stop` is
+    /// Checks paths while calls wait and no endpoint gives a sign of life, and tries those that are lost, until `stop` is
     /// cancelled. `open` opens a connection to an endpoint and keeps it for later calls.
-    pub(super) async fn check_ways<F: Future<Output = ()>>(
+    pub(super) async fn check_overdue_paths<F: Future<Output = ()>>(
         &self,
         open: impl Fn(SocketAddr) -> F,
         stop: CancellationToken,
@@ -536,6 +536,6 @@
 fn path_failure() -> ConnectFailure {
     ConnectFailure {
         is_path_lost: true,
-        source: anyhow!("no way leads to the endpoint"),
+        source: anyhow!("no path leads to the endpoint"),
     }
 }
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,7 +6,7 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
 //!
-//! `endpoint_paths` opens the connections to endpoints, over another entry where the direct way is lost; `relay_server` is
+//! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost; `relay_server` is
 //! the other entry's side of that.
 //!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -68,7 +68,7 @@
 pub(super) const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Reason for which a call is refused while the entry is cut off from all endpoints and no relay takes it.
-pub(super) const NO_PATH: &str = "no way to the endpoints";
+pub(super) const NO_PATH: &str = "no path to the endpoints";
 
 /// Retry delay of a call that the leader is about to judge.
 pub(super) const JUDGEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -158,7 +158,7 @@
     pub(super) domain: DomainName,
     pub(super) codec: Arc<dyn CallCodec>,
     pub(super) client: EndpointClient,
-    /// Ways to the endpoints.
+    /// Paths to the endpoints.
     pub(super) paths: Arc<EndpointPaths>,
     /// Calls under which endpoints have ended.
     pub(super) suspects: Arc<SuspectTracker>,
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -157,19 +157,19 @@
     tracker.examine_breaks(sighting, port_states, wall_ms, stop).await;
 }
 
-/// Checks the ways to endpoints for which calls wait while no endpoint gives a sign of life.
+/// Checks the paths to endpoints for which calls wait while no endpoint gives a sign of life.
 async fn check_paths(shared: Arc<EntryShared>, stop: CancellationToken) {
     let open = |address| {
         let shared = Arc::clone(&shared);
         async move {
-            // Which way has led to the endpoint is recorded by the connector, also if none has.
+            // Which path has led to the endpoint is recorded by the connector, also if none has.
             let _unreachable = shared.client.open_idle(boot_now(), address).await;
         }
     };
-    shared.paths.check_ways(open, stop).await;
+    shared.paths.check_overdue_paths(open, stop).await;
 }
 
-/// Takes back what this entry says against endpoints when it finds that its own ways are lost.
+/// Takes back what this entry says against endpoints when it finds that its own paths are lost.
 async fn watch_paths(shared: Arc<EntryShared>, stop: CancellationToken) {
     let mut changes = shared.paths.changes();
     loop {
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -359,7 +359,7 @@
     }
 }
 
-/// Attempts a connection to each of some endpoints by the direct way.
+/// Attempts a connection to each of some endpoints by the direct path.
 pub(crate) async fn direct_port_states(addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
     let attempts = addresses.into_iter();
     join_all(attempts.map(|address| async move { (address, direct_port_state(address).await) })).await
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -77,7 +77,7 @@
 pub struct NewConnection {
     /// The connection, on which nothing has been sent to the endpoint.
     pub stream: TcpStream,
-    /// Its way.
+    /// Its path.
     pub path: ConnectionPath,
     /// Dropped when the connection is no longer used.
     pub lifetime: Option<Arc<dyn Any + Send + Sync>>,
@@ -86,7 +86,7 @@
 /// Error of a connection attempt.
 #[derive(Debug)]
 pub struct ConnectFailure {
-    /// True if the way to the endpoint is lost, which says nothing about the endpoint.
+    /// True if the path to the endpoint is lost, which says nothing about the endpoint.
     pub is_path_lost: bool,
     /// What happened.
     pub source: anyhow::Error,
@@ -98,10 +98,10 @@
     ///
     /// # Errors
     ///
-    /// Fails if no way leads to the endpoint.
+    /// Fails if no path leads to the endpoint.
     fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>>;
 
-    /// Returns true if an idle connection on this way may be used.
+    /// Returns true if an idle connection on this path may be used.
     fn may_use(&self, address: SocketAddr, path: ConnectionPath) -> bool;
 
     /// Records that bytes have arrived on a direct connection.
@@ -110,11 +110,11 @@
     /// Records that an open direct connection to an endpoint has broken under a request.
     fn record_broken(&self, address: SocketAddr);
 
-    /// Completes when open direct connections to an endpoint are lost with the way to it.
+    /// Completes when open direct connections to an endpoint are lost with the path to it.
     fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()>;
 }
 
-/// Connector that knows no way but the direct one.
+/// Connector that knows no path but the direct one.
 #[derive(Debug)]
 struct DirectConnector {
     source: Option<IpAddr>,
@@ -155,7 +155,7 @@
 pub enum ConnectionChoice {
     /// Uses an idle connection if there is one, or else opens a new one.
     Pooled,
-    /// As [`Pooled`](Self::Pooled), but gives up a request on a direct connection when the way to the endpoint is lost. For
+    /// As [`Pooled`](Self::Pooled), but gives up a request on a direct connection when the path to the endpoint is lost. For
     /// requests that may be sent again.
     PooledWhileReachable,
     /// Opens a new connection, for use when an idle one may be broken.
@@ -167,7 +167,7 @@
 pub struct SendFailure {
     /// Progress of the request: [`AttemptState::Unsent`] or [`AttemptState::Written`].
     pub state: AttemptState,
-    /// True if the way to the endpoint is lost, which says nothing about the endpoint.
+    /// True if the path to the endpoint is lost, which says nothing about the endpoint.
     pub is_path_lost: bool,
     source: anyhow::Error,
 }
@@ -222,7 +222,7 @@
 }
 
 impl FinishedConnection {
-    /// Returns the way of the connection.
+    /// Returns the path of the connection.
     pub const fn path(&self) -> ConnectionPath {
         self.connection.path
     }
@@ -353,7 +353,7 @@
             () = lost => Err(SendError::Failed(SendFailure {
                 state: AttemptState::Written,
                 is_path_lost: true,
-                source: anyhow::anyhow!("the way to the endpoint is lost"),
+                source: anyhow::anyhow!("the path to the endpoint is lost"),
             })),
         }
     }
@@ -373,7 +373,7 @@
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&address)?;
         let may_use = |idle: &IdleConnection| self.connector.may_use(address, idle.connection.path);
-        // A direct connection that may not be used now may be whole, and is needed once its way is found again.
+        // A direct connection that may not be used now may be whole, and is needed once its path is found again.
         list.retain(|idle| idle.connection.path == ConnectionPath::Direct || may_use(idle));
         while let Some(index) = list.iter().rposition(may_use) {
             let IdleConnection { connection, until } = list.remove(index);
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -74,7 +74,7 @@
     pub stop_grace: Duration,
     /// The bound on second sends.
     pub send_bound: WindowBoundSettings,
-    /// Where other entries connect that have lost their way to an endpoint; this one relays nothing without it.
+    /// Where other entries connect that have lost their path to an endpoint; this one relays nothing without it.
     pub relay_address: Option<SocketAddr>,
     /// The address of this host from which endpoints are called; the system chooses one without it.
     pub endpoint_source: Option<IpAddr>,
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -212,7 +212,7 @@
         }
     }
 
-    /// Forgets all failures, since the way to the endpoints was at fault.
+    /// Forgets all failures, since the path to the endpoints was at fault.
     pub fn clear_suspicions(&mut self) {
         for row in self.rows.values_mut() {
             row.failures = 0;
--- a/crates/acaciabay/src/core/serving/endpoint_paths.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -1,8 +1,8 @@
-//! What an entry knows of its own ways to the endpoints.
+//! What an entry knows of its own paths to the endpoints.
 //!
 //! An endpoint that does not answer may have failed, or the network between it and this entry. Only a third host can tell
-//! the two apart: if another entry reaches the endpoint while this one does not, the way of this one is at fault. Calls then
-//! take the way over the other entry, and the endpoint is not blamed. `docs/design/relays.md` describes the whole.
+//! the two apart: if another entry reaches the endpoint while this one does not, the path of this one is at fault. Calls then
+//! take the path over the other entry, and the endpoint is not blamed. `docs/design/relays.md` describes the whole.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -10,36 +10,36 @@
 
 use crate::core::clock::BootTime;
 
-/// Interval at which the direct way to one endpoint is tried again at first. It doubles up to [`MAX_TRIAL_INTERVAL`].
+/// Interval at which the direct path to one endpoint is tried again at first. It doubles up to [`MAX_TRIAL_INTERVAL`].
 const MIN_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest interval at which the direct way to one endpoint is tried again.
+/// Longest interval at which the direct path to one endpoint is tried again.
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(4);
-/// Interval at which any direct way is tried while the entry is cut off from all endpoints.
+/// Interval at which any direct path is tried while the entry is cut off from all endpoints.
 const CUT_TRIAL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which the break of an open connection shows that others to the same endpoint are broken too.
 const BREAK_MEMORY: Duration = Duration::from_secs(1);
-/// Time after which a lost way is forgotten that was not tried again, since nobody uses it.
+/// Time after which a lost path is forgotten that was not tried again, since nobody uses it.
 const LOST_RETENTION: Duration = Duration::from_secs(10);
 /// Number of endpoints that others reach, and this entry does not, from which on it counts as cut off from all.
 const MIN_LOST_ENDPOINTS: usize = 2;
 /// Time without a sign of life of any endpoint after which this entry may be cut off from all. A call that still waits is
-/// then a reason to check the ways.
+/// then a reason to check the paths.
 const SILENCE_LIMIT: Duration = Duration::from_millis(250);
 /// Shortest interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of endpoints that are checked or tried at once.
 const MAX_CHECKED: usize = 3;
 
-/// Order in which the ways to an endpoint are tried.
+/// Order in which the paths to an endpoint are tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathOrder {
-    /// The direct way, and another entry if it does not lead to the endpoint soon.
+    /// The direct path, and another entry if it does not lead to the endpoint soon.
     DirectFirst,
     /// Another entry.
     RelayFirst,
 }
 
-/// How the direct way to an endpoint failed while another entry reached it.
+/// How the direct path to an endpoint failed while another entry reached it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathFault {
     /// Nothing answered. Open connections are lost too.
@@ -67,7 +67,7 @@
     lost_since: BootTime,
     /// Time at which another entry last reached the endpoint while this one did not.
     found_at: BootTime,
-    /// Time from which the direct way is tried again.
+    /// Time from which the direct path is tried again.
     trial_at: BootTime,
     trial_interval: Duration,
 }
@@ -76,7 +76,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WaitNumber(u64);
 
-/// The ways of one entry to all endpoints.
+/// The paths of one entry to all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct PathTable {
     lost: HashMap<SocketAddr, LostPath>,
@@ -92,7 +92,7 @@
 }
 
 impl PathTable {
-    /// Returns the order in which the ways to an endpoint are tried for a call.
+    /// Returns the order in which the paths to an endpoint are tried for a call.
     pub fn order(&self, address: SocketAddr) -> PathOrder {
         if self.is_lost(address) {
             PathOrder::RelayFirst
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Returns the endpoints to which the direct way has to be tried now, so that its return is noticed and no call waits for
+    /// Returns the endpoints to which the direct path has to be tried now, so that its return is noticed and no call waits for
     /// it.
     pub fn due_trials(&mut self, now: BootTime) -> Vec<SocketAddr> {
         if self.cut_since.is_some() {
@@ -120,14 +120,14 @@
         tried.collect()
     }
 
-    /// Forgets lost ways that no call has needed for a while.
+    /// Forgets lost paths that no call has needed for a while.
     pub fn remove_expired(&mut self, now: BootTime) {
         self.lost.retain(|_, path| now.since(path.found_at) < LOST_RETENTION);
         self.broken
             .retain(|_, broken_at| now.since(*broken_at) < LOST_RETENTION);
     }
 
-    /// Records that another entry has reached an endpoint while the direct way failed.
+    /// Records that another entry has reached an endpoint while the direct path failed.
     pub fn record_lost(&mut self, now: BootTime, address: SocketAddr, fault: PathFault) -> Option<PathChange> {
         let path = self.lost.entry(address).or_insert(LostPath {
             fault,
@@ -150,7 +150,7 @@
         Some(PathChange::Cut)
     }
 
-    /// Records that an open direct connection to an endpoint has broken. If the way is lost, the other open ones are too.
+    /// Records that an open direct connection to an endpoint has broken. If the path is lost, the other open ones are too.
     pub fn record_broken(&mut self, now: BootTime, address: SocketAddr) {
         self.broken.insert(address, now);
         if let Some(path) = self.lost.get_mut(&address) {
@@ -196,7 +196,7 @@
         !any_is_silent && !self.lost.get(&address).is_some_and(is_silent)
     }
 
-    /// Returns true if the way of a call that was sent then has been lost since. A missing answer says nothing about the
+    /// Returns true if the path of a call that was sent then has been lost since. A missing answer says nothing about the
     /// endpoint in that case. A call that was sent later went over a relay.
     pub fn was_lost_after(&self, sent_at: BootTime, address: SocketAddr) -> bool {
         let lost_since = self.lost.get(&address).map(|path| path.lost_since);
@@ -204,7 +204,7 @@
         since.min().is_some_and(|since| since >= sent_at)
     }
 
-    /// Returns true if the direct way to an endpoint is lost.
+    /// Returns true if the direct path to an endpoint is lost.
     pub fn is_lost(&self, address: SocketAddr) -> bool {
         self.cut_since.is_some() || self.lost.contains_key(&address)
     }
@@ -222,8 +222,8 @@
         self.waits.remove(&number);
     }
 
-    /// Returns the endpoints to which the ways have to be checked now: calls wait for them, and no endpoint at all has given
-    /// a sign of life for a while, or the ways to others are lost. A cut would otherwise be noticed only by calls that are
+    /// Returns the endpoints to which the paths have to be checked now: calls wait for them, and no endpoint at all has given
+    /// a sign of life for a while, or the paths to others are lost. A cut would otherwise be noticed only by calls that are
     /// lost one by one on connections that were kept open.
     pub fn due_checks(&mut self, now: BootTime) -> BTreeSet<SocketAddr> {
         let is_doubtful = !self.has_heard_lately(now) || !self.lost.is_empty();
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -10,7 +10,7 @@
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
-//! * [`endpoint_paths`] tells an endpoint that has failed from a lost way to it, and [`relay_choice`] selects the entries over
+//! * [`endpoint_paths`] tells an endpoint that has failed from a lost path to it, and [`relay_choice`] selects the entries over
 //!   which endpoints are reached then.
 //! * [`allowance`] limits the use of a customer over all entries: [`allowance_ledger`] keeps the buckets at the leader,
 //!   [`allowance_gate`] admits calls at an entry.
--- a/crates/acaciabay/tests/serving/endpoint_paths.rs
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -1,4 +1,4 @@
-//! Whether a missing answer speaks against an endpoint or against the way to it.
+//! Whether a missing answer speaks against an endpoint or against the path to it.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     assert!(!table.may_use_open(endpoint(3)));
 }
 
-/// Two lost ways beside answers of others would otherwise make the entry leave connections that work.
+/// Two lost paths beside answers of others would otherwise make the entry leave connections that work.
 #[test]
 fn an_entry_that_still_hears_endpoints_is_not_cut_off() {
     let mut table = PathTable::default();
@@ -97,7 +97,7 @@
     assert!(!table.was_lost_after(at(50), endpoint(2)));
 }
 
-/// Calls that tried whether the way is back would each wait for it.
+/// Calls that tried whether the path is back would each wait for it.
 #[test]
 fn few_connections_try_whether_a_way_is_back() {
     let mut table = cut_table();
