Give connectors and sockets of the HTTP client files of their own

Refactoring without a change of behaviour: client.rs had grown to 503 lines and did three jobs. How connections are opened (connector.rs) and the options of sockets (socket.rs) move out.

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -42,7 +42,7 @@
     HeldBack(CallRefusal),
     /// The endpoint has a limit, and the entry no permit for it. Nothing was sent.
     LimitReached,
-    /// The way to the endpoint is lost, and no relay has taken the call. Nothing was sent.
+    /// The path to the endpoint is lost, and no relay has taken the call. Nothing was sent.
     PathLost,
     /// The entry is cut off from all endpoints, and no relay has taken the call. Nothing was sent.
     NoPath,
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -7,24 +7,21 @@
 use std::any::Any;
 use std::collections::HashMap;
 use std::fmt;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
 use bytes::Bytes;
-use futures::future::BoxFuture;
-use futures::{FutureExt, TryFutureExt};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpSocket, TcpStream, ToSocketAddrs};
 
+use crate::connector::{ConnectFailure, ConnectionPath, Connector, DirectConnector, NewConnection};
 use crate::watched_stream::{WatchedStream, WriteGuard, WrittenBytes};
 
 /// Timeouts and limits for the connections of a client.
@@ -39,8 +36,6 @@
     pub idle_timeout: Duration,
     /// Maximum number of idle connections kept for each address.
     pub idle_connections: usize,
-    /// Address of this host from which connections are opened. Without it, the system chooses one.
-    pub source: Option<IpAddr>,
     /// Condition checked before each write, for clients whose authority to send may expire.
     pub guard: Option<WriteGuard>,
 }
@@ -52,104 +47,11 @@
             user_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(4),
             idle_connections: 64,
-            source: None,
             guard: None,
         }
     }
 }
 
-/// Way on which a connection reaches its endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionPath {
-    /// It leads to the endpoint itself.
-    Direct,
-    /// It leads over another host.
-    Relayed {
-        /// Address of that host.
-        relay: SocketAddr,
-        /// Number of the connection in the logs of both hosts.
-        connection: u64,
-    },
-}
-
-/// A connection to an endpoint that was just opened.
-#[derive(Debug)]
-pub struct NewConnection {
-    /// The connection, on which nothing has been sent to the endpoint.
-    pub stream: TcpStream,
-    /// Its path.
-    pub path: ConnectionPath,
-    /// Dropped when the connection is no longer used.
-    pub lifetime: Option<Arc<dyn Any + Send + Sync>>,
-}
-
-/// Error of a connection attempt.
-#[derive(Debug)]
-pub struct ConnectFailure {
-    /// True if the path to the endpoint is lost, which says nothing about the endpoint.
-    pub is_path_lost: bool,
-    /// What happened.
-    pub source: anyhow::Error,
-}
-
-/// Opens the connections of an [`EndpointClient`].
-pub trait Connector: fmt::Debug + Send + Sync + 'static {
-    /// Opens a connection to an endpoint.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no path leads to the endpoint.
-    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>>;
-
-    /// Returns true if an idle connection on this path may be used.
-    fn may_use(&self, address: SocketAddr, path: ConnectionPath) -> bool;
-
-    /// Records that bytes have arrived on a direct connection.
-    fn record_arrival(&self);
-
-    /// Records that an open direct connection to an endpoint has broken under a request.
-    fn record_broken(&self, address: SocketAddr);
-
-    /// Completes when open direct connections to an endpoint are lost with the path to it.
-    fn lost(&self, address: SocketAddr) -> BoxFuture<'_, ()>;
-}
-
-/// Connector that knows no path but the direct one.
-#[derive(Debug)]
-struct DirectConnector {
-    source: Option<IpAddr>,
-    connect_timeout: Duration,
-    user_timeout: Duration,
-}
-
-impl Connector for DirectConnector {
-    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>> {
-        let connecting = connect_from(self.source, address, self.connect_timeout, self.user_timeout);
-        let connected = connecting.map_ok(|stream| NewConnection {
-            stream,
-            path: ConnectionPath::Direct,
-            lifetime: None,
-        });
-        let failed = |error: std::io::Error| ConnectFailure {
-            is_path_lost: false,
-            source: error.into(),
-        };
-        connected.map_err(failed).boxed()
-    }
-
-    fn may_use(&self, _address: SocketAddr, _path: ConnectionPath) -> bool {
-        true
-    }
-
-    fn record_arrival(&self) {}
-
-    fn record_broken(&self, _address: SocketAddr) {}
-
-    fn lost(&self, _address: SocketAddr) -> BoxFuture<'_, ()> {
-        std::future::pending().boxed()
-    }
-}
-
 /// Choice between an idle connection and a new one for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionChoice {
@@ -254,7 +156,6 @@
     /// Creates a client without open connections.
     pub fn new(options: ClientOptions) -> Self {
         let connector = Arc::new(DirectConnector {
-            source: options.source,
             connect_timeout: options.connect_timeout,
             user_timeout: options.user_timeout,
         });
@@ -432,72 +333,3 @@
         },
     }
 }
-
-/// Connects with a time limit and sets the socket options of [`prepare_socket`]. Without the limit, an attempt takes
-/// minutes to fail if the other host does not answer.
-///
-/// # Errors
-///
-/// Fails if the attempt times out, the connection is refused, or a socket option cannot be set.
-pub async fn connect_within(
-    address: impl ToSocketAddrs,
-    connect_timeout: Duration,
-    user_timeout: Duration,
-) -> std::io::Result<TcpStream> {
-    let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await??;
-    prepare_socket(&stream, user_timeout)?;
-    Ok(stream)
-}
-
-/// Connects as [`connect_within`] does, from this address of the host if there is one.
-///
-/// # Errors
-///
-/// Fails as [`connect_within`] does, or if `source` is not an address of this host.
-pub async fn connect_from(
-    source: Option<IpAddr>,
-    address: SocketAddr,
-    connect_timeout: Duration,
-    user_timeout: Duration,
-) -> std::io::Result<TcpStream> {
-    let Some(source) = source else {
-        return connect_within(address, connect_timeout, user_timeout).await;
-    };
-    let socket = if source.is_ipv4() {
-        TcpSocket::new_v4()?
-    } else {
-        TcpSocket::new_v6()?
-    };
-    socket.bind(SocketAddr::new(source, 0))?;
-    let stream = tokio::time::timeout(connect_timeout, socket.connect(address)).await??;
-    prepare_socket(&stream, user_timeout)?;
-    Ok(stream)
-}
-
-/// Sets whether the end of a connection is a reset, also if the process is killed, or an orderly close.
-///
-/// # Errors
-///
-/// Fails if the socket option cannot be set.
-pub fn set_reset_on_close(stream: &TcpStream, is_reset: bool) -> std::io::Result<()> {
-    SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO))
-}
-
-/// Sets the socket options that detect a dead connection: keepalive while it is idle, and a user timeout while sent
-/// data is unacknowledged. Also disables Nagle's algorithm.
-///
-/// # Errors
-///
-/// Fails if a socket option cannot be set.
-pub fn prepare_socket(stream: &TcpStream, user_timeout: Duration) -> std::io::Result<()> {
-    const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-    const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(user_timeout))?;
-    socket.set_tcp_keepalive(
-        &TcpKeepalive::new()
-            .with_time(KEEPALIVE_IDLE)
-            .with_interval(KEEPALIVE_INTERVAL),
-    )
-}
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -18,7 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::ResponseBody;
-use crate::client::prepare_socket;
+use crate::socket::prepare_socket;
 
 /// TCP user timeout: how long the kernel retransmits a response that the client does not acknowledge.
 const CLIENT_USER_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/acacia-http/src/watched_stream.rs
+++ b/crates/acacia-http/src/watched_stream.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::client::Connector;
+use crate::connector::Connector;
 
 /// Condition that is checked before each write to a connection.
 ///
