Ask relays in a file of its own, and choose them by one function

Relays for a connection and for a look at a port were chosen by the same lines twice; both call choose_relays.

--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -9,11 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ConnectFailure, ConnectionPath, Connector, NewConnection, connect_from, connect_within};
+use acacia_http::{ConnectFailure, ConnectionPath, Connector, NewConnection, connect_from};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acacia_wire::generated::serving::RelayOutcome;
-use acacia_wire::{RelayHandshake, RelayRequest};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::broken_attempt::PortState;
 use acaciabay::core::serving::endpoint_paths::{PathChange, PathFault, PathOrder, PathTable, WaitNumber};
@@ -23,31 +21,25 @@
 use futures::FutureExt;
 use futures::future::{BoxFuture, join_all};
 use parking_lot::Mutex;
-use rand::Rng;
 use slog::Logger;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use super::relay_client::RelayFailure;
+
 /// Time limit for connecting to an endpoint. Within a region this takes milliseconds. A lost packet is retransmitted
 /// only after a second, by which time another endpoint can have answered.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which sent data may remain unacknowledged before the kernel closes a connection. An endpoint may be silent for a
 /// second and go on.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a connection attempt that has not succeeded is made over a relay as well: many times the usual one.
 const HEDGE_DELAY: Duration = Duration::from_millis(80);
 /// Time limit for the attempt that a relay makes. It ends before that of the entry which has asked, [`CONNECT_TIMEOUT`].
 const RELAYED_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time limit for the answer of one relay.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a connection over any relay.
 const RELAYS_TIMEOUT: Duration = Duration::from_millis(400);
-/// Number of relays that are asked for one connection.
-const MAX_RELAYS_ASKED: usize = 3;
-/// Number of relays that must find that an endpoint does not answer, if as many can say. One that has just been cut off
-/// itself does not know it yet.
-const MIN_AGREEING_RELAYS: usize = 2;
 /// Interval at which it is decided whether paths have to be checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,48 +47,26 @@
 #[derive(Debug)]
 pub(super) struct EndpointPaths {
     /// Host of this entry, for the logs of relays.
-    host: String,
+    pub(super) host: String,
     source: Option<IpAddr>,
-    state: Mutex<PathState>,
+    pub(super) state: Mutex<PathState>,
     /// Counts the changes of what the entry reaches as a whole.
     changes: watch::Sender<u64>,
     /// Counts the paths that were lost.
     losses: watch::Sender<u64>,
-    log: Logger,
+    pub(super) log: Logger,
 }
 
 #[derive(Debug, Default)]
-struct PathState {
+pub(super) struct PathState {
     paths: PathTable,
-    relays: RelayTable,
+    pub(super) relays: RelayTable,
     /// Token by which relays know the entries of this system.
-    token: u64,
+    pub(super) token: u64,
     /// The token before, which relays accept from entries that have not heard of the newest.
     earlier_token: Option<u64>,
 }
 
-/// Why no connection over a relay was made.
-#[derive(Debug)]
-enum RelayFailure {
-    /// Relays found that the endpoint itself does not take it.
-    Endpoint(PortState),
-    /// No relay took it.
-    NoRelay,
-}
-
-/// Counts a connection over a relay until it is dropped.
-#[derive(Debug)]
-struct RelayUse {
-    paths: Arc<EndpointPaths>,
-    relay: SocketAddr,
-}
-
-impl Drop for RelayUse {
-    fn drop(&mut self) {
-        self.paths.state.lock().relays.record_closed(self.relay);
-    }
-}
-
 /// Marks a call that waits for an endpoint until it is dropped.
 #[derive(Debug)]
 pub(super) struct EndpointWait<'paths> {
@@ -265,45 +235,6 @@
         states
     }
 
-    /// Returns true if another entry reaches an endpoint that refuses the connections of this one, or finds it silent. Several
-    /// are asked at once: an endpoint that has ended may do so with a call that others are about to send.
-    async fn is_reached_elsewhere(self: &Arc<Self>, address: SocketAddr) -> bool {
-        let relays = self.choose_relays(MAX_RELAYS_ASKED);
-        let asked = relays.into_iter().map(|(relay, token)| async move {
-            let request = self.relay_request(token, address);
-            let outcome = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
-            outcome.ok()?.ok().map(|(outcome, _connection)| outcome)
-        });
-        let found = join_all(asked).await;
-        let is_reached = found.contains(&Some(RelayOutcome::Opened));
-        if is_reached {
-            self.record_lost(address, PathFault::Refused);
-        }
-        is_reached || found.contains(&Some(RelayOutcome::Silent))
-    }
-
-    /// Chooses several different relays, as far as there are any, with the token to ask them with.
-    fn choose_relays(&self, count: usize) -> Vec<(SocketAddr, u64)> {
-        let state = self.state.lock();
-        let draw = |count| rand::rng().random_range(0..count);
-        let mut chosen = Vec::new();
-        while chosen.len() < count
-            && let Some(relay) = state.relays.choose(boot_now(), &chosen, draw)
-        {
-            chosen.push(relay);
-        }
-        chosen.into_iter().map(|relay| (relay, state.token)).collect()
-    }
-
-    fn relay_request(&self, token: u64, address: SocketAddr) -> RelayRequest {
-        RelayRequest {
-            token,
-            host: self.host.clone(),
-            connection: rand::rng().random(),
-            address,
-        }
-    }
-
     fn has_lost_paths(&self) -> bool {
         self.state.lock().paths.lost_count() > 0
     }
@@ -366,7 +297,7 @@
         }
     }
 
-    fn record_lost(&self, address: SocketAddr, fault: PathFault) {
+    pub(super) fn record_lost(&self, address: SocketAddr, fault: PathFault) {
         let change = self.state.lock().paths.record_lost(boot_now(), address, fault);
         slog::info!(self.log, "path to an endpoint lost"; "event" => event::PATH_LOST, "address" => %address,
             "fault" => ?fault);
@@ -375,80 +306,6 @@
         self.losses.send_modify(|count| *count += 1);
     }
 
-    async fn connect_over_relay(
-        self: &Arc<Self>,
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> Result<NewConnection, RelayFailure> {
-        let connected = tokio::time::timeout(timeout, self.ask_relays(address)).await;
-        connected.unwrap_or(Err(RelayFailure::NoRelay))
-    }
-
-    /// Asks one relay after the other for a connection.
-    async fn ask_relays(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, RelayFailure> {
-        let mut asked = Vec::new();
-        let mut unreachable = Vec::new();
-        while asked.len() < MAX_RELAYS_ASKED && unreachable.len() < MIN_AGREEING_RELAYS {
-            let chosen = {
-                let state = self.state.lock();
-                let draw = |count| rand::rng().random_range(0..count);
-                let relay = state.relays.choose(boot_now(), &asked, draw);
-                relay.map(|relay| (relay, state.token))
-            };
-            let Some((relay, token)) = chosen else { break };
-            asked.push(relay);
-            let request = self.relay_request(token, address);
-            let opening = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
-            match opening {
-                Ok(Ok((RelayOutcome::Opened, stream))) => return Ok(self.relayed_connection(relay, &request, stream)),
-                Ok(Ok((RelayOutcome::Refused, _))) => unreachable.push(PortState::Refused),
-                Ok(Ok((RelayOutcome::Silent, _))) => unreachable.push(PortState::Silent),
-                refused => self.record_relay_refusal(relay, &request, &refused.map(|opened| opened.map(|row| row.0))),
-            }
-        }
-        let is_refused = unreachable.iter().all(|state| *state == PortState::Refused);
-        Err(match unreachable.as_slice() {
-            [] => RelayFailure::NoRelay,
-            [..] if is_refused => RelayFailure::Endpoint(PortState::Refused),
-            [..] => RelayFailure::Endpoint(PortState::Silent),
-        })
-    }
-
-    fn relayed_connection(
-        self: &Arc<Self>,
-        relay: SocketAddr,
-        request: &RelayRequest,
-        stream: TcpStream,
-    ) -> NewConnection {
-        self.state.lock().relays.record_opened(relay);
-        slog::info!(self.log, "connection opened over a relay"; "event" => event::RELAY_USED, "relay" => %relay,
-            "address" => %request.address, "connection" => request.connection);
-        metrics::counter!("acacia_relayed_connections_total").increment(1);
-        NewConnection {
-            stream,
-            path: ConnectionPath::Relayed {
-                relay,
-                connection: request.connection,
-            },
-            lifetime: Some(Arc::new(RelayUse {
-                paths: Arc::clone(self),
-                relay,
-            })),
-        }
-    }
-
-    fn record_relay_refusal(
-        &self,
-        relay: SocketAddr,
-        request: &RelayRequest,
-        outcome: &Result<std::io::Result<RelayOutcome>, tokio::time::error::Elapsed>,
-    ) {
-        self.state.lock().relays.record_refusal(boot_now(), relay);
-        slog::info!(self.log, "relay took no connection"; "event" => event::RELAY_UNAVAILABLE, "relay" => %relay,
-            "address" => %request.address, "connection" => request.connection, "outcome" => ?outcome);
-        metrics::counter!("acacia_relay_refusals_total").increment(1);
-    }
-
     fn announce(&self, change: Option<PathChange>) {
         match change {
             None => return,
@@ -499,18 +356,6 @@
     }
 }
 
-async fn open_over(relay: SocketAddr, request: &RelayRequest) -> std::io::Result<(RelayOutcome, TcpStream)> {
-    let stream = connect_within(relay, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
-    let mut handshake = RelayHandshake::new(stream);
-    let outcome = handshake.request(request).await?;
-    let (stream, early) = handshake.finish();
-    if !early.is_empty() {
-        // An endpoint says nothing before it is asked.
-        return Err(std::io::ErrorKind::InvalidData.into());
-    }
-    Ok((outcome, stream))
-}
-
 const fn path_fault(direct: PortState) -> PathFault {
     match direct {
         PortState::Refused => PathFault::Refused,
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,8 +6,8 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
 //!
-//! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost; `relay_server` is
-//! the other entry's side of that.
+//! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost: `relay_client`
+//! asks for that, and `relay_server` is the other entry's side.
 //!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
 //! (`endpoint_limits`). `control_sessions` keeps this
@@ -28,6 +28,7 @@
 mod plain_call;
 mod prefill;
 mod refusal;
+mod relay_client;
 mod relay_server;
 mod renewal_message;
 mod shared;
--- /dev/null
+++ b/crates/acacia-entry/src/serving/relay_client.rs
@@ -0,0 +1,169 @@
+//! Asks other entries for connections to endpoints, and for what they find of an endpoint's port.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_http::{ConnectionPath, NewConnection, connect_within};
+use acacia_runtime::clock::boot_now;
+use acacia_runtime::event;
+use acacia_wire::generated::serving::RelayOutcome;
+use acacia_wire::{RelayHandshake, RelayRequest};
+use acaciabay::core::serving::broken_attempt::PortState;
+use acaciabay::core::serving::endpoint_paths::PathFault;
+use futures::future::join_all;
+use rand::Rng;
+use tokio::net::TcpStream;
+
+use super::endpoint_paths::{CONNECT_TIMEOUT, EndpointPaths, USER_TIMEOUT};
+
+/// Time limit for the answer of one relay.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Number of relays that are asked for one connection.
+const MAX_RELAYS_ASKED: usize = 3;
+/// Number of relays that must find that an endpoint does not answer, if as many can say. One that has just been cut off
+/// itself does not know it yet.
+const MIN_AGREEING_RELAYS: usize = 2;
+
+/// Why no connection over a relay was made.
+#[derive(Debug)]
+pub(super) enum RelayFailure {
+    /// Relays found that the endpoint itself does not take it.
+    Endpoint(PortState),
+    /// No relay took it.
+    NoRelay,
+}
+
+/// Counts a connection over a relay until it is dropped.
+#[derive(Debug)]
+struct RelayUse {
+    paths: Arc<EndpointPaths>,
+    relay: SocketAddr,
+}
+
+impl Drop for RelayUse {
+    fn drop(&mut self) {
+        self.paths.state.lock().relays.record_closed(self.relay);
+    }
+}
+
+impl EndpointPaths {
+    /// Returns true if another entry reaches an endpoint that refuses the connections of this one, or finds it silent. Several
+    /// are asked at once: an endpoint that has ended may do so with a call that others are about to send.
+    pub(super) async fn is_reached_elsewhere(self: &Arc<Self>, address: SocketAddr) -> bool {
+        let relays = self.choose_relays(MAX_RELAYS_ASKED);
+        let asked = relays.into_iter().map(|(relay, token)| async move {
+            let request = self.relay_request(token, address);
+            let outcome = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
+            outcome.ok()?.ok().map(|(outcome, _connection)| outcome)
+        });
+        let found = join_all(asked).await;
+        let is_reached = found.contains(&Some(RelayOutcome::Opened));
+        if is_reached {
+            self.record_lost(address, PathFault::Refused);
+        }
+        is_reached || found.contains(&Some(RelayOutcome::Silent))
+    }
+
+    /// Chooses several different relays, as far as there are any, with the token to ask them with.
+    fn choose_relays(&self, count: usize) -> Vec<(SocketAddr, u64)> {
+        let state = self.state.lock();
+        let draw = |count| rand::rng().random_range(0..count);
+        let mut chosen = Vec::new();
+        while chosen.len() < count
+            && let Some(relay) = state.relays.choose(boot_now(), &chosen, draw)
+        {
+            chosen.push(relay);
+        }
+        chosen.into_iter().map(|relay| (relay, state.token)).collect()
+    }
+
+    fn relay_request(&self, token: u64, address: SocketAddr) -> RelayRequest {
+        RelayRequest {
+            token,
+            host: self.host.clone(),
+            connection: rand::rng().random(),
+            address,
+        }
+    }
+
+    pub(super) async fn connect_over_relay(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<NewConnection, RelayFailure> {
+        let connected = tokio::time::timeout(timeout, self.ask_relays(address)).await;
+        connected.unwrap_or(Err(RelayFailure::NoRelay))
+    }
+
+    /// Asks one relay after the other for a connection.
+    async fn ask_relays(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, RelayFailure> {
+        let mut unreachable = Vec::new();
+        for (relay, token) in self.choose_relays(MAX_RELAYS_ASKED) {
+            let request = self.relay_request(token, address);
+            let opening = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
+            match opening {
+                Ok(Ok((RelayOutcome::Opened, stream))) => return Ok(self.relayed_connection(relay, &request, stream)),
+                Ok(Ok((RelayOutcome::Refused, _))) => unreachable.push(PortState::Refused),
+                Ok(Ok((RelayOutcome::Silent, _))) => unreachable.push(PortState::Silent),
+                refused => self.record_relay_refusal(relay, &request, &refused.map(|opened| opened.map(|row| row.0))),
+            }
+            if unreachable.len() >= MIN_AGREEING_RELAYS {
+                break;
+            }
+        }
+        let is_refused = unreachable.iter().all(|state| *state == PortState::Refused);
+        Err(match unreachable.as_slice() {
+            [] => RelayFailure::NoRelay,
+            [..] if is_refused => RelayFailure::Endpoint(PortState::Refused),
+            [..] => RelayFailure::Endpoint(PortState::Silent),
+        })
+    }
+
+    fn relayed_connection(
+        self: &Arc<Self>,
+        relay: SocketAddr,
+        request: &RelayRequest,
+        stream: TcpStream,
+    ) -> NewConnection {
+        self.state.lock().relays.record_opened(relay);
+        slog::info!(self.log, "connection opened over a relay"; "event" => event::RELAY_USED, "relay" => %relay,
+            "address" => %request.address, "connection" => request.connection);
+        metrics::counter!("acacia_relayed_connections_total").increment(1);
+        NewConnection {
+            stream,
+            path: ConnectionPath::Relayed {
+                relay,
+                connection: request.connection,
+            },
+            lifetime: Some(Arc::new(RelayUse {
+                paths: Arc::clone(self),
+                relay,
+            })),
+        }
+    }
+
+    fn record_relay_refusal(
+        &self,
+        relay: SocketAddr,
+        request: &RelayRequest,
+        outcome: &Result<std::io::Result<RelayOutcome>, tokio::time::error::Elapsed>,
+    ) {
+        self.state.lock().relays.record_refusal(boot_now(), relay);
+        slog::info!(self.log, "relay took no connection"; "event" => event::RELAY_UNAVAILABLE, "relay" => %relay,
+            "address" => %request.address, "connection" => request.connection, "outcome" => ?outcome);
+        metrics::counter!("acacia_relay_refusals_total").increment(1);
+    }
+}
+
+async fn open_over(relay: SocketAddr, request: &RelayRequest) -> std::io::Result<(RelayOutcome, TcpStream)> {
+    let stream = connect_within(relay, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
+    let mut handshake = RelayHandshake::new(stream);
+    let outcome = handshake.request(request).await?;
+    let (stream, early) = handshake.finish();
+    if !early.is_empty() {
+        // An endpoint says nothing before it is asked.
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    Ok((outcome, stream))
+}
