--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -2,9 +2,9 @@
 //! registry of endpoints from their own reports, and serves sessions with the entries.
 //!
 //! * `bootstrap` creates the group or obtains a place in it; `peers` accepts connections from entries and replicas.
-//! * `shared` holds the state that the tasks share. `session` serves one entry or replica, `renewals` answers the lease
-//!   renewals of entries with configurations from `config_cache`, and `observer` receives the endpoint reports that
-//!   other replicas got.
+//! * `shared` holds the state that the tasks share, `soft_state` the part that is not replicated. `session` serves one
+//!   entry or replica, `renewals` answers the lease renewals of entries with configurations from `config_cache`, and
+//!   `observer` receives the endpoint reports that other replicas got.
 //! * `allowances` limits the use of customers over all entries, and `endpoint_limits` divides the limits that endpoints
 //!   name among them.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
@@ -27,6 +27,7 @@
 mod renewals;
 mod session;
 mod shared;
+mod soft_state;
 mod stage_orders;
 mod start;
 mod usage_windows;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -27,7 +27,8 @@
 
 use super::allowances::record_usage;
 use super::endpoint_limits::exchange_limits;
-use super::shared::{ControlShared, EntryState};
+use super::shared::ControlShared;
+use super::soft_state::EntryState;
 
 /// Confirms an entry's lease, if this replica leads, and updates its configuration. Otherwise names the leader.
 ///
