Hash each relay's host once, not for every list

The leader hashed two names for each entry that relays whenever it made a list: with nine tenths of 350 entries cut, 630 lists a second.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -172,11 +172,9 @@
 }
 
 fn relay_offer(hello: &ServingHello, request: &RenewServing) -> Option<RelayOffer> {
-    Some(RelayOffer {
-        host: hello.host.as_str().into(),
-        domain: hello.domain.as_str().into(),
-        address: request.relay_address.parse().ok()?,
-    })
+    let address = request.relay_address.parse().ok()?;
+    let (host, domain) = (hello.host.as_str().into(), hello.domain.as_str().into());
+    Some(RelayOffer::new(host, domain, address))
 }
 
 fn gathered_row(entry: EntryStart, message: &WindowCounts) -> GatheredRow {
--- a/crates/acaciabay/src/core/serving/relay_choice.rs
+++ b/crates/acaciabay/src/core/serving/relay_choice.rs
@@ -30,6 +30,20 @@
     pub domain: DomainName,
     /// Address at which it takes connections.
     pub address: SocketAddr,
+    /// Hash of the host, by which each entry ranks the offers.
+    hash: u64,
+}
+
+impl RelayOffer {
+    /// Creates an offer.
+    pub fn new(host: HostName, domain: DomainName, address: SocketAddr) -> Self {
+        Self {
+            hash: rendezvous::hash(host.as_str().as_bytes()),
+            host,
+            domain,
+            address,
+        }
+    }
 }
 
 /// Selects the relays that an entry is told: near ones first, the same ones as long as the offers stay the same, and
@@ -39,9 +53,9 @@
     domain: &DomainName,
     offers: impl Iterator<Item = &'offer RelayOffer>,
 ) -> Vec<&'offer RelayOffer> {
-    let key = host.as_str().as_bytes();
+    let key = rendezvous::hash(host.as_str().as_bytes());
     let mut offers: Vec<&RelayOffer> = offers.filter(|offer| offer.host != *host).collect();
-    offers.sort_by_cached_key(|offer| rendezvous::score(key, offer.host.as_str().as_bytes()));
+    offers.sort_unstable_by_key(|offer| rendezvous::combine_hashes(key, offer.hash));
     let (near, far): (Vec<_>, Vec<_>) = offers.into_iter().partition(|offer| offer.domain == *domain);
     let near_count = MAX_NEAR_RELAYS.max(MAX_RELAYS.saturating_sub(far.len()));
     let near = near.into_iter().take(near_count);
--- a/crates/acaciabay/tests/serving/relay_choice.rs
+++ b/crates/acaciabay/tests/serving/relay_choice.rs
@@ -19,11 +19,8 @@
 
 /// Returns the offer of an entry in one of three domains.
 fn offer(number: usize) -> RelayOffer {
-    RelayOffer {
-        host: format!("edge-{number}").as_str().into(),
-        domain: format!("domain-{}", number % 3).as_str().into(),
-        address: address(number),
-    }
+    let (host, domain) = (format!("edge-{number}"), format!("domain-{}", number % 3));
+    RelayOffer::new(host.as_str().into(), domain.as_str().into(), address(number))
 }
 
 #[test]
