Test what the client does with connections of a lost path

Repeatable requests that leave a lost path, taken out in a clone, failed no test. Three tests of the client with a connector of their own: a repeatable request leaves a lost path and a single one waits; kept connections of a lost path are neither used nor closed; a break under a request is told. The first was seen to fail with the mechanism taken out.

--- a/crates/acacia-http/tests/client.rs
+++ b/crates/acacia-http/tests/client.rs
@@ -6,14 +6,20 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use acacia_http::{ClientOptions, ConnectionChoice, EndpointClient, WriteGuard, read_body};
+use acacia_http::{
+    ClientOptions, ConnectFailure, ConnectionChoice, ConnectionPath, Connector, EndpointClient, NewConnection,
+    WriteGuard, read_body,
+};
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
 use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use http_body_util::Full;
 use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 const NOW: BootTime = BootTime::from_millis(1_000);
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -32,6 +38,8 @@
     Answer,
     /// Reads a request and closes the connection.
     ReadAndClose,
+    /// Reads everything and answers nothing.
+    Silent,
     /// Answers the first request and ignores the following ones.
     AnswerOnce,
 }
@@ -66,6 +74,7 @@
         }
         match script {
             Script::ReadAndClose => return,
+            Script::Silent => {}
             Script::AnswerOnce if answered => {}
             Script::Answer | Script::AnswerOnce => {
                 answered = true;
@@ -185,3 +194,93 @@
     assert_eq!(fresh.expect_err("the guard says no").state, AttemptState::Unsent);
     assert_eq!(record.bytes.load(Ordering::SeqCst), before);
 }
+
+/// Connector whose paths to all endpoints are lost at once, or not at all.
+#[derive(Debug, Default)]
+struct LosingConnector {
+    is_lost: AtomicBool,
+    lost: Notify,
+    broken: AtomicUsize,
+}
+
+impl Connector for LosingConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, Result<NewConnection, ConnectFailure>> {
+        let connecting = TcpStream::connect(address).map(|connected| {
+            Ok(NewConnection {
+                stream: connected.expect("the server listens"),
+                path: ConnectionPath::Direct,
+                lifetime: None,
+            })
+        });
+        connecting.boxed()
+    }
+
+    fn may_use(&self, _address: SocketAddr, _path: ConnectionPath) -> bool {
+        !self.is_lost.load(Ordering::SeqCst)
+    }
+
+    fn record_arrival(&self) {}
+
+    fn record_broken(&self, _address: SocketAddr) {
+        self.broken.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn lost(&self, _address: SocketAddr) -> BoxFuture<'_, ()> {
+        self.lost.notified().boxed()
+    }
+}
+
+/// A request that may be sent again would wait for an answer that cannot come. One that may not is left to its caller's
+/// time limit: the answer may still come if the path is found again.
+#[tokio::test]
+async fn only_requests_that_may_be_repeated_leave_a_lost_path() {
+    let (address, _) = serve(Script::Silent).await;
+    let connector = Arc::new(LosingConnector::default());
+    let client = EndpointClient::with_connector(ClientOptions::default(), Arc::clone(&connector) as Arc<dyn Connector>);
+    let repeatable = client.send(NOW, address, ConnectionChoice::PooledWhileReachable, request());
+    let single = client.send(NOW, address, ConnectionChoice::Pooled, request());
+    let losing = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        connector.lost.notify_waiters();
+    };
+
+    let (repeatable, single, ()) = tokio::join!(
+        tokio::time::timeout(Duration::from_secs(5), repeatable),
+        tokio::time::timeout(Duration::from_millis(300), single),
+        losing,
+    );
+
+    let failure = repeatable.expect("it does not wait").expect_err("no answer comes");
+    assert_eq!((failure.state, failure.is_path_lost), (AttemptState::Written, true));
+    assert!(single.is_err(), "it goes on waiting");
+}
+
+/// Each connection that was kept open would lose one more request.
+#[tokio::test]
+async fn kept_connections_of_a_lost_path_are_not_used_and_not_closed() {
+    let (address, record) = serve(Script::Answer).await;
+    let connector = Arc::new(LosingConnector::default());
+    let client = EndpointClient::with_connector(ClientOptions::default(), Arc::clone(&connector) as Arc<dyn Connector>);
+    exchange(&client, address).await;
+
+    connector.is_lost.store(true, Ordering::SeqCst);
+    exchange(&client, address).await;
+    let while_lost = record.connections.load(Ordering::SeqCst);
+    connector.is_lost.store(false, Ordering::SeqCst);
+    exchange(&client, address).await;
+
+    assert_eq!(while_lost, 2);
+    assert_eq!(record.connections.load(Ordering::SeqCst), 2);
+}
+
+#[tokio::test]
+async fn a_direct_connection_that_breaks_under_a_request_is_told() {
+    let (address, _) = serve(Script::ReadAndClose).await;
+    let connector = Arc::new(LosingConnector::default());
+    let client = EndpointClient::with_connector(ClientOptions::default(), Arc::clone(&connector) as Arc<dyn Connector>);
+
+    let failure = client.send(NOW, address, ConnectionChoice::Pooled, request()).await;
+
+    assert!(failure.is_err());
+    assert_eq!(connector.broken.load(Ordering::SeqCst), 1);
+}
