Try direct paths as long as an entry is cut off

An entry that had been cut off for more than 10 s went on to send everything over relays after the cut, for good, offered itself as a relay no more, and refused its callers where no relay was left.

Cause: lost paths were forgotten 10 s after they were found, also those that calls went on to need over relays; without any, no direct path was tried, and the entry stayed cut off. The tests before cut for a few seconds.

Change: a lost path is kept while calls need it, and a call at a cut entry adds the path of its endpoint; an entry for which none is left counts as cut off no longer. Two unit tests (no trial after 25 s; cut off without calls) cannot pass before.

--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -240,7 +240,7 @@
     }
 
     async fn connect(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
-        let order = self.state.lock().paths.order(address);
+        let order = self.state.lock().paths.order(boot_now(), address);
         match order {
             PathOrder::DirectFirst => self.connect_direct_first(address).await,
             PathOrder::RelayFirst => match self.connect_over_relay(address, RELAYS_TIMEOUT).await {
@@ -325,7 +325,8 @@
 
     /// Forgets lost paths that no call has needed for a while.
     pub(super) fn remove_expired(&self, now: BootTime) {
-        self.state.lock().paths.remove_expired(now);
+        let change = self.state.lock().paths.remove_expired(now);
+        self.announce(change);
     }
 
     /// Checks paths while calls wait and no endpoint gives a sign of life, and tries those that are lost, until `stop` is
--- a/crates/acaciabay/src/core/serving/endpoint_paths.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -53,7 +53,7 @@
 pub enum PathChange {
     /// From now on it counts as cut off from all endpoints.
     Cut,
-    /// It was cut off, and reaches an endpoint again.
+    /// It was cut off, and reaches an endpoint again, or has needed none for long.
     Restored {
         /// Time for which it was cut off.
         lasted: Duration,
@@ -67,11 +67,26 @@
     lost_since: BootTime,
     /// Time at which another entry last reached the endpoint while this one did not.
     found_at: BootTime,
+    /// Time at which a call last needed the endpoint.
+    needed_at: BootTime,
     /// Time from which the direct path is tried again.
     trial_at: BootTime,
     trial_interval: Duration,
 }
 
+impl LostPath {
+    fn new(now: BootTime, fault: PathFault) -> Self {
+        Self {
+            fault,
+            lost_since: now,
+            found_at: now,
+            needed_at: now,
+            trial_at: now + MIN_TRIAL_INTERVAL,
+            trial_interval: MIN_TRIAL_INTERVAL,
+        }
+    }
+}
+
 /// Call that waits for the answer of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WaitNumber(u64);
@@ -92,13 +107,19 @@
 }
 
 impl PathTable {
-    /// Returns the order in which the paths to an endpoint are tried for a call.
-    pub fn order(&self, address: SocketAddr) -> PathOrder {
-        if self.is_lost(address) {
-            PathOrder::RelayFirst
-        } else {
-            PathOrder::DirectFirst
+    /// Returns the order in which the paths to an endpoint are tried for a call that needs it. A lost path that calls need is
+    /// remembered, so that it is tried again.
+    pub fn order(&mut self, now: BootTime, address: SocketAddr) -> PathOrder {
+        if !self.is_lost(address) {
+            return PathOrder::DirectFirst;
         }
+        // While the entry is cut off, this may be an endpoint whose own path has not been tried.
+        let path = self
+            .lost
+            .entry(address)
+            .or_insert_with(|| LostPath::new(now, PathFault::Refused));
+        path.needed_at = now;
+        PathOrder::RelayFirst
     }
 
     /// Returns the endpoints to which the direct path has to be tried now, so that its return is noticed and no call waits for
@@ -120,23 +141,19 @@
         tried.collect()
     }
 
-    /// Forgets lost paths that no call has needed for a while.
-    pub fn remove_expired(&mut self, now: BootTime) {
-        self.lost.retain(|_, path| now.since(path.found_at) < LOST_RETENTION);
+    /// Forgets lost paths that no call has needed for a while. An entry for which none is left counts as cut off no longer,
+    /// since nothing would tell it that it reaches endpoints again.
+    pub fn remove_expired(&mut self, now: BootTime) -> Option<PathChange> {
+        self.lost.retain(|_, path| now.since(path.needed_at) < LOST_RETENTION);
         self.broken
             .retain(|_, broken_at| now.since(*broken_at) < LOST_RETENTION);
+        if self.lost.is_empty() { self.end_cut(now) } else { None }
     }
 
     /// Records that another entry has reached an endpoint while the direct path failed.
     pub fn record_lost(&mut self, now: BootTime, address: SocketAddr, fault: PathFault) -> Option<PathChange> {
-        let path = self.lost.entry(address).or_insert(LostPath {
-            fault,
-            lost_since: now,
-            found_at: now,
-            trial_at: now + MIN_TRIAL_INTERVAL,
-            trial_interval: MIN_TRIAL_INTERVAL,
-        });
-        (path.fault, path.found_at) = (fault, now);
+        let path = self.lost.entry(address).or_insert_with(|| LostPath::new(now, fault));
+        (path.fault, path.found_at, path.needed_at) = (fault, now, now);
         let has_broken = self.broken.get(&address);
         if has_broken.is_some_and(|broken_at| now.since(*broken_at) < BREAK_MEMORY) {
             path.fault = PathFault::Silent;
@@ -167,6 +184,10 @@
     /// Records that bytes have arrived directly from an endpoint.
     pub fn record_heard(&mut self, now: BootTime) -> Option<PathChange> {
         self.heard_at = self.heard_at.max(now);
+        self.end_cut(now)
+    }
+
+    fn end_cut(&mut self, now: BootTime) -> Option<PathChange> {
         let since = self.cut_since.take()?;
         Some(PathChange::Restored {
             lasted: now.since(since),
--- a/crates/acaciabay/tests/serving/endpoint_paths.rs
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -27,9 +27,9 @@
 
 #[test]
 fn an_entry_that_loses_several_endpoints_and_hears_none_is_cut_off() {
-    let table = cut_table();
+    let mut table = cut_table();
 
-    let order = table.order(endpoint(3));
+    let order = table.order(at(410), endpoint(3));
 
     assert!(table.is_cut());
     assert_eq!(order, PathOrder::RelayFirst);
@@ -47,7 +47,7 @@
 
     assert_eq!(change, None);
     assert!(!table.is_cut());
-    assert_eq!(table.order(endpoint(3)), PathOrder::DirectFirst);
+    assert_eq!(table.order(at(410), endpoint(3)), PathOrder::DirectFirst);
     assert!(table.may_use_open(endpoint(3)));
     assert!(!table.may_use_open(endpoint(1)));
 }
@@ -63,7 +63,7 @@
 
     assert!(table.may_use_open(endpoint(1)));
     assert!(table.may_use_open(endpoint(3)));
-    assert_eq!(table.order(endpoint(1)), PathOrder::RelayFirst);
+    assert_eq!(table.order(at(2_410), endpoint(1)), PathOrder::RelayFirst);
 }
 
 /// While connections are reset, each open one would lose the call that is sent on it.
@@ -115,8 +115,8 @@
 
     let lasted = Duration::from_secs(2);
     assert_eq!(change, Some(PathChange::Restored { lasted }));
-    assert_eq!(table.order(endpoint(1)), PathOrder::DirectFirst);
-    assert_eq!(table.order(endpoint(2)), PathOrder::RelayFirst);
+    assert_eq!(table.order(at(2_410), endpoint(1)), PathOrder::DirectFirst);
+    assert_eq!(table.order(at(2_410), endpoint(2)), PathOrder::RelayFirst);
     assert!(!table.may_use_open(endpoint(2)));
     assert_eq!(table.due_trials(at(2_410)), [endpoint(2)]);
     assert_eq!(table.due_trials(at(2_420)), []);
@@ -169,3 +169,37 @@
 
     assert_eq!(due, []);
 }
+
+/// An entry that forgot what it had lost would try no direct path again, and stay cut off for good after the cut.
+#[test]
+fn an_entry_that_is_cut_off_for_long_goes_on_to_try_direct_paths() {
+    let mut table = cut_table();
+    let mut last_trials = Vec::new();
+
+    for step in 0..300 {
+        let now = at(500 + 100 * step);
+        table.remove_expired(now);
+        if step % 10 == 0 {
+            table.order(now, endpoint(3));
+        }
+        let trials = table.due_trials(now);
+        if step >= 250 {
+            last_trials.extend(trials);
+        }
+    }
+
+    assert!(table.is_cut());
+    assert!(last_trials.contains(&endpoint(3)), "{last_trials:?}");
+}
+
+/// No call comes that would need an endpoint, and no direct path is tried.
+#[test]
+fn an_entry_without_calls_does_not_stay_cut_off() {
+    let mut table = cut_table();
+
+    let change = table.remove_expired(at(11_000));
+
+    assert!(matches!(change, Some(PathChange::Restored { .. })), "{change:?}");
+    assert!(!table.is_cut());
+    assert_eq!(table.order(at(11_000), endpoint(1)), PathOrder::DirectFirst);
+}
