Log and count how endpoints' answers are framed and how they end

The record of ORDER could not tell its hypotheses apart: nothing said whether an answer had a length, chunks or neither, how it ended, or whether half an event was left. E0220 and E0211 have 'framing' and 'end' now, streams also 'partial_bytes', and acacia_answers_ended_total counts each pair. The end of an answer that is passed on as it arrives gets a line; it had none.

No decision changes.

--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use acacia_http::{ResponseBody, full_body};
+use acacia_http::{ResponseBody, body_framing, full_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::suspect_view::CallStanding;
@@ -22,7 +23,7 @@
 use super::endpoint_limits::choose_with_permit;
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::{PlainStream, stream_answer};
+use super::stream_body::{PlainStream, count_end, stream_answer};
 
 /// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
 /// when its answer breaks off.
@@ -46,9 +47,14 @@
 pub(super) async fn answer(call: AcceptedCall) -> Response<ResponseBody> {
     let call = Arc::new(call);
     match run(&call).await {
-        Ok((response, endpoint)) => {
+        Ok(AnsweredCall {
+            response,
+            endpoint,
+            framing,
+        }) => {
             slog::info!(call.shared.log, "call answered"; "event" => event::CALL_ENDED,
                 "request" => &call.head.request, "route" => &call.route().name, "endpoint" => endpoint.as_str(),
+                "framing" => framing.name(),
                 "status" => response.status().as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
             metrics::histogram!("acacia_call_seconds").record(boot_now().since(call.received_at).as_secs_f64());
             response
@@ -57,7 +63,16 @@
     }
 }
 
-async fn run(call: &Arc<AcceptedCall>) -> Result<(Response<ResponseBody>, EndpointName), CallRefusal> {
+/// Response to the caller, and where it comes from.
+#[derive(Debug)]
+struct AnsweredCall {
+    response: Response<ResponseBody>,
+    endpoint: EndpointName,
+    /// Framing of the endpoint's answer.
+    framing: BodyFraming,
+}
+
+async fn run(call: &Arc<AcceptedCall>) -> Result<AnsweredCall, CallRefusal> {
     let mut attempts = PlainAttempts::default();
     loop {
         let chosen = choose_with_permit(call, "no endpoint", &attempts.tried, |now| {
@@ -74,11 +89,16 @@
         let outcome = send(call, &chosen, AttemptRole::Whole, None, timeouts).await;
         match outcome {
             AttemptOutcome::Answered(reply) => {
+                let framing = body_framing(&reply.response);
                 if acquire_retry_elsewhere(call, &attempts, &chosen, &reply) {
                     attempts.possible_runs += 1;
                     discard(call, *reply).await;
                 } else if let Some(response) = relay_answer(call, &chosen, *reply, guard).await {
-                    return Ok((response, chosen.name));
+                    return Ok(AnsweredCall {
+                        response,
+                        endpoint: chosen.name,
+                        framing,
+                    });
                 } else {
                     attempts.possible_runs += 1;
                     if !acquire_retry(call, &attempts) {
@@ -195,6 +215,7 @@
         connection,
         sent_at,
     } = reply;
+    let framing = body_framing(&response);
     let (parts, incoming) = response.into_parts();
     let headers = call.shared.codec.filter_answer_headers(&parts.headers);
     call.shared.count_start(call.customer());
@@ -204,6 +225,7 @@
             call: Arc::clone(call),
             chosen: chosen.clone(),
             sent_at,
+            framing,
             incoming,
             _connection: connection,
             _guard: guard,
@@ -216,9 +238,16 @@
     if matches!(read, Ok(None)) {
         call.record_break(chosen, sent_at);
     }
+    let end = match &read {
+        Ok(Some(_whole)) => AnswerEnd::InOrder,
+        Ok(None) => AnswerEnd::Broken,
+        Err(_elapsed) => AnswerEnd::Silent,
+    };
+    count_end(framing, end);
     let Ok(Some(whole)) = read else {
         slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => chosen.name.as_str());
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
+            "end" => end.name());
         call.shared.state().loads.record_failure(boot_now(), &chosen.name);
         return None;
     };
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -5,6 +5,7 @@
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::event_stream::EventSplitter;
 use acaciabay::util::number::whole_millis;
@@ -26,6 +27,7 @@
     pub(super) chosen: ChosenEndpoint,
     /// Time at which the call was sent to the endpoint.
     pub(super) sent_at: BootTime,
+    pub(super) framing: BodyFraming,
     pub(super) incoming: Incoming,
     /// Kept until the answer has ended, like the guard.
     pub(super) _connection: KeptConnection,
@@ -41,13 +43,24 @@
         let left = call.deadline.since(boot_now());
         match tokio::time::timeout(left, stream.incoming.frame()).await {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some(stream))),
-            Ok(None) => None,
+            Ok(None) => {
+                count_end(stream.framing, AnswerEnd::InOrder);
+                slog::info!(call.shared.log, "answer ended"; "event" => event::CALL_ENDED,
+                    "request" => &call.head.request, "endpoint" => stream.chosen.name.as_str(),
+                    "framing" => stream.framing.name(), "end" => AnswerEnd::InOrder.name());
+                None
+            }
             broken => {
-                if broken.is_ok() {
+                let end = if broken.is_ok() {
                     call.record_break(&stream.chosen, stream.sent_at);
-                }
+                    AnswerEnd::Broken
+                } else {
+                    AnswerEnd::Silent
+                };
+                count_end(stream.framing, end);
                 slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
-                    "request" => &call.head.request, "late" => broken.is_err());
+                    "request" => &call.head.request, "endpoint" => stream.chosen.name.as_str(),
+                    "framing" => stream.framing.name(), "end" => end.name());
                 Some((Err(std::io::Error::other("endpoint broke off")), None))
             }
         }
@@ -55,6 +68,11 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Counts how an endpoint's answer was framed and how it ended.
+pub(super) fn count_end(framing: BodyFraming, end: AnswerEnd) {
+    metrics::counter!("acacia_answers_ended_total", "framing" => framing.name(), "end" => end.name()).increment(1);
+}
+
 /// State of an event stream to the caller.
 #[derive(Debug)]
 struct EventRelay {
@@ -117,12 +135,12 @@
                 Ok(None) => return RelayStep::End(Bytes::copy_from_slice(self.splitter.partial_event())),
                 Ok(Some(Err(error))) => {
                     self.attempts.call.record_break(&stream.chosen, stream.sent_at);
-                    if !self.resume_elsewhere(&error.to_string()).await {
+                    if !self.resume_elsewhere(AnswerEnd::Broken, &error.to_string()).await {
                         return RelayStep::Broken;
                     }
                 }
                 Err(_elapsed) => {
-                    if !self.resume_elsewhere("silent").await {
+                    if !self.resume_elsewhere(AnswerEnd::Silent, "").await {
                         return RelayStep::Broken;
                     }
                 }
@@ -141,17 +159,19 @@
     }
 
     /// Resumes the stream at another engine after the last complete event. Returns true if that succeeded.
-    async fn resume_elsewhere(&mut self, reason: &str) -> bool {
+    async fn resume_elsewhere(&mut self, end: AnswerEnd, reason: &str) -> bool {
         // Closed before another engine is asked: an engine that is merely slow would otherwise keep working on the
         // call.
-        let Some(OpenStream { chosen, .. }) = self.stream.take() else {
+        let Some(OpenStream { chosen, framing, .. }) = self.stream.take() else {
             return false;
         };
+        count_end(framing, end);
         let call = &self.attempts.call;
         call.shared.state().loads.record_failure(boot_now(), &chosen.name);
         let can_retry = self.attempts.acquire_retry();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "reason" => reason,
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
+            "end" => end.name(), "reason" => reason, "partial_bytes" => self.splitter.partial_event().len(),
             "events" => self.events, "last_id" => self.last_id, "goes_on" => can_retry);
         if !can_retry {
             return false;
@@ -181,8 +201,11 @@
     async fn finish(self) {
         let Some(stream) = self.stream else { return };
         let call = &self.attempts.call;
+        count_end(stream.framing, AnswerEnd::InOrder);
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
-            "endpoint" => stream.chosen.name.as_str(), "events" => self.events,
+            "endpoint" => stream.chosen.name.as_str(), "framing" => stream.framing.name(),
+            "end" => AnswerEnd::InOrder.name(), "partial_bytes" => self.splitter.partial_event().len(),
+            "events" => self.events,
             "after_ms" => whole_millis(boot_now().since(call.received_at)));
         call.record_whole_answer();
         call.shared.state().loads.record_success(&stream.chosen.name);
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use acacia_http::ResponseBody;
+use acacia_http::{ResponseBody, body_framing};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::answer_end::BodyFraming;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
@@ -57,6 +58,7 @@
     pub(super) sent_at: BootTime,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
+    pub(super) framing: BodyFraming,
     pub(super) incoming: Incoming,
     pub(super) connection: KeptConnection,
     pub(super) guard: LoadGuard,
@@ -151,6 +153,7 @@
                         prefilled.mark_taken();
                     }
                     self.possible_runs += 1;
+                    let framing = body_framing(&reply.response);
                     let (parts, incoming) = reply.response.into_parts();
                     if parts.status.is_server_error() && self.acquire_retry() {
                         self.call.shared.state().loads.record_failure(boot_now(), &chosen.name);
@@ -163,6 +166,7 @@
                         sent_at: reply.sent_at,
                         status: parts.status,
                         headers: parts.headers,
+                        framing,
                         incoming,
                         connection: reply.connection,
                         guard,
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod connector;
 mod fetch;
+mod framing;
 mod message_head;
 mod server;
 mod socket;
@@ -14,6 +15,7 @@
 pub use client::{ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure};
 pub use connector::{ConnectFailure, ConnectionPath, Connector, NewConnection};
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
+pub use framing::body_framing;
 pub use message_head::{head_size, keep_alive, path_of, without_hop_by_hop_headers};
 pub use server::{ServerBounds, listen, serve_http, serve_http_within};
 pub use socket::{connect_from, connect_within, prepare_socket, set_reset_on_close};
--- a/crates/acaciabay/src/core/mod.rs
+++ b/crates/acaciabay/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Data types and state: tables, leases, claims, endpoints and the state that the control group replicates.
 
+pub mod answer_end;
 pub mod attempt;
 pub mod claim;
 pub mod clock;
