Take the end of a stream's bytes for its end only where no event is cut

Cause: at the end of a body the relay sent on what was left in the splitter and ended its own answer in order. The end of the bytes was taken for the end of the answer; only an error of the transport counted as a break. An answer without framing ends in order whatever ends its connection, and one with chunks may have its last chunk inside an event.

Evidence: answer_ends::a_stream_that_ends_inside_an_event_* failed before (the caller had 'id: 3\ndat', whole), with the last chunk and without framing alike, and pass now.

Why it works: how a stream ended is decided by the library (AnswerEnd::of_stream) from framing, end of the body and what is left of an event; whatever is not whole takes the one path that errors took before, so it is resumed after the last whole event within attempts and retry limit, or breaks the caller's connection. A connection without framing that ends in order between two events still counts as an end, as it is the only one such answers have; before the first event it does not. An end inside an event without framing is evidence of a crash, one with its last chunk is not: that engine lives.

Bodies that are no events (failures, other media types) are passed on as they are; they went through the splitter before and came out as a rest. Their end is recorded and their connection kept, as for answers that are read whole.

--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -23,7 +23,7 @@
 use super::endpoint_limits::choose_with_permit;
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::{PlainStream, count_end, stream_answer};
+use super::stream_body::{PlainStream, count_end, record_outcome, stream_answer};
 
 /// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
 /// when its answer breaks off.
@@ -224,42 +224,35 @@
         let stream = PlainStream {
             call: Arc::clone(call),
             chosen: chosen.clone(),
+            status,
             sent_at,
             framing,
             incoming,
-            _connection: connection,
-            _guard: guard,
+            connection,
+            guard,
         };
         let body = stream_answer(stream);
         return Some(build_response(status, headers, body));
     }
     let left = call.deadline.since(boot_now());
     let read = tokio::time::timeout(left, read_to_end(incoming)).await;
-    if matches!(read, Ok(None)) {
-        call.record_break(chosen, sent_at);
-    }
     let end = match &read {
         Ok(Some(_whole)) => AnswerEnd::InOrder,
         Ok(None) => AnswerEnd::Broken,
         Err(_elapsed) => AnswerEnd::Silent,
     };
     count_end(framing, end);
+    if end.may_be_crash(framing) {
+        call.record_break(chosen, sent_at);
+    }
+    record_outcome(call, chosen, status, end);
     let Ok(Some(whole)) = read else {
         slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
             "end" => end.name());
-        call.shared.state().loads.record_failure(boot_now(), &chosen.name);
         return None;
     };
     connection.return_to_pool(call).await;
-    call.record_whole_answer();
-    let mut state = call.shared.state();
-    if status.is_server_error() {
-        state.loads.record_failure(boot_now(), &chosen.name);
-    } else {
-        state.loads.record_success(&chosen.name);
-    }
-    drop(state);
     Some(build_response(status, headers, full_body(whole)))
 }
 
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -5,13 +5,14 @@
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
+use acaciabay::core::answer_end::{AnswerEnd, BodyEnd, BodyFraming, StreamProgress};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::event_stream::EventSplitter;
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
 
 use super::attempt::KeptConnection;
@@ -25,13 +26,50 @@
 pub(super) struct PlainStream {
     pub(super) call: Arc<AcceptedCall>,
     pub(super) chosen: ChosenEndpoint,
+    pub(super) status: StatusCode,
     /// Time at which the call was sent to the endpoint.
     pub(super) sent_at: BootTime,
     pub(super) framing: BodyFraming,
     pub(super) incoming: Incoming,
-    /// Kept until the answer has ended, like the guard.
-    pub(super) _connection: KeptConnection,
-    pub(super) _guard: LoadGuard,
+    pub(super) connection: KeptConnection,
+    pub(super) guard: LoadGuard,
+}
+
+impl PlainStream {
+    /// Records how the answer ended. If it is whole, its connection is kept for other calls.
+    async fn finish(self, end: AnswerEnd) {
+        let call = &self.call;
+        count_end(self.framing, end);
+        if end.may_be_crash(self.framing) {
+            call.record_break(&self.chosen, self.sent_at);
+        }
+        let number = if end.is_whole() {
+            event::CALL_ENDED
+        } else {
+            event::ATTEMPT_FAILED
+        };
+        slog::info!(call.shared.log, "answer passed on"; "event" => number, "request" => &call.head.request,
+            "endpoint" => self.chosen.name.as_str(), "framing" => self.framing.name(), "end" => end.name(),
+            "after_ms" => whole_millis(boot_now().since(call.received_at)));
+        record_outcome(call, &self.chosen, self.status, end);
+        drop(self.guard);
+        if end.is_whole() {
+            self.connection.return_to_pool(call).await;
+        }
+    }
+}
+
+/// Records the outcome of an attempt that was answered, for later choices of endpoints and for the judgement of the call.
+pub(super) fn record_outcome(call: &AcceptedCall, chosen: &ChosenEndpoint, status: StatusCode, end: AnswerEnd) {
+    if end.is_whole() {
+        call.record_whole_answer();
+    }
+    let mut state = call.shared.state();
+    if end.is_whole() && !status.is_server_error() {
+        state.loads.record_success(&chosen.name);
+    } else {
+        state.loads.record_failure(boot_now(), &chosen.name);
+    }
 }
 
 /// Streams a large body as it arrives. If it breaks off, the caller's connection is broken too, so that the caller
@@ -44,25 +82,17 @@
         match tokio::time::timeout(left, stream.incoming.frame()).await {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some(stream))),
             Ok(None) => {
-                count_end(stream.framing, AnswerEnd::InOrder);
-                slog::info!(call.shared.log, "answer ended"; "event" => event::CALL_ENDED,
-                    "request" => &call.head.request, "endpoint" => stream.chosen.name.as_str(),
-                    "framing" => stream.framing.name(), "end" => AnswerEnd::InOrder.name());
+                stream.finish(AnswerEnd::InOrder).await;
                 None
             }
-            broken => {
-                let end = if broken.is_ok() {
-                    call.record_break(&stream.chosen, stream.sent_at);
-                    AnswerEnd::Broken
-                } else {
-                    AnswerEnd::Silent
-                };
-                count_end(stream.framing, end);
-                slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
-                    "request" => &call.head.request, "endpoint" => stream.chosen.name.as_str(),
-                    "framing" => stream.framing.name(), "end" => end.name());
+            Ok(Some(Err(_))) => {
+                stream.finish(AnswerEnd::Broken).await;
                 Some((Err(std::io::Error::other("endpoint broke off")), None))
             }
+            Err(_elapsed) => {
+                stream.finish(AnswerEnd::Silent).await;
+                Some((Err(std::io::Error::other("no end in time")), None))
+            }
         }
     });
     StreamBody::new(frames).boxed_unsync()
@@ -82,24 +112,31 @@
     splitter: EventSplitter,
     last_id: Option<u64>,
     events: usize,
+    /// Number of events from the current engine.
+    engine_events: usize,
+    /// True if the current engine may have no event to send.
+    may_be_empty: bool,
 }
 
 /// Streams events as they arrive. If an engine breaks off, resumes the stream at another one.
 pub(super) fn stream_events(attempts: StreamAttempts, stream: OpenStream) -> ResponseBody {
+    let last_id = attempts.call.head.resume_after;
     let state = EventRelay {
-        last_id: attempts.call.head.resume_after,
+        last_id,
+        may_be_empty: last_id.is_some(),
         attempts,
         stream: Some(stream),
         splitter: EventSplitter::default(),
         events: 0,
+        engine_events: 0,
     };
     let frames = stream::unfold(Some(state), |state| async move {
         let mut state = state?;
         match state.next().await {
             RelayStep::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(state))),
-            RelayStep::End(bytes) => {
+            RelayStep::End => {
                 state.finish().await;
-                (!bytes.is_empty()).then(|| (Ok(Frame::data(bytes)), None))
+                None
             }
             RelayStep::Broken => Some((Err(std::io::Error::other("stream broke off")), None)),
         }
@@ -110,8 +147,8 @@
 #[derive(Debug)]
 enum RelayStep {
     Events(Bytes),
-    /// Bytes that were left without an event terminator when the answer ended.
-    End(Bytes),
+    /// The answer is whole.
+    End,
     Broken,
 }
 
@@ -122,7 +159,7 @@
             let Some(stream) = &mut self.stream else {
                 return RelayStep::Broken;
             };
-            match tokio::time::timeout(timeout, stream.incoming.frame()).await {
+            let (body, reason) = match tokio::time::timeout(timeout, stream.incoming.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let events = self.splitter.push(&data);
@@ -132,19 +169,26 @@
                     self.record_events(events.count, events.last_id);
                     return RelayStep::Events(events.bytes);
                 }
-                Ok(None) => return RelayStep::End(Bytes::copy_from_slice(self.splitter.partial_event())),
-                Ok(Some(Err(error))) => {
-                    self.attempts.call.record_break(&stream.chosen, stream.sent_at);
-                    if !self.resume_elsewhere(AnswerEnd::Broken, &error.to_string()).await {
-                        return RelayStep::Broken;
-                    }
-                }
-                Err(_elapsed) => {
-                    if !self.resume_elsewhere(AnswerEnd::Silent, "").await {
-                        return RelayStep::Broken;
-                    }
-                }
+                Ok(None) => (BodyEnd::InOrder, String::new()),
+                Ok(Some(Err(error))) => (BodyEnd::Broken, error.to_string()),
+                Err(_elapsed) => (BodyEnd::Silent, String::new()),
+            };
+            let end = AnswerEnd::of_stream(stream.framing, body, self.progress());
+            if end.is_whole() {
+                return RelayStep::End;
             }
+            if !self.resume_elsewhere(end, &reason).await {
+                return RelayStep::Broken;
+            }
+        }
+    }
+
+    /// Returns what the current engine has sent.
+    fn progress(&self) -> StreamProgress {
+        StreamProgress {
+            events: self.engine_events,
+            is_inside_event: !self.splitter.partial_event().is_empty(),
+            may_be_empty: self.may_be_empty,
         }
     }
 
@@ -155,6 +199,7 @@
             metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
         }
         self.events += count;
+        self.engine_events += count;
         self.last_id = last_id.or(self.last_id);
     }
 
@@ -162,11 +207,20 @@
     async fn resume_elsewhere(&mut self, end: AnswerEnd, reason: &str) -> bool {
         // Closed before another engine is asked: an engine that is merely slow would otherwise keep working on the
         // call.
-        let Some(OpenStream { chosen, framing, .. }) = self.stream.take() else {
+        let Some(OpenStream {
+            chosen,
+            sent_at,
+            framing,
+            ..
+        }) = self.stream.take()
+        else {
             return false;
         };
         count_end(framing, end);
         let call = &self.attempts.call;
+        if end.may_be_crash(framing) {
+            call.record_break(&chosen, sent_at);
+        }
         call.shared.state().loads.record_failure(boot_now(), &chosen.name);
         let can_retry = self.attempts.acquire_retry();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
@@ -178,11 +232,13 @@
         }
         let (request, log) = (call.head.request.clone(), call.shared.log.clone());
         match self.attempts.open(self.last_id).await {
-            Ok(stream) if stream.status.is_success() => {
+            Ok(stream) if stream.has_events() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
                     "endpoint" => stream.chosen.name.as_str(), "after" => self.last_id);
                 self.stream = Some(stream);
+                self.may_be_empty = self.last_id.is_some() && self.splitter.partial_event().is_empty();
                 self.splitter = EventSplitter::default();
+                self.engine_events = 0;
                 true
             }
             Ok(stream) => {
@@ -204,8 +260,7 @@
         count_end(stream.framing, AnswerEnd::InOrder);
         slog::info!(call.shared.log, "stream ended"; "event" => event::CALL_ENDED, "request" => &call.head.request,
             "endpoint" => stream.chosen.name.as_str(), "framing" => stream.framing.name(),
-            "end" => AnswerEnd::InOrder.name(), "partial_bytes" => self.splitter.partial_event().len(),
-            "events" => self.events,
+            "end" => AnswerEnd::InOrder.name(), "events" => self.events,
             "after_ms" => whole_millis(boot_now().since(call.received_at)));
         call.record_whole_answer();
         call.shared.state().loads.record_success(&stream.chosen.name);
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -1,5 +1,6 @@
 //! Calls that are answered with an event stream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::{ResponseBody, body_framing};
@@ -13,7 +14,7 @@
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
 use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, KeptConnection, send};
@@ -25,8 +26,10 @@
 use super::prefill::{PrefilledPrompt, prefill_prompt};
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::stream_events;
+use super::stream_body::{PlainStream, stream_answer, stream_events};
 
+/// Media type of event streams.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
 /// Number of rejections by engines that a call tolerates before it is given up.
 const MAX_REJECTIONS: u32 = 3;
 /// Number of unreachable engines that a call tolerates before it is given up. Each of them costs a connection attempt.
@@ -64,6 +67,29 @@
     pub(super) guard: LoadGuard,
 }
 
+impl OpenStream {
+    /// Returns true if the answer consists of events. A failure may have any body, which would look like half an event.
+    pub(super) fn has_events(&self) -> bool {
+        let kind = self.headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+        let is_other = kind.is_some_and(|kind| !kind.trim_start().starts_with(EVENT_STREAM_TYPE));
+        self.status.is_success() && !is_other
+    }
+
+    /// Turns the answer into one that is passed on as it is.
+    fn into_plain(self, call: AcceptedCall) -> PlainStream {
+        PlainStream {
+            call: Arc::new(call),
+            chosen: self.chosen,
+            status: self.status,
+            sent_at: self.sent_at,
+            framing: self.framing,
+            incoming: self.incoming,
+            connection: self.connection,
+            guard: self.guard,
+        }
+    }
+}
+
 /// Answers a call with an event stream, which is resumed from the caller's last event if the caller sent one.
 pub(super) async fn answer(call: AcceptedCall) -> Response<ResponseBody> {
     let mut attempts = StreamAttempts {
@@ -77,13 +103,18 @@
     match attempts.open(resume_after).await {
         Ok(stream) => {
             let mut headers = attempts.call.shared.codec.filter_answer_headers(&stream.headers);
-            // If the stream is resumed at another engine, its total length differs.
-            headers.remove(CONTENT_LENGTH);
             slog::info!(attempts.call.shared.log, "stream begun"; "event" => event::CALL_ENDED,
                 "request" => &attempts.call.head.request, "route" => &attempts.call.route().name,
                 "endpoint" => stream.chosen.name.as_str(), "status" => stream.status.as_u16(),
                 "after_ms" => whole_millis(boot_now().since(attempts.call.received_at)));
-            build_response(stream.status, headers, stream_events(attempts, stream))
+            let status = stream.status;
+            if !stream.has_events() {
+                let body = stream_answer(stream.into_plain(attempts.call));
+                return build_response(status, headers, body);
+            }
+            // If the stream is resumed at another engine, its total length differs.
+            headers.remove(CONTENT_LENGTH);
+            build_response(status, headers, stream_events(attempts, stream))
         }
         Err(refusal) => refuse(
             &attempts.call.shared,
--- a/crates/acaciabay/src/core/answer_end.rs
+++ b/crates/acaciabay/src/core/answer_end.rs
@@ -25,6 +25,28 @@
     }
 }
 
+/// How the body of an answer came to its end, as the HTTP client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BodyEnd {
+    /// As the framing declares, or, without framing, by an orderly close of the connection.
+    InOrder,
+    /// The connection broke, or closed before the end that the framing declares.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+}
+
+/// What had been received of an event stream when its body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamProgress {
+    /// Number of complete events from this endpoint.
+    pub events: usize,
+    /// True if an event or a line is not complete.
+    pub is_inside_event: bool,
+    /// True if there may be nothing: the endpoint was asked for what comes after an event, and no later one is known.
+    pub may_be_empty: bool,
+}
+
 /// How an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum AnswerEnd {
@@ -36,9 +58,53 @@
     Silent,
     /// The body ended in order inside an event.
     InsideEvent,
+    /// The connection closed in order, without framing and before the first event.
+    NoEvent,
+    /// An event became larger than an entry buffers.
+    EventTooLarge,
 }
 
 impl AnswerEnd {
+    /// Returns how an event stream ended.
+    ///
+    /// A stream is whole if its body is and no event is cut. Without framing, the end of the connection between two events
+    /// is the only end that there is, so it counts, but not before the first event: a generation has at least one.
+    pub const fn of_stream(framing: BodyFraming, body: BodyEnd, progress: StreamProgress) -> Self {
+        match body {
+            BodyEnd::Broken => Self::Broken,
+            BodyEnd::Silent => Self::Silent,
+            BodyEnd::InOrder if progress.is_inside_event => Self::InsideEvent,
+            BodyEnd::InOrder => match framing {
+                BodyFraming::UntilClose if progress.events == 0 && !progress.may_be_empty => Self::NoEvent,
+                BodyFraming::UntilClose | BodyFraming::Length | BodyFraming::Chunked => Self::InOrder,
+            },
+        }
+    }
+
+    /// Returns how an answer ended that is no event stream.
+    pub const fn of_plain(body: BodyEnd) -> Self {
+        match body {
+            BodyEnd::InOrder => Self::InOrder,
+            BodyEnd::Broken => Self::Broken,
+            BodyEnd::Silent => Self::Silent,
+        }
+    }
+
+    /// Returns true if nothing is known to be missing.
+    pub const fn is_whole(self) -> bool {
+        matches!(self, Self::InOrder)
+    }
+
+    /// Returns true if the connection ended before the answer was whole, as it does if the endpoint crashes. An endpoint
+    /// that ends a framed body itself has not crashed.
+    pub const fn may_be_crash(self, framing: BodyFraming) -> bool {
+        match self {
+            Self::Broken => true,
+            Self::InsideEvent | Self::NoEvent => matches!(framing, BodyFraming::UntilClose),
+            Self::InOrder | Self::Silent | Self::EventTooLarge => false,
+        }
+    }
+
     /// Returns the name of the end in logs and metrics.
     pub const fn name(self) -> &'static str {
         match self {
@@ -46,6 +112,8 @@
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::InsideEvent => "inside_event",
+            Self::NoEvent => "no_event",
+            Self::EventTooLarge => "event_too_large",
         }
     }
 }
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -2,6 +2,7 @@
 //! implementation.
 
 mod allowances;
+mod answer_ends;
 mod broken_attempts;
 mod cached_parts;
 mod call_fingerprint;
