Find the ends of events by lines, as clients do

Cause: the splitter knew LF LF alone. It also searched all pending bytes from the start at each push, so that an event that comes in many pieces cost its square; it took a rest of empty lines for a cut event; and it went on after the number before where the last event had none, so that another engine would have sent that event again.

Lines end with LF, CR LF or CR now, comments and empty lines between events are passed on at once, a byte order mark is skipped and not passed on within a continued stream, and each byte is looked at once. After an event with data and no number, no other engine is asked: the caller's connection breaks instead.

an_event_without_a_number_keeps_the_one_before asked for the old rule. It is replaced by a_stream_does_not_go_on_after_an_event_without_a_number, which names what may be resumed for twelve streams. Property tests: any division gives the same events; a cut at any byte gives exactly the events before it, with all three line ends; nothing is lost or made up of any bytes.

--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -7,7 +7,7 @@
 use acacia_runtime::event;
 use acaciabay::core::answer_end::{AnswerEnd, BodyEnd, BodyFraming, StreamProgress};
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::serving::event_stream::EventSplitter;
+use acaciabay::core::serving::event_stream::{EventSplitter, ResumePoint};
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use futures::stream;
@@ -110,7 +110,6 @@
     /// Stream of the current engine, or `None` while another engine is being chosen.
     stream: Option<OpenStream>,
     splitter: EventSplitter,
-    last_id: Option<u64>,
     events: usize,
     /// Number of events from the current engine.
     engine_events: usize,
@@ -120,13 +119,11 @@
 
 /// Streams events as they arrive. If an engine breaks off, resumes the stream at another one.
 pub(super) fn stream_events(attempts: StreamAttempts, stream: OpenStream) -> ResponseBody {
-    let last_id = attempts.call.head.resume_after;
     let state = EventRelay {
-        last_id,
-        may_be_empty: last_id.is_some(),
+        may_be_empty: attempts.call.head.resume_after.is_some(),
         attempts,
         stream: Some(stream),
-        splitter: EventSplitter::default(),
+        splitter: EventSplitter::new(),
         events: 0,
         engine_events: 0,
     };
@@ -166,7 +163,7 @@
                     if events.bytes.is_empty() {
                         continue;
                     }
-                    self.record_events(events.count, events.last_id);
+                    self.record_events(events.count);
                     return RelayStep::Events(events.bytes);
                 }
                 Ok(None) => (BodyEnd::InOrder, String::new()),
@@ -187,20 +184,27 @@
     fn progress(&self) -> StreamProgress {
         StreamProgress {
             events: self.engine_events,
-            is_inside_event: !self.splitter.partial_event().is_empty(),
+            is_inside_event: self.splitter.is_inside_event(),
             may_be_empty: self.may_be_empty,
         }
     }
 
-    fn record_events(&mut self, count: usize, last_id: Option<u64>) {
+    fn record_events(&mut self, count: usize) {
         let call = &self.attempts.call;
-        if self.events == 0 {
+        if self.events == 0 && count > 0 {
             call.shared.count_start(call.customer());
             metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
         }
         self.events += count;
         self.engine_events += count;
-        self.last_id = last_id.or(self.last_id);
+    }
+
+    /// Returns the place after which another engine would have to go on.
+    fn resume_point(&self) -> ResumePoint {
+        match (self.splitter.resume_point(), self.attempts.call.head.resume_after) {
+            (ResumePoint::Start, Some(event)) => ResumePoint::After(event),
+            (point, _) => point,
+        }
     }
 
     /// Resumes the stream at another engine after the last complete event. Returns true if that succeeded.
@@ -222,22 +226,23 @@
             call.record_break(&chosen, sent_at);
         }
         call.shared.state().loads.record_failure(boot_now(), &chosen.name);
-        let can_retry = self.attempts.acquire_retry();
+        let resume_point = self.resume_point();
+        let can_retry = resume_point != ResumePoint::Unknown && self.attempts.acquire_retry();
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
-            "end" => end.name(), "reason" => reason, "partial_bytes" => self.splitter.partial_event().len(),
-            "events" => self.events, "last_id" => self.last_id, "goes_on" => can_retry);
+            "end" => end.name(), "reason" => reason, "partial_bytes" => self.splitter.pending_bytes(),
+            "events" => self.events, "resume_point" => ?resume_point, "goes_on" => can_retry);
         if !can_retry {
             return false;
         }
         let (request, log) = (call.head.request.clone(), call.shared.log.clone());
-        match self.attempts.open(self.last_id).await {
+        match self.attempts.open(resume_point.event()).await {
             Ok(stream) if stream.has_events() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
-                    "endpoint" => stream.chosen.name.as_str(), "after" => self.last_id);
+                    "endpoint" => stream.chosen.name.as_str(), "after" => ?resume_point);
                 self.stream = Some(stream);
-                self.may_be_empty = self.last_id.is_some() && self.splitter.partial_event().is_empty();
-                self.splitter = EventSplitter::default();
+                self.may_be_empty = resume_point.event().is_some() && !self.splitter.is_inside_event();
+                self.splitter = self.splitter.continued();
                 self.engine_events = 0;
                 true
             }
