Send the head of a stream with its first event

Cause: the head of the first engine's answer went out at once, so that nothing but a break was left to say. It goes out with the first event now, with the headers of the engine that sent it; until then a call that no engine answers is refused with 502 or 504. Callers count from the first event, which is not later by this.

--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use acacia_http::ResponseBody;
+use acacia_http::{ResponseBody, empty_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::answer_end::{AnswerEnd, BodyEnd, BodyFraming, StreamProgress};
@@ -10,14 +10,17 @@
 use acaciabay::core::serving::event_stream::{EventSplitter, ResumePoint};
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
-use futures::stream;
+use futures::{Stream, StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response, StatusCode};
 
 use super::attempt::KeptConnection;
-use super::call::AcceptedCall;
+use super::call::{AcceptedCall, refuse};
 use super::endpoint_choice::ChosenEndpoint;
+use super::plain_call::build_response;
+use super::refusal::CallRefusal;
 use super::shared::LoadGuard;
 use super::stream_call::{OpenStream, StreamAttempts};
 
@@ -117,28 +120,43 @@
     may_be_empty: bool,
 }
 
-/// Streams events as they arrive. If an engine breaks off, resumes the stream at another one.
-pub(super) fn stream_events(attempts: StreamAttempts, stream: OpenStream) -> ResponseBody {
-    let state = EventRelay {
-        may_be_empty: attempts.call.head.resume_after.is_some(),
-        attempts,
-        stream: Some(stream),
-        splitter: EventSplitter::new(),
-        events: 0,
-        engine_events: 0,
+/// Answers a call with events as they arrive. If an engine breaks off, the stream is resumed at another one. The head is
+/// sent with the first of them: until then, a call that cannot be answered is refused with a status.
+pub(super) async fn answer_with_events(attempts: StreamAttempts, stream: OpenStream) -> Response<ResponseBody> {
+    let mut relay = EventRelay::new(attempts, stream);
+    let first = relay.next().await;
+    if let RelayStep::Broken(end) = first {
+        return relay.refuse(end);
+    }
+    let Some((status, headers)) = relay.head() else {
+        return relay.refuse(AnswerEnd::Broken);
     };
-    let frames = stream::unfold(Some(state), |state| async move {
-        let mut state = state?;
-        match state.next().await {
-            RelayStep::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(state))),
+    let body = match first {
+        RelayStep::Events(bytes) => {
+            let first = stream::once(async { Ok(Frame::data(bytes)) });
+            StreamBody::new(first.chain(stream_events(relay))).boxed_unsync()
+        }
+        RelayStep::End | RelayStep::Broken(_) => {
+            relay.finish().await;
+            empty_body()
+        }
+    };
+    build_response(status, headers, body)
+}
+
+/// Streams the events that have not been sent yet.
+fn stream_events(relay: EventRelay) -> impl Stream<Item = std::io::Result<Frame<Bytes>>> {
+    stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            RelayStep::Events(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
             RelayStep::End => {
-                state.finish().await;
+                relay.finish().await;
                 None
             }
-            RelayStep::Broken => Some((Err(std::io::Error::other("stream broke off")), None)),
+            RelayStep::Broken(_) => Some((Err(std::io::Error::other("stream broke off")), None)),
         }
-    });
-    StreamBody::new(frames).boxed_unsync()
+    })
 }
 
 #[derive(Debug)]
@@ -146,15 +164,51 @@
     Events(Bytes),
     /// The answer is whole.
     End,
-    Broken,
+    /// The answer of the last engine ended like this, and no other one goes on.
+    Broken(AnswerEnd),
 }
 
 impl EventRelay {
+    fn new(attempts: StreamAttempts, stream: OpenStream) -> Self {
+        Self {
+            may_be_empty: attempts.call.head.resume_after.is_some(),
+            attempts,
+            stream: Some(stream),
+            splitter: EventSplitter::new(),
+            events: 0,
+            engine_events: 0,
+        }
+    }
+
+    /// Returns the head of the answer to the caller, and logs that the stream has begun.
+    fn head(&self) -> Option<(StatusCode, HeaderMap)> {
+        let stream = self.stream.as_ref()?;
+        let call = &self.attempts.call;
+        slog::info!(call.shared.log, "stream begun"; "event" => event::CALL_ENDED, "request" => &call.head.request,
+            "route" => &call.route().name, "endpoint" => stream.chosen.name.as_str(),
+            "status" => stream.status.as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
+        let mut headers = call.shared.codec.filter_answer_headers(&stream.headers);
+        // If the stream is resumed at another engine, its total length differs.
+        headers.remove(CONTENT_LENGTH);
+        Some((stream.status, headers))
+    }
+
+    /// Refuses the call, of whose answer nothing has been sent.
+    fn refuse(&self, end: AnswerEnd) -> Response<ResponseBody> {
+        let call = &self.attempts.call;
+        let refusal = match end {
+            AnswerEnd::Silent => CallRefusal::TimedOut,
+            _ => CallRefusal::AnswerLost,
+        };
+        refuse(&call.shared, Some(&call.head), refusal, call.received_at)
+    }
+
+    /// Waits for the next events, and for another engine if one breaks off.
     async fn next(&mut self) -> RelayStep {
         loop {
             let timeout = self.attempts.silence_timeout();
             let Some(stream) = &mut self.stream else {
-                return RelayStep::Broken;
+                return RelayStep::Broken(AnswerEnd::Broken);
             };
             let (body, reason) = match tokio::time::timeout(timeout, stream.incoming.frame()).await {
                 Ok(Some(Ok(frame))) => {
@@ -175,7 +229,7 @@
                 return RelayStep::End;
             }
             if !self.resume_elsewhere(end, &reason).await {
-                return RelayStep::Broken;
+                return RelayStep::Broken(end);
             }
         }
     }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -14,7 +14,7 @@
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
 use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, KeptConnection, send};
@@ -26,7 +26,7 @@
 use super::prefill::{PrefilledPrompt, prefill_prompt};
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::{PlainStream, stream_answer, stream_events};
+use super::stream_body::{PlainStream, answer_with_events, stream_answer};
 
 /// Media type of event streams.
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
@@ -101,20 +101,14 @@
     };
     let resume_after = attempts.call.head.resume_after;
     match attempts.open(resume_after).await {
+        Ok(stream) if stream.has_events() => answer_with_events(attempts, stream).await,
         Ok(stream) => {
-            let mut headers = attempts.call.shared.codec.filter_answer_headers(&stream.headers);
-            slog::info!(attempts.call.shared.log, "stream begun"; "event" => event::CALL_ENDED,
+            let headers = attempts.call.shared.codec.filter_answer_headers(&stream.headers);
+            slog::info!(attempts.call.shared.log, "answer begun"; "event" => event::CALL_ENDED,
                 "request" => &attempts.call.head.request, "route" => &attempts.call.route().name,
                 "endpoint" => stream.chosen.name.as_str(), "status" => stream.status.as_u16(),
                 "after_ms" => whole_millis(boot_now().since(attempts.call.received_at)));
-            let status = stream.status;
-            if !stream.has_events() {
-                let body = stream_answer(stream.into_plain(attempts.call));
-                return build_response(status, headers, body);
-            }
-            // If the stream is resumed at another engine, its total length differs.
-            headers.remove(CONTENT_LENGTH);
-            build_response(status, headers, stream_events(attempts, stream))
+            build_response(stream.status, headers, stream_answer(stream.into_plain(attempts.call)))
         }
         Err(refusal) => refuse(
             &attempts.call.shared,
