Reset the connection of an answer without framing that is not whole

Callers saw: over HTTP/1.0, two of four events and then an orderly close, so a whole answer as far as they can know.

Where the caller knows no chunks, the answer ends with its connection, and the server closed that in order whatever became of the body; so does the kernel when the process is killed.

Why it works: before the first byte of such an answer is written, the socket is set to end by a reset, and back when the server shuts the connection down after a whole answer. A drop, a kill and an exit in between reset it. Answers with a length or chunks are not touched: their end shows in themselves, and a reset may take back what has been sent.

--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -2,6 +2,7 @@
 //! the client reports whether a failed request was written to the connection.
 
 mod body;
+mod caller_stream;
 mod client;
 mod connector;
 mod fetch;
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -18,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::ResponseBody;
+use crate::caller_stream::{CallerStream, UnframedAnswer};
 use crate::socket::prepare_socket;
 
 /// TCP user timeout: how long the kernel retransmits a response that the client does not acknowledge.
@@ -117,16 +118,25 @@
     if prepare_socket(&stream, CLIENT_USER_TIMEOUT).is_err() {
         return;
     }
+    let unframed = UnframedAnswer::default();
     let service = service_fn(|request| {
-        let answer = handle(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let is_chunkless = request.version() < Version::HTTP_11;
+        let (answer, unframed) = (handle(request), unframed.clone());
+        async move {
+            let response = answer.await;
+            let has_no_chunks = is_chunkless || response.version() < Version::HTTP_11;
+            if has_no_chunks && response.body().size_hint().exact().is_none() {
+                unframed.begin();
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_bytes)
         .half_close(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, unframed.clone())), service);
     let mut connection = pin!(connection);
     // An error is ignored: it affects only this connection, and the client notices it.
     let _ended = tokio::select! {
