Reset the connections of a test's path that are to be reset

EndpointPath closed them in order first: the halves of a split connection shut it down when they are dropped, before the reset that was set. A reader that has seen the close does not see the reset after it, so tests of resets were tests of orderly closes, and a connection that broke beyond the path also came out as closed in order. The halves are borrowed now, and a break on one side is a reset on the other.

--- a/crates/test-support/src/endpoint_path.rs
+++ b/crates/test-support/src/endpoint_path.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -130,27 +130,28 @@
     }
 }
 
-async fn pass_both(source: TcpStream, from: SocketAddrV4, onward: TcpStream, state: &PathState) {
+async fn pass_both(mut source: TcpStream, from: SocketAddrV4, mut onward: TcpStream, state: &PathState) {
     // An accepted connection has the filter of the listener, which may be from before a cut was healed.
     let passes_all = [SockFilter::new(0x06, 0, 0, u32::MAX)];
     let _unfiltered = SockRef::from(&source).attach_filter(&passes_all);
-    let handle = SockRef::from(&source).try_clone().expect("a socket can be cloned");
     let is_cut = || state.face(*from.ip()).is_some_and(|face| face != CutFace::KeepOpen);
-    let (source_read, source_write) = source.into_split();
-    let (onward_read, onward_write) = onward.into_split();
+    // The halves are borrowed: one that is dropped by itself would close the connection in order, whatever has happened.
+    let (mut source_read, mut source_write) = source.split();
+    let (mut onward_read, mut onward_write) = onward.split();
     let end = tokio::select! {
-        end = pass(source_read, onward_write, is_cut) => end,
-        end = pass(onward_read, source_write, is_cut) => end,
+        end = pass(&mut source_read, &mut onward_write, is_cut) => end,
+        end = pass(&mut onward_read, &mut source_write, is_cut) => end,
         () = wait_until_cut(is_cut) => PassEnd::Cut,
     };
     if end == PassEnd::Closed {
         return;
     }
-    if state.face(*from.ip()) == Some(CutFace::Reset) {
-        let _reset = handle.set_linger(Some(Duration::ZERO));
+    let is_reset = end == PassEnd::Broken || state.face(*from.ip()) == Some(CutFace::Reset);
+    if is_reset {
+        let _reset = SockRef::from(&source).set_linger(Some(Duration::ZERO));
         return;
     }
-    let _filtered = handle.attach_filter(&drop_from(&[*from.ip()]));
+    let _filtered = SockRef::from(&source).attach_filter(&drop_from(&[*from.ip()]));
     while is_cut() {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -164,11 +165,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PassEnd {
+    /// One side has closed its connection in order.
     Closed,
+    /// The connection of one side broke.
+    Broken,
     Cut,
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_cut: impl Fn() -> bool) -> PassEnd {
+async fn pass(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, is_cut: impl Fn() -> bool) -> PassEnd {
     let mut buffer = vec![0; BUFFER];
     loop {
         let read = from.read(&mut buffer).await;
@@ -176,8 +180,9 @@
             return PassEnd::Cut;
         }
         match read {
-            Ok(count) if count > 0 && to.write_all(&buffer[..count]).await.is_ok() => {}
-            _ => return PassEnd::Closed,
+            Ok(0) => return PassEnd::Closed,
+            Ok(count) if to.write_all(&buffer[..count]).await.is_ok() => {}
+            _ => return PassEnd::Broken,
         }
     }
 }
