Tell orderly ends from breaks over a relay, and take answers without framing there

Cause: such answers were thrown away over a relay because the relay was not trusted to tell a break from an end, and rightly: it set the connection to the entry to be reset, but dropped the halves of the split connection, which shut it down in order first. And a relay that stops closed connections in order that had been silent for 2 s, also in the middle of an answer.

Why it works: the halves are borrowed, so that nothing but the connection itself is dropped; it ends in order only where the endpoint has closed its own in order, and by a reset in every other case, also when the process is killed. The relay says so in its reply (RelayOpened.resets_breaks); answers without framing over a relay of an earlier release are refused as before.

--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -3,16 +3,17 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, ConnectionPath, FinishedConnection};
+use acacia_http::{ConnectionChoice, ConnectionPath, FinishedConnection, body_framing};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acaciabay::core::answer_end::BodyFraming;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::clock::BootTime;
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::{Request, Response, StatusCode};
 
 use super::allowance_charge::AllowanceCharge;
@@ -54,6 +55,7 @@
 #[derive(Debug)]
 pub(super) struct EndpointReply {
     pub(super) response: Response<Incoming>,
+    pub(super) framing: BodyFraming,
     pub(super) connection: KeptConnection,
     /// Time at which the attempt was sent.
     pub(super) sent_at: BootTime,
@@ -213,7 +215,8 @@
         Ok(Ok(answer)) => {
             let head = call.shared.codec.read_answer_head(answer.response.headers());
             let status = answer.response.status();
-            let is_relayed = answer.connection.path() != ConnectionPath::Direct;
+            let framing = body_framing(&answer.response);
+            let ends_as_endpoint = answer.connection.path().ends_as_endpoint();
             let is_crossed = head
                 .request
                 .as_ref()
@@ -228,8 +231,8 @@
                 slog::warn!(call.shared.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
                 (AttemptOutcome::Lost, "answer to another request".to_owned())
-            } else if is_relayed && !has_framed_body(&answer.response) {
-                // Its end cannot be told from a break of the path over the relay.
+            } else if framing == BodyFraming::UntilClose && !ends_as_endpoint {
+                // The relay is of an earlier release. The end of the answer cannot be told from a break of the path.
                 (AttemptOutcome::Lost, "relayed answer without a length".to_owned())
             } else if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
                 (AttemptOutcome::NotRun { arrived: true }, status.to_string())
@@ -244,6 +247,7 @@
                 }
                 let reply = EndpointReply {
                     response: answer.response,
+                    framing,
                     connection,
                     sent_at,
                 };
@@ -274,15 +278,6 @@
     }
 }
 
-/// Returns true if the end of the body shows in the body itself, and not only in the end of its connection.
-fn has_framed_body(response: &Response<Incoming>) -> bool {
-    let headers = response.headers();
-    response.body().is_end_stream()
-        || response.body().size_hint().exact().is_some()
-        || headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
-}
-
 fn record_failed_attempt(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use acacia_http::{ResponseBody, body_framing, full_body};
+use acacia_http::{ResponseBody, full_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
@@ -89,7 +89,7 @@
         let outcome = send(call, &chosen, AttemptRole::Whole, None, timeouts).await;
         match outcome {
             AttemptOutcome::Answered(reply) => {
-                let framing = body_framing(&reply.response);
+                let framing = reply.framing;
                 if acquire_retry_elsewhere(call, &attempts, &chosen, &reply) {
                     attempts.possible_runs += 1;
                     discard(call, *reply).await;
@@ -212,10 +212,10 @@
 ) -> Option<Response<ResponseBody>> {
     let EndpointReply {
         response,
+        framing,
         connection,
         sent_at,
     } = reply;
-    let framing = body_framing(&response);
     let (parts, incoming) = response.into_parts();
     let headers = call.shared.codec.filter_answer_headers(&parts.headers);
     call.shared.count_start(call.customer());
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -259,6 +259,7 @@
         response,
         connection,
         sent_at,
+        ..
     } = reply;
     let status = response.status();
     let body = match read_body(response.into_body(), MAX_HANDLE_BYTES, call.deadline.since(boot_now())).await {
--- a/crates/acacia-entry/src/serving/relay_client.rs
+++ b/crates/acacia-entry/src/serving/relay_client.rs
@@ -8,7 +8,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::generated::serving::RelayOutcome;
-use acacia_wire::{RelayHandshake, RelayRequest};
+use acacia_wire::{RelayHandshake, RelayReply, RelayRequest};
 use acaciabay::core::serving::broken_attempt::PortState;
 use acaciabay::core::serving::endpoint_paths::PathFault;
 use futures::future::join_all;
@@ -55,7 +55,7 @@
         let asked = relays.into_iter().map(|(relay, token)| async move {
             let request = self.relay_request(token, address);
             let outcome = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
-            outcome.ok()?.ok().map(|(outcome, _connection)| outcome)
+            outcome.ok()?.ok().map(|(reply, _connection)| reply.outcome)
         });
         let found = join_all(asked).await;
         let is_reached = found.contains(&Some(RelayOutcome::Opened));
@@ -103,10 +103,15 @@
             let request = self.relay_request(token, address);
             let opening = tokio::time::timeout(RELAY_TIMEOUT, open_over(relay, &request)).await;
             match opening {
-                Ok(Ok((RelayOutcome::Opened, stream))) => return Ok(self.relayed_connection(relay, &request, stream)),
-                Ok(Ok((RelayOutcome::Refused, _))) => unreachable.push(PortState::Refused),
-                Ok(Ok((RelayOutcome::Silent, _))) => unreachable.push(PortState::Silent),
-                refused => self.record_relay_refusal(relay, &request, &refused.map(|opened| opened.map(|row| row.0))),
+                Ok(Ok((reply, stream))) if reply.outcome == RelayOutcome::Opened => {
+                    return Ok(self.relayed_connection(relay, &request, reply, stream));
+                }
+                Ok(Ok((reply, _))) if reply.outcome == RelayOutcome::Refused => unreachable.push(PortState::Refused),
+                Ok(Ok((reply, _))) if reply.outcome == RelayOutcome::Silent => unreachable.push(PortState::Silent),
+                refused => {
+                    let outcome = refused.map(|opened| opened.map(|(reply, _)| reply.outcome));
+                    self.record_relay_refusal(relay, &request, &outcome);
+                }
             }
             if unreachable.len() >= MIN_AGREEING_RELAYS {
                 break;
@@ -124,6 +129,7 @@
         self: &Arc<Self>,
         relay: SocketAddr,
         request: &RelayRequest,
+        reply: RelayReply,
         stream: TcpStream,
     ) -> NewConnection {
         self.state.lock().relays.record_opened(relay);
@@ -135,6 +141,7 @@
             path: ConnectionPath::Relayed {
                 relay,
                 connection: request.connection,
+                resets_breaks: reply.resets_breaks,
             },
             lifetime: Some(Arc::new(RelayUse {
                 paths: Arc::clone(self),
@@ -156,14 +163,14 @@
     }
 }
 
-async fn open_over(relay: SocketAddr, request: &RelayRequest) -> std::io::Result<(RelayOutcome, TcpStream)> {
+async fn open_over(relay: SocketAddr, request: &RelayRequest) -> std::io::Result<(RelayReply, TcpStream)> {
     let stream = connect_within(relay, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
     let mut handshake = RelayHandshake::new(stream);
-    let outcome = handshake.request(request).await?;
+    let reply = handshake.request(request).await?;
     let (stream, early) = handshake.finish();
     if !early.is_empty() {
         // An endpoint says nothing before it is asked.
         return Err(std::io::ErrorKind::InvalidData.into());
     }
-    Ok((outcome, stream))
+    Ok((reply, stream))
 }
--- a/crates/acacia-entry/src/serving/relay_server.rs
+++ b/crates/acacia-entry/src/serving/relay_server.rs
@@ -11,13 +11,13 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_wire::generated::serving::RelayOutcome;
-use acacia_wire::{RelayHandshake, RelayRequest};
+use acacia_wire::{RelayHandshake, RelayReply, RelayRequest};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::broken_attempt::PortState;
 use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -114,7 +114,11 @@
     let began_at = boot_now();
     slog::info!(shared.log, "connection relayed"; "event" => event::RELAY_OPENED, "entry" => &request.host,
         "address" => %request.address, "connection" => request.connection, "outcome" => ?answer);
-    if handshake.answer(answer).await.is_err() {
+    let reply = RelayReply {
+        outcome: answer,
+        resets_breaks: true,
+    };
+    if handshake.answer(reply).await.is_err() {
         return;
     }
     let Ok(endpoint) = outcome else { return };
@@ -150,24 +154,27 @@
     EntryClosed,
     /// The endpoint has closed its end after everything that it has sent.
     EndpointClosed,
+    /// Nothing has passed for long, and this entry stops.
+    Idle,
     /// A connection broke.
     Broken,
 }
 
-/// Passes bytes on until either end closes.
-async fn pass_both(shared: &EntryShared, entry: TcpStream, endpoint: TcpStream) -> RelayEnd {
-    // An answer without a length that breaks off here would look complete if the connection were closed in order.
+/// Passes bytes on until either end closes. The connection of the entry is closed in order only if that of the endpoint was,
+/// and reset otherwise, also if this process is killed: an answer without framing that breaks off here would look complete.
+async fn pass_both(shared: &EntryShared, mut entry: TcpStream, mut endpoint: TcpStream) -> RelayEnd {
     if prepare_socket(&entry, USER_TIMEOUT).is_err() || set_reset_on_close(&entry, true).is_err() {
         return RelayEnd::Broken;
     }
-    let (mut from_entry, mut to_entry) = entry.into_split();
-    let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
+    // The halves are borrowed: one that is dropped by itself would first close the connection in order.
+    let (mut from_entry, mut to_entry) = entry.split();
+    let (mut from_endpoint, mut to_endpoint) = endpoint.split();
     let activity = Mutex::new(RelayActivity::default());
     let end = {
         let mut answer = std::pin::pin!(pass_answer(&mut from_endpoint, &mut to_entry, &activity));
         tokio::select! {
             end = &mut answer => end,
-            () = wait_until_idle(shared, &activity) => RelayEnd::EndpointClosed,
+            () = wait_until_idle(shared, &activity) => RelayEnd::Idle,
             end = pass_request(shared, &mut from_entry, &mut to_endpoint, &activity) => match end {
                 // The endpoint takes nothing more, but may still answer.
                 RelayEnd::EndpointClosed => answer.await,
@@ -175,7 +182,7 @@
             },
         }
     };
-    if end == RelayEnd::EndpointClosed && set_reset_on_close(to_entry.as_ref(), false).is_err() {
+    if end == RelayEnd::EndpointClosed && set_reset_on_close(&entry, false).is_err() {
         return RelayEnd::Broken;
     }
     end
@@ -204,8 +211,8 @@
 
 async fn pass_request(
     shared: &EntryShared,
-    from: &mut OwnedReadHalf,
-    to: &mut OwnedWriteHalf,
+    from: &mut ReadHalf<'_>,
+    to: &mut WriteHalf<'_>,
     activity: &Mutex<RelayActivity>,
 ) -> RelayEnd {
     let mut buffer = vec![0; BUFFER_BYTES];
@@ -228,7 +235,7 @@
     }
 }
 
-async fn pass_answer(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, activity: &Mutex<RelayActivity>) -> RelayEnd {
+async fn pass_answer(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, activity: &Mutex<RelayActivity>) -> RelayEnd {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match from.read(&mut buffer).await {
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ResponseBody, body_framing};
+use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::answer_end::BodyFraming;
@@ -178,7 +178,6 @@
                         prefilled.mark_taken();
                     }
                     self.possible_runs += 1;
-                    let framing = body_framing(&reply.response);
                     let (parts, incoming) = reply.response.into_parts();
                     if parts.status.is_server_error() && self.acquire_retry() {
                         self.call.shared.state().loads.record_failure(boot_now(), &chosen.name);
@@ -191,7 +190,7 @@
                         sent_at: reply.sent_at,
                         status: parts.status,
                         headers: parts.headers,
-                        framing,
+                        framing: reply.framing,
                         incoming,
                         connection: reply.connection,
                         guard,
--- a/crates/acacia-http/src/connector.rs
+++ b/crates/acacia-http/src/connector.rs
@@ -23,9 +23,21 @@
         relay: SocketAddr,
         /// Number of the connection in the logs of both hosts.
         connection: u64,
+        /// True if that host ends the connection in order only where the endpoint has done so.
+        resets_breaks: bool,
     },
 }
 
+impl ConnectionPath {
+    /// Returns true if an orderly end of the connection is the endpoint's own.
+    pub const fn ends_as_endpoint(self) -> bool {
+        match self {
+            Self::Direct => true,
+            Self::Relayed { resets_breaks, .. } => resets_breaks,
+        }
+    }
+}
+
 /// A connection to an endpoint that was just opened.
 #[derive(Debug)]
 pub struct NewConnection {
--- a/crates/acacia-wire/src/relay_message.rs
+++ b/crates/acacia-wire/src/relay_message.rs
@@ -28,6 +28,15 @@
     pub address: SocketAddr,
 }
 
+/// Answer of a relay to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayReply {
+    /// What the relay found.
+    pub outcome: RelayOutcome,
+    /// True if the relay ends the connection in order only where the endpoint has done so, and resets it otherwise.
+    pub resets_breaks: bool,
+}
+
 /// Connection on which a relay and the entry that asks it exchange their frames.
 #[derive(Debug)]
 pub struct RelayHandshake {
@@ -50,7 +59,7 @@
     /// # Errors
     ///
     /// Fails if the connection breaks or the answer is malformed.
-    pub async fn request(&mut self, request: &RelayRequest) -> io::Result<RelayOutcome> {
+    pub async fn request(&mut self, request: &RelayRequest) -> io::Result<RelayReply> {
         let open = RelayOpen {
             token: request.token,
             host: request.host.clone(),
@@ -59,7 +68,10 @@
         };
         self.send(Frame::RelayOpen(open)).await?;
         match self.next().await? {
-            Frame::RelayOpened(opened) => Ok(opened.outcome()),
+            Frame::RelayOpened(opened) => Ok(RelayReply {
+                outcome: opened.outcome(),
+                resets_breaks: opened.resets_breaks,
+            }),
             _ => Err(io::ErrorKind::InvalidData.into()),
         }
     }
@@ -87,9 +99,12 @@
     /// # Errors
     ///
     /// Fails if the connection breaks.
-    pub async fn answer(&mut self, outcome: RelayOutcome) -> io::Result<()> {
-        let mut opened = RelayOpened::default();
-        opened.set_outcome(outcome);
+    pub async fn answer(&mut self, reply: RelayReply) -> io::Result<()> {
+        let mut opened = RelayOpened {
+            resets_breaks: reply.resets_breaks,
+            ..RelayOpened::default()
+        };
+        opened.set_outcome(reply.outcome);
         self.send(Frame::RelayOpened(opened)).await
     }
 
--- /dev/null
+++ b/crates/acacia-wire/tests/relays.rs
@@ -0,0 +1,52 @@
+//! Tests of the frames with which a relayed connection begins.
+
+use acacia_wire::generated::serving::{RelayOpened, RelayOutcome};
+use acacia_wire::{RelayHandshake, RelayReply, RelayRequest};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+
+async fn connected() -> (RelayHandshake, RelayHandshake) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let (entry, accepted) = futures::join!(TcpStream::connect(address), listener.accept());
+    let (entry, (relay, _)) = (entry.expect("it listens"), accepted.expect("it connects"));
+    (RelayHandshake::new(entry), RelayHandshake::new(relay))
+}
+
+#[tokio::test]
+async fn a_request_and_its_reply_arrive_as_sent() {
+    let (mut entry, mut relay) = connected().await;
+    let request = RelayRequest {
+        token: 7,
+        host: "edge-1".to_owned(),
+        connection: 9,
+        address: ([10, 0, 0, 1], 80).into(),
+    };
+    let reply = RelayReply {
+        outcome: RelayOutcome::Opened,
+        resets_breaks: true,
+    };
+
+    let answering = async {
+        let received = relay.read_request().await.expect("it is sent");
+        relay.answer(reply).await.expect("the entry waits");
+        received
+    };
+    let (replied, received) = futures::join!(entry.request(&request), answering);
+
+    assert_eq!(received, request);
+    assert_eq!(replied.expect("the relay answers"), reply);
+}
+
+/// A relay of an earlier release closes a connection in order also when it breaks. An entry that trusted it would take a part
+/// of an answer for the whole.
+#[test]
+fn a_relay_that_says_nothing_of_breaks_is_not_trusted_with_them() {
+    let opened = RelayOpened {
+        outcome: RelayOutcome::Opened.into(),
+        resets_breaks: false,
+    };
+
+    // Field 1 alone, as earlier releases write it.
+    assert_eq!(opened.encode_to_vec(), [8, 1]);
+}
