Bound the memory that an answer without end takes

Cause: only a declared length decided whether an answer was held or passed on, and nothing bounded an event.

An answer that is no stream is held up to 64 KiB, whatever its framing, and passed on as it arrives from there. An event is held up to 64 KiB; eight streams at a time may hold one of up to 1 MiB. Beyond that the stream is cut (end 'event_too_large'), and no other engine is asked, as it would send the same. Bound: 64 KiB for each call and 8 MiB.

How an answer ended is recorded in one place now (AnswerSource::record_end): the counter, the endpoint's failures, the evidence of a crash and the call's whole answer. Answers that are no streams have a file of their own.

--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -16,6 +16,7 @@
 //! [`CallCodec`].
 
 mod allowance_charge;
+mod answer_source;
 mod attempt;
 mod call;
 mod codec;
@@ -25,6 +26,7 @@
 mod endpoint_limits;
 mod endpoint_news;
 mod endpoint_paths;
+mod plain_body;
 mod plain_call;
 mod prefill;
 mod refusal;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -10,24 +10,20 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 
+use super::answer_source::AnswerSource;
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::choose_with_permit;
+use super::plain_body::{BodyStart, MAX_BUFFERED_BYTES, PlainStream, read_start, stream_answer};
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::{PlainStream, count_end, record_outcome, stream_answer};
 
-/// Answers up to this size are read whole before they are passed on: a call that may be repeated can then be sent again
-/// when its answer breaks off.
-const MAX_BUFFERED_CONTENT_LENGTH: usize = 64 * 1024;
 /// Time limit for reading a discarded answer to its end so that its connection can be reused. Opening a new connection
 /// takes about as long, so reading for longer gains nothing.
 const DISCARD_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(20);
@@ -186,8 +182,9 @@
 
 /// Reads a discarded answer to its end, so that its connection can be reused.
 async fn discard(call: &AcceptedCall, reply: EndpointReply) {
-    let reading = read_to_end(reply.response.into_body());
-    if let Ok(Some(_)) = tokio::time::timeout(DISCARD_TIMEOUT, reading).await {
+    let mut incoming = reply.response.into_body();
+    let reading = tokio::time::timeout(DISCARD_TIMEOUT, read_start(&mut incoming));
+    if let Ok(BodyStart::Whole(_)) = reading.await {
         reply.connection.return_to_pool(call).await;
     }
 }
@@ -201,9 +198,8 @@
         && call.shared.acquire_retry(now, &call.service)
 }
 
-/// Builds the response to the caller from an endpoint's answer. An answer whose declared length exceeds
-/// [`MAX_BUFFERED_CONTENT_LENGTH`] is streamed; any other is first read to its end. Returns `None` if that fails or
-/// takes until the deadline of the call.
+/// Builds the response to the caller from an endpoint's answer. An answer larger than [`MAX_BUFFERED_BYTES`] is streamed;
+/// any other is first read to its end. Returns `None` if that fails or takes until the deadline of the call.
 async fn relay_answer(
     call: &Arc<AcceptedCall>,
     chosen: &ChosenEndpoint,
@@ -216,60 +212,52 @@
         connection,
         sent_at,
     } = reply;
-    let (parts, incoming) = response.into_parts();
+    let (parts, mut incoming) = response.into_parts();
     let headers = call.shared.codec.filter_answer_headers(&parts.headers);
     call.shared.count_start(call.customer());
-    let (status, length) = (parts.status, content_length(&parts.headers));
-    if length.is_some_and(|length| length > MAX_BUFFERED_CONTENT_LENGTH) {
-        let stream = PlainStream {
-            call: Arc::clone(call),
-            chosen: chosen.clone(),
-            status,
-            sent_at,
-            framing,
-            incoming,
-            connection,
-            guard,
-        };
-        let body = stream_answer(stream);
-        return Some(build_response(status, headers, body));
-    }
-    let left = call.deadline.since(boot_now());
-    let read = tokio::time::timeout(left, read_to_end(incoming)).await;
-    let end = match &read {
-        Ok(Some(_whole)) => AnswerEnd::InOrder,
-        Ok(None) => AnswerEnd::Broken,
-        Err(_elapsed) => AnswerEnd::Silent,
+    let source = AnswerSource {
+        chosen: chosen.clone(),
+        status: parts.status,
+        framing,
+        sent_at,
     };
-    count_end(framing, end);
-    if end.may_be_crash(framing) {
-        call.record_break(chosen, sent_at);
-    }
-    record_outcome(call, chosen, status, end);
-    let Ok(Some(whole)) = read else {
-        slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
-            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
-            "end" => end.name());
-        return None;
+    let read = if content_length(&parts.headers).is_some_and(|length| length > MAX_BUFFERED_BYTES) {
+        Ok(BodyStart::Long(Bytes::new()))
+    } else {
+        let left = call.deadline.since(boot_now());
+        tokio::time::timeout(left, read_start(&mut incoming)).await
     };
-    connection.return_to_pool(call).await;
-    Some(build_response(status, headers, full_body(whole)))
+    let end = match read {
+        Ok(BodyStart::Long(start)) => {
+            let body = stream_answer(PlainStream {
+                call: Arc::clone(call),
+                source,
+                start,
+                incoming,
+                connection,
+                guard,
+            });
+            return Some(build_response(parts.status, headers, body));
+        }
+        Ok(BodyStart::Whole(whole)) => {
+            source.record_end(call, AnswerEnd::InOrder);
+            connection.return_to_pool(call).await;
+            return Some(build_response(parts.status, headers, full_body(whole)));
+        }
+        Ok(BodyStart::Broken) => AnswerEnd::Broken,
+        Err(_elapsed) => AnswerEnd::Silent,
+    };
+    source.record_end(call, end);
+    slog::info!(call.shared.log, "answer broke off"; "event" => event::ATTEMPT_FAILED,
+        "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "framing" => framing.name(),
+        "end" => end.name());
+    None
 }
 
 fn content_length(headers: &hyper::HeaderMap) -> Option<usize> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-async fn read_to_end(mut incoming: Incoming) -> Option<Bytes> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            whole.extend_from_slice(&data);
-        }
-    }
-    Some(whole.freeze())
-}
-
 /// Builds the response to the caller.
 pub(super) fn build_response(
     status: StatusCode,
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -30,7 +30,7 @@
 use acaciabay::util::number::whole_millis;
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::codec::CallCodec;
@@ -46,6 +46,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(45);
 /// How many windows of counts are repeated to the leader: those that may still be open.
 const REPORTED_WINDOWS: u64 = 4;
+/// Number of streams at a time whose event may be larger than usual, so that such events cannot fill the memory.
+const MAX_LARGE_EVENTS: usize = 8;
 
 /// Demand for a service since the last report to the leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -175,6 +177,8 @@
     pub(super) limit_reports_due: watch::Sender<u64>,
     /// Notifies the calls that wait for permits.
     pub(super) limit_news: Notify,
+    /// Permits to hold events of more than the usual size.
+    pub(super) large_events: Arc<Semaphore>,
     state: Mutex<EntryState>,
 }
 
@@ -243,6 +247,7 @@
             lease_extended: Notify::new(),
             limit_reports_due: watch::Sender::new(0),
             limit_news: Notify::new(),
+            large_events: Arc::new(Semaphore::new(MAX_LARGE_EVENTS)),
             state: Mutex::default(),
         }
     }
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -6,27 +6,28 @@
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acaciabay::core::answer_end::BodyFraming;
-use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
 use acaciabay::util::number::whole_millis;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, Response};
 
+use super::answer_source::AnswerSource;
 use super::attempt::{AttemptOutcome, AttemptTimeouts, KeptConnection, send};
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::choose_with_permit;
+use super::plain_body::{PlainStream, stream_answer};
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
-use super::stream_body::{PlainStream, answer_with_events, stream_answer};
+use super::stream_body::answer_with_events;
 
 /// Media type of event streams.
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
@@ -56,12 +57,8 @@
 /// Answer of the engine that decodes a call, with the load that the call puts on the engine.
 #[derive(Debug)]
 pub(super) struct OpenStream {
-    pub(super) chosen: ChosenEndpoint,
-    /// Time at which the call was sent to the engine.
-    pub(super) sent_at: BootTime,
-    pub(super) status: StatusCode,
+    pub(super) source: AnswerSource,
     pub(super) headers: HeaderMap,
-    pub(super) framing: BodyFraming,
     pub(super) incoming: Incoming,
     pub(super) connection: KeptConnection,
     pub(super) guard: LoadGuard,
@@ -72,17 +69,15 @@
     pub(super) fn has_events(&self) -> bool {
         let kind = self.headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
         let is_other = kind.is_some_and(|kind| !kind.trim_start().starts_with(EVENT_STREAM_TYPE));
-        self.status.is_success() && !is_other
+        self.source.status.is_success() && !is_other
     }
 
     /// Turns the answer into one that is passed on as it is.
     fn into_plain(self, call: AcceptedCall) -> PlainStream {
         PlainStream {
             call: Arc::new(call),
-            chosen: self.chosen,
-            status: self.status,
-            sent_at: self.sent_at,
-            framing: self.framing,
+            source: self.source,
+            start: Bytes::new(),
             incoming: self.incoming,
             connection: self.connection,
             guard: self.guard,
@@ -106,9 +101,13 @@
             let headers = attempts.call.shared.codec.filter_answer_headers(&stream.headers);
             slog::info!(attempts.call.shared.log, "answer begun"; "event" => event::CALL_ENDED,
                 "request" => &attempts.call.head.request, "route" => &attempts.call.route().name,
-                "endpoint" => stream.chosen.name.as_str(), "status" => stream.status.as_u16(),
+                "endpoint" => stream.source.chosen.name.as_str(), "status" => stream.source.status.as_u16(),
                 "after_ms" => whole_millis(boot_now().since(attempts.call.received_at)));
-            build_response(stream.status, headers, stream_answer(stream.into_plain(attempts.call)))
+            build_response(
+                stream.source.status,
+                headers,
+                stream_answer(stream.into_plain(attempts.call)),
+            )
         }
         Err(refusal) => refuse(
             &attempts.call.shared,
@@ -186,11 +185,13 @@
                         continue;
                     }
                     return Ok(OpenStream {
-                        chosen,
-                        sent_at: reply.sent_at,
-                        status: parts.status,
+                        source: AnswerSource {
+                            chosen,
+                            status: parts.status,
+                            framing: reply.framing,
+                            sent_at: reply.sent_at,
+                        },
                         headers: parts.headers,
-                        framing: reply.framing,
                         incoming,
                         connection: reply.connection,
                         guard,
