Store no answer of a service that may be cut

An answer with neither a length nor chunks was read to the end of its connection and taken for whole.

--- a/crates/acacia-entry/src/service_call.rs
+++ b/crates/acacia-entry/src/service_call.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, ConnectionChoice, EndpointAnswer, ResponseBody, full_body, read_body};
+use acacia_http::{BodyRefusal, ConnectionChoice, EndpointAnswer, ResponseBody, body_framing, full_body, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::trace::{TRACEPARENT, TraceContext};
 use acacia_wire::{ClaimRequest, EntryAnswer, EntryCall};
+use acaciabay::core::answer_end::BodyFraming;
 use acaciabay::core::attempt::AttemptState;
 use acaciabay::core::claim::{ClaimHolder, ClaimKey, ClaimOutcome, MAX_STORED_ANSWER_BYTES, StoredAnswer};
 use acaciabay::core::control_state::ClaimEnd;
@@ -389,6 +390,7 @@
     record_break: impl Fn(),
 ) -> Result<ServiceAnswer, (AttemptFailure, String)> {
     let EndpointAnswer { response, connection } = answer;
+    let framing = body_framing(&response);
     let (parts, body) = response.into_parts();
     if parts
         .headers
@@ -417,6 +419,11 @@
             "endpoint says that it did not run the call".to_owned(),
         ));
     }
+    if framing == BodyFraming::UntilClose {
+        // Half of an answer would be stored, and be the answer to every resend.
+        let reason = "answer has neither a length nor chunks, so it may be cut";
+        return Err((AttemptFailure::Unknown, reason.to_owned()));
+    }
     Ok(ServiceAnswer {
         status: parts.status,
         content_type: parts.headers.get(CONTENT_TYPE).cloned(),
--- a/crates/acacia-standin/src/engine.rs
+++ b/crates/acacia-standin/src/engine.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::mpsc::{self, Sender};
@@ -87,6 +87,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FaultKind {
     Cut,
+    /// An orderly end in the middle of a chunk, without framing.
+    End,
     Silence,
     Cross,
     Skip,
@@ -166,6 +168,7 @@
     let faults = &mut state.faults;
     let kinds = [
         (&mut faults.cut_streams, FaultKind::Cut),
+        (&mut faults.end_streams, FaultKind::End),
         (&mut faults.silence_streams, FaultKind::Silence),
         (&mut faults.cross_streams, FaultKind::Cross),
         (&mut faults.skip_chunks, FaultKind::Skip),
@@ -183,6 +186,7 @@
     place: usize,
 ) -> Response<ResponseBody> {
     let (sender, mut receiver) = mpsc::channel(1);
+    let is_unframed = generation.fault.is_some_and(|fault| fault.kind == FaultKind::End);
     tokio::spawn(async move {
         let tokens = generation.end.saturating_sub(generation.first);
         if generate(&standin, &generation, sender).await.is_ok() {
@@ -196,6 +200,10 @@
     response
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    if is_unframed {
+        // There are no chunks in HTTP/1.0.
+        *response.version_mut() = Version::HTTP_10;
+    }
     response
 }
 
@@ -226,6 +234,7 @@
             Some(FaultKind::Skip) => continue,
             Some(FaultKind::Silence) => return stay_silent(&sender).await,
             Some(FaultKind::Cut) => return cut(&sender).await,
+            Some(FaultKind::End) => return end(&sender, &chunk_of(generation, position)).await,
             Some(FaultKind::Cross) | None => {}
         }
         send(&sender, &chunk_of(generation, position)).await?;
@@ -290,6 +299,13 @@
     Err(GenerationStopped)
 }
 
+async fn end(sender: &ChunkSender, chunk: &Value) -> Result<(), GenerationStopped> {
+    let mut half = format!("data: {chunk}").into_bytes();
+    half.truncate(half.len() / 2);
+    let _gone = sender.send(Ok(half.into())).await;
+    Err(GenerationStopped)
+}
+
 async fn send(sender: &ChunkSender, chunk: &Value) -> Result<(), GenerationStopped> {
     let line = Bytes::from(format!("data: {chunk}\n\n"));
     sender.send(Ok(line)).await.map_err(|_gone| GenerationStopped)
--- a/crates/acacia-standin/src/fault.rs
+++ b/crates/acacia-standin/src/fault.rs
@@ -8,6 +8,8 @@
 pub struct FaultPlan {
     /// Break the connection of a stream after `after_tokens`.
     pub cut_streams: u32,
+    /// End a stream in order in the middle of a chunk after `after_tokens`, with neither a length nor HTTP chunks.
+    pub end_streams: u32,
     /// Stop sending on a stream after `after_tokens`, but keep its connection open.
     pub silence_streams: u32,
     /// Put another request's id into the chunks of a stream.
@@ -18,6 +20,8 @@
     pub after_tokens: u64,
     /// Run a request and break the connection before answering.
     pub lose_answers: u32,
+    /// Run a request and end its answer in order in the middle, with neither a length nor HTTP chunks.
+    pub cut_answers: u32,
     /// Run a request and answer only after this time.
     pub delay_answers_ms: u64,
     /// Refuse a request as not run.
--- a/crates/acacia-standin/src/routes.rs
+++ b/crates/acacia-standin/src/routes.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
-use serde_json::json;
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode, Version};
+use serde_json::{Value, json};
 use slog::Logger;
 
 use crate::engine::{CompletionForm, complete};
@@ -77,6 +77,16 @@
     Response::new(StreamBody::new(stream::iter([Err(error)])).boxed_unsync())
 }
 
+/// Returns an answer that ends in order after half of its body. In HTTP/1.0, nothing but the end of the connection frames it.
+pub(crate) fn cut_answer(body: &Value) -> Response<ResponseBody> {
+    let mut half = body.to_string().into_bytes();
+    half.truncate(half.len() / 2);
+    let body = StreamBody::new(stream::iter([Ok(Frame::data(Bytes::from(half)))]));
+    let mut response = Response::new(body.boxed_unsync());
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 fn set_faults(standin: &Standin, body: &[u8]) -> Response<ResponseBody> {
     match serde_json::from_slice::<FaultPlan>(body) {
         Ok(plan) => {
--- a/crates/acacia-standin/src/service.rs
+++ b/crates/acacia-standin/src/service.rs
@@ -9,7 +9,7 @@
 
 use crate::fault::FaultPlan;
 use crate::record::{RunRecord, RunState};
-use crate::routes::{WholeRequest, broken_answer, refuse};
+use crate::routes::{WholeRequest, broken_answer, cut_answer, refuse};
 use crate::standin::Standin;
 
 pub(crate) async fn run_service(standin: Arc<Standin>, whole: WholeRequest) -> Response<ResponseBody> {
@@ -27,11 +27,12 @@
         tokens: 0,
         state: RunState::Started,
     });
-    let (delay, lost) = {
+    let (delay, lost, cut) = {
         let mut state = standin.lock();
         (
             state.faults.delay_answers_ms,
             FaultPlan::strike(&mut state.faults.lose_answers),
+            FaultPlan::strike(&mut state.faults.cut_answers),
         )
     };
     tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -40,10 +41,12 @@
     if lost {
         return broken_answer();
     }
-    let mut answer = json_response(
-        StatusCode::OK,
-        &json!({"endpoint": standin.settings.endpoint, "path": whole.path, "confirmation": place + 1, "request": echoed}),
-    );
+    let booked = json!({"endpoint": standin.settings.endpoint, "path": whole.path, "confirmation": place + 1, "request": echoed});
+    let mut answer = if cut {
+        cut_answer(&booked)
+    } else {
+        json_response(StatusCode::OK, &booked)
+    };
     if let Ok(id) = whole.id.parse() {
         answer.headers_mut().insert("x-request-id", id);
     }
--- a/tests/testsuite/at_most_once.rs
+++ b/tests/testsuite/at_most_once.rs
@@ -86,6 +86,23 @@
     assert_eq!(runs(&cluster).await, 1);
 }
 
+/// The service's answer has neither a length nor chunks, and its connection is closed in the middle. Taken for the whole, half
+/// of a confirmation would be stored and be the answer to every resend.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_framing_is_unknown_and_not_stored() {
+    let (cluster, first, second) = booking_cluster(1).await;
+    cluster.set_faults(BOOKING, &json!({"cut_answers": 1})).await;
+    let body = json!({"bench": 3});
+
+    let cut = first.book("order-3", &body).await.expect("entry-1 answers");
+    let resent = second.book("order-3", &body).await.expect("entry-2 answers");
+
+    for answer in [&cut, &resent] {
+        assert_eq!((answer.status.as_u16(), code(&answer.body)), (502, "outcome_unknown"));
+    }
+    assert_eq!(runs(&cluster).await, 1);
+}
+
 /// The service refuses a booking and says that it did not run it. That is certain, so the claim is given back, and the
 /// resend may run.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -51,6 +51,19 @@
     assert!(runs(&cluster).await >= 2, "no engine was asked to go on");
 }
 
+/// An engine's connection closes in order in the middle of a chunk, and its answer has no framing that would tell it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_ends_inside_a_chunk_goes_on_without_a_gap() {
+    let (cluster, caller) = engine_cluster(2).await;
+    set_faults_everywhere(&cluster, &json!({"end_streams": 1, "after_tokens": 13})).await;
+
+    let answer = caller.stream(PROMPT, TOKENS).await.expect("the entry answers");
+
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.text, naive_text(PROMPT, TOKENS));
+    assert!(runs(&cluster).await >= 2, "no engine was asked to go on");
+}
+
 /// Something between entry and engine has lost track of a connection: it stays open and nothing arrives any more, while
 /// new connections work.
 #[tokio::test(flavor = "multi_thread")]
