--- a/crates/acacia-http/src/fetch.rs
+++ b/crates/acacia-http/src/fetch.rs
@@ -24,7 +24,7 @@
     pub status: StatusCode,
     /// Response headers.
     pub headers: HeaderMap,
-    /// Body, or null if it was empty or not valid JSON.
+    /// Body, or null if it was empty or of another media type.
     pub body: Value,
 }
 
@@ -104,10 +104,20 @@
     let bytes = read_body(incoming, MAX_RESPONSE_BYTES, timeout)
         .await
         .map_err(|refusal| anyhow::anyhow!("answer could not be read: {refusal:?}"))?;
-    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
     Ok(FetchedAnswer {
         status: parts.status,
+        body: read_json(&parts.headers, &bytes)?,
         headers: parts.headers,
-        body,
     })
 }
+
+/// Reads a body, which is null if it is no JSON by its own account. One that should be and cannot be read may be cut.
+fn read_json(headers: &HeaderMap, bytes: &[u8]) -> anyhow::Result<Value> {
+    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    let is_json = kind.is_some_and(|kind| kind.starts_with("application/json"));
+    match serde_json::from_slice(bytes) {
+        Ok(body) => Ok(body),
+        Err(_source) if !is_json || bytes.is_empty() => Ok(Value::Null),
+        Err(error) => Err(error).with_context(|| format!("answer of {} bytes is no whole JSON", bytes.len())),
+    }
+}
