Go on until the event that was cut has come

Callers would have seen: a stream without its end, ended as complete, where an engine was cut off inside an event and the next one said, with its last chunk or by an orderly close, that nothing is left.

Cause: an empty rest counted as whole wherever something had come before. That an event is missing was known from the half of it, and forgotten when the stream went on, at the latest with the second empty rest.

The library decides what the next engine is asked for (StreamProgress::asked_next) and that a rest of which an event is known is not empty.

--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -5,7 +5,7 @@
 use acacia_http::{ResponseBody, empty_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
-use acaciabay::core::answer_end::{AnswerEnd, BodyEnd, StreamProgress};
+use acaciabay::core::answer_end::{AnswerEnd, AskedEvents, BodyEnd, StreamProgress};
 use acaciabay::core::serving::event_stream::{EventSplitter, MAX_EVENT_BYTES, ResumePoint};
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
@@ -32,8 +32,8 @@
     events: usize,
     /// Number of events from the current engine.
     engine_events: usize,
-    /// True if the current engine may have no event to send.
-    may_be_empty: bool,
+    /// What the current engine was asked for.
+    asked: AskedEvents,
     /// Held while an event is larger than [`MAX_BUFFERED_BYTES`].
     large_event: Option<OwnedSemaphorePermit>,
 }
@@ -88,13 +88,17 @@
 
 impl EventRelay {
     fn new(attempts: StreamAttempts, stream: OpenStream) -> Self {
+        let asked = match attempts.call.head.resume_after {
+            Some(_) => AskedEvents::Rest,
+            None => AskedEvents::All,
+        };
         Self {
-            may_be_empty: attempts.call.head.resume_after.is_some(),
             attempts,
             stream: Some(stream),
             splitter: EventSplitter::new(),
             events: 0,
             engine_events: 0,
+            asked,
             large_event: None,
         }
     }
@@ -182,7 +186,7 @@
         StreamProgress {
             events: self.engine_events,
             is_inside_event: self.splitter.is_inside_event(),
-            may_be_empty: self.may_be_empty,
+            asked: self.asked,
         }
     }
 
@@ -229,7 +233,7 @@
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
                     "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point);
                 self.stream = Some(stream);
-                self.may_be_empty = resume_point.event().is_some() && !self.splitter.is_inside_event();
+                self.asked = self.progress().asked_next(resume_point);
                 self.splitter = self.splitter.continued();
                 self.engine_events = 0;
                 true
--- a/crates/acaciabay/src/core/answer_end.rs
+++ b/crates/acaciabay/src/core/answer_end.rs
@@ -3,6 +3,8 @@
 //! An entry takes an answer in one framing and sends it on in another, so it must know what it vouches for: the end of a
 //! connection is not by itself the end of an answer. `docs/design/answer-ends.md` gives the rules.
 
+use super::serving::event_stream::ResumePoint;
+
 /// How the extent of an answer's body is known (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum BodyFraming {
@@ -43,8 +45,34 @@
     pub events: usize,
     /// True if an event or a line is not complete.
     pub is_inside_event: bool,
-    /// True if there may be nothing: the endpoint was asked for what comes after an event, and no later one is known.
-    pub may_be_empty: bool,
+    /// What it was asked for.
+    pub asked: AskedEvents,
+}
+
+impl StreamProgress {
+    /// Returns what the next endpoint is asked for if the stream goes on at `resume_point`.
+    pub const fn asked_next(self, resume_point: ResumePoint) -> AskedEvents {
+        // An event that was known to come still is if none has come since.
+        let was_known = matches!(self.asked, AskedEvents::KnownRest) && self.events == 0;
+        if self.is_inside_event || was_known {
+            return AskedEvents::KnownRest;
+        }
+        match resume_point {
+            ResumePoint::Start => AskedEvents::All,
+            ResumePoint::After(_) | ResumePoint::Unknown => AskedEvents::Rest,
+        }
+    }
+}
+
+/// Events that an endpoint was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskedEvents {
+    /// All of an answer.
+    All,
+    /// Those after an event, of which there may be none.
+    Rest,
+    /// What is left of an answer, when another endpoint was cut off in the next event.
+    KnownRest,
 }
 
 /// How an answer ended.
@@ -58,7 +86,7 @@
     Silent,
     /// The body ended in order inside an event.
     InsideEvent,
-    /// The connection closed in order, without framing and before the first event.
+    /// The body ended in order before the first event, although there is one.
     NoEvent,
     /// An event became larger than an entry buffers.
     EventTooLarge,
@@ -68,15 +96,19 @@
     /// Returns how an event stream ended.
     ///
     /// A stream is whole if its body is and no event is cut. Without framing, the end of the connection between two events
-    /// is the only end that there is, so it counts, but not before the first event: a generation has at least one.
+    /// is the only end that there is, so it counts, but not before the first event: a generation has at least one. A rest of
+    /// which an event is known has one too, whatever the framing.
     pub const fn of_stream(framing: BodyFraming, body: BodyEnd, progress: StreamProgress) -> Self {
         match body {
             BodyEnd::Broken => Self::Broken,
             BodyEnd::Silent => Self::Silent,
             BodyEnd::InOrder if progress.is_inside_event => Self::InsideEvent,
-            BodyEnd::InOrder => match framing {
-                BodyFraming::UntilClose if progress.events == 0 && !progress.may_be_empty => Self::NoEvent,
-                BodyFraming::UntilClose | BodyFraming::Length | BodyFraming::Chunked => Self::InOrder,
+            BodyEnd::InOrder if progress.events > 0 => Self::InOrder,
+            BodyEnd::InOrder => match (progress.asked, framing) {
+                (AskedEvents::KnownRest, _) | (AskedEvents::All, BodyFraming::UntilClose) => Self::NoEvent,
+                (AskedEvents::All, BodyFraming::Length | BodyFraming::Chunked) | (AskedEvents::Rest, _) => {
+                    Self::InOrder
+                }
             },
         }
     }
--- a/crates/acaciabay/tests/serving/answer_ends.rs
+++ b/crates/acaciabay/tests/serving/answer_ends.rs
@@ -1,6 +1,7 @@
 //! Tests of what the end of an answer's body says about the answer.
 
-use acaciabay::core::answer_end::{AnswerEnd, BodyEnd, BodyFraming, StreamProgress};
+use acaciabay::core::answer_end::{AnswerEnd, AskedEvents, BodyEnd, BodyFraming, StreamProgress};
+use acaciabay::core::serving::event_stream::ResumePoint;
 
 const FRAMINGS: [BodyFraming; 3] = [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::UntilClose];
 
@@ -8,7 +9,7 @@
     StreamProgress {
         events,
         is_inside_event: false,
-        may_be_empty: false,
+        asked: AskedEvents::All,
     }
 }
 
@@ -19,11 +20,8 @@
     }
 }
 
-const fn possibly_empty() -> StreamProgress {
-    StreamProgress {
-        may_be_empty: true,
-        ..progress(0)
-    }
+const fn nothing_of(asked: AskedEvents) -> StreamProgress {
+    StreamProgress { asked, ..progress(0) }
 }
 
 /// A body that ends in order may still be cut. Half an event would reach the caller as a complete answer.
@@ -47,11 +45,40 @@
     let end = |framing, progress| AnswerEnd::of_stream(framing, BodyEnd::InOrder, progress);
 
     assert_eq!(end(BodyFraming::UntilClose, progress(0)), AnswerEnd::NoEvent);
-    assert_eq!(end(BodyFraming::UntilClose, possibly_empty()), AnswerEnd::InOrder);
     assert_eq!(end(BodyFraming::Length, progress(0)), AnswerEnd::InOrder);
     assert_eq!(end(BodyFraming::Chunked, progress(0)), AnswerEnd::InOrder);
 }
 
+/// A caller may ask for what comes after the last event. But where the engine before was cut off inside an event, that event is
+/// missing, and a stream that ended without it would have a gap at its end.
+#[test]
+fn a_rest_without_events_is_whole_only_if_none_is_known() {
+    for framing in FRAMINGS {
+        let end = |asked| AnswerEnd::of_stream(framing, BodyEnd::InOrder, nothing_of(asked));
+
+        assert_eq!(end(AskedEvents::Rest), AnswerEnd::InOrder);
+        assert_eq!(end(AskedEvents::KnownRest), AnswerEnd::NoEvent);
+    }
+}
+
+/// Two engines in a row may say that nothing is left of a stream that was cut inside an event.
+#[test]
+fn an_event_that_was_cut_stays_known_until_one_has_come() {
+    let after = ResumePoint::After(2);
+    let asked_next = |progress: StreamProgress| progress.asked_next(after);
+
+    assert_eq!(asked_next(inside_event(2)), AskedEvents::KnownRest);
+    assert_eq!(asked_next(nothing_of(AskedEvents::KnownRest)), AskedEvents::KnownRest);
+    let went_on = StreamProgress {
+        asked: AskedEvents::KnownRest,
+        ..progress(1)
+    };
+    assert_eq!(asked_next(went_on), AskedEvents::Rest);
+    assert_eq!(asked_next(nothing_of(AskedEvents::Rest)), AskedEvents::Rest);
+    assert_eq!(inside_event(0).asked_next(ResumePoint::Start), AskedEvents::KnownRest);
+    assert_eq!(progress(0).asked_next(ResumePoint::Start), AskedEvents::All);
+}
+
 /// An engine that sends the last chunk inside an event lives. If that counted as a crash, calls that it garbles would be
 /// suspected of ending engines.
 #[test]
