--- a/crates/acacia-http/tests/framing.rs
+++ b/crates/acacia-http/tests/framing.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use acacia_http::{
-    BodyRefusal, ClientOptions, ConnectionChoice, EndpointClient, FetchRequest, body_framing, fetch_json, read_body,
-    set_reset_on_close,
+    BodyRefusal, ClientOptions, ConnectionChoice, ConnectionPath, EndpointClient, FetchRequest, body_framing,
+    fetch_json, read_body, set_reset_on_close,
 };
 use acaciabay::core::answer_end::BodyFraming::{self, Chunked, Length, UntilClose};
 use acaciabay::core::clock::BootTime;
@@ -216,3 +216,17 @@
     assert!(format!("{error:#}").contains("is no whole JSON"), "{error:#}");
     assert_eq!(answered.expect("it is an answer").body, Value::Null);
 }
+
+/// A relay of an earlier release closes a connection in order also when it breaks.
+#[test]
+fn only_a_relay_that_resets_breaks_ends_as_its_endpoint() {
+    let relayed = |resets_breaks| ConnectionPath::Relayed {
+        relay: ([127, 0, 0, 1], 1).into(),
+        connection: 1,
+        resets_breaks,
+    };
+
+    assert!(ConnectionPath::Direct.ends_as_endpoint());
+    assert!(relayed(true).ends_as_endpoint());
+    assert!(!relayed(false).ends_as_endpoint());
+}
