--- a/crates/acacia-http/tests/server.rs
+++ b/crates/acacia-http/tests/server.rs
@@ -16,8 +16,12 @@
 /// Time between two pieces of an answer, so that each is written by itself.
 const PIECE_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Answers in two pieces. `/cut` breaks off after them, any other path ends.
+/// Answers in two pieces. `/cut` breaks off after them, `/large` ends after many bytes, any other path ends.
 async fn answer(request: Request<Incoming>) -> Response<ResponseBody> {
+    if request.uri().path() == "/large" {
+        let pieces = stream::iter([Ok(Frame::data(Bytes::from(vec![b'x'; LARGE_BYTES])))]);
+        return Response::new(StreamBody::new(pieces).boxed_unsync());
+    }
     let end = (request.uri().path() == "/cut").then(|| Err(std::io::Error::other("broken off")));
     let pieces = ["one ", "two"].map(|piece| Ok(Frame::data(Bytes::from(piece))));
     let pieces = stream::iter(pieces.into_iter().chain(end)).then(|piece| async {
@@ -27,6 +31,11 @@
     Response::new(StreamBody::new(pieces).boxed_unsync())
 }
 
+/// More than the kernel holds for a client that does not read.
+const LARGE_BYTES: usize = 16 * 1024 * 1024;
+/// Pause of a slow client after each piece.
+const READING_PAUSE: Duration = Duration::from_millis(10);
+
 async fn serve() -> SocketAddr {
     let listener = listen(([127, 0, 0, 1], 0).into()).await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
@@ -67,6 +76,31 @@
     );
 }
 
+/// A client reads slowly. If the connection were reset after a whole answer, what the client has not read would be lost.
+#[tokio::test]
+async fn a_whole_answer_without_framing_reaches_a_slow_client() {
+    let address = serve().await;
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    stream
+        .write_all(b"GET /large HTTP/1.0\r\nhost: test\r\n\r\n")
+        .await
+        .expect("it reads");
+    let mut answer = Vec::new();
+
+    let read = loop {
+        let mut piece = vec![0; LARGE_BYTES / 4];
+        match stream.read(&mut piece).await {
+            Ok(0) => break Ok(()),
+            Ok(count) => answer.extend_from_slice(&piece[..count]),
+            Err(error) => break Err(error),
+        }
+        tokio::time::sleep(READING_PAUSE).await;
+    };
+
+    read.expect("the connection ends in order");
+    assert!(answer.ends_with(&vec![b'x'; LARGE_BYTES]), "{} bytes", answer.len());
+}
+
 /// In chunks, the missing last one tells it. What has been sent is not taken back by a reset.
 #[tokio::test]
 async fn an_answer_in_chunks_that_breaks_off_has_no_last_chunk() {
