Remove a function that nothing calls

AnswerEnd::of_plain was used by its test alone; the ends of answers that are no streams are told where they are read (plain_call.rs, plain_body.rs) and tested through the processes (answer_ends::*, cut_entries::*, framing::*).

--- a/crates/acaciabay/src/core/answer_end.rs
+++ b/crates/acaciabay/src/core/answer_end.rs
@@ -113,15 +113,6 @@
         }
     }
 
-    /// Returns how an answer ended that is no event stream.
-    pub const fn of_plain(body: BodyEnd) -> Self {
-        match body {
-            BodyEnd::InOrder => Self::InOrder,
-            BodyEnd::Broken => Self::Broken,
-            BodyEnd::Silent => Self::Silent,
-        }
-    }
-
     /// Returns true if nothing is known to be missing.
     pub const fn is_whole(self) -> bool {
         matches!(self, Self::InOrder)
--- a/crates/acaciabay/tests/serving/answer_ends.rs
+++ b/crates/acaciabay/tests/serving/answer_ends.rs
@@ -92,10 +92,3 @@
     assert_eq!(may_be_crash(AnswerEnd::Silent), [false; 3]);
     assert_eq!(may_be_crash(AnswerEnd::EventTooLarge), [false; 3]);
 }
-
-#[test]
-fn a_plain_answer_is_whole_if_its_body_is() {
-    assert!(AnswerEnd::of_plain(BodyEnd::InOrder).is_whole());
-    assert!(!AnswerEnd::of_plain(BodyEnd::Broken).is_whole());
-    assert!(!AnswerEnd::of_plain(BodyEnd::Silent).is_whole());
-}
