--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use acacia_http::{ResponseBody, full_body};
+use acacia_http::{ResponseBody, full_body, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
@@ -182,9 +182,8 @@
 
 /// Reads a discarded answer to its end, so that its connection can be reused.
 async fn discard(call: &AcceptedCall, reply: EndpointReply) {
-    let mut incoming = reply.response.into_body();
-    let reading = tokio::time::timeout(DISCARD_TIMEOUT, read_start(&mut incoming));
-    if let Ok(BodyStart::Whole(_)) = reading.await {
+    let reading = read_body(reply.response.into_body(), MAX_BUFFERED_BYTES, DISCARD_TIMEOUT);
+    if reading.await.is_ok() {
         reply.connection.return_to_pool(call).await;
     }
 }
