Take no break of an endpoint for its end in a relay that still writes the request

Callers could have seen: part of an answer without framing, ended as complete, of an endpoint that had begun to answer before it had read the request and then died.

Cause: a reset is told once, to whoever asks first. When that is the writer of the request, the reader sees an orderly end after the last bytes. The relay then waited for the rest of the answer and took its end for the endpoint's.

Why it works: once the endpoint takes no more of the request, what it has sent before is still passed on, and the connection to the entry is reset after it.

--- a/crates/acacia-entry/src/serving/relay_server.rs
+++ b/crates/acacia-entry/src/serving/relay_server.rs
@@ -154,6 +154,8 @@
     EntryClosed,
     /// The endpoint has closed its end after everything that it has sent.
     EndpointClosed,
+    /// The endpoint takes no more of a request.
+    EndpointBroken,
     /// Nothing has passed for long, and this entry stops.
     Idle,
     /// A connection broke.
@@ -176,8 +178,12 @@
             end = &mut answer => end,
             () = wait_until_idle(shared, &activity) => RelayEnd::Idle,
             end = pass_request(shared, &mut from_entry, &mut to_endpoint, &activity) => match end {
-                // The endpoint takes nothing more, but may still answer.
-                RelayEnd::EndpointClosed => answer.await,
+                // What the endpoint has sent before is passed on. The writer was told of the break, so the reader sees an
+                // orderly end after it.
+                RelayEnd::EndpointBroken => {
+                    answer.await;
+                    RelayEnd::EndpointBroken
+                }
                 end => end,
             },
         }
@@ -227,7 +233,7 @@
                     passed_at: boot_now(),
                 };
                 if to.write_all(&buffer[..count]).await.is_err() {
-                    return RelayEnd::EndpointClosed;
+                    return RelayEnd::EndpointBroken;
                 }
             }
             Err(_reset) => return RelayEnd::Broken,
