Give the attempts of a service's call a file of their own

service_call.rs (502 lines) decided on claims, resends and stored answers, and also built the request to one endpoint and read its answer. The latter is service_attempt.rs now (210 lines; 309 stay).

--- a/crates/acacia-entry/src/lib.rs
+++ b/crates/acacia-entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod endpoint_stream;
 mod lease_keeper;
 mod refusal;
+mod service_attempt;
 mod service_call;
 pub mod serving;
 mod shared;
