Go on with a stream only at the software version that began it

Engines resume whatever they are asked to, and the version in their reports was not read at all.

Cause: the choice of the engine that goes on looked at load and domains only. Class: a second worker takes up what a first one left, and nobody checks that they write the same language (version skew).

The first event fixes the version of the stream; from then on only engines of that version are asked, ready ones first, then such as drain and have been known to for under half of endpoint_drain_ms. Without any engine the connection breaks at once and no retry is taken; a silent engine is waited for if no other could go on.

Logs: version on E0211, E0212, E0220; acacia_streams_broken_total counts why a stream did or did not go on.

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -1,7 +1,7 @@
 //! Checks that every call has to pass before it is sent to an endpoint: the lease, its head, its route and key, and its
 //! body.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use acacia_http::{BodyRefusal, ResponseBody, read_body};
@@ -12,6 +12,7 @@
 use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
@@ -49,6 +50,8 @@
     fingerprint: LazyFingerprint,
     /// Permission of the leader, if the call was suspect when it came.
     trial: Option<CallTrial>,
+    /// Version that has begun the stream, once that is decided.
+    begun_by: OnceLock<StreamVersion>,
     /// Cost of the call, if its customer has an allowance.
     pub(super) charge: Option<AllowanceCharge>,
 }
@@ -62,6 +65,17 @@
         self.admitted.customer.as_ref().map(|customer| &customer.name)
     }
 
+    /// Returns the version that has to write the rest of the stream.
+    pub(super) fn stream_version(&self) -> &StreamVersion {
+        self.begun_by.get().unwrap_or(&StreamVersion::Any)
+    }
+
+    /// Records which version has begun the stream. It never changes: only the first call has an effect.
+    pub(super) fn fix_stream_version(&self, version: StreamVersion) {
+        // A second version is not an error: the stream was fixed by what its caller has received before.
+        let _already_fixed = self.begun_by.set(version);
+    }
+
     /// Returns the call as it is recognised when it is sent again.
     fn tracked(&self) -> TrackedCall<'_> {
         TrackedCall {
@@ -234,6 +248,7 @@
         request_hash,
         fingerprint: LazyFingerprint::default(),
         trial: None,
+        begun_by: OnceLock::new(),
         charge: None,
     };
     let trial = shared.suspects.request_trial(&call.tracked()).await;
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -1,11 +1,14 @@
 //! Choice of endpoints for calls: applies the placement functions of `acaciabay::ops` to the state of this entry.
 
+use std::time::Duration;
+
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
 use acaciabay::core::serving::endpoint_load::LoadTable;
-use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::ops::place_call::{Candidate, PlacementView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 
@@ -21,6 +24,16 @@
     pub(super) detour: Option<LimitDetour>,
 }
 
+/// Engines that may decode a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DecodeScope<'call> {
+    pub(super) version: &'call StreamVersion,
+    /// Engines that the call was sent to.
+    pub(super) tried: &'call [EndpointName],
+    /// Time for which an engine that drains may be sent a stream that no other engine can continue.
+    pub(super) drain_window: Duration,
+}
+
 /// Engine that prefills a prompt.
 #[derive(Clone, Debug)]
 pub(super) struct ChosenPrefillEngine {
@@ -68,13 +81,13 @@
 
     /// Returns false if limits stand against all engines that could decode a call. A prompt that is prefilled for it would be
     /// prefilled in vain.
-    pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, tried: &[EndpointName]) -> bool {
+    pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, scope: &DecodeScope<'_>) -> bool {
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
         if !limits.has_limits() {
             return true;
         }
-        let engines = without_tried(decode_candidates(registry, loads, now, service), tried);
+        let engines = decode_candidates(registry, loads, now, service, scope);
         let mut rows = engines.iter().map(|(name, endpoint)| limited(name, endpoint));
         engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) || {
             record_demand(limits, &engines);
@@ -82,6 +95,13 @@
         }
     }
 
+    /// Returns true if an engine may write the rest of a stream, whether limits stand against it or not.
+    pub(super) fn has_resume_engine(&self, now: BootTime, service: &ServiceName, scope: &DecodeScope<'_>) -> bool {
+        let mut state = self.state();
+        let (registry, loads, _) = state.choice_parts();
+        !decode_candidates(registry, loads, now, service, scope).is_empty()
+    }
+
     /// Chooses an engine to prefill a prompt.
     pub(super) fn choose_prefill_engine(
         &self,
@@ -129,14 +149,14 @@
         &self,
         now: BootTime,
         service: &ServiceName,
-        tried: &[EndpointName],
+        scope: &DecodeScope<'_>,
         prefill_domain: Option<&DomainName>,
         request_hash: u64,
     ) -> Option<ChosenEndpoint> {
         let memory = self.engine_memory(service);
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
-        let candidates = without_tried(decode_candidates(registry, loads, now, service), tried);
+        let candidates = decode_candidates(registry, loads, now, service, scope);
         let (name, detour) = choose_within_limits(
             now,
             limits,
@@ -182,14 +202,41 @@
     loads: &LoadTable,
     now: BootTime,
     service: &'state ServiceName,
+    scope: &DecodeScope<'_>,
 ) -> Vec<Candidate<'state>> {
+    if *scope.version != StreamVersion::Any {
+        return resume_candidates(registry, loads, now, service, scope);
+    }
     let engines = available_of_stage(registry, loads, now, service, EngineStage::Decode);
     if !engines.is_empty() {
-        return engines;
+        return without_tried(engines, scope.tried);
     }
     // Endpoints that report no stage both prefill and decode.
     let mut rows = registry.ready(now, service);
     rows.retain(|(_, endpoint)| endpoint.stage.is_none());
+    without_tried(rows, scope.tried)
+}
+
+/// Returns the engines that may write the rest of a stream. Those that drain are used only if no other is left: the
+/// alternative is a stream that breaks.
+fn resume_candidates<'state>(
+    registry: &'state EndpointRegistry,
+    loads: &LoadTable,
+    now: BootTime,
+    service: &'state ServiceName,
+    scope: &DecodeScope<'_>,
+) -> Vec<Candidate<'state>> {
+    let mut rows = without_tried(
+        registry.resumable(now, service, scope.version, scope.drain_window),
+        scope.tried,
+    );
+    rows.retain(|(name, endpoint)| {
+        endpoint.stage != Some(EngineStage::Prefill) && !loads.is_switching_stage(now, name, endpoint)
+    });
+    let is_ready = |(_, endpoint): &Candidate<'_>| endpoint.phase == EndpointPhase::Ready;
+    if rows.iter().any(is_ready) {
+        rows.retain(is_ready);
+    }
     rows
 }
 
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -12,6 +12,7 @@
 use acaciabay::core::serving::endpoint_limit::{LimitNotice, LimitVersion, RateLimit};
 use acaciabay::core::serving::endpoint_registry::ServingEndpoint;
 use acaciabay::core::serving::limit_gate::{LimitGate, LimitObservation, LimitedEndpoint};
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::ops::place_call::Candidate;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
@@ -127,7 +128,7 @@
 }
 
 /// Chooses an endpoint, and waits for a permit if only limits stand against it. `choose` chooses among the endpoints that
-/// may be sent a request.
+/// may be sent a request: those of the given version that were not tried.
 ///
 /// # Errors
 ///
@@ -136,14 +137,14 @@
 pub(super) async fn choose_with_permit<T>(
     call: &AcceptedCall,
     no_endpoint: &'static str,
-    tried: &[EndpointName],
+    (tried, version): (&[EndpointName], &StreamVersion),
     choose: impl Fn(BootTime) -> Option<T>,
 ) -> Result<T, CallRefusal> {
     let began_at = boot_now();
     if let Some(chosen) = choose(began_at) {
         return Ok(chosen);
     }
-    if limits_of(call, tried, began_at).is_empty() {
+    if limits_of(call, tried, version, began_at).is_empty() {
         return Err(not_run(no_endpoint, NO_ENDPOINT_RETRY_DELAY));
     }
     let patience = call.time_left(began_at).mul_f64(PERMIT_FRACTION).min(PERMIT_TIMEOUT);
@@ -159,11 +160,16 @@
             }
         }
     }
-    Err(refuse_for_limits(call, tried, boot_now()))
+    Err(refuse_for_limits(call, tried, version, boot_now()))
 }
 
-fn refuse_for_limits(call: &AcceptedCall, tried: &[EndpointName], now: BootTime) -> CallRefusal {
-    let limits = limits_of(call, tried, now);
+fn refuse_for_limits(
+    call: &AcceptedCall,
+    tried: &[EndpointName],
+    version: &StreamVersion,
+    now: BootTime,
+) -> CallRefusal {
+    let limits = limits_of(call, tried, version, now);
     let draw = rendezvous::fraction(call.request_hash);
     let refusal = {
         let mut state = call.shared.state();
@@ -177,15 +183,15 @@
     not_run("endpoint limits", refusal.retry_after)
 }
 
-/// Returns the limits of the endpoints of a call's service that it has not tried.
-fn limits_of(call: &AcceptedCall, tried: &[EndpointName], now: BootTime) -> Vec<RateLimit> {
+/// Returns the limits of the endpoints of a call's service and of this version that it has not tried.
+fn limits_of(call: &AcceptedCall, tried: &[EndpointName], version: &StreamVersion, now: BootTime) -> Vec<RateLimit> {
     let state = call.shared.state();
     if !state.limits.has_limits() {
         return Vec::new();
     }
     let ready = state.registry.ready(now, &call.service).into_iter();
     ready
-        .filter(|(name, _)| !tried.contains(name))
+        .filter(|(name, endpoint)| !tried.contains(name) && version.admits(endpoint))
         .filter_map(|(name, endpoint)| state.limits.limit(limited(name, endpoint)))
         .collect()
 }
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -8,6 +8,7 @@
 use acaciabay::core::answer_end::{AnswerEnd, BodyFraming};
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
@@ -71,7 +72,7 @@
 async fn run(call: &Arc<AcceptedCall>) -> Result<AnsweredCall, CallRefusal> {
     let mut attempts = PlainAttempts::default();
     loop {
-        let chosen = choose_with_permit(call, "no endpoint", &attempts.tried, |now| {
+        let chosen = choose_with_permit(call, "no endpoint", (&attempts.tried, &StreamVersion::Any), |now| {
             call.shared
                 .choose_for_plain_call(now, &call.service, &attempts.tried, call.request_hash)
         });
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::prefill_pace::PrefillTime;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::place_prompt::{PromptPlacement, is_copy_source_gone};
 use acaciabay::util::number::whole_millis;
@@ -111,7 +112,7 @@
     let mut failed = 0;
     let mut is_demand_recorded = false;
     while failed < MAX_FAILED_ENGINES && tried.len() - failed < MAX_UNREACHABLE_ENGINES {
-        let reader = choose_with_permit(call, "no engine reads prompts", &tried, |now| {
+        let reader = choose_with_permit(call, "no engine reads prompts", (&tried, &StreamVersion::Any), |now| {
             call.shared.choose_prefill_engine(now, &call.service, &tried, prompt)
         });
         let reader = reader.await?;
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -70,6 +70,9 @@
 /// Reason for which a call is refused while the entry is cut off from all endpoints and no relay takes it.
 pub(super) const NO_PATH: &str = "no path to the endpoints";
 
+/// Reason for which a stream is not continued while no engine of the version that has begun it can.
+pub(super) const NO_ENGINE_OF_VERSION: &str = "no engine of the version that began the stream";
+
 /// Retry delay of a call that the leader is about to judge.
 pub(super) const JUDGEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay of a quarantined call. Only an operator or a change of the endpoints can help it.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -360,6 +360,12 @@
         }
     }
 
+    /// Returns the time for which an endpoint that drains may be sent a stream that no other can continue. Half of the bound is
+    /// left for the news of its departure, which this entry gets after the endpoint has been answered.
+    pub(super) fn drain_window(&self) -> Duration {
+        self.settings.endpoint_drain.unwrap_or_default() / 2
+    }
+
     /// Counts a call that has started for its customer's usage, in the window of the group clock.
     pub(super) fn count_start(&self, customer: Option<&CustomerName>) {
         let Some(customer) = customer else { return };
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -7,6 +7,7 @@
 use acacia_runtime::event;
 use acaciabay::core::answer_end::{AnswerEnd, AskedEvents, BodyEnd, StreamProgress};
 use acaciabay::core::serving::event_stream::{EventSplitter, MAX_EVENT_BYTES, ResumePoint};
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
@@ -77,6 +78,17 @@
     })
 }
 
+/// Counts what becomes of a stream that has broken off.
+fn count_resume(may_resume: bool, can_go_on: bool, goes_on: bool) {
+    let outcome = match (may_resume, can_go_on, goes_on) {
+        (false, ..) => "not_resumable",
+        (true, false, _) => "no_engine",
+        (true, true, false) => "no_retry",
+        (true, true, true) => "goes_on",
+    };
+    metrics::counter!("acacia_streams_broken_total", "outcome" => outcome).increment(1);
+}
+
 #[derive(Debug)]
 enum RelayStep {
     Events(Bytes),
@@ -109,7 +121,7 @@
         let call = &self.attempts.call;
         slog::info!(call.shared.log, "stream begun"; "event" => event::CALL_ENDED, "request" => &call.head.request,
             "route" => &call.route().name, "endpoint" => stream.source.chosen.name.as_str(),
-            "status" => stream.source.status.as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
+            "version" => call.stream_version().label(), "status" => stream.source.status.as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
         let mut headers = call.shared.codec.filter_answer_headers(&stream.headers);
         // If the stream is resumed at another engine, its total length differs.
         headers.remove(CONTENT_LENGTH);
@@ -155,6 +167,7 @@
         };
         let framing = stream.source.framing;
         let (body, reason) = match tokio::time::timeout(timeout, stream.incoming.frame()).await {
+            Ok(Some(Ok(_))) if !self.is_of_version() => (BodyEnd::Broken, "written at another version".to_owned()),
             Ok(Some(Ok(frame))) => {
                 let events = self.splitter.push(frame.data_ref().map_or(&[], |data| data));
                 self.record_events(events.count);
@@ -162,11 +175,48 @@
             }
             Ok(None) => (BodyEnd::InOrder, String::new()),
             Ok(Some(Err(error))) => (BodyEnd::Broken, error.to_string()),
+            Err(_elapsed) if self.is_awaited() => return Ok(Bytes::new()),
             Err(_elapsed) => (BodyEnd::Silent, String::new()),
         };
         Err((AnswerEnd::of_stream(framing, body, self.progress()), reason))
     }
 
+    /// Returns true if the current engine writes at the version of the stream, or if none is fixed.
+    ///
+    /// The engine was chosen by what it had reported. If it has started again since, under its name and at another version, it
+    /// resumes the stream all the same.
+    fn is_of_version(&self) -> bool {
+        let call = &self.attempts.call;
+        let Some(stream) = &self.stream else { return true };
+        let chosen = &stream.source.chosen;
+        let expected = call.stream_version();
+        if *expected == StreamVersion::Any {
+            return true;
+        }
+        let written = call
+            .shared
+            .state()
+            .registry
+            .written_version(&chosen.name, &chosen.endpoint);
+        let is_same = *expected == written;
+        // A stream of an unknown version goes on where it began.
+        if is_same || *expected == StreamVersion::Unknown {
+            return true;
+        }
+        slog::warn!(call.shared.log, "endpoint has started again at another version"; "event" => event::VERSION_CHANGED,
+            "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "expected" => expected.label(),
+            "birth" => chosen.endpoint.incarnation.0);
+        metrics::counter!("acacia_stream_versions_mismatched_total").increment(1);
+        false
+    }
+
+    /// Returns true if a silent engine is waited for on: no other one could go on, and the caller still has time.
+    fn is_awaited(&self) -> bool {
+        let Some(stream) = &self.stream else { return false };
+        let current = std::slice::from_ref(&stream.source.chosen.name);
+        boot_now() < self.attempts.call.deadline && !self.attempts.can_go_on(current)
+    }
+
     /// Returns false if the event that is not complete takes more memory than there is for it.
     fn has_room(&mut self) -> bool {
         let pending = self.splitter.pending_bytes();
@@ -192,6 +242,18 @@
 
     fn record_events(&mut self, count: usize) {
         let call = &self.attempts.call;
+        if self.events == 0
+            && count > 0
+            && let Some(stream) = &self.stream
+        {
+            let chosen = &stream.source.chosen;
+            let written = call
+                .shared
+                .state()
+                .registry
+                .written_version(&chosen.name, &chosen.endpoint);
+            call.fix_stream_version(written);
+        }
         if self.events == 0 && count > 0 {
             call.shared.count_start(call.customer());
             metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
@@ -219,11 +281,15 @@
         source.record_end(call, end);
         let resume_point = self.resume_point();
         let may_resume = resume_point != ResumePoint::Unknown && end != AnswerEnd::EventTooLarge;
-        let can_retry = may_resume && self.attempts.acquire_retry();
+        // Without an engine that can go on, the retry would be taken in vain.
+        let can_go_on = may_resume && self.attempts.can_go_on(&[]);
+        let can_retry = can_go_on && self.attempts.acquire_retry();
+        count_resume(may_resume, can_go_on, can_retry);
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => source.chosen.name.as_str(), "framing" => source.framing.name(),
             "end" => end.name(), "reason" => reason, "partial_bytes" => self.splitter.pending_bytes(),
-            "events" => self.events, "resume_point" => ?resume_point, "goes_on" => can_retry);
+            "events" => self.events, "resume_point" => ?resume_point, "version" => call.stream_version().label(),
+            "has_engine" => can_go_on, "goes_on" => can_retry);
         if !can_retry {
             return false;
         }
@@ -231,7 +297,8 @@
         match self.attempts.open(resume_point.event()).await {
             Ok(stream) if stream.has_events() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
-                    "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point);
+                    "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point,
+                    "version" => StreamVersion::begun_by(&stream.source.chosen.endpoint).label());
                 self.stream = Some(stream);
                 self.asked = self.progress().asked_next(resume_point);
                 self.splitter = self.splitter.continued();
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
 use acaciabay::util::number::whole_millis;
@@ -20,12 +21,12 @@
 use super::attempt::{AttemptOutcome, AttemptTimeouts, KeptConnection, send};
 use super::call::{AcceptedCall, refuse};
 use super::codec::AttemptRole;
-use super::endpoint_choice::ChosenEndpoint;
+use super::endpoint_choice::{ChosenEndpoint, DecodeScope};
 use super::endpoint_limits::choose_with_permit;
 use super::plain_body::{PlainStream, stream_answer};
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_ENGINE_OF_VERSION, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::LoadGuard;
 use super::stream_body::answer_with_events;
 
@@ -129,6 +130,25 @@
             && self.call.shared.acquire_retry(now, &self.call.service)
     }
 
+    /// Returns the engines that may decode the call.
+    fn decode_scope<'call>(&'call self, tried: &'call [EndpointName]) -> DecodeScope<'call> {
+        DecodeScope {
+            version: self.call.stream_version(),
+            tried,
+            drain_window: self.call.shared.drain_window(),
+        }
+    }
+
+    /// Returns true if an engine other than those that were tried can go on with the call. Before its first event, any
+    /// engine can, and which one is left to the choice.
+    pub(super) fn can_go_on(&self, tried: &[EndpointName]) -> bool {
+        *self.call.stream_version() == StreamVersion::Any
+            || self
+                .call
+                .shared
+                .has_resume_engine(boot_now(), &self.call.service, &self.decode_scope(tried))
+    }
+
     /// Returns the time for which the engine may send nothing.
     pub(super) fn silence_timeout(&self) -> Duration {
         let left = self.call.deadline.since(boot_now());
@@ -142,10 +162,12 @@
 
     /// Returns the time that an engine may take to begin its answer. It is shorter than the silence timeout if the
     /// service's usual time to first answer is known and the call can be retried elsewhere.
-    fn first_answer_timeout(&self, suspect_after: Option<Duration>) -> Duration {
+    fn first_answer_timeout(&self, suspect_after: Option<Duration>, tried: &[EndpointName]) -> Duration {
         let timeout = self.silence_timeout();
         // `possible_runs` does not yet include the attempt that is about to be sent.
-        let can_retry = self.call.route().kind.may_repeat() && self.possible_runs + 1 < self.call.route().max_attempts;
+        let can_retry = self.call.route().kind.may_repeat()
+            && self.possible_runs + 1 < self.call.route().max_attempts
+            && self.can_go_on(tried);
         match suspect_after {
             Some(suspect_after) if can_retry => timeout.min(suspect_after.mul_f64(FIRST_ANSWER_FACTOR)),
             _ => timeout,
@@ -158,15 +180,19 @@
         let mut tried: Vec<EndpointName> = Vec::new();
         let mut prefilled: Option<PrefilledPrompt> = None;
         loop {
+            if !self.can_go_on(&tried) {
+                return Err(self.refusal(NO_ENGINE_OF_VERSION, NO_ENDPOINT_RETRY_DELAY));
+            }
             if prefilled.is_none() {
                 self.check_decode_room(&tried).await?;
                 prefilled = self.prefill_if_separate().await?;
             }
             let domain = prefilled.as_ref().map(|prefilled| &prefilled.engine.endpoint.domain);
-            let chosen = choose_with_permit(&self.call, "no engine makes tokens", &tried, |now| {
+            let scope = self.decode_scope(&tried);
+            let chosen = choose_with_permit(&self.call, "no engine makes tokens", (&tried, scope.version), |now| {
                 self.call
                     .shared
-                    .choose_decode_engine(now, &self.call.service, &tried, domain, self.call.request_hash)
+                    .choose_decode_engine(now, &self.call.service, &scope, domain, self.call.request_hash)
             });
             let chosen = chosen.await.map_err(|refusal| self.held_back(refusal))?;
             let guard = self.call.shared.add_work(&chosen.name, self.decode_work());
@@ -238,8 +264,9 @@
     /// Refuses the call if limits stand against all engines that could decode it.
     async fn check_decode_room(&self, tried: &[EndpointName]) -> Result<(), CallRefusal> {
         let (shared, service) = (&self.call.shared, &self.call.service);
-        let has_room = choose_with_permit(&self.call, "no engine makes tokens", tried, |now| {
-            shared.has_decode_room(now, service, tried).then_some(())
+        let scope = self.decode_scope(tried);
+        let has_room = choose_with_permit(&self.call, "no engine makes tokens", (tried, scope.version), |now| {
+            shared.has_decode_room(now, service, &scope).then_some(())
         });
         has_room.await.map_err(|refusal| self.held_back(refusal))
     }
@@ -280,7 +307,7 @@
         let suspect_after = self.call.shared.state().suspicion_timeout(&self.call.service);
         let timeouts = AttemptTimeouts {
             suspect_after,
-            give_up_after: self.first_answer_timeout(suspect_after),
+            give_up_after: self.first_answer_timeout(suspect_after, std::slice::from_ref(&chosen.name)),
         };
         let sent_at = boot_now();
         let outcome = send(&self.call, chosen, role, resume_after, timeouts).await;
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -106,6 +106,8 @@
     RELAY_REFUSED = "E0247";
     /// An attempt was answered over a relay.
     ATTEMPT_RELAYED = "E0248";
+    /// An endpoint has started again, at another version of its software, under a stream.
+    VERSION_CHANGED = "E0249";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -78,6 +78,9 @@
     pub relay_address: Option<SocketAddr>,
     /// The address of this host from which endpoints are called; the system chooses one without it.
     pub endpoint_source: Option<IpAddr>,
+    /// Within which time after its departure was acknowledged an endpoint must get its last request; without it, none is sent to an
+    /// endpoint that drains.
+    pub endpoint_drain: Option<Duration>,
 }
 
 /// A bound on what all entries together do within any window.
@@ -173,6 +176,7 @@
     let stop_grace = reader.required("stop_grace_s", findings, as_seconds(0.1..=600.0));
     let relay_address = reader.optional("relay_address", findings, as_address);
     let endpoint_source = reader.optional("endpoint_source_address", findings, as_ip_address);
+    let endpoint_drain = reader.optional("endpoint_drain_ms", findings, as_count(0..=600_000));
     let mut bound = reader.child("send_bound", findings);
     let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
     bound.finish(findings);
@@ -192,6 +196,7 @@
         send_bound: send_bound?,
         relay_address,
         endpoint_source,
+        endpoint_drain: endpoint_drain.map(Duration::from_millis),
     })
 }
 
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -9,6 +9,7 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::{PartId, PromptPart};
 use acaciabay::core::serving::serving_state::ServingState;
+use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::start_counts::{CustomerCounts, EntryStart, GatheredCounts, GatheredRow, WindowNumber};
 use acaciabay::util::byte_delta::{ByteDelta, DeltaPiece};
 use acaciabay::util::number::round_up;
@@ -73,6 +74,7 @@
         birth: endpoint.incarnation.0,
         sequence: endpoint.sequence,
         handle: 0,
+        version: endpoint.version.as_ref().map(ToString::to_string),
     }
 }
 
@@ -98,6 +100,7 @@
         phase,
         stage,
         reclaimable: message.reclaimable,
+        version: message.version.as_deref().and_then(SoftwareVersion::from_text),
         incarnation: EndpointIncarnation(message.birth),
         sequence: message.sequence,
     };
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::broken_attempt::{BrokenAttempt, EndpointSighting};
+use super::software_version::{SoftwareVersion, StreamVersion};
 use crate::core::clock::BootTime;
 use crate::core::name::{DomainName, EndpointName, ServiceName};
 
@@ -54,6 +55,8 @@
     pub stage: Option<EngineStage>,
     /// Set if the platform may reclaim it at short notice.
     pub reclaimable: bool,
+    /// The version of its software, if it reports one.
+    pub version: Option<SoftwareVersion>,
     /// Its incarnation.
     pub incarnation: EndpointIncarnation,
     /// The sequence number of its report within the incarnation.
@@ -64,6 +67,8 @@
 struct RegistryRow {
     endpoint: ServingEndpoint,
     reported_at: BootTime,
+    /// Time at which the endpoint was first known to drain, if it was known to take calls before.
+    draining_since: Option<BootTime>,
 }
 
 /// All endpoints that have been reported, by name.
@@ -89,6 +94,7 @@
             let row = RegistryRow {
                 endpoint,
                 reported_at: now,
+                draining_since: None,
             };
             self.rows.insert(name.clone(), row);
             return ReportEffect::Changed;
@@ -101,11 +107,20 @@
         if endpoint.incarnation == stored.incarnation {
             // An endpoint that has announced its departure does not return within the same incarnation.
             endpoint.phase = endpoint.phase.max(stored.phase);
+            if endpoint.version.is_none() && endpoint.incarnation != EndpointIncarnation::default() {
+                // A process of an earlier release has dropped it. Software does not change within an incarnation.
+                endpoint.version.clone_from(&stored.version);
+            }
         }
         let is_same = ServingEndpoint {
             sequence: endpoint.sequence,
             ..stored.clone()
         } == endpoint;
+        if endpoint.incarnation != row.endpoint.incarnation {
+            row.draining_since = None;
+        } else if row.endpoint.phase == EndpointPhase::Ready && endpoint.phase == EndpointPhase::Draining {
+            row.draining_since = Some(now);
+        }
         row.endpoint = endpoint;
         row.reported_at = now;
         if is_same {
@@ -146,6 +161,10 @@
             Some(row) if incarnation.is_none_or(|incarnation| incarnation >= row.endpoint.incarnation) => {
                 let changed = row.endpoint.phase != EndpointPhase::Gone;
                 row.endpoint.phase = EndpointPhase::Gone;
+                if incarnation.is_some_and(|incarnation| incarnation > row.endpoint.incarnation) {
+                    // The version was that of the incarnation before.
+                    row.endpoint.version = None;
+                }
                 row.endpoint.incarnation = incarnation.unwrap_or(row.endpoint.incarnation);
                 if changed {
                     ReportEffect::Changed
@@ -193,6 +212,41 @@
         self.select(now, service, |phase| phase != EndpointPhase::Gone)
     }
 
+    /// Returns the endpoints of a service that may write the rest of a stream, those that drain included if it has been known
+    /// for less than `drain_window`.
+    ///
+    /// A row without recent reports is not believed, even if all are silent: the endpoint may have started again at another
+    /// version.
+    pub fn resumable<'registry>(
+        &'registry self,
+        now: BootTime,
+        service: &'registry ServiceName,
+        version: &StreamVersion,
+        drain_window: Duration,
+    ) -> Vec<(&'registry EndpointName, &'registry ServingEndpoint)> {
+        let mut rows = self.answering(now, service);
+        rows.retain(|(name, endpoint)| version.admits(endpoint) && self.is_resumable(now, name, drain_window));
+        rows
+    }
+
+    fn is_resumable(&self, now: BootTime, name: &EndpointName, drain_window: Duration) -> bool {
+        let Some(row) = self.rows.get(name) else { return false };
+        let is_reporting = now.since(row.reported_at) < REPORT_TIMEOUT;
+        let drains_lately = || row.draining_since.is_some_and(|since| now.since(since) < drain_window);
+        is_reporting && (row.endpoint.phase == EndpointPhase::Ready || drains_lately())
+    }
+
+    /// Returns the version of what the endpoint `name` writes, which was chosen when its row was `chosen`. If it has started
+    /// again meanwhile, it is not known which incarnation writes.
+    pub fn written_version(&self, name: &EndpointName, chosen: &ServingEndpoint) -> StreamVersion {
+        match self.get(name) {
+            Some(row) if row.incarnation != chosen.incarnation && row.version != chosen.version => {
+                StreamVersion::Unknown
+            }
+            _ => StreamVersion::begun_by(chosen),
+        }
+    }
+
     /// Returns the endpoints of a service in a wanted phase, except for silent ones and those whose address a later
     /// incarnation has.
     fn select<'registry>(
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -7,6 +7,7 @@
 //!   renewals that an entry has requested.
 //! * [`endpoint_registry`] orders the reports of endpoints, which may arrive late, repeatedly and by several paths.
 //!   [`endpoint_handles`] numbers the endpoints in the messages of a replica.
+//! * [`software_version`] is the version of an endpoint's software, by which a stream is continued.
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
@@ -73,6 +74,7 @@
 pub mod retry_limiter;
 pub mod serving_state;
 pub mod shared_suspicion;
+pub mod software_version;
 pub mod start_counts;
 pub mod stop_state;
 pub mod stream_peak;
--- a/crates/acaciabay/tests/serving/endpoint_handles.rs
+++ b/crates/acaciabay/tests/serving/endpoint_handles.rs
@@ -18,6 +18,7 @@
         phase: EndpointPhase::Ready,
         stage: None,
         reclaimable: false,
+        version: None,
         incarnation: EndpointIncarnation(incarnation),
         sequence,
     }
--- a/crates/acaciabay/tests/serving/fixtures.rs
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -37,6 +37,7 @@
         phase: EndpointPhase::Ready,
         stage: Some(EngineStage::Prefill),
         reclaimable: false,
+        version: None,
         incarnation: EndpointIncarnation(1_000),
         sequence: 1,
     }
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -32,6 +32,7 @@
 mod relay_choice;
 mod replica_tracker;
 mod retry_limiter;
+mod software_versions;
 mod stages;
 mod state;
 mod stopping;
