Take a stream up only at the software version that began it, at any entry

Cause: which version began a stream was known, if at all, to the entry that carried it, which is gone when its streams are taken up; and Resumes was not read. Class: session state that dies with the process that needs it least.

An entry now tells three of the replicas as the first event passes, without waiting: the hash of customer, service and request, and the version. It is written once and never changes, so copies need no order and no log; a lost one means unknown, and unknown goes on nowhere (503, not run). A search asks all replicas and takes the first that knows, once more after 40 ms. Sessions that open are told the last minute again, so that replicas which started again know it. Entries of this release tell replicas only that say they understand it (SignOfLife.revision).

Ruled out: asking the entry that began (gone), the log (an append for each stream), the leader (elections), entries by hash (a third may go at once).

Seen on the way: an entry that took its own record for the whole truth went on although another entry had begun a stream under the same identifier (an_attempt_that_was_begun_at_two_versions_is_taken_up_at_none failed with 200); it asks the replicas as well now.

E0250 says what was searched, found, where, how old; E0342 contradictions.

--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -30,6 +30,7 @@
 mod soft_state;
 mod stage_orders;
 mod start;
+mod stream_origins;
 mod usage_windows;
 
 pub use codec::{
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -8,7 +8,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{Leadership, ReplicaAddresses, ServingFrame, ServingHello, SignOfLife};
-use acacia_wire::{EncodedFrame, FrameReader, FrameWriter};
+use acacia_wire::{EncodedFrame, FrameReader, FrameWriter, MESSAGE_REVISION};
 use acaciabay::core::clock::BootTime;
 use acaciabay::util::number::whole_millis;
 use tokio::net::TcpStream;
@@ -55,11 +55,17 @@
         let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
             return Err(std::io::ErrorKind::InvalidData.into());
         };
-        if let Body::Renew(request) = body {
-            let answer = answer_renewal(shared, hello, request, &mut sent).await;
-            if frames.send(QueuedFrame::answer(boot_now(), answer)).await.is_err() {
-                return Ok(());
+        let answer = match body {
+            Body::Renew(request) => answer_renewal(shared, hello, request, &mut sent).await,
+            Body::Origins(origins) => {
+                shared.origins.record_told(boot_now(), &origins);
+                continue;
             }
+            Body::OriginQuery(query) => Body::OriginAnswer(shared.origins.answer(boot_now(), &query)),
+            _ => continue,
+        };
+        if frames.send(QueuedFrame::answer(boot_now(), answer)).await.is_err() {
+            return Ok(());
         }
     }
     Ok(())
@@ -134,6 +140,7 @@
 fn keepalive() -> Body {
     Body::Alive(SignOfLife {
         wall_ms: wall_nanos() / 1_000_000,
+        revision: MESSAGE_REVISION,
     })
 }
 
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -28,6 +28,7 @@
 use super::codec::{ControlCodec, PlatformCodec};
 use super::config_cache::ConfigCache;
 use super::soft_state::SoftState;
+use super::stream_origins::ToldOrigins;
 use crate::group::GroupHandle;
 use crate::suspect_calls::SuspectRecorder;
 
@@ -104,6 +105,8 @@
     pub(super) settings: ServingControlSettings,
     pub(super) group: GroupHandle,
     pub(super) suspects: Arc<SuspectRecorder>,
+    /// Which versions have begun streams.
+    pub(super) origins: ToldOrigins,
     /// By which entries know each other while this replica leads.
     pub(super) relay_token: u64,
     pub(super) codec: Arc<dyn ControlCodec>,
@@ -129,6 +132,7 @@
             settings,
             group,
             suspects,
+            origins: ToldOrigins::new(log.clone()),
             relay_token: rand::rng().random_range(1..=u64::MAX),
             codec,
             platform,
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -228,7 +228,10 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = tokio::time::sleep(CLEANUP_INTERVAL) => shared.soft_state().forget_silent(boot_now()),
+            () = tokio::time::sleep(CLEANUP_INTERVAL) => {
+                shared.soft_state().forget_silent(boot_now());
+                shared.origins.forget_old(boot_now());
+            }
         }
     }
 }
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
 use acaciabay::core::serving::software_version::StreamVersion;
+use acaciabay::core::serving::stream_origin::OriginKey;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
@@ -27,6 +28,7 @@
 use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
+use super::taken_stream::select_target;
 use super::{plain_call, stream_call};
 use crate::suspect_calls::{CallTrial, LazyFingerprint, SentAttempt, TrackedCall};
 
@@ -76,6 +78,16 @@
         let _already_fixed = self.begun_by.set(version);
     }
 
+    /// Records which version has begun the stream, for other entries at which its caller may take it up.
+    pub(super) fn record_begun_stream(&self) {
+        if let Some(version) = self.stream_version().known()
+            && self.route().kind.may_repeat()
+        {
+            let key = OriginKey::of(self.customer(), &self.service, &self.head.request);
+            self.shared.origins.record_begun(boot_now(), key, version);
+        }
+    }
+
     /// Returns the call as it is recognised when it is sent again.
     fn tracked(&self) -> TrackedCall<'_> {
         TrackedCall {
@@ -186,6 +198,14 @@
         "waited_ms" => whole_millis(now.since(received_at)), "leased" => shared.has_lease(now));
 }
 
+/// Returns the version of a stream that an earlier attempt has begun, or none before the first event.
+fn fixed_version(version: StreamVersion) -> OnceLock<StreamVersion> {
+    match version {
+        StreamVersion::Any => OnceLock::new(),
+        fixed => OnceLock::from(fixed),
+    }
+}
+
 type RefusedCall = (Option<CallHead>, CallRefusal);
 
 async fn accept(
@@ -233,8 +253,9 @@
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => return Err((Some(head), CallRefusal::BodyLate)),
     };
     let request_hash = rendezvous::hash(head.request.as_bytes());
-    let Some(service) = admitted.route.pick_service(request_hash).cloned() else {
-        return Err((Some(head), CallRefusal::NoRoute));
+    let target = match select_target(shared, &head, &admitted, request_hash).await {
+        Ok(target) => target,
+        Err(refusal) => return Err((Some(head), refusal)),
     };
     let call = AcceptedCall {
         shared: Arc::clone(shared),
@@ -242,13 +263,13 @@
         head,
         body,
         admitted,
-        service,
+        service: target.service,
         received_at,
         deadline: received_at + timeout,
         request_hash,
         fingerprint: LazyFingerprint::default(),
         trial: None,
-        begun_by: OnceLock::new(),
+        begun_by: fixed_version(target.version),
         charge: None,
     };
     let trial = shared.suspects.request_trial(&call.tracked()).await;
--- a/crates/acacia-entry/src/serving/codec.rs
+++ b/crates/acacia-entry/src/serving/codec.rs
@@ -33,6 +33,27 @@
     pub prompt: Option<PromptShape>,
     /// Identifier of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Attempt that brought the first event, if the caller takes up a stream.
+    pub earlier_attempt: EarlierAttempt,
+}
+
+impl CallHead {
+    /// Returns true if the caller takes up a stream of which it has received events.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resume_after.is_some() || self.earlier_attempt != EarlierAttempt::Unnamed
+    }
+}
+
+/// Attempt that brought the first event of a stream, as the caller names it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum EarlierAttempt {
+    /// The caller names none.
+    #[default]
+    Unnamed,
+    /// The attempt with this identifier.
+    Named(String),
+    /// What the caller names is no identifier, or there are several.
+    Unclear,
 }
 
 /// Reason for which a request head is rejected.
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -17,7 +17,7 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, kept_from_wire, split_frames,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, ORIGINS_REVISION, kept_from_wire, split_frames,
     suspect_answer_from_wire, use_from_wire,
 };
 use acaciabay::core::clock::BootTime;
@@ -28,7 +28,7 @@
 use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -38,6 +38,7 @@
 };
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
+use super::stream_origins::MAX_QUEUED_FRAMES;
 
 /// Interval between renewals of the lease. A dozen of them fit into the shortest lease in use, and the load that
 /// entries report to each other is at most two intervals old.
@@ -149,9 +150,11 @@
         slog::info!(self.shared.log, "session with a replica opened"; "event" => event::CONTROL_FOUND,
             "replica" => %address);
         let session = Mutex::new(ReplicaSession::default());
+        let (origins, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
+        let _origins = self.shared.origins.guard_session(address);
         tokio::select! {
-            ended = self.read_frames(address, reader, &session) => ended,
-            ended = self.send_renewals(address, writer, &session) => ended,
+            ended = self.read_frames(address, reader, &session, origins) => ended,
+            ended = self.send_renewals(address, writer, &session, queue) => ended,
         }
     }
 
@@ -160,6 +163,7 @@
         address: SocketAddr,
         mut writer: FrameWriter<TcpStream>,
         session: &Mutex<ReplicaSession>,
+        mut origins: mpsc::Receiver<Frame>,
     ) -> std::io::Result<()> {
         let mut renewal_triggers = self.renewal_triggers.subscribe();
         let mut reports_due = self.shared.suspects.reports_due();
@@ -182,12 +186,17 @@
                     .send(renewal_frame(now, &self.shared, number, config_number))
                     .await?;
             }
-            tokio::select! {
-                () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
-                _ = renewal_triggers.changed() => {}
-                _ = reports_due.changed() => {}
-                _ = limit_reports_due.changed() => {}
-                _ = path_changes.changed() => {}
+            let renewal_due = tokio::time::sleep(RENEWAL_INTERVAL);
+            tokio::pin!(renewal_due);
+            loop {
+                tokio::select! {
+                    () = &mut renewal_due => break,
+                    _ = renewal_triggers.changed() => break,
+                    _ = reports_due.changed() => break,
+                    _ = limit_reports_due.changed() => break,
+                    _ = path_changes.changed() => break,
+                    Some(frame) = origins.recv() => write_queued(&mut writer, frame, &mut origins).await?,
+                }
             }
         }
     }
@@ -249,7 +258,9 @@
         address: SocketAddr,
         mut reader: FrameReader<TcpStream>,
         session: &Mutex<ReplicaSession>,
+        origins: mpsc::Sender<Frame>,
     ) -> std::io::Result<()> {
+        let mut origins = Some(origins);
         let mut handles = ReceivedHandles::default();
         while let Some(frame) = reader.next_within(SILENCE_TIMEOUT).await? {
             let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
@@ -286,12 +297,19 @@
                 Body::Allowances(table) => apply_allowances(&self.shared, &table),
                 Body::Limits(table) => apply_limit_states(&self.shared, &table),
                 Body::Resting(resting) => apply_resting_engines(&self.shared, &resting),
-                Body::Alive(sign) => self
-                    .shared
-                    .state()
-                    .group_clock
-                    .record(boot_now(), address, sign.wall_ms),
-                Body::Renew(_) => return Err(std::io::ErrorKind::InvalidData.into()),
+                Body::Alive(sign) => {
+                    let now = boot_now();
+                    self.shared.state().group_clock.record(now, address, sign.wall_ms);
+                    if sign.revision >= ORIGINS_REVISION
+                        && let Some(queue) = origins.take()
+                    {
+                        self.shared.origins.attach(now, address, queue);
+                    }
+                }
+                Body::OriginAnswer(answer) => self.shared.origins.receive(address, &answer),
+                Body::Renew(_) | Body::Origins(_) | Body::OriginQuery(_) => {
+                    return Err(std::io::ErrorKind::InvalidData.into());
+                }
             }
         }
         Ok(())
@@ -362,3 +380,16 @@
         Ok(())
     }
 }
+
+/// Writes a frame, and all others that wait behind it, in one piece.
+async fn write_queued(
+    writer: &mut FrameWriter<TcpStream>,
+    first: Frame,
+    queue: &mut mpsc::Receiver<Frame>,
+) -> std::io::Result<()> {
+    writer.feed(first).await?;
+    while let Ok(frame) = queue.try_recv() {
+        writer.feed(frame).await?;
+    }
+    writer.flush().await
+}
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,6 +6,9 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`.
 //!
+//! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
+//! this entry begins, and `taken_stream` asks them for one that a caller takes up.
+//!
 //! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost: `relay_client`
 //! asks for that, and `relay_server` is the other entry's side.
 //!
@@ -37,7 +40,9 @@
 mod start;
 mod stream_body;
 mod stream_call;
+mod stream_origins;
+mod taken_stream;
 
-pub use codec::{AnswerHead, AttemptHead, AttemptRole, CallCodec, CallHead, HeadError};
+pub use codec::{AnswerHead, AttemptHead, AttemptRole, CallCodec, CallHead, EarlierAttempt, HeadError};
 pub use refusal::{CallRefusal, QUARANTINE_RETRY_DELAY};
 pub use start::start;
--- a/crates/acacia-entry/src/serving/refusal.rs
+++ b/crates/acacia-entry/src/serving/refusal.rs
@@ -73,6 +73,9 @@
 /// Reason for which a stream is not continued while no engine of the version that has begun it can.
 pub(super) const NO_ENGINE_OF_VERSION: &str = "no engine of the version that began the stream";
 
+/// Reason for which a stream is not continued if it is not known which version has begun it.
+pub(super) const UNKNOWN_ORIGIN: &str = "not known which version began the stream";
+
 /// Retry delay of a call that the leader is about to judge.
 pub(super) const JUDGEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay of a quarantined call. Only an operator or a change of the endpoints can help it.
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -35,6 +35,7 @@
 
 use super::codec::CallCodec;
 use super::endpoint_paths::{EndpointPaths, PathConnector};
+use super::stream_origins::OriginExchange;
 use crate::suspect_calls::SuspectTracker;
 
 /// Length of the lease as a fraction of the time within which a withdrawn key must stop working. The rest covers calls
@@ -164,6 +165,8 @@
     pub(super) paths: Arc<EndpointPaths>,
     /// Calls under which endpoints have ended.
     pub(super) suspects: Arc<SuspectTracker>,
+    /// Which versions have begun streams.
+    pub(super) origins: OriginExchange,
     pub(super) log: Logger,
     /// Cancelled when the process is asked to stop. The entry still accepts calls, but answers with
     /// `Connection: close`, so that callers go to other entries.
@@ -239,6 +242,7 @@
             client: EndpointClient::with_connector(options, Arc::new(PathConnector(Arc::clone(&paths)))),
             paths,
             suspects: SuspectTracker::new(log.clone()),
+            origins: OriginExchange::new(),
             log,
             stopping,
             started_at: boot_now(),
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -253,6 +253,7 @@
                 .registry
                 .written_version(&chosen.name, &chosen.endpoint);
             call.fix_stream_version(written);
+            call.record_begun_stream();
         }
         if self.events == 0 && count > 0 {
             call.shared.count_start(call.customer());
--- /dev/null
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -0,0 +1,300 @@
+//! Which software versions have begun streams: what this entry tells the replicas, and what it asks them when a caller takes
+//! up a stream.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acacia_runtime::clock::boot_now;
+use acacia_wire::generated::replica::peer_frame::Frame;
+use acacia_wire::generated::serving::serving_frame::Body;
+use acacia_wire::generated::serving::{OriginAnswer, OriginQuery, ServingFrame, StreamOrigin, StreamOrigins};
+use acacia_wire::{origin_from_wire, origin_to_wire};
+use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::software_version::SoftwareVersion;
+use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey, OriginTable, choose_keepers};
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
+
+/// Maximum number of streams that an entry remembers to have begun. A minute of sixty streams a second, in about 400 KB.
+const MAX_OWN_ORIGINS: usize = 4_096;
+/// Maximum number of searches at a time. Callers that take up what nobody has begun would otherwise load the replicas.
+const MAX_SEARCHES: usize = 256;
+/// Maximum number of frames that wait to be written to one replica.
+pub(super) const MAX_QUEUED_FRAMES: usize = 256;
+/// Maximum number of records in one frame.
+const ROWS_PER_FRAME: usize = 256;
+/// Time for which the answers of the replicas are waited for: many times the way to them.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(150);
+/// Delay before the replicas are asked a second time. A record may still be on its way when its stream is taken up.
+const SECOND_SEARCH_DELAY: Duration = Duration::from_millis(40);
+
+/// Where the version of a stream was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OriginSource {
+    /// This entry has begun the stream.
+    Own,
+    Replica(SocketAddr),
+    /// Nowhere, after so many replicas were asked.
+    Nowhere {
+        asked: usize,
+    },
+}
+
+/// Result of a search.
+#[derive(Clone, Debug)]
+pub(super) struct FoundOrigin {
+    pub(super) finding: OriginFinding,
+    /// The stream that was found, among those that were searched.
+    pub(super) key: Option<OriginKey>,
+    pub(super) source: OriginSource,
+    /// How long the source has known it.
+    pub(super) age: Duration,
+}
+
+impl FoundOrigin {
+    const fn nowhere(asked: usize) -> Self {
+        Self {
+            finding: OriginFinding::Unknown,
+            key: None,
+            source: OriginSource::Nowhere { asked },
+            age: Duration::ZERO,
+        }
+    }
+}
+
+/// A question to the replicas that is not settled.
+#[derive(Debug)]
+struct OpenSearch {
+    /// Replicas that have not answered.
+    awaited: BTreeSet<SocketAddr>,
+    asked: usize,
+    found: oneshot::Sender<FoundOrigin>,
+}
+
+/// Session with a replica. Dropping it ends what is expected of the replica.
+#[derive(Debug)]
+pub(super) struct SessionGuard<'exchange> {
+    exchange: &'exchange OriginExchange,
+    replica: SocketAddr,
+}
+
+impl Drop for SessionGuard<'_> {
+    fn drop(&mut self) {
+        self.exchange.detach(self.replica);
+    }
+}
+
+#[derive(Debug)]
+struct OriginState {
+    own: OriginTable,
+    /// Queues of the sessions with replicas that understand these messages.
+    replicas: BTreeMap<SocketAddr, mpsc::Sender<Frame>>,
+    searches: HashMap<u64, OpenSearch>,
+    last_search: u64,
+}
+
+/// Streams that this entry has begun, and its questions about others.
+#[derive(Debug)]
+pub(super) struct OriginExchange {
+    state: Mutex<OriginState>,
+}
+
+impl OriginExchange {
+    pub(super) fn new() -> Self {
+        Self {
+            state: Mutex::new(OriginState {
+                own: OriginTable::new(MAX_OWN_ORIGINS),
+                replicas: BTreeMap::new(),
+                searches: HashMap::new(),
+                last_search: 0,
+            }),
+        }
+    }
+
+    /// Opens the way to a replica, and tells it of all recent streams: it may have started just now, or have missed some.
+    pub(super) fn attach(&self, now: BootTime, replica: SocketAddr, queue: mpsc::Sender<Frame>) {
+        let mut state = self.state.lock();
+        state.own.remove_expired(now);
+        let rows: Vec<_> = state
+            .own
+            .rows()
+            .map(|(key, version)| origin_to_wire(key, version))
+            .collect();
+        for chunk in rows.chunks(ROWS_PER_FRAME) {
+            enqueue(&queue, origins_frame(chunk.to_vec()));
+        }
+        state.replicas.insert(replica, queue);
+    }
+
+    /// Returns a guard of the session with a replica. Once it is dropped, nothing is expected of the replica any more.
+    pub(super) const fn guard_session(&self, replica: SocketAddr) -> SessionGuard<'_> {
+        SessionGuard {
+            exchange: self,
+            replica,
+        }
+    }
+
+    fn detach(&self, replica: SocketAddr) {
+        let mut state = self.state.lock();
+        state.replicas.remove(&replica);
+        let open: Vec<u64> = state.searches.keys().copied().collect();
+        for search in open {
+            state.settle(search, replica, None);
+        }
+    }
+
+    /// Records that this entry has passed on the first event of a stream, and tells the replicas without waiting.
+    pub(super) fn record_begun(&self, now: BootTime, key: OriginKey, version: &SoftwareVersion) {
+        let mut state = self.state.lock();
+        state.own.record(now, key, Some(version));
+        metrics::gauge!("acacia_stream_origins_held").set(state.own.len() as f64);
+        let replicas: Vec<_> = state.replicas.iter().collect();
+        for (_, queue) in choose_keepers(key, &replicas, |(address, _)| address.to_string()) {
+            enqueue(queue, origins_frame(vec![origin_to_wire(key, Some(version))]));
+        }
+        metrics::counter!("acacia_stream_origins_told_total").increment(1);
+    }
+
+    /// Searches the version that has begun one of these streams: the caller knows its request, and the service follows from
+    /// the route, which may name several.
+    pub(super) async fn search(&self, keys: &[OriginKey]) -> FoundOrigin {
+        let own = self.find_own(boot_now(), keys);
+        let told = self.ask(keys).await;
+        match own {
+            // Another entry may have begun a stream under the same identifier.
+            Some(own) if told.finding == OriginFinding::Unknown || told.finding == own.finding => own,
+            Some(own) => FoundOrigin {
+                finding: OriginFinding::Conflicting,
+                ..own
+            },
+            None if told.finding == OriginFinding::Unknown => {
+                tokio::time::sleep(SECOND_SEARCH_DELAY).await;
+                self.ask(keys).await
+            }
+            None => told,
+        }
+    }
+
+    fn find_own(&self, now: BootTime, keys: &[OriginKey]) -> Option<FoundOrigin> {
+        let state = self.state.lock();
+        let found = keys.iter().map(|key| (*key, state.own.find(now, *key)));
+        let found = found.filter(|(_, (finding, _))| *finding != OriginFinding::Unknown);
+        let found = found.map(|(key, (finding, age))| FoundOrigin {
+            finding,
+            key: Some(key),
+            source: OriginSource::Own,
+            age,
+        });
+        single(found)
+    }
+
+    /// Asks all replicas, and returns the first answer that knows a stream.
+    async fn ask(&self, keys: &[OriginKey]) -> FoundOrigin {
+        let Some((search, found)) = self.begin_search(keys) else {
+            return FoundOrigin::nowhere(0);
+        };
+        let answer = tokio::time::timeout(SEARCH_TIMEOUT, found).await;
+        let open = self.state.lock().searches.remove(&search);
+        let asked = open.map_or(0, |open| open.asked);
+        // A dropped question was answered by no replica.
+        answer.map_or(FoundOrigin::nowhere(asked), |answer| {
+            answer.unwrap_or(FoundOrigin::nowhere(asked))
+        })
+    }
+
+    fn begin_search(&self, keys: &[OriginKey]) -> Option<(u64, oneshot::Receiver<FoundOrigin>)> {
+        let mut state = self.state.lock();
+        if state.searches.len() >= MAX_SEARCHES {
+            metrics::counter!("acacia_stream_origin_searches_total", "outcome" => "too_many").increment(1);
+            return None;
+        }
+        state.last_search += 1;
+        let search = state.last_search;
+        let query = query_frame(search, keys);
+        let asked = state.replicas.iter().filter(|(_, queue)| enqueue(queue, query.clone()));
+        let awaited: BTreeSet<_> = asked.map(|(address, _)| *address).collect();
+        if awaited.is_empty() {
+            return None;
+        }
+        let (found, receiver) = oneshot::channel();
+        let open = OpenSearch {
+            asked: awaited.len(),
+            awaited,
+            found,
+        };
+        state.searches.insert(search, open);
+        Some((search, receiver))
+    }
+
+    /// Takes the answer of a replica.
+    pub(super) fn receive(&self, replica: SocketAddr, answer: &OriginAnswer) {
+        let found = single(answer.rows.iter().map(|row| found_at(replica, row)));
+        self.state.lock().settle(answer.query, replica, found);
+    }
+}
+
+impl OriginState {
+    /// Takes what a replica knows, and ends the search if that is something, or if no other replica is awaited.
+    fn settle(&mut self, search: u64, replica: SocketAddr, found: Option<FoundOrigin>) {
+        let Some(open) = self.searches.get_mut(&search) else {
+            return;
+        };
+        open.awaited.remove(&replica);
+        if found.is_none() && !open.awaited.is_empty() {
+            return;
+        }
+        if let Some(open) = self.searches.remove(&search) {
+            let found = found.unwrap_or(FoundOrigin::nowhere(open.asked));
+            // The caller may have left.
+            let _unheard = open.found.send(found);
+        }
+    }
+}
+
+/// Returns what was found, if anything. Two streams of one request contradict each other: each is of another service.
+fn single(found: impl IntoIterator<Item = FoundOrigin>) -> Option<FoundOrigin> {
+    let mut found = found.into_iter();
+    let first = found.next()?;
+    let is_single = found.next().is_none();
+    let finding = if is_single {
+        first.finding
+    } else {
+        OriginFinding::Conflicting
+    };
+    Some(FoundOrigin { finding, ..first })
+}
+
+fn found_at(replica: SocketAddr, row: &StreamOrigin) -> FoundOrigin {
+    let (key, version) = origin_from_wire(row);
+    FoundOrigin {
+        finding: version.map_or(OriginFinding::Conflicting, OriginFinding::Known),
+        key: Some(key),
+        source: OriginSource::Replica(replica),
+        age: Duration::from_millis(row.age_ms),
+    }
+}
+
+/// Adds a frame to the queue of a session. Returns false if it is full or the session has ended.
+fn enqueue(queue: &mpsc::Sender<Frame>, frame: Frame) -> bool {
+    let is_queued = queue.try_send(frame).is_ok();
+    if !is_queued {
+        metrics::counter!("acacia_stream_origins_dropped_total").increment(1);
+    }
+    is_queued
+}
+
+fn origins_frame(rows: Vec<StreamOrigin>) -> Frame {
+    serving_frame(Body::Origins(StreamOrigins { rows }))
+}
+
+fn query_frame(query: u64, keys: &[OriginKey]) -> Frame {
+    serving_frame(Body::OriginQuery(OriginQuery {
+        query,
+        streams: keys.iter().map(|key| key.0).collect(),
+    }))
+}
+
+fn serving_frame(body: Body) -> Frame {
+    Frame::Serving(ServingFrame { body: Some(body) })
+}
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -108,6 +108,8 @@
     ATTEMPT_RELAYED = "E0248";
     /// An endpoint has started again, at another version of its software, under a stream.
     VERSION_CHANGED = "E0249";
+    /// The version that has begun a stream was searched, because its caller takes it up.
+    ORIGIN_SEARCHED = "E0250";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -183,6 +185,8 @@
     LIMIT_RECORDED = "E0340";
     /// An entry was told of limits, and granted permits.
     PERMITS_GRANTED = "E0341";
+    /// Entries have told several versions for one stream.
+    ORIGIN_CONFLICT = "E0342";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod frame;
 mod limit_message;
+mod origin_message;
 mod relay_message;
 mod replica_message;
 mod serving_message;
@@ -29,6 +30,7 @@
 pub use error::WireError;
 pub use frame::{CONNECT_TIMEOUT, EncodedFrame, FrameReader, FrameWriter, LARGEST_FRAME, split_frames};
 pub use limit_message::{limit_answer_from_wire, limit_answer_to_wire, limit_report_from_wire, limit_report_to_wire};
+pub use origin_message::{finding_to_wire, origin_from_wire, origin_to_wire};
 pub use relay_message::{RelayHandshake, RelayReply, RelayRequest};
 pub use replica_message::{
     entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire, message_from_wire, message_to_wire,
@@ -47,11 +49,13 @@
 };
 
 /// Revision of the messages between entries and replicas that this release understands, as a session's first message says.
-pub const MESSAGE_REVISION: u32 = LIMITS_REVISION;
+pub const MESSAGE_REVISION: u32 = ORIGINS_REVISION;
 /// First revision with the allowances of customers and with reports as numbers.
 pub const ALLOWANCES_REVISION: u32 = 1;
 /// First revision with the limits of endpoints.
 pub const LIMITS_REVISION: u32 = 2;
+/// First revision with the versions that have begun streams.
+pub const ORIGINS_REVISION: u32 = 3;
 
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -7,7 +7,8 @@
 //!   renewals that an entry has requested.
 //! * [`endpoint_registry`] orders the reports of endpoints, which may arrive late, repeatedly and by several paths.
 //!   [`endpoint_handles`] numbers the endpoints in the messages of a replica.
-//! * [`software_version`] is the version of an endpoint's software, by which a stream is continued.
+//! * [`software_version`] is the version of an endpoint's software, by which a stream is continued, and
+//!   [`stream_origin`] which version has begun a stream at any entry.
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
@@ -77,6 +78,7 @@
 pub mod software_version;
 pub mod start_counts;
 pub mod stop_state;
+pub mod stream_origin;
 pub mod stream_peak;
 pub mod suspect_table;
 pub mod suspect_view;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -36,6 +36,7 @@
 mod stages;
 mod state;
 mod stopping;
+mod stream_origins;
 mod suspect_view;
 mod suspects;
 mod suspicion;
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -105,9 +105,18 @@
     ///
     /// Panics when the thread that collects the log has panicked.
     pub fn count_events(&self, code: &str) -> usize {
+        self.count_events_where(code, |_| true)
+    }
+
+    /// Counts the events with this number so far for which `matches` is true.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the thread that collects the log has panicked.
+    pub fn count_events_where(&self, code: &str, matches: impl Fn(&Value) -> bool) -> usize {
         let lines = self.log.lines.lock().expect("the collecting thread does not panic");
         let events = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        events.filter(|event| event["event"] == code).count()
+        events.filter(|event| event["event"] == code && matches(event)).count()
     }
 
     /// Kills the process at once and waits until it is gone.
