Know the streams of callers that name no attempt by what they ask

Callers of earlier releases take a stream up with Last-Event-Id and no Resumes.

Cause: the record of a stream had only the key by its attempt. It has a second one by its content now. Content that began at two versions names none, so such a caller is refused where it cannot be told which stream it means.

Ruled out: taking the only version that an entry knows of for the version of the stream. Another entry may have begun it at one that has not been heard of here.

--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -57,8 +57,8 @@
         };
         let answer = match body {
             Body::Renew(request) => answer_renewal(shared, hello, request, &mut sent).await,
-            Body::Origins(origins) => {
-                shared.origins.record_told(boot_now(), &origins);
+            Body::Origin(origin) => {
+                shared.origins.record_told(boot_now(), &hello.host, &origin);
                 continue;
             }
             Body::OriginQuery(query) => Body::OriginAnswer(shared.origins.answer(boot_now(), &query)),
--- a/crates/acacia-control/src/serving/stream_origins.rs
+++ b/crates/acacia-control/src/serving/stream_origins.rs
@@ -2,14 +2,14 @@
 //! are neither replicated nor written to disk.
 
 use acacia_runtime::event;
-use acacia_wire::generated::serving::{OriginAnswer, OriginQuery, StreamOrigins};
+use acacia_wire::generated::serving::{OriginAnswer, OriginQuery, StreamOrigin};
 use acacia_wire::{finding_to_wire, origin_from_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::stream_origin::{OriginEffect, OriginKey, OriginTable};
 use parking_lot::Mutex;
 use slog::Logger;
 
-/// Maximum number of records: a minute of two thousand streams a second, in about 12 MB.
+/// Maximum number of records, two for each stream: a minute of a thousand streams a second, in about 13 MB.
 const MAX_ORIGINS: usize = 131_072;
 /// Maximum number of streams in one question.
 const MAX_QUERIED: usize = 64;
@@ -29,15 +29,22 @@
         }
     }
 
-    /// Records streams that an entry has begun.
-    pub(super) fn record_told(&self, now: BootTime, origins: &StreamOrigins) {
+    /// Records a stream that an entry has begun.
+    pub(super) fn record_told(&self, now: BootTime, entry: &str, origin: &StreamOrigin) {
+        let (keys, version) = match origin_from_wire(origin) {
+            Ok(read) => read,
+            Err(error) => {
+                slog::warn!(self.log, "malformed origin of a stream received"; "event" => event::MESSAGE_REFUSED,
+                    "entry" => entry, "error" => %error);
+                return;
+            }
+        };
         let mut table = self.table.lock();
         let evicted = table.evicted();
-        for (key, version) in origins.rows.iter().map(origin_from_wire) {
-            if table.record(now, key, version.as_ref()) == OriginEffect::Conflict {
-                slog::info!(self.log, "several versions have begun a stream"; "event" => event::ORIGIN_CONFLICT,
-                    "stream" => key.0, "version" => version.map(|version| version.to_string()));
-            }
+        table.record(now, keys.content, &version);
+        if table.record(now, keys.attempt, &version) == OriginEffect::Conflict {
+            slog::info!(self.log, "several versions have begun a stream"; "event" => event::ORIGIN_CONFLICT,
+                "stream" => keys.attempt.0, "version" => version.as_str(), "entry" => entry);
         }
         metrics::gauge!("acacia_stream_origins_held").set(table.len() as f64);
         metrics::counter!("acacia_stream_origins_evicted_total").increment(table.evicted() - evicted);
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -13,7 +13,7 @@
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
 use acaciabay::core::serving::software_version::StreamVersion;
-use acaciabay::core::serving::stream_origin::OriginKey;
+use acaciabay::core::serving::stream_origin::{OriginKey, OriginKeys};
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::util::number::whole_millis;
 use acaciabay::util::rendezvous;
@@ -83,21 +83,22 @@
         if let Some(version) = self.stream_version().known()
             && self.route().kind.may_repeat()
         {
-            let key = OriginKey::of(self.customer(), &self.service, &self.head.request);
-            self.shared.origins.record_begun(boot_now(), key, version);
+            let keys = OriginKeys {
+                attempt: OriginKey::of_attempt(self.customer(), &self.service, &self.head.request),
+                content: OriginKey::of_content(&self.service, &self.content()),
+            };
+            self.shared.origins.record_begun(boot_now(), keys, version);
         }
     }
 
+    fn content(&self) -> CallContent<'_> {
+        call_content(&self.parts, &self.head, self.customer(), &self.body)
+    }
+
     /// Returns the call as it is recognised when it is sent again.
     fn tracked(&self) -> TrackedCall<'_> {
         TrackedCall {
-            content: CallContent {
-                method: self.parts.method.as_str(),
-                host: &self.head.host,
-                target: self.parts.uri.path_and_query().map_or("", |target| target.as_str()),
-                customer: self.customer(),
-                body: &self.body,
-            },
+            content: self.content(),
             route: &self.route().name,
             fingerprint: &self.fingerprint,
         }
@@ -198,6 +199,21 @@
         "waited_ms" => whole_millis(now.since(received_at)), "leased" => shared.has_lease(now));
 }
 
+fn call_content<'call>(
+    parts: &'call Parts,
+    head: &'call CallHead,
+    customer: Option<&'call CustomerName>,
+    body: &'call [u8],
+) -> CallContent<'call> {
+    CallContent {
+        method: parts.method.as_str(),
+        host: &head.host,
+        target: parts.uri.path_and_query().map_or("", |target| target.as_str()),
+        customer,
+        body,
+    }
+}
+
 /// Returns the version of a stream that an earlier attempt has begun, or none before the first event.
 fn fixed_version(version: StreamVersion) -> OnceLock<StreamVersion> {
     match version {
@@ -253,7 +269,9 @@
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => return Err((Some(head), CallRefusal::BodyLate)),
     };
     let request_hash = rendezvous::hash(head.request.as_bytes());
-    let target = match select_target(shared, &head, &admitted, request_hash).await {
+    let customer = admitted.customer.as_ref().map(|customer| &customer.name);
+    let content = call_content(&parts, &head, customer, &body);
+    let target = match select_target(shared, &head, &admitted.route, &content, request_hash).await {
         Ok(target) => target,
         Err(refusal) => return Err((Some(head), refusal)),
     };
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -307,7 +307,7 @@
                     }
                 }
                 Body::OriginAnswer(answer) => self.shared.origins.receive(address, &answer),
-                Body::Renew(_) | Body::Origins(_) | Body::OriginQuery(_) => {
+                Body::Renew(_) | Body::Origin(_) | Body::OriginQuery(_) => {
                     return Err(std::io::ErrorKind::InvalidData.into());
                 }
             }
--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -1,29 +1,29 @@
 //! Which software versions have begun streams: what this entry tells the replicas, and what it asks them when a caller takes
 //! up a stream.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use acacia_runtime::clock::boot_now;
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
-use acacia_wire::generated::serving::{OriginAnswer, OriginQuery, ServingFrame, StreamOrigin, StreamOrigins};
-use acacia_wire::{origin_from_wire, origin_to_wire};
+use acacia_wire::generated::serving::{KnownOrigin, OriginAnswer, OriginQuery, ServingFrame};
+use acacia_wire::{finding_from_wire, origin_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::software_version::SoftwareVersion;
-use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey, OriginTable, choose_keepers};
+use acaciabay::core::serving::stream_origin::{
+    ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, OriginTable, choose_keepers,
+};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-/// Maximum number of streams that an entry remembers to have begun. A minute of sixty streams a second, in about 400 KB.
-const MAX_OWN_ORIGINS: usize = 4_096;
+/// Maximum number of streams that an entry remembers to have begun. A minute of thirty streams a second, in about 500 KB.
+const MAX_OWN_STREAMS: usize = 2_048;
 /// Maximum number of searches at a time. Callers that take up what nobody has begun would otherwise load the replicas.
 const MAX_SEARCHES: usize = 256;
-/// Maximum number of frames that wait to be written to one replica.
-pub(super) const MAX_QUEUED_FRAMES: usize = 256;
-/// Maximum number of records in one frame.
-const ROWS_PER_FRAME: usize = 256;
+/// Maximum number of frames that wait to be written to one replica: all that it is told when its session opens, and as many more.
+pub(super) const MAX_QUEUED_FRAMES: usize = 2 * MAX_OWN_STREAMS;
 /// Time for which the answers of the replicas are waited for: many times the way to them.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay before the replicas are asked a second time. A record may still be on its way when its stream is taken up.
@@ -63,6 +63,14 @@
     }
 }
 
+/// A stream that this entry has begun.
+#[derive(Clone, Debug)]
+struct ToldStream {
+    keys: OriginKeys,
+    version: SoftwareVersion,
+    begun_at: BootTime,
+}
+
 /// A question to the replicas that is not settled.
 #[derive(Debug)]
 struct OpenSearch {
@@ -88,6 +96,8 @@
 #[derive(Debug)]
 struct OriginState {
     own: OriginTable,
+    /// Streams of `own`, the oldest first, as they are told to replicas whose sessions open.
+    told: VecDeque<ToldStream>,
     /// Queues of the sessions with replicas that understand these messages.
     replicas: BTreeMap<SocketAddr, mpsc::Sender<Frame>>,
     searches: HashMap<u64, OpenSearch>,
@@ -104,7 +114,8 @@
     pub(super) fn new() -> Self {
         Self {
             state: Mutex::new(OriginState {
-                own: OriginTable::new(MAX_OWN_ORIGINS),
+                own: OriginTable::new(2 * MAX_OWN_STREAMS),
+                told: VecDeque::new(),
                 replicas: BTreeMap::new(),
                 searches: HashMap::new(),
                 last_search: 0,
@@ -115,14 +126,9 @@
     /// Opens the way to a replica, and tells it of all recent streams: it may have started just now, or have missed some.
     pub(super) fn attach(&self, now: BootTime, replica: SocketAddr, queue: mpsc::Sender<Frame>) {
         let mut state = self.state.lock();
-        state.own.remove_expired(now);
-        let rows: Vec<_> = state
-            .own
-            .rows()
-            .map(|(key, version)| origin_to_wire(key, version))
-            .collect();
-        for chunk in rows.chunks(ROWS_PER_FRAME) {
-            enqueue(&queue, origins_frame(chunk.to_vec()));
+        state.forget_old(now);
+        for told in &state.told {
+            enqueue(&queue, origin_frame(told));
         }
         state.replicas.insert(replica, queue);
     }
@@ -145,20 +151,31 @@
     }
 
     /// Records that this entry has passed on the first event of a stream, and tells the replicas without waiting.
-    pub(super) fn record_begun(&self, now: BootTime, key: OriginKey, version: &SoftwareVersion) {
+    pub(super) fn record_begun(&self, now: BootTime, keys: OriginKeys, version: &SoftwareVersion) {
         let mut state = self.state.lock();
-        state.own.record(now, key, Some(version));
-        metrics::gauge!("acacia_stream_origins_held").set(state.own.len() as f64);
+        state.forget_old(now);
+        state.own.record(now, keys.attempt, version);
+        state.own.record(now, keys.content, version);
+        let told = ToldStream {
+            keys,
+            version: version.clone(),
+            begun_at: now,
+        };
         let replicas: Vec<_> = state.replicas.iter().collect();
-        for (_, queue) in choose_keepers(key, &replicas, |(address, _)| address.to_string()) {
-            enqueue(queue, origins_frame(vec![origin_to_wire(key, Some(version))]));
+        for (_, queue) in choose_keepers(keys.attempt, &replicas, |(address, _)| address.to_string()) {
+            enqueue(queue, origin_frame(&told));
         }
+        state.told.push_back(told);
+        metrics::gauge!("acacia_stream_origins_held").set(state.own.len() as f64);
         metrics::counter!("acacia_stream_origins_told_total").increment(1);
     }
 
     /// Searches the version that has begun one of these streams: the caller knows its request, and the service follows from
     /// the route, which may name several.
     pub(super) async fn search(&self, keys: &[OriginKey]) -> FoundOrigin {
+        if keys.is_empty() {
+            return FoundOrigin::nowhere(0);
+        }
         let own = self.find_own(boot_now(), keys);
         let told = self.ask(keys).await;
         match own {
@@ -235,6 +252,16 @@
 }
 
 impl OriginState {
+    /// Removes the streams that are too old or too many.
+    fn forget_old(&mut self, now: BootTime) {
+        self.own.remove_expired(now);
+        while let Some(oldest) = self.told.front()
+            && (self.told.len() >= MAX_OWN_STREAMS || now.since(oldest.begun_at) >= ORIGIN_RETENTION)
+        {
+            self.told.pop_front();
+        }
+    }
+
     /// Takes what a replica knows, and ends the search if that is something, or if no other replica is awaited.
     fn settle(&mut self, search: u64, replica: SocketAddr, found: Option<FoundOrigin>) {
         let Some(open) = self.searches.get_mut(&search) else {
@@ -265,13 +292,13 @@
     Some(FoundOrigin { finding, ..first })
 }
 
-fn found_at(replica: SocketAddr, row: &StreamOrigin) -> FoundOrigin {
-    let (key, version) = origin_from_wire(row);
+fn found_at(replica: SocketAddr, row: &KnownOrigin) -> FoundOrigin {
+    let (key, finding, age) = finding_from_wire(row);
     FoundOrigin {
-        finding: version.map_or(OriginFinding::Conflicting, OriginFinding::Known),
+        finding,
         key: Some(key),
         source: OriginSource::Replica(replica),
-        age: Duration::from_millis(row.age_ms),
+        age,
     }
 }
 
@@ -284,8 +311,8 @@
     is_queued
 }
 
-fn origins_frame(rows: Vec<StreamOrigin>) -> Frame {
-    serving_frame(Body::Origins(StreamOrigins { rows }))
+fn origin_frame(told: &ToldStream) -> Frame {
+    serving_frame(Body::Origin(origin_to_wire(told.keys, &told.version)))
 }
 
 fn query_frame(query: u64, keys: &[OriginKey]) -> Frame {
--- a/crates/acacia-wire/src/origin_message.rs
+++ b/crates/acacia-wire/src/origin_message.rs
@@ -3,35 +3,56 @@
 use std::time::Duration;
 
 use acaciabay::core::serving::software_version::SoftwareVersion;
-use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey};
+use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey, OriginKeys};
 use acaciabay::util::number::whole_millis;
 
-use crate::generated::serving::StreamOrigin;
+use crate::error::WireError;
+use crate::generated::serving::{KnownOrigin, StreamOrigin};
 
-/// Encodes the record of a stream; `None` stands for several versions.
-pub fn origin_to_wire(key: OriginKey, version: Option<&SoftwareVersion>) -> StreamOrigin {
+/// Encodes which version has begun a stream.
+pub fn origin_to_wire(keys: OriginKeys, version: &SoftwareVersion) -> StreamOrigin {
     StreamOrigin {
-        stream: key.0,
-        version: version.map(ToString::to_string),
-        age_ms: 0,
+        attempt: keys.attempt.0,
+        content: keys.content.0,
+        version: version.to_string(),
     }
 }
 
-/// Decodes the record of a stream. A version that cannot be one counts as several: whoever told it may have begun the stream.
-pub fn origin_from_wire(message: &StreamOrigin) -> (OriginKey, Option<SoftwareVersion>) {
-    let version = message.version.as_deref().and_then(SoftwareVersion::from_text);
-    (OriginKey(message.stream), version)
+/// Decodes which version has begun a stream.
+///
+/// # Errors
+///
+/// Fails if the version cannot be one.
+pub fn origin_from_wire(message: &StreamOrigin) -> Result<(OriginKeys, SoftwareVersion), WireError> {
+    let keys = OriginKeys {
+        attempt: OriginKey(message.attempt),
+        content: OriginKey(message.content),
+    };
+    let version = SoftwareVersion::from_text(&message.version);
+    Ok((keys, version.ok_or(WireError::invalid("version"))?))
 }
 
 /// Encodes what a replica knows of a stream; `None` if it knows nothing.
-pub fn finding_to_wire(key: OriginKey, finding: &OriginFinding, age: Duration) -> Option<StreamOrigin> {
+pub fn finding_to_wire(key: OriginKey, finding: &OriginFinding, age: Duration) -> Option<KnownOrigin> {
     let version = match finding {
         OriginFinding::Unknown => return None,
         OriginFinding::Conflicting => None,
-        OriginFinding::Known(version) => Some(version),
+        OriginFinding::Known(version) => Some(version.to_string()),
     };
-    Some(StreamOrigin {
+    Some(KnownOrigin {
+        stream: key.0,
+        version,
         age_ms: whole_millis(age),
-        ..origin_to_wire(key, version)
     })
 }
+
+/// Decodes what a replica knows of a stream. A version that cannot be one is taken for several: no version may go on.
+pub fn finding_from_wire(message: &KnownOrigin) -> (OriginKey, OriginFinding, Duration) {
+    let version = message.version.as_deref().and_then(SoftwareVersion::from_text);
+    let finding = version.map_or(OriginFinding::Conflicting, OriginFinding::Known);
+    (
+        OriginKey(message.stream),
+        finding,
+        Duration::from_millis(message.age_ms),
+    )
+}
--- a/crates/acaciabay/src/core/serving/stream_origin.rs
+++ b/crates/acaciabay/src/core/serving/stream_origin.rs
@@ -10,6 +10,7 @@
 
 use sha2::{Digest, Sha256};
 
+use super::call_fingerprint::CallContent;
 use super::software_version::SoftwareVersion;
 use crate::core::clock::BootTime;
 use crate::core::name::{CustomerName, ServiceName};
@@ -21,18 +22,36 @@
 /// Number of replicas that are told of each stream.
 const COPIES: usize = 3;
 
-/// Identifies a stream: a hash of its customer, its service and the identifier of the attempt that brought its first event.
+/// Identifies a stream: a hash of its customer, its service, and either the identifier of the attempt that brought its first
+/// event or the content of the call.
 ///
 /// The customer is a part of it so that nobody can learn of another customer's streams or contradict their records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OriginKey(pub u64);
 
 impl OriginKey {
-    /// Returns the key of a stream.
-    pub fn of(customer: Option<&CustomerName>, service: &ServiceName, request: &str) -> Self {
+    /// Returns the key of a stream by the attempt that brought its first event.
+    pub fn of_attempt(customer: Option<&CustomerName>, service: &ServiceName, request: &str) -> Self {
         let customer = customer.map_or("", CustomerName::as_str);
+        Self::hash("attempt", service, [customer, request].map(str::as_bytes))
+    }
+
+    /// Returns the key of a stream by the content of its call, for callers that name no attempt. All calls of the same content
+    /// have the same key.
+    pub fn of_content(service: &ServiceName, content: &CallContent<'_>) -> Self {
+        let customer = content.customer.map_or("", CustomerName::as_str);
+        let head = [customer, content.method, content.host, content.target].map(str::as_bytes);
+        Self::hash("content", service, head.into_iter().chain([content.body]))
+    }
+
+    fn hash<'field>(
+        kind: &'field str,
+        service: &'field ServiceName,
+        fields: impl IntoIterator<Item = &'field [u8]>,
+    ) -> Self {
         let mut hasher = Sha256::new();
-        for field in [customer, service.as_str(), request] {
+        let first = [kind.as_bytes(), service.as_str().as_bytes()];
+        for field in first.into_iter().chain(fields) {
             // The length separates the fields, so that no text can be moved from one field to the next.
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
@@ -44,6 +63,15 @@
     }
 }
 
+/// Keys of one stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OriginKeys {
+    /// Key by the attempt that brought the first event.
+    pub attempt: OriginKey,
+    /// Key by the content of the call.
+    pub content: OriginKey,
+}
+
 /// What is known of the version that has begun a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OriginFinding {
@@ -94,11 +122,11 @@
         }
     }
 
-    /// Records which version has begun a stream; `None` if records name several.
-    pub fn record(&mut self, now: BootTime, key: OriginKey, version: Option<&SoftwareVersion>) -> OriginEffect {
+    /// Records which version has begun a stream.
+    pub fn record(&mut self, now: BootTime, key: OriginKey, version: &SoftwareVersion) -> OriginEffect {
         self.remove_expired(now);
         if let Some(row) = self.rows.get_mut(&key) {
-            if row.version.as_ref() == version {
+            if row.version.as_ref() == Some(version) {
                 return OriginEffect::Same;
             }
             row.version = None;
@@ -109,7 +137,7 @@
             self.evicted += 1;
         }
         let row = OriginRow {
-            version: version.cloned(),
+            version: Some(version.clone()),
             recorded_at: now,
         };
         self.rows.insert(key, row);
@@ -128,12 +156,6 @@
         (finding, now.since(row.recorded_at))
     }
 
-    /// Returns all records, the oldest first.
-    pub fn rows(&self) -> impl Iterator<Item = (OriginKey, Option<&SoftwareVersion>)> {
-        let rows = self.order.iter();
-        rows.filter_map(|key| Some((*key, self.rows.get(key)?.version.as_ref())))
-    }
-
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/crates/acaciabay/tests/serving/stream_origins.rs
+++ b/crates/acaciabay/tests/serving/stream_origins.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{
     ORIGIN_RETENTION, OriginEffect, OriginFinding, OriginKey, OriginTable, choose_keepers,
@@ -26,7 +27,7 @@
 #[test]
 fn a_record_is_found_until_it_is_too_old() {
     let mut table = OriginTable::new(4);
-    let effect = table.record(at(0), OriginKey(1), Some(&version("v1")));
+    let effect = table.record(at(0), OriginKey(1), &version("v1"));
 
     assert_eq!(effect, OriginEffect::New);
     assert_eq!(table.find(at(30), OriginKey(1)).0, known("v1"));
@@ -38,10 +39,10 @@
 #[test]
 fn records_that_contradict_each_other_name_no_version_for_good() {
     let mut table = OriginTable::new(4);
-    table.record(at(0), OriginKey(1), Some(&version("v1")));
-    let same = table.record(at(1), OriginKey(1), Some(&version("v1")));
-    let other = table.record(at(2), OriginKey(1), Some(&version("v1.1")));
-    table.record(at(3), OriginKey(1), Some(&version("v1")));
+    table.record(at(0), OriginKey(1), &version("v1"));
+    let same = table.record(at(1), OriginKey(1), &version("v1"));
+    let other = table.record(at(2), OriginKey(1), &version("v1.1"));
+    table.record(at(3), OriginKey(1), &version("v1"));
 
     assert_eq!((same, other), (OriginEffect::Same, OriginEffect::Conflict));
     assert_eq!(table.find(at(4), OriginKey(1)).0, OriginFinding::Conflicting);
@@ -52,7 +53,7 @@
 fn the_oldest_records_are_removed_first() {
     let mut table = OriginTable::new(3);
     for key in 1..=5 {
-        table.record(at(key), OriginKey(key), Some(&version("v1")));
+        table.record(at(key), OriginKey(key), &version("v1"));
     }
 
     let found: Vec<bool> = (1..=5)
@@ -67,7 +68,7 @@
 fn old_records_take_no_memory() {
     let mut table = OriginTable::new(100);
     for key in 0..50 {
-        table.record(at(key), OriginKey(key), Some(&version("v1")));
+        table.record(at(key), OriginKey(key), &version("v1"));
     }
 
     table.remove_expired(after(40));
@@ -82,21 +83,57 @@
 fn streams_of_other_customers_and_services_have_other_keys() {
     let (one, two, llm, app) = ("one".into(), "two".into(), "llm".into(), "app".into());
     let keys = BTreeSet::from([
-        OriginKey::of(Some(&one), &llm, "r-1"),
-        OriginKey::of(Some(&two), &llm, "r-1"),
-        OriginKey::of(None, &llm, "r-1"),
-        OriginKey::of(Some(&one), &app, "r-1"),
-        OriginKey::of(Some(&one), &llm, "r-2"),
-        OriginKey::of(Some(&"onel".into()), &"lm".into(), "r-1"),
+        OriginKey::of_attempt(Some(&one), &llm, "r-1"),
+        OriginKey::of_attempt(Some(&two), &llm, "r-1"),
+        OriginKey::of_attempt(None, &llm, "r-1"),
+        OriginKey::of_attempt(Some(&one), &app, "r-1"),
+        OriginKey::of_attempt(Some(&one), &llm, "r-2"),
+        OriginKey::of_attempt(Some(&"onel".into()), &"lm".into(), "r-1"),
     ]);
 
     assert_eq!(keys.len(), 6);
     assert_eq!(
-        OriginKey::of(Some(&one), &llm, "r-1"),
-        OriginKey::of(Some(&one), &llm, "r-1")
+        OriginKey::of_attempt(Some(&one), &llm, "r-1"),
+        OriginKey::of_attempt(Some(&one), &llm, "r-1")
     );
 }
 
+/// A caller that names no attempt is known by what it asks. Another customer that asks the same must not contradict it.
+#[test]
+fn streams_of_the_same_content_have_the_same_key() {
+    let (one, two, llm) = ("one".into(), "two".into(), "llm".into());
+    let content = CallContent {
+        method: "POST",
+        host: "shop.example",
+        target: "/story/",
+        customer: Some(&one),
+        body: b"a story",
+    };
+    let key = |content| OriginKey::of_content(&llm, &content);
+
+    assert_eq!(key(content), key(content));
+    let others = [
+        CallContent {
+            customer: Some(&two),
+            ..content
+        },
+        CallContent {
+            body: b"another story",
+            ..content
+        },
+        CallContent {
+            target: "/story",
+            ..content
+        },
+        CallContent {
+            host: "shop",
+            ..content
+        },
+    ];
+    assert!(others.iter().all(|other| key(*other) != key(content)));
+    assert_ne!(key(content), OriginKey::of_attempt(Some(&one), &llm, "a story"));
+}
+
 /// Two entries that tell of one stream, and one that asks, must mean the same replicas.
 #[test]
 fn keepers_do_not_depend_on_the_order_of_the_replicas() {
@@ -136,7 +173,7 @@
         let truth = |key: u64| format!("v{}", key % 3);
         let mut table = OriginTable::new(4);
         for (number, (key, _)) in told.iter().enumerate() {
-            table.record(at(number as u64), OriginKey(*key), Some(&version(&truth(*key))));
+            table.record(at(number as u64), OriginKey(*key), &version(&truth(*key)));
         }
 
         for key in 0..6 {
