Leave two decode engines to each software version where stages change, and ask again after a reset

Streams of a version go on only at its other engines. Where decode engines are surplus, the leader chose by domain, so that the last but one engine of a version could be ordered to prefill while another version had four. Engines that leave two others of their version change first now, those that leave a single one last.

While fewer than three sessions are open the second question waits 250 ms, in which lost sessions open again.

--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -13,7 +13,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{
-    ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, OriginTable, choose_keepers,
+    ORIGIN_COPIES, ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, OriginTable, choose_keepers,
 };
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
@@ -28,6 +28,9 @@
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay before the replicas are asked a second time. A record may still be on its way when its stream is taken up.
 const SECOND_SEARCH_DELAY: Duration = Duration::from_millis(40);
+/// The same while so few sessions are open that all replicas which know the stream may be missing. Lost sessions are opened
+/// again within this time.
+const RECONNECT_SEARCH_DELAY: Duration = Duration::from_millis(250);
 
 /// Where the version of a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,13 +189,21 @@
                 ..own
             },
             None if told.finding == OriginFinding::Unknown => {
-                tokio::time::sleep(SECOND_SEARCH_DELAY).await;
+                tokio::time::sleep(self.second_search_delay()).await;
                 self.ask(keys).await
             }
             None => told,
         }
     }
 
+    fn second_search_delay(&self) -> Duration {
+        if self.state.lock().replicas.len() < ORIGIN_COPIES {
+            RECONNECT_SEARCH_DELAY
+        } else {
+            SECOND_SEARCH_DELAY
+        }
+    }
+
     fn find_own(&self, now: BootTime, keys: &[OriginKey]) -> Option<FoundOrigin> {
         let state = self.state.lock();
         let found = keys.iter().map(|key| (*key, state.own.find(now, *key)));
--- a/crates/acaciabay/src/core/serving/stream_origin.rs
+++ b/crates/acaciabay/src/core/serving/stream_origin.rs
@@ -20,7 +20,7 @@
 pub const ORIGIN_RETENTION: Duration = Duration::from_secs(60);
 
 /// Number of replicas that are told of each stream.
-const COPIES: usize = 3;
+pub const ORIGIN_COPIES: usize = 3;
 
 /// Identifies a stream: a hash of its customer, its service, and either the identifier of the attempt that brought its first
 /// event or the content of the call.
@@ -193,5 +193,9 @@
     let score = |replica: &R| rendezvous::combine_hashes(hash, rendezvous::hash(name(replica).as_bytes()));
     let mut ranked: Vec<_> = replicas.iter().map(|replica| (score(replica), replica)).collect();
     ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    ranked.into_iter().take(COPIES).map(|(_, replica)| replica).collect()
+    ranked
+        .into_iter()
+        .take(ORIGIN_COPIES)
+        .map(|(_, replica)| replica)
+        .collect()
 }
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -8,12 +8,13 @@
 //! * If there are fewer engines than both stages need, they are divided in proportion to the needs.
 //! * Decode engines that the streams no longer need keep decoding until prefill needs them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::core::name::{DomainName, EndpointName};
 use crate::core::serving::config::EngineSpec;
 use crate::core::serving::endpoint_limit::RateLimit;
 use crate::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use crate::core::serving::software_version::SoftwareVersion;
 use crate::core::serving::stream_peak::StreamDemand;
 use crate::util::number::round_up;
 
@@ -121,6 +122,9 @@
 /// Decode engines stay spread over the failure domains: the next one is taken from the domain with the fewest, and the
 /// next prefill engine from the domain with the most.
 ///
+/// A stream goes on only at the software version that began it. So engines leave decode first that leave two others of
+/// their version, and last those that leave a single one, whose streams no other engine could continue.
+///
 /// On-demand engines are preferred for decode. The prefill work of a reclaimed engine can be repeated elsewhere, but
 /// the streams of a reclaimed decode engine break off. If a reclaimable engine decodes while an on-demand one prefills,
 /// the on-demand one changes to decode first. The reclaimable one is then surplus and changes to prefill in a later
@@ -142,7 +146,10 @@
             });
             (&mut prefill_engines, &mut decoders, EngineStage::Decode, index)
         } else if decoders.len() > wanted {
-            let index = best_index(&decoders, |engine| (!is_lasting(engine), count(engine)));
+            let versions = decoders_by_version(&decoders);
+            let index = best_index(&decoders, |engine| {
+                (!is_lasting(engine), spare_rank(&versions, engine), count(engine))
+            });
             (&mut decoders, &mut prefill_engines, EngineStage::Prefill, index)
         } else {
             break;
@@ -253,6 +260,24 @@
     counts
 }
 
+fn decoders_by_version<'table>(decoders: &[Engine<'table>]) -> HashMap<Option<&'table SoftwareVersion>, usize> {
+    let mut counts = HashMap::new();
+    for (_, endpoint) in decoders {
+        *counts.entry(endpoint.version.as_ref()).or_default() += 1;
+    }
+    counts
+}
+
+/// Ranks a decode engine by what its version loses with it; a higher rank loses less.
+fn spare_rank(versions: &HashMap<Option<&SoftwareVersion>, usize>, (_, endpoint): &Engine<'_>) -> u8 {
+    match versions.get(&endpoint.version.as_ref()) {
+        Some(3..) => 2,
+        Some(2) => 0,
+        // No engine of the version is left that would need another one.
+        _ => 1,
+    }
+}
+
 fn best_index<T, K: Ord>(engines: &[T], key: impl Fn(&T) -> K) -> Option<usize> {
     (0..engines.len()).max_by_key(|index| key(&engines[*index]))
 }
--- a/crates/acaciabay/tests/serving/stages.rs
+++ b/crates/acaciabay/tests/serving/stages.rs
@@ -3,6 +3,7 @@
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_limit::RateLimit;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
+use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
 use acaciabay::ops::plan_stages::{RequestLoad, StageLoad, plan_limited_stages, plan_stages, wanted_decoders};
 use proptest::prelude::*;
@@ -138,6 +139,38 @@
 }
 
 /// Guards against engines that follow every burst of streams and spend most of their time changing stage.
+fn decoders_of(versions: &[&str]) -> Rows {
+    let rows = (0..).zip(versions).map(|(number, version)| {
+        let (name, endpoint) = row(number, "a", EngineStage::Decode, false);
+        let version = SoftwareVersion::from_text(version);
+        (name, ServingEndpoint { version, ..endpoint })
+    });
+    let readers = (0..2).map(|number| row(100 + number, "a", EngineStage::Prefill, false));
+    rows.chain(readers).collect()
+}
+
+/// The streams of a version whose last but one engine changes to prefill have nowhere to go on.
+#[test]
+fn a_surplus_leaves_two_decoders_of_each_version() {
+    let rows = decoders_of(&["v1", "v1", "v1.1", "v1.1", "v1.1", "v1.1"]);
+
+    let changed: Vec<_> = plan(&rows, 4).into_iter().map(|(name, _)| name).collect();
+
+    assert_eq!(changed.len(), 2);
+    assert!(
+        changed.iter().all(|name| !["e0", "e1"].contains(&name.as_str())),
+        "{changed:?}"
+    );
+}
+
+/// A version with a single engine loses nothing that could be kept, and its streams end before it changes.
+#[test]
+fn a_surplus_takes_a_single_decoder_before_one_of_two() {
+    let rows = decoders_of(&["v1", "v1", "v1.1"]);
+
+    assert_eq!(plan(&rows, 2), [("e2".to_owned(), EngineStage::Prefill)]);
+}
+
 #[test]
 fn a_peak_fades_slowly() {
     let mut peak = StreamPeak::default();
