--- a/benches/control/stub_entry.rs
+++ b/benches/control/stub_entry.rs
@@ -284,6 +284,7 @@
         slots: 64,
         pieces_used: 40,
         pieces: 64,
+        version: None,
         heard_at: boot_now(),
     };
     (format!("runner-{endpoint}").as_str().into(), row)
--- a/crates/acacia-entry/src/completion.rs
+++ b/crates/acacia-entry/src/completion.rs
@@ -9,9 +9,10 @@
 use acacia_runtime::trace::{ActiveSpan, TRACEPARENT, TraceContext};
 use acaciabay::core::attempt::{AttemptState, ExecutionStatus};
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::endpoint::EndpointRow;
+use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow};
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::call_fingerprint::CallContent;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
@@ -96,6 +97,8 @@
     finish: Option<String>,
     usage: Option<UsageFigures>,
     tried: Vec<EndpointName>,
+    /// What has written the first token.
+    begun_by: Option<AnswerBeginner>,
     /// The endpoint whose connection failed in mid-stream; a new connection to it is tried once before others.
     again: Option<EndpointName>,
     /// Whether an endpoint may have run the request.
@@ -120,6 +123,22 @@
     _span: ActiveSpan,
 }
 
+/// Endpoint that has written the first token of an answer.
+#[derive(Debug)]
+struct AnswerBeginner {
+    endpoint: EndpointName,
+    incarnation: EndpointIncarnation,
+    version: StreamVersion,
+}
+
+impl AnswerBeginner {
+    /// Returns true if the endpoint may write the rest: it has the same software version, or is the same process.
+    fn may_be_continued_by(&self, endpoint: &EndpointName, row: &EndpointRow) -> bool {
+        let is_same_process = self.endpoint == *endpoint && self.incarnation == row.incarnation;
+        is_same_process || self.version.admits(row.version.as_ref())
+    }
+}
+
 /// Where the next attempt goes.
 #[derive(Debug)]
 struct AttemptPlace {
@@ -151,6 +170,7 @@
             finish: None,
             usage: None,
             tried: Vec::new(),
+            begun_by: None,
             again: None,
             maybe_run: false,
             _permit: permit,
@@ -207,6 +227,7 @@
             match self.read_piece(&mut attempt, left).await {
                 Ok(StreamPiece::Token(token)) if token.offset == self.next_offset => {
                     self.note_pace(&mut attempt);
+                    self.note_beginner(&attempt);
                     self.attempt = Some(attempt);
                     return Ok(RunPiece::Token(self.take_token(token)));
                 }
@@ -243,6 +264,14 @@
         attempt.last_token_at = now;
     }
 
+    fn note_beginner(&mut self, attempt: &OpenAttempt) {
+        self.begun_by.get_or_insert_with(|| AnswerBeginner {
+            endpoint: attempt.endpoint.clone(),
+            incarnation: attempt.row.incarnation,
+            version: StreamVersion::begun_by(attempt.row.version.as_ref()),
+        });
+    }
+
     fn take_token(&mut self, token: TokenPiece) -> TokenPiece {
         self.next_offset += 1;
         self.text.push_str(&token.text);
@@ -380,7 +409,12 @@
         let now = boot_now();
         let view = self.entry.endpoints.lock();
         if let Some(endpoint) = self.again.take() {
-            if let Some(row) = view.table.get(&endpoint).filter(|row| row.takes_work(now)) {
+            let row = view.table.get(&endpoint).filter(|row| row.takes_work(now));
+            let may_continue = |row: &&EndpointRow| {
+                let begun_by = self.begun_by.as_ref();
+                begun_by.is_none_or(|begun_by| begun_by.may_be_continued_by(&endpoint, row))
+            };
+            if let Some(row) = row.filter(may_continue) {
                 return Ok(AttemptPlace {
                     row: row.clone(),
                     endpoint,
@@ -395,6 +429,10 @@
             prefix: &self.body.prefix,
             pieces: self.body.cost.pieces,
             tried: &self.tried,
+            version: self
+                .begun_by
+                .as_ref()
+                .map_or(&StreamVersion::Any, |begun_by| &begun_by.version),
         };
         match place_by_policy(&self.entry, now, &view, request) {
             Some((endpoint, row)) => Ok(AttemptPlace {
--- a/crates/acacia-entry/src/endpoint_http.rs
+++ b/crates/acacia-entry/src/endpoint_http.rs
@@ -7,6 +7,7 @@
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::util::number::whole_millis;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -33,6 +34,8 @@
     slots: u32,
     pieces_used: Option<u32>,
     pieces: Option<u32>,
+    /// The version of its software.
+    version: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -94,6 +97,7 @@
         slots: report.slots,
         pieces_used: report.pieces_used.unwrap_or(report.running),
         pieces: report.pieces.unwrap_or(report.slots),
+        version: report.version.as_deref().and_then(SoftwareVersion::from_text),
         heard_at: boot_now(),
     }
 }
@@ -111,6 +115,7 @@
             "slots": row.slots,
             "pieces_used": row.pieces_used,
             "pieces": row.pieces,
+            "version": row.version.as_ref().map(SoftwareVersion::as_str),
             "own_sends": view.sends.get(name).map_or(0, |own| own.requests),
             "report_age_ms": whole_millis(now.since(row.heard_at)),
         })
--- a/crates/acacia-entry/src/service_call.rs
+++ b/crates/acacia-entry/src/service_call.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::control_state::ClaimEnd;
 use acaciabay::core::endpoint::EndpointRow;
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::core::table::{PoolKind, RouteTarget};
 use acaciabay::core::usage::UsageFigures;
@@ -261,6 +262,7 @@
         prefix: &[],
         pieces: CALL_COST.pieces,
         tried,
+        version: &StreamVersion::Any,
     };
     let placed = place_by_policy(entry, boot_now(), &view, request);
     placed.map(|(endpoint, row)| (endpoint.clone(), row.clone()))
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -191,7 +191,7 @@
     }
     let ready = state.registry.ready(now, &call.service).into_iter();
     ready
-        .filter(|(name, endpoint)| !tried.contains(name) && version.admits(endpoint))
+        .filter(|(name, endpoint)| !tried.contains(name) && version.admits(endpoint.version.as_ref()))
         .filter_map(|(name, endpoint)| state.limits.limit(limited(name, endpoint)))
         .collect()
 }
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -299,7 +299,7 @@
             Ok(stream) if stream.has_events() => {
                 slog::info!(log, "stream resumed"; "event" => event::STREAM_RESUMED, "request" => request,
                     "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point,
-                    "version" => StreamVersion::begun_by(&stream.source.chosen.endpoint).label());
+                    "version" => StreamVersion::begun_by(stream.source.chosen.endpoint.version.as_ref()).label());
                 self.stream = Some(stream);
                 self.asked = self.progress().asked_next(resume_point);
                 self.splitter = self.splitter.continued();
--- a/crates/acacia-settings/src/standin_settings.rs
+++ b/crates/acacia-settings/src/standin_settings.rs
@@ -39,6 +39,8 @@
     pub report_lag: Duration,
     /// Whether it checks fencing numbers of orders.
     pub checks_fencing: bool,
+    /// The version of its software that it reports.
+    pub version: String,
 }
 
 /// What a stand-in pretends to be.
@@ -100,6 +102,7 @@
     let checks_fencing = reader
         .optional("checks_fencing", findings, crate::object_reader::as_flag)
         .unwrap_or(true);
+    let version = reader.optional("version", findings, as_name).unwrap_or("1").to_owned();
     reader.finish(findings);
     let kind = match (models, service, platform) {
         (Some(models), None, false) => StandinKind::Engine { models },
@@ -126,6 +129,7 @@
         cached_prefixes,
         report_lag,
         checks_fencing,
+        version,
     })
 }
 
--- a/crates/acacia-standin/src/report.rs
+++ b/crates/acacia-standin/src/report.rs
@@ -71,6 +71,7 @@
         "state": if standin.lock().draining { "draining" } else { "ready" },
         "running": load.running,
         "slots": settings.slots,
+        "version": settings.version,
     });
     match &settings.kind {
         StandinKind::Engine { models } => {
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::member::{EntryIncarnation, JoinNonce};
 use acaciabay::core::name::{DomainName, EndpointName, HostName, PoolName};
 use acaciabay::core::pool_admission::PoolShare;
+use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
 use acaciabay::core::share_table::PoolDemand;
 use acaciabay::core::token_latency::TokenLatencyReport;
@@ -329,6 +330,7 @@
         slots: row.slots,
         pieces_used: row.pieces_used,
         pieces: row.pieces,
+        version: row.version.as_ref().map(ToString::to_string),
         age_ms: whole_millis(now.since(row.heard_at)),
     }
 }
@@ -359,6 +361,7 @@
         slots: message.slots,
         pieces_used: message.pieces_used,
         pieces: message.pieces,
+        version: message.version.as_deref().and_then(SoftwareVersion::from_text),
         heard_at: BootTime::from_boot(now.since_boot().saturating_sub(age)),
     };
     Ok((message.name.as_str().into(), row))
--- a/crates/acaciabay/src/core/endpoint.rs
+++ b/crates/acaciabay/src/core/endpoint.rs
@@ -10,6 +10,7 @@
 use crate::core::clock::BootTime;
 use crate::core::name::{DomainName, EndpointName, ModelName, ServiceName};
 use crate::core::serving::broken_attempt::{BrokenAttempt, EndpointSighting};
+use crate::core::serving::software_version::SoftwareVersion;
 
 /// Time without a report after which an endpoint gets no new work.
 ///
@@ -64,6 +65,8 @@
     pub pieces_used: u32,
     /// The total number of memory pieces.
     pub pieces: u32,
+    /// The version of its software, if it reports one.
+    pub version: Option<SoftwareVersion>,
     /// The time at which this process learned of the report.
     pub heard_at: BootTime,
 }
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -225,7 +225,9 @@
         drain_window: Duration,
     ) -> Vec<(&'registry EndpointName, &'registry ServingEndpoint)> {
         let mut rows = self.answering(now, service);
-        rows.retain(|(name, endpoint)| version.admits(endpoint) && self.is_resumable(now, name, drain_window));
+        rows.retain(|(name, endpoint)| {
+            version.admits(endpoint.version.as_ref()) && self.is_resumable(now, name, drain_window)
+        });
         rows
     }
 
@@ -243,7 +245,7 @@
             Some(row) if row.incarnation != chosen.incarnation && row.version != chosen.version => {
                 StreamVersion::Unknown
             }
-            _ => StreamVersion::begun_by(chosen),
+            _ => StreamVersion::begun_by(chosen.version.as_ref()),
         }
     }
 
--- a/crates/acaciabay/src/core/serving/software_version.rs
+++ b/crates/acaciabay/src/core/serving/software_version.rs
@@ -4,8 +4,6 @@
 use std::fmt;
 use std::sync::Arc;
 
-use super::endpoint_registry::ServingEndpoint;
-
 /// Version of an endpoint's software, as the endpoint reports it. Versions have no order; they are compared byte by byte.
 #[derive(Clone, PartialEq, Eq, Hash)]
 pub struct SoftwareVersion(Arc<str>);
@@ -51,16 +49,16 @@
 }
 
 impl StreamVersion {
-    /// Returns the version of a stream that this endpoint has begun.
-    pub fn begun_by(endpoint: &ServingEndpoint) -> Self {
-        endpoint.version.clone().map_or(Self::Unknown, Self::Only)
+    /// Returns the version of a stream that an endpoint of this version has begun.
+    pub fn begun_by(version: Option<&SoftwareVersion>) -> Self {
+        version.cloned().map_or(Self::Unknown, Self::Only)
     }
 
-    /// Returns true if the endpoint may write the rest of the stream.
-    pub fn admits(&self, endpoint: &ServingEndpoint) -> bool {
+    /// Returns true if an endpoint of this version may write the rest of the stream.
+    pub fn admits(&self, version: Option<&SoftwareVersion>) -> bool {
         match self {
             Self::Any => true,
-            Self::Only(version) => endpoint.version.as_ref() == Some(version),
+            Self::Only(begun_by) => version == Some(begun_by),
             Self::Unknown => false,
         }
     }
--- a/crates/acaciabay/src/ops/place_request.rs
+++ b/crates/acaciabay/src/ops/place_request.rs
@@ -7,6 +7,7 @@
 use crate::core::clock::BootTime;
 use crate::core::endpoint::{EndpointRow, EndpointTable, EndpointWork};
 use crate::core::name::EndpointName;
+use crate::core::serving::software_version::StreamVersion;
 use crate::core::table::{PoolRow, RouteTarget};
 use crate::util::rendezvous;
 
@@ -42,6 +43,8 @@
     pub pieces: u32,
     /// Endpoints used by earlier attempts of this request.
     pub tried: &'request [EndpointName],
+    /// The software version that has to write the rest of the answer.
+    pub version: &'request StreamVersion,
 }
 
 /// Chooses an endpoint by prefix affinity if its load allows it, and otherwise by the power of two random choices.
@@ -111,6 +114,7 @@
         && row.takes_work(now)
         && serves_target(&row.work, request.target)
         && !request.tried.contains(name)
+        && request.version.admits(row.version.as_ref())
 }
 
 fn serves_target(work: &EndpointWork, target: &RouteTarget) -> bool {
--- a/crates/acaciabay/tests/naive/placement.rs
+++ b/crates/acaciabay/tests/naive/placement.rs
@@ -1,10 +1,14 @@
 //! Compares placement with a full scan of all endpoints.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::endpoint::{
     EndpointIncarnation, EndpointRow, EndpointState, EndpointTable, EndpointWork, REPORT_TIMEOUT,
 };
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::software_version::{SoftwareVersion, StreamVersion};
 use acaciabay::core::table::{EndpointPattern, PoolRow, RouteTarget};
 use acaciabay::ops::place_request::{LocalLoad, LocalLoads, PlacementRequest, place_request};
 use proptest::prelude::*;
@@ -25,6 +29,7 @@
         slots: 100,
         pieces_used: used,
         pieces: 10,
+        version: None,
         heard_at,
     }
 }
@@ -75,6 +80,7 @@
             prefix,
             pieces: 1,
             tried: &tried,
+            version: &StreamVersion::Any,
         };
 
         let picked = place_request(now, &mut StdRng::seed_from_u64(seed), &table, &local_loads, request);
@@ -100,3 +106,42 @@
         Ok(())
     });
 }
+
+/// The engine of a completion has ended. One of another software version, or of an unknown one, would continue its text.
+#[test]
+fn a_completion_is_placed_at_the_version_that_began_it() {
+    let now = BootTime::from_boot(Duration::from_secs(10));
+    let mut table = EndpointTable::default();
+    for (name, version) in [("e1", "v1"), ("e2", "v1.1"), ("e3", "")] {
+        let row = EndpointRow {
+            version: SoftwareVersion::from_text(version),
+            ..endpoint(0, now, EndpointState::Ready)
+        };
+        table.report(&name.into(), row);
+    }
+    let pool = PoolRow {
+        endpoints: vec![EndpointPattern("e*".to_owned())],
+        ..pool_row(0, 0)
+    };
+    let target = RouteTarget::Model("m".into());
+    let placed = |version: &StreamVersion| -> BTreeSet<String> {
+        let request = PlacementRequest {
+            pool: &pool,
+            target: &target,
+            prefix: b"",
+            pieces: 1,
+            tried: &[],
+            version,
+        };
+        let picks = (0..40).filter_map(|seed| {
+            let mut random = StdRng::seed_from_u64(seed);
+            place_request(now, &mut random, &table, &LocalLoads::new(), request)
+        });
+        picks.map(|(name, _)| name.to_string()).collect()
+    };
+
+    let begun_by = |version| StreamVersion::begun_by(SoftwareVersion::from_text(version).as_ref());
+    assert_eq!(placed(&begun_by("v1.1")), BTreeSet::from(["e2".to_owned()]));
+    assert_eq!(placed(&begun_by("")), BTreeSet::new());
+    assert_eq!(placed(&StreamVersion::Any).len(), 3);
+}
--- a/crates/acaciabay/tests/serving/software_versions.rs
+++ b/crates/acaciabay/tests/serving/software_versions.rs
@@ -65,7 +65,10 @@
 
     assert!(resumable(&registry, 10, &StreamVersion::Unknown).is_empty());
     assert_eq!(resumable(&registry, 10, &only("v1")), ["e-3"]);
-    assert_eq!(StreamVersion::begun_by(&report(1, 1, "")), StreamVersion::Unknown);
+    assert_eq!(
+        StreamVersion::begun_by(report(1, 1, "").version.as_ref()),
+        StreamVersion::Unknown
+    );
     assert_eq!(resumable(&registry, 10, &StreamVersion::Any).len(), 3);
 }
 
--- a/crates/test-support/src/cluster_settings.rs
+++ b/crates/test-support/src/cluster_settings.rs
@@ -72,6 +72,9 @@
         } else {
             settings["service"] = json!("booking");
         }
+        if let Some(version) = self.shape.endpoint_versions.get(index) {
+            settings["version"] = json!(version);
+        }
         replace_fields(&mut settings, &self.shape.endpoint_settings);
         settings
     }
--- a/crates/test-support/src/cluster_shape.rs
+++ b/crates/test-support/src/cluster_shape.rs
@@ -34,6 +34,8 @@
     pub control_settings: Value,
     /// Fields that replace those of every endpoint's settings.
     pub endpoint_settings: Value,
+    /// Software versions of the first endpoints; the others have that of the stand-in.
+    pub endpoint_versions: &'static [&'static str],
     /// Whether there is a platform interface that takes usage windows, as the last endpoint.
     pub platform: bool,
     /// Whether connections to control replicas pass relays that can cut them.
@@ -52,6 +54,7 @@
             entry_settings: json!({}),
             control_settings: json!({}),
             endpoint_settings: json!({}),
+            endpoint_versions: &[],
             platform: false,
             relays: false,
         }
--- a/src/bin/acacia-local.rs
+++ b/src/bin/acacia-local.rs
@@ -162,6 +162,7 @@
         cached_prefixes: 32,
         report_lag: Duration::ZERO,
         checks_fencing: true,
+        version: "1".to_owned(),
     }
 }
 
--- a/tests/testsuite/whole_answers.rs
+++ b/tests/testsuite/whole_answers.rs
@@ -51,6 +51,28 @@
     assert!(runs(&cluster).await >= 2, "no engine was asked to go on");
 }
 
+/// The engine of an answer breaks off and breaks off again. Another software version would continue its text, and the two do not
+/// fit together.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_stream_does_not_go_on_at_another_version() {
+    let cluster = cluster(ClusterShape {
+        engines: 2,
+        bookings: 0,
+        entries: 1,
+        endpoint_versions: &["v1", "v1.1"],
+        ..ClusterShape::default()
+    });
+    let key = cluster.configure().await;
+    let caller = cluster.caller(0, &key);
+    set_faults_everywhere(&cluster, &json!({"cut_streams": 99, "after_tokens": 13})).await;
+
+    let answer = caller.stream(PROMPT, TOKENS).await.expect("the entry answers");
+
+    let runs = [cluster.record(0).await.runs.len(), cluster.record(1).await.runs.len()];
+    assert!(!answer.whole, "{answer:?}");
+    assert!(runs.contains(&0), "both versions have run it: {runs:?}");
+}
+
 /// An engine's connection closes in order in the middle of a chunk, and its answer has no framing that would tell it.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_ends_inside_a_chunk_goes_on_without_a_gap() {
