Take back the version of streams that a restarted engine has begun

Cause: the version was fixed once from a row that was out of date, and the mismatch was always blamed on what came later. All events of one connection are of one process, so a stream that began on it fits together; what is wrong is the version that it was taken for, here and in what the replicas were told.

Ruled out: a question to the engine at each first event (a probe for each stream), and the order of births against the beginning of the stream (clocks of different hosts).

The library's table takes records back for good.

--- a/crates/acacia-control/src/serving/stream_origins.rs
+++ b/crates/acacia-control/src/serving/stream_origins.rs
@@ -5,6 +5,7 @@
 use acacia_wire::generated::serving::{OriginAnswer, OriginQuery, StreamOrigin};
 use acacia_wire::{finding_to_wire, origin_from_wire};
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{OriginEffect, OriginKey, OriginTable};
 use parking_lot::Mutex;
 use slog::Logger;
@@ -31,20 +32,14 @@
 
     /// Records a stream that an entry has begun.
     pub(super) fn record_told(&self, now: BootTime, entry: &str, origin: &StreamOrigin) {
-        let (keys, version) = match origin_from_wire(origin) {
-            Ok(read) => read,
-            Err(error) => {
-                slog::warn!(self.log, "malformed origin of a stream received"; "event" => event::MESSAGE_REFUSED,
-                    "entry" => entry, "error" => %error);
-                return;
-            }
-        };
+        let (keys, version) = origin_from_wire(origin);
         let mut table = self.table.lock();
         let evicted = table.evicted();
-        table.record(now, keys.content, &version);
-        if table.record(now, keys.attempt, &version) == OriginEffect::Conflict {
+        table.record(now, keys.content, version.as_ref());
+        if table.record(now, keys.attempt, version.as_ref()) == OriginEffect::Conflict {
             slog::info!(self.log, "several versions have begun a stream"; "event" => event::ORIGIN_CONFLICT,
-                "stream" => keys.attempt.0, "version" => version.as_str(), "entry" => entry);
+                "stream" => keys.attempt.0, "version" => version.as_ref().map(SoftwareVersion::as_str),
+                "entry" => entry);
         }
         metrics::gauge!("acacia_stream_origins_held").set(table.len() as f64);
         metrics::counter!("acacia_stream_origins_evicted_total").increment(table.evicted() - evicted);
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -1,14 +1,14 @@
 //! Checks that every call has to pass before it is sent to an endpoint: the lease, its head, its route and key, and its
 //! body.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_http::{BodyRefusal, ResponseBody, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::{CustomerName, ServiceName};
+use acaciabay::core::name::{CustomerName, EndpointName, ServiceName};
 use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
@@ -22,12 +22,14 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use parking_lot::Mutex;
 
 use super::allowance_charge::{AllowanceCharge, charge_call};
 use super::codec::{CallHead, HeadError};
 use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, JUDGEMENT_RETRY_DELAY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
+use super::stream_origins::ToldStream;
 use super::taken_stream::select_target;
 use super::{plain_call, stream_call};
 use crate::suspect_calls::{CallTrial, LazyFingerprint, SentAttempt, TrackedCall};
@@ -53,7 +55,7 @@
     /// Permission of the leader, if the call was suspect when it came.
     trial: Option<CallTrial>,
     /// Version that has begun the stream, once that is decided.
-    begun_by: OnceLock<StreamVersion>,
+    begun_by: Mutex<StreamVersion>,
     /// Cost of the call, if its customer has an allowance.
     pub(super) charge: Option<AllowanceCharge>,
 }
@@ -68,27 +70,40 @@
     }
 
     /// Returns the version that has to write the rest of the stream.
-    pub(super) fn stream_version(&self) -> &StreamVersion {
-        self.begun_by.get().unwrap_or(&StreamVersion::Any)
+    pub(super) fn stream_version(&self) -> StreamVersion {
+        self.begun_by.lock().clone()
     }
 
-    /// Records which version has begun the stream. It never changes: only the first call has an effect.
+    /// Records which version has begun the stream, unless that is decided.
     pub(super) fn fix_stream_version(&self, version: StreamVersion) {
-        // A second version is not an error: the stream was fixed by what its caller has received before.
-        let _already_fixed = self.begun_by.set(version);
+        let mut begun_by = self.begun_by.lock();
+        if *begun_by == StreamVersion::Any {
+            *begun_by = version;
+        }
+    }
+
+    /// Records that the version which has begun the stream is not certain after all.
+    pub(super) fn doubt_stream_version(&self) {
+        *self.begun_by.lock() = StreamVersion::Unknown;
     }
 
-    /// Records which version has begun the stream, for other entries at which its caller may take it up.
-    pub(super) fn record_begun_stream(&self) {
-        if let Some(version) = self.stream_version().known()
-            && self.route().kind.may_repeat()
-        {
-            let keys = OriginKeys {
-                attempt: OriginKey::of_attempt(self.customer(), &self.service, &self.head.request),
-                content: OriginKey::of_content(&self.service, &self.content()),
-            };
-            self.shared.origins.record_begun(boot_now(), keys, version);
+    /// Records which version has begun the stream at an endpoint, for other entries at which its caller may take it up.
+    pub(super) fn record_begun_stream(&self, endpoint: &EndpointName) {
+        if !self.route().kind.may_repeat() {
+            return;
         }
+        let keys = OriginKeys {
+            attempt: OriginKey::of_attempt(self.customer(), &self.service, &self.head.request),
+            content: OriginKey::of_content(&self.service, &self.content()),
+        };
+        let now = boot_now();
+        let told = ToldStream {
+            keys,
+            endpoint: endpoint.clone(),
+            version: self.stream_version().known().cloned(),
+            begun_at: now,
+        };
+        self.shared.origins.record_begun(now, told);
     }
 
     fn content(&self) -> CallContent<'_> {
@@ -214,14 +229,6 @@
     }
 }
 
-/// Returns the version of a stream that an earlier attempt has begun, or none before the first event.
-fn fixed_version(version: StreamVersion) -> OnceLock<StreamVersion> {
-    match version {
-        StreamVersion::Any => OnceLock::new(),
-        fixed => OnceLock::from(fixed),
-    }
-}
-
 type RefusedCall = (Option<CallHead>, CallRefusal);
 
 async fn accept(
@@ -287,7 +294,7 @@
         request_hash,
         fingerprint: LazyFingerprint::default(),
         trial: None,
-        begun_by: fixed_version(target.version),
+        begun_by: Mutex::new(target.version),
         charge: None,
     };
     let trial = shared.suspects.request_trial(&call.tracked()).await;
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -25,9 +25,9 @@
 }
 
 /// Engines that may decode a call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct DecodeScope<'call> {
-    pub(super) version: &'call StreamVersion,
+    pub(super) version: StreamVersion,
     /// Engines that the call was sent to.
     pub(super) tried: &'call [EndpointName],
     /// Time for which an engine that drains may be sent a stream that no other engine can continue.
@@ -204,7 +204,7 @@
     service: &'state ServiceName,
     scope: &DecodeScope<'_>,
 ) -> Vec<Candidate<'state>> {
-    if *scope.version != StreamVersion::Any {
+    if scope.version != StreamVersion::Any {
         return resume_candidates(registry, loads, now, service, scope);
     }
     let engines = available_of_stage(registry, loads, now, service, EngineStage::Decode);
@@ -227,7 +227,7 @@
     scope: &DecodeScope<'_>,
 ) -> Vec<Candidate<'state>> {
     let mut rows = without_tried(
-        registry.resumable(now, service, scope.version, scope.drain_window),
+        registry.resumable(now, service, &scope.version, scope.drain_window),
         scope.tried,
     );
     rows.retain(|(name, endpoint)| {
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -15,7 +15,8 @@
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
 use acaciabay::core::serving::endpoint_load::StageSwitch;
-use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect};
+use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointRegistry, ReportEffect};
+use acaciabay::core::serving::software_version::SoftwareVersion;
 
 use super::shared::EntryShared;
 
@@ -35,13 +36,39 @@
         };
         handles.record(EndpointHandle(row.handle), name.clone(), endpoint.incarnation);
         let phase = endpoint.phase;
+        let before = state
+            .registry
+            .get(&name)
+            .map(|row| (row.incarnation, row.version.clone()));
         if state.registry.apply_relayed_report(now, &name, endpoint) == ReportEffect::Changed {
             slog::info!(shared.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
-                "endpoint" => name.as_str(), "phase" => ?phase, "sequence" => row.sequence, "birth" => row.birth);
+                "endpoint" => name.as_str(), "phase" => ?phase, "sequence" => row.sequence, "birth" => row.birth,
+                "version" => &row.version);
+            if let Some(before) = before {
+                doubt_streams(shared, now, &state.registry, &name, &before);
+            }
         }
     }
 }
 
+/// Takes back what this entry has told of the streams of an endpoint that has started again at another version.
+fn doubt_streams(
+    shared: &EntryShared,
+    now: BootTime,
+    registry: &EndpointRegistry,
+    name: &EndpointName,
+    (incarnation, version): &(EndpointIncarnation, Option<SoftwareVersion>),
+) {
+    let Some(row) = registry.get(name) else { return };
+    if row.incarnation == *incarnation || row.version == *version {
+        return;
+    }
+    let streams = shared.origins.doubt_endpoint(now, name);
+    slog::warn!(shared.log, "endpoint has started again at another version"; "event" => event::VERSION_CHANGED,
+        "endpoint" => name.as_str(), "expected" => version.as_ref().map(SoftwareVersion::as_str),
+        "birth" => incarnation.0, "streams" => streams);
+}
+
 /// Records the endpoints that a replica has heard without anything new.
 pub(super) fn apply_reports(shared: &EntryShared, reports: &EndpointReports, handles: &ReceivedHandles) {
     let reported = reports.handles.iter().copied().map(EndpointHandle);
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -35,6 +35,8 @@
     engine_events: usize,
     /// What the current engine was asked for.
     asked: AskedEvents,
+    /// True if the current engine has written all events, or none has come.
+    has_begun_here: bool,
     /// Held while an event is larger than [`MAX_BUFFERED_BYTES`].
     large_event: Option<OwnedSemaphorePermit>,
 }
@@ -104,8 +106,10 @@
             Some(_) => AskedEvents::Rest,
             None => AskedEvents::All,
         };
+        let has_begun_here = attempts.call.stream_version() == StreamVersion::Any;
         Self {
             attempts,
+            has_begun_here,
             stream: Some(stream),
             splitter: EventSplitter::new(),
             events: 0,
@@ -181,7 +185,8 @@
         Err((AnswerEnd::of_stream(framing, body, self.progress()), reason))
     }
 
-    /// Returns true if the current engine writes at the version of the stream, or if none is fixed.
+    /// Returns true if what the current engine writes may be passed on: it is of the version of the stream, or all of it is by
+    /// this engine.
     ///
     /// The engine was chosen by what it had reported. If it has started again since, under its name and at another version, it
     /// resumes the stream all the same.
@@ -190,7 +195,8 @@
         let Some(stream) = &self.stream else { return true };
         let chosen = &stream.source.chosen;
         let expected = call.stream_version();
-        if *expected == StreamVersion::Any {
+        // A stream of an unknown version goes on where it began.
+        if !matches!(expected, StreamVersion::Only(_)) {
             return true;
         }
         let written = call
@@ -198,16 +204,18 @@
             .state()
             .registry
             .written_version(&chosen.name, &chosen.endpoint);
-        let is_same = *expected == written;
-        // A stream of an unknown version goes on where it began.
-        if is_same || *expected == StreamVersion::Unknown {
+        if expected == written {
             return true;
         }
         slog::warn!(call.shared.log, "endpoint has started again at another version"; "event" => event::VERSION_CHANGED,
             "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "expected" => expected.label(),
-            "birth" => chosen.endpoint.incarnation.0);
+            "birth" => chosen.endpoint.incarnation.0, "began_here" => self.has_begun_here);
         metrics::counter!("acacia_stream_versions_mismatched_total").increment(1);
-        false
+        if self.has_begun_here {
+            // All that has come is of one process, but it is not certain which one.
+            call.doubt_stream_version();
+        }
+        self.has_begun_here
     }
 
     /// Returns true if a silent engine is waited for on: no other one could go on, and the caller still has time.
@@ -253,7 +261,7 @@
                 .registry
                 .written_version(&chosen.name, &chosen.endpoint);
             call.fix_stream_version(written);
-            call.record_begun_stream();
+            call.record_begun_stream(&chosen.name);
         }
         if self.events == 0 && count > 0 {
             call.shared.count_start(call.customer());
@@ -273,6 +281,8 @@
 
     /// Resumes the stream at another engine after the last complete event. Returns true if that succeeded.
     async fn resume_elsewhere(&mut self, end: AnswerEnd, reason: &str) -> bool {
+        // What has come may be of another version than was thought when it began.
+        self.is_of_version();
         // Closed before another engine is asked: an engine that is merely slow would otherwise keep working on the
         // call.
         let Some(OpenStream { source, .. }) = self.stream.take() else {
@@ -301,6 +311,7 @@
                     "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point,
                     "version" => StreamVersion::begun_by(stream.source.chosen.endpoint.version.as_ref()).label());
                 self.stream = Some(stream);
+                self.has_begun_here = self.attempts.call.stream_version() == StreamVersion::Any;
                 self.asked = self.progress().asked_next(resume_point);
                 self.splitter = self.splitter.continued();
                 self.engine_events = 0;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -142,7 +142,7 @@
     /// Returns true if an engine other than those that were tried can go on with the call. Before its first event, any
     /// engine can, and which one is left to the choice.
     pub(super) fn can_go_on(&self, tried: &[EndpointName]) -> bool {
-        *self.call.stream_version() == StreamVersion::Any
+        self.call.stream_version() == StreamVersion::Any
             || self
                 .call
                 .shared
@@ -189,7 +189,7 @@
             }
             let domain = prefilled.as_ref().map(|prefilled| &prefilled.engine.endpoint.domain);
             let scope = self.decode_scope(&tried);
-            let chosen = choose_with_permit(&self.call, "no engine makes tokens", (&tried, scope.version), |now| {
+            let chosen = choose_with_permit(&self.call, "no engine makes tokens", (&tried, &scope.version), |now| {
                 self.call
                     .shared
                     .choose_decode_engine(now, &self.call.service, &scope, domain, self.call.request_hash)
@@ -265,7 +265,7 @@
     async fn check_decode_room(&self, tried: &[EndpointName]) -> Result<(), CallRefusal> {
         let (shared, service) = (&self.call.shared, &self.call.service);
         let scope = self.decode_scope(tried);
-        let has_room = choose_with_permit(&self.call, "no engine makes tokens", (tried, scope.version), |now| {
+        let has_room = choose_with_permit(&self.call, "no engine makes tokens", (tried, &scope.version), |now| {
             shared.has_decode_room(now, service, &scope).then_some(())
         });
         has_room.await.map_err(|refusal| self.held_back(refusal))
--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -11,6 +11,8 @@
 use acacia_wire::generated::serving::{KnownOrigin, OriginAnswer, OriginQuery, ServingFrame};
 use acacia_wire::{finding_from_wire, origin_to_wire};
 use acaciabay::core::clock::BootTime;
+use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_registry::REPORT_TIMEOUT;
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{
     ORIGIN_COPIES, ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, OriginTable, choose_keepers,
@@ -68,10 +70,13 @@
 
 /// A stream that this entry has begun.
 #[derive(Clone, Debug)]
-struct ToldStream {
-    keys: OriginKeys,
-    version: SoftwareVersion,
-    begun_at: BootTime,
+pub(super) struct ToldStream {
+    pub(super) keys: OriginKeys,
+    /// Endpoint that has begun it.
+    pub(super) endpoint: EndpointName,
+    /// `None` if it is not certain.
+    pub(super) version: Option<SoftwareVersion>,
+    pub(super) begun_at: BootTime,
 }
 
 /// A question to the replicas that is not settled.
@@ -154,23 +159,32 @@
     }
 
     /// Records that this entry has passed on the first event of a stream, and tells the replicas without waiting.
-    pub(super) fn record_begun(&self, now: BootTime, keys: OriginKeys, version: &SoftwareVersion) {
+    ///
+    /// A version of `None` says that it is not certain: it contradicts what was told before.
+    pub(super) fn record_begun(&self, now: BootTime, told: ToldStream) {
         let mut state = self.state.lock();
         state.forget_old(now);
-        state.own.record(now, keys.attempt, version);
-        state.own.record(now, keys.content, version);
-        let told = ToldStream {
-            keys,
-            version: version.clone(),
-            begun_at: now,
-        };
-        let replicas: Vec<_> = state.replicas.iter().collect();
-        for (_, queue) in choose_keepers(keys.attempt, &replicas, |(address, _)| address.to_string()) {
-            enqueue(queue, origin_frame(&told));
-        }
+        state.tell(now, &told);
         state.told.push_back(told);
         metrics::gauge!("acacia_stream_origins_held").set(state.own.len() as f64);
-        metrics::counter!("acacia_stream_origins_told_total").increment(1);
+    }
+
+    /// Takes back which version has begun the recent streams of an endpoint that has started again at another version: the
+    /// new incarnation may have begun them before this entry heard of it.
+    pub(super) fn doubt_endpoint(&self, now: BootTime, endpoint: &EndpointName) -> usize {
+        let mut state = self.state.lock();
+        state.forget_old(now);
+        let mut doubted = Vec::new();
+        for told in &mut state.told {
+            let is_recent = now.since(told.begun_at) < REPORT_TIMEOUT;
+            if is_recent && told.endpoint == *endpoint && told.version.take().is_some() {
+                doubted.push(told.clone());
+            }
+        }
+        for told in &doubted {
+            state.tell(now, told);
+        }
+        doubted.len()
     }
 
     /// Searches the version that has begun one of these streams: the caller knows its request, and the service follows from
@@ -263,6 +277,17 @@
 }
 
 impl OriginState {
+    /// Records a stream, and tells the replicas that keep it.
+    fn tell(&mut self, now: BootTime, told: &ToldStream) {
+        self.own.record(now, told.keys.attempt, told.version.as_ref());
+        self.own.record(now, told.keys.content, told.version.as_ref());
+        let replicas: Vec<_> = self.replicas.iter().collect();
+        for (_, queue) in choose_keepers(told.keys.attempt, &replicas, |(address, _)| address.to_string()) {
+            enqueue(queue, origin_frame(told));
+        }
+        metrics::counter!("acacia_stream_origins_told_total").increment(1);
+    }
+
     /// Removes the streams that are too old or too many.
     fn forget_old(&mut self, now: BootTime) {
         self.own.remove_expired(now);
@@ -323,7 +348,7 @@
 }
 
 fn origin_frame(told: &ToldStream) -> Frame {
-    serving_frame(Body::Origin(origin_to_wire(told.keys, &told.version)))
+    serving_frame(Body::Origin(origin_to_wire(told.keys, told.version.as_ref())))
 }
 
 fn query_frame(query: u64, keys: &[OriginKey]) -> Frame {
--- a/crates/acacia-wire/src/origin_message.rs
+++ b/crates/acacia-wire/src/origin_message.rs
@@ -6,30 +6,25 @@
 use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey, OriginKeys};
 use acaciabay::util::number::whole_millis;
 
-use crate::error::WireError;
 use crate::generated::serving::{KnownOrigin, StreamOrigin};
 
-/// Encodes which version has begun a stream.
-pub fn origin_to_wire(keys: OriginKeys, version: &SoftwareVersion) -> StreamOrigin {
+/// Encodes which version has begun a stream; `None` if that is not certain.
+pub fn origin_to_wire(keys: OriginKeys, version: Option<&SoftwareVersion>) -> StreamOrigin {
     StreamOrigin {
         attempt: keys.attempt.0,
         content: keys.content.0,
-        version: version.to_string(),
+        version: version.map(ToString::to_string),
     }
 }
 
-/// Decodes which version has begun a stream.
-///
-/// # Errors
-///
-/// Fails if the version cannot be one.
-pub fn origin_from_wire(message: &StreamOrigin) -> Result<(OriginKeys, SoftwareVersion), WireError> {
+/// Decodes which version has begun a stream. A version that cannot be one is not certain.
+pub fn origin_from_wire(message: &StreamOrigin) -> (OriginKeys, Option<SoftwareVersion>) {
     let keys = OriginKeys {
         attempt: OriginKey(message.attempt),
         content: OriginKey(message.content),
     };
-    let version = SoftwareVersion::from_text(&message.version);
-    Ok((keys, version.ok_or(WireError::invalid("version"))?))
+    let version = message.version.as_deref().and_then(SoftwareVersion::from_text);
+    (keys, version)
 }
 
 /// Encodes what a replica knows of a stream; `None` if it knows nothing.
--- a/crates/acaciabay/src/core/serving/stream_origin.rs
+++ b/crates/acaciabay/src/core/serving/stream_origin.rs
@@ -77,7 +77,7 @@
 pub enum OriginFinding {
     /// No record of the stream.
     Unknown,
-    /// Records name several versions: the identifier was used more than once.
+    /// Records name several versions, as the identifier was used more than once, or the version is not certain.
     Conflicting,
     /// This version has begun the stream.
     Known(SoftwareVersion),
@@ -96,7 +96,7 @@
 
 #[derive(Clone, Debug)]
 struct OriginRow {
-    /// `None` if records name several versions.
+    /// `None` if records name several versions, or one says that it is not certain.
     version: Option<SoftwareVersion>,
     recorded_at: BootTime,
 }
@@ -122,11 +122,11 @@
         }
     }
 
-    /// Records which version has begun a stream.
-    pub fn record(&mut self, now: BootTime, key: OriginKey, version: &SoftwareVersion) -> OriginEffect {
+    /// Records which version has begun a stream; `None` if that is not certain.
+    pub fn record(&mut self, now: BootTime, key: OriginKey, version: Option<&SoftwareVersion>) -> OriginEffect {
         self.remove_expired(now);
         if let Some(row) = self.rows.get_mut(&key) {
-            if row.version.as_ref() == Some(version) {
+            if row.version.as_ref() == version {
                 return OriginEffect::Same;
             }
             row.version = None;
@@ -137,7 +137,7 @@
             self.evicted += 1;
         }
         let row = OriginRow {
-            version: Some(version.clone()),
+            version: version.cloned(),
             recorded_at: now,
         };
         self.rows.insert(key, row);
--- a/crates/acaciabay/tests/serving/stream_origins.rs
+++ b/crates/acaciabay/tests/serving/stream_origins.rs
@@ -27,7 +27,7 @@
 #[test]
 fn a_record_is_found_until_it_is_too_old() {
     let mut table = OriginTable::new(4);
-    let effect = table.record(at(0), OriginKey(1), &version("v1"));
+    let effect = table.record(at(0), OriginKey(1), Some(&version("v1")));
 
     assert_eq!(effect, OriginEffect::New);
     assert_eq!(table.find(at(30), OriginKey(1)).0, known("v1"));
@@ -39,21 +39,35 @@
 #[test]
 fn records_that_contradict_each_other_name_no_version_for_good() {
     let mut table = OriginTable::new(4);
-    table.record(at(0), OriginKey(1), &version("v1"));
-    let same = table.record(at(1), OriginKey(1), &version("v1"));
-    let other = table.record(at(2), OriginKey(1), &version("v1.1"));
-    table.record(at(3), OriginKey(1), &version("v1"));
+    table.record(at(0), OriginKey(1), Some(&version("v1")));
+    let same = table.record(at(1), OriginKey(1), Some(&version("v1")));
+    let other = table.record(at(2), OriginKey(1), Some(&version("v1.1")));
+    table.record(at(3), OriginKey(1), Some(&version("v1")));
 
     assert_eq!((same, other), (OriginEffect::Same, OriginEffect::Conflict));
     assert_eq!(table.find(at(4), OriginKey(1)).0, OriginFinding::Conflicting);
 }
 
+/// An entry learns that an endpoint had started again before it began the stream. Nobody may go on at the version that was told.
+#[test]
+fn a_record_that_is_not_certain_names_no_version_for_good() {
+    let mut table = OriginTable::new(4);
+    table.record(at(0), OriginKey(1), Some(&version("v1")));
+    let effect = table.record(at(1), OriginKey(1), None);
+    table.record(at(2), OriginKey(1), Some(&version("v1")));
+    table.record(at(2), OriginKey(2), None);
+
+    assert_eq!(effect, OriginEffect::Conflict);
+    assert_eq!(table.find(at(3), OriginKey(1)).0, OriginFinding::Conflicting);
+    assert_eq!(table.find(at(3), OriginKey(2)).0, OriginFinding::Conflicting);
+}
+
 /// A flood of streams must neither fill the memory nor remove what was recorded last.
 #[test]
 fn the_oldest_records_are_removed_first() {
     let mut table = OriginTable::new(3);
     for key in 1..=5 {
-        table.record(at(key), OriginKey(key), &version("v1"));
+        table.record(at(key), OriginKey(key), Some(&version("v1")));
     }
 
     let found: Vec<bool> = (1..=5)
@@ -68,7 +82,7 @@
 fn old_records_take_no_memory() {
     let mut table = OriginTable::new(100);
     for key in 0..50 {
-        table.record(at(key), OriginKey(key), &version("v1"));
+        table.record(at(key), OriginKey(key), Some(&version("v1")));
     }
 
     table.remove_expired(after(40));
@@ -173,7 +187,7 @@
         let truth = |key: u64| format!("v{}", key % 3);
         let mut table = OriginTable::new(4);
         for (number, (key, _)) in told.iter().enumerate() {
-            table.record(at(number as u64), OriginKey(*key), &version(&truth(*key)));
+            table.record(at(number as u64), OriginKey(*key), Some(&version(&truth(*key))));
         }
 
         for key in 0..6 {
