--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -17,6 +17,7 @@
 use super::codec::{ControlAnswer, ControlCall};
 use super::endpoint_limits::list_limits;
 use super::shared::ControlShared;
+use super::software_versions::list_versions;
 use crate::operator_api::OperatorRefusal;
 use crate::operator_quarantine::operate_quarantine;
 
@@ -31,6 +32,7 @@
     let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
     let operated = match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["v1", "limits"]) => Some(list_limits(&shared).await),
+        (&Method::GET, ["v1", "versions"]) => Some(Ok(list_versions(&shared))),
         _ => operate_quarantine(&shared.suspects, &parts.method, &segments).await,
     };
     if let Some(result) = operated {
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -28,6 +28,7 @@
 mod session;
 mod shared;
 mod soft_state;
+mod software_versions;
 mod stage_orders;
 mod start;
 mod stream_origins;
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -125,7 +125,8 @@
         let call = &self.attempts.call;
         slog::info!(call.shared.log, "stream begun"; "event" => event::CALL_ENDED, "request" => &call.head.request,
             "route" => &call.route().name, "endpoint" => stream.source.chosen.name.as_str(),
-            "version" => call.stream_version().label(), "status" => stream.source.status.as_u16(), "after_ms" => whole_millis(boot_now().since(call.received_at)));
+            "version" => call.stream_version().label(), "status" => stream.source.status.as_u16(),
+            "after_ms" => whole_millis(boot_now().since(call.received_at)));
         let mut headers = call.shared.codec.filter_answer_headers(&stream.headers);
         // If the stream is resumed at another engine, its total length differs.
         headers.remove(CONTENT_LENGTH);
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -192,6 +192,13 @@
         self.rows.iter().map(|(name, row)| (name, &row.endpoint))
     }
 
+    /// Returns all known endpoints with the times of their last reports, in the order of their names.
+    pub fn reported_rows(&self) -> impl Iterator<Item = (&EndpointName, &ServingEndpoint, BootTime)> {
+        self.rows
+            .iter()
+            .map(|(name, row)| (name, &row.endpoint, row.reported_at))
+    }
+
     /// Returns the endpoints of a service that take new calls.
     ///
     /// If several rows have the same address, it belongs to the latest incarnation; the other reports were delayed.
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -11,6 +11,7 @@
 mod status;
 mod table;
 mod usage;
+mod versions;
 
 use std::time::Duration;
 
@@ -34,6 +35,7 @@
     Quarantine(quarantine::QuarantineArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
+    Versions(versions::VersionsArgs),
 }
 
 impl Command {
@@ -50,6 +52,7 @@
             Self::Quarantine(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
+            Self::Versions(args) => args.exec(client).await,
         }
     }
 }
