Ask an engine whether it has started again before it goes on with a stream

Cause: a row says what an endpoint was when it last reported, at most 4 s ago, and a resume trusts it. An engine that is to go on is now asked for its status first; another start than the chosen one, or no answer in 0.3 s, and another engine is asked (E0251). One exchange for each stream that broke, no more for others; an engine that does not tell its start is believed.

Ruled out: to believe only reports after a break of a connection (a reset of the entry's own connections would stop all resumes for a second, and another entry has seen no break); to ask at each first event (a probe a stream).

--- a/crates/acacia-entry/src/serving/codec.rs
+++ b/crates/acacia-entry/src/serving/codec.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::name::{CustomerName, EndpointName};
 use acaciabay::core::serving::config::{ConfigFinding, ServingConfig};
 use acaciabay::core::serving::endpoint_limit::LimitNotice;
+use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::core::serving::prompt::PromptShape;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -133,6 +134,10 @@
     fn read_prompt_handle(&self, body: &[u8]) -> Option<String>;
     /// Returns the method and path of the request that frees an unused handle.
     fn free_handle_request(&self, handle: &str) -> (Method, String);
+    /// Returns the method and path of the request by which an endpoint says what it is.
+    fn status_request(&self) -> (Method, &'static str);
+    /// Reads from the answer when the endpoint started, if it says so.
+    fn read_incarnation(&self, body: &[u8]) -> Option<EndpointIncarnation>;
     /// Writes the response to a refused call. `request` is the identifier of the request, if it could be read.
     fn write_refusal(&self, request: Option<&str>, refusal: &CallRefusal) -> Response<ResponseBody>;
     /// Parses a configuration document.
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -7,7 +7,8 @@
 //! endpoints by `attempt`.
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
-//! this entry begins, and `taken_stream` asks them for one that a caller takes up.
+//! this entry begins, `taken_stream` asks them for one that a caller takes up, and `incarnation_check` asks an
+//! endpoint that is to go on whether it has started again.
 //!
 //! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost: `relay_client`
 //! asks for that, and `relay_server` is the other entry's side.
@@ -29,6 +30,7 @@
 mod endpoint_limits;
 mod endpoint_news;
 mod endpoint_paths;
+mod incarnation_check;
 mod plain_body;
 mod plain_call;
 mod prefill;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -23,6 +23,7 @@
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, DecodeScope};
 use super::endpoint_limits::choose_with_permit;
+use super::incarnation_check::is_same_incarnation;
 use super::plain_body::{PlainStream, stream_answer};
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
@@ -195,6 +196,14 @@
                     .choose_decode_engine(now, &self.call.service, &scope, domain, self.call.request_hash)
             });
             let chosen = chosen.await.map_err(|refusal| self.held_back(refusal))?;
+            if self.call.stream_version() != StreamVersion::Any && !is_same_incarnation(&self.call, &chosen).await {
+                self.unreachable += 1;
+                if self.unreachable > MAX_UNREACHABLE {
+                    return Err(self.refusal(NO_ENGINE_OF_VERSION, SHORT_RETRY_DELAY));
+                }
+                tried.push(chosen.name);
+                continue;
+            }
             let guard = self.call.shared.add_work(&chosen.name, self.decode_work());
             let outcome = self.send_to(&chosen, prefilled.as_ref(), resume_after).await;
             match outcome {
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -110,6 +110,8 @@
     VERSION_CHANGED = "E0249";
     /// The version that has begun a stream was searched, because its caller takes it up.
     ORIGIN_SEARCHED = "E0250";
+    /// An endpoint that was to go on with a stream has started again, or has not said that it has not.
+    INCARNATION_UNCONFIRMED = "E0251";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
