Send what is asked of endpoints beside calls from one place

The question for an engine's start built, sent and read its request as the one that frees a handle did: permit of a limit, request without a body, answer read to its end, connection given back. endpoint_request does that for both. A handle is now freed over a pooled connection that is checked, as for other requests that may be made again; its permit is taken when it is sent, not when the prompt is dropped.

prompts::* and versions::* pass (a_prompt_that_nobody_takes_is_freed among them).

--- a/crates/acacia-entry/src/serving/incarnation_check.rs
+++ b/crates/acacia-entry/src/serving/incarnation_check.rs
@@ -4,23 +4,17 @@
 
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::util::number::whole_millis;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::HOST;
 
 use super::call::AcceptedCall;
 use super::endpoint_choice::ChosenEndpoint;
+use super::endpoint_request::{RequestOutcome, ask_endpoint};
 
 /// Time limit for the whole check: many times the way to an endpoint.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size of what an endpoint says about itself, in bytes.
-const MAX_STATUS_BYTES: usize = 256 * 1024;
 
 /// What an endpoint has said of its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,8 +35,7 @@
         return true;
     }
     let began_at = boot_now();
-    let asked = tokio::time::timeout(CHECK_TIMEOUT, ask_start(call, chosen));
-    let answer = asked.await.unwrap_or(StartAnswer::None);
+    let answer = ask_start(call, chosen).await;
     let is_same = matches!(answer, StartAnswer::Same | StartAnswer::Untold);
     if !is_same {
         slog::info!(call.shared.log, "endpoint is not known to be the one that was chosen";
@@ -55,31 +48,14 @@
 }
 
 async fn ask_start(call: &AcceptedCall, chosen: &ChosenEndpoint) -> StartAnswer {
-    let shared = &call.shared;
-    if shared.acquire_permit(boot_now(), chosen).is_none() {
-        return StartAnswer::LimitReached;
-    }
-    let (method, path) = shared.codec.status_request();
-    let address = chosen.endpoint.address;
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(HOST, address.to_string());
-    let Ok(request) = request.body(Full::new(Bytes::new())) else {
-        return StartAnswer::Untold;
-    };
-    let sent = shared
-        .client
-        .send(boot_now(), address, ConnectionChoice::PooledWhileReachable, request);
-    let Ok(answer) = sent.await else {
-        return StartAnswer::None;
-    };
-    let is_success = answer.response.status().is_success();
-    let Ok(body) = read_body(answer.response.into_body(), MAX_STATUS_BYTES, CHECK_TIMEOUT).await else {
-        return StartAnswer::None;
+    let codec = &call.shared.codec;
+    let outcome = ask_endpoint(&call.shared, chosen, codec.status_request(), CHECK_TIMEOUT).await;
+    let (status, body) = match outcome {
+        RequestOutcome::Answered(status, body) => (status, body),
+        RequestOutcome::NoAnswer => return StartAnswer::None,
+        RequestOutcome::LimitReached => return StartAnswer::LimitReached,
     };
-    shared.client.give_back(boot_now(), answer.connection).await;
-    match shared.codec.read_incarnation(&body).filter(|_| is_success) {
+    match codec.read_incarnation(&body).filter(|_| status.is_success()) {
         Some(incarnation) if incarnation == chosen.endpoint.incarnation => StartAnswer::Same,
         Some(incarnation) => StartAnswer::Other(incarnation),
         None => StartAnswer::Untold,
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -4,7 +4,7 @@
 //! `allowance_charge` takes its cost from the customer's allowance. A plain call is answered by a single endpoint. The
 //! prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
-//! endpoints by `attempt`.
+//! endpoints by `attempt`, and what else an endpoint is asked by `endpoint_request`.
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
 //! this entry begins, `taken_stream` asks them for one that a caller takes up, and `incarnation_check` asks an
@@ -30,6 +30,7 @@
 mod endpoint_limits;
 mod endpoint_news;
 mod endpoint_paths;
+mod endpoint_request;
 mod incarnation_check;
 mod plain_body;
 mod plain_call;
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, ConnectionChoice, read_body};
+use acacia_http::{BodyRefusal, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
@@ -14,16 +14,13 @@
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::place_prompt::{PromptPlacement, is_copy_source_gone};
 use acaciabay::util::number::whole_millis;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::HOST;
 
 use super::attempt::{AttemptOutcome, AttemptTimeouts, EndpointReply, send};
 use super::call::AcceptedCall;
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
 use super::endpoint_limits::choose_with_permit;
+use super::endpoint_request::{RequestOutcome, ask_endpoint};
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 
@@ -36,7 +33,7 @@
 /// Number of unreachable engines after which the prefill of a prompt is given up. Each of them costs a connection
 /// attempt.
 const MAX_UNREACHABLE_ENGINES: usize = 8;
-/// Maximum size of an engine's answer to a prefill request or to a request that frees a handle, in bytes.
+/// Maximum size of an engine's answer to a prefill request, in bytes.
 const MAX_HANDLE_BYTES: usize = 16 * 1024;
 /// Time limit for freeing a handle, including reading the engine's answer.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -65,36 +62,14 @@
             return;
         }
         let (method, path) = self.shared.codec.free_handle_request(&self.handle);
-        let (shared, address) = (Arc::clone(&self.shared), self.engine.endpoint.address);
-        if shared.acquire_permit(boot_now(), &self.engine).is_none() {
-            // It expires on the engine.
-            slog::info!(shared.log, "prompt not freed because of a limit"; "event" => event::PROMPT_READ,
-                "endpoint" => self.engine.name.as_str(), "handle" => &self.handle);
-            return;
-        }
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, address.to_string());
-        let Ok(request) = request.body(Full::new(Bytes::new())) else {
-            return;
-        };
+        let (shared, engine, handle) = (Arc::clone(&self.shared), self.engine.clone(), self.handle.clone());
         tokio::spawn(async move {
-            let freeing = async {
-                let answer = shared
-                    .client
-                    .send(boot_now(), address, ConnectionChoice::Pooled, request)
-                    .await;
-                if let Ok(answer) = answer
-                    && read_body(answer.response.into_body(), MAX_HANDLE_BYTES, FREE_TIMEOUT)
-                        .await
-                        .is_ok()
-                {
-                    shared.client.give_back(boot_now(), answer.connection).await;
-                }
-            };
             // A handle that could not be freed expires on the engine.
-            let _late = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
+            let freed = ask_endpoint(&shared, &engine, (method, &path), FREE_TIMEOUT).await;
+            if freed == RequestOutcome::LimitReached {
+                slog::info!(shared.log, "prompt not freed because of a limit"; "event" => event::PROMPT_READ,
+                    "endpoint" => engine.name.as_str(), "handle" => handle);
+            }
         });
     }
 }
