Derive what the entry kept twice of streams' versions, and share three checks

Read again in the diff since: - an entry kept its streams in a list and in a table of the library; it finds them in the list now (2,048 at most, for each take-up), and the table is the replicas' alone; - whether the current engine has written all events followed from two counts and the head of the call, and was a field; - an engine whose start is not confirmed took a copy of the path of one that was not reached; it is that outcome now; - the three functions that list a service's engines share their arguments; - rows that report lately were told in three places, and the separation of hashed fields in two.

Behaviour is as before; fingerprints of calls are the same bytes (call_fingerprint::*).

--- a/crates/acacia-control/src/serving/software_versions.rs
+++ b/crates/acacia-control/src/serving/software_versions.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use acacia_runtime::clock::boot_now;
-use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, REPORT_TIMEOUT, ServingEndpoint};
+use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use serde_json::{Value, json};
 
@@ -39,11 +39,11 @@
     let now = boot_now();
     let soft = shared.soft_state();
     let mut counts: BTreeMap<(&str, Option<&str>), VersionCount> = BTreeMap::new();
-    let present = soft.registry.reported_rows();
-    for (_, endpoint, reported_at) in present.filter(|(_, endpoint, _)| endpoint.phase != EndpointPhase::Gone) {
+    let rows = soft.registry.rows();
+    for (name, endpoint) in rows.filter(|(_, endpoint)| endpoint.phase != EndpointPhase::Gone) {
         let version = endpoint.version.as_ref().map(SoftwareVersion::as_str);
         let count = counts.entry((endpoint.service.as_str(), version)).or_default();
-        count.add(endpoint, now.since(reported_at) < REPORT_TIMEOUT);
+        count.add(endpoint, soft.registry.is_reporting(now, name));
     }
     let rows = counts.into_iter().map(|((service, version), count)| {
         json!({
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -69,7 +69,7 @@
     pub(super) fn has_prefill_engines(&self, now: BootTime, service: &ServiceName) -> bool {
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
-        let engines = available_of_stage(registry, loads, now, service, EngineStage::Prefill);
+        let engines = ServiceEngines::new(now, service, registry, loads).available_of_stage(EngineStage::Prefill);
         let has_room = engines
             .iter()
             .any(|(name, endpoint)| limits.admits(now, limited(name, endpoint)));
@@ -87,7 +87,7 @@
         if !limits.has_limits() {
             return true;
         }
-        let engines = decode_candidates(registry, loads, now, service, scope);
+        let engines = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
         let mut rows = engines.iter().map(|(name, endpoint)| limited(name, endpoint));
         engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) || {
             record_demand(limits, &engines);
@@ -99,7 +99,8 @@
     pub(super) fn has_resume_engine(&self, now: BootTime, service: &ServiceName, scope: &DecodeScope<'_>) -> bool {
         let mut state = self.state();
         let (registry, loads, _) = state.choice_parts();
-        !decode_candidates(registry, loads, now, service, scope).is_empty()
+        let engines = ServiceEngines::new(now, service, registry, loads);
+        !engines.decode_candidates(scope).is_empty()
     }
 
     /// Chooses an engine to prefill a prompt.
@@ -114,10 +115,8 @@
         let spec = state.engine_spec(service);
         let usual_pace = state.prefill_pace(service);
         let (registry, loads, limits) = state.choice_parts();
-        let readers = without_tried(
-            available_of_stage(registry, loads, now, service, EngineStage::Prefill),
-            tried,
-        );
+        let engines = ServiceEngines::new(now, service, registry, loads);
+        let readers = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
         let (place, detour) = choose_within_limits(
@@ -156,7 +155,7 @@
         let memory = self.engine_memory(service);
         let mut state = self.state();
         let (registry, loads, limits) = state.choice_parts();
-        let candidates = decode_candidates(registry, loads, now, service, scope);
+        let candidates = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
         let (name, detour) = choose_within_limits(
             now,
             limits,
@@ -185,59 +184,68 @@
     }
 }
 
-fn available_of_stage<'state>(
-    registry: &'state EndpointRegistry,
-    loads: &LoadTable,
+/// Engines of one service at one time.
+#[derive(Clone, Copy, Debug)]
+struct ServiceEngines<'state> {
     now: BootTime,
     service: &'state ServiceName,
-    stage: EngineStage,
-) -> Vec<Candidate<'state>> {
-    let mut rows = registry.ready(now, service);
-    rows.retain(|(name, endpoint)| endpoint.stage == Some(stage) && !loads.is_switching_stage(now, name, endpoint));
-    rows
+    registry: &'state EndpointRegistry,
+    loads: &'state LoadTable,
 }
 
-fn decode_candidates<'state>(
-    registry: &'state EndpointRegistry,
-    loads: &LoadTable,
-    now: BootTime,
-    service: &'state ServiceName,
-    scope: &DecodeScope<'_>,
-) -> Vec<Candidate<'state>> {
-    if scope.version != StreamVersion::Any {
-        return resume_candidates(registry, loads, now, service, scope);
+impl<'state> ServiceEngines<'state> {
+    const fn new(
+        now: BootTime,
+        service: &'state ServiceName,
+        registry: &'state EndpointRegistry,
+        loads: &'state LoadTable,
+    ) -> Self {
+        Self {
+            now,
+            service,
+            registry,
+            loads,
+        }
+    }
+
+    fn takes_calls(&self, (name, endpoint): &Candidate<'_>) -> bool {
+        !self.loads.is_switching_stage(self.now, name, endpoint)
     }
-    let engines = available_of_stage(registry, loads, now, service, EngineStage::Decode);
-    if !engines.is_empty() {
-        return without_tried(engines, scope.tried);
+
+    fn available_of_stage(&self, stage: EngineStage) -> Vec<Candidate<'state>> {
+        let mut rows = self.registry.ready(self.now, self.service);
+        rows.retain(|row| row.1.stage == Some(stage) && self.takes_calls(row));
+        rows
     }
-    // Endpoints that report no stage both prefill and decode.
-    let mut rows = registry.ready(now, service);
-    rows.retain(|(_, endpoint)| endpoint.stage.is_none());
-    without_tried(rows, scope.tried)
-}
 
-/// Returns the engines that may write the rest of a stream. Those that drain are used only if no other is left: the
-/// alternative is a stream that breaks.
-fn resume_candidates<'state>(
-    registry: &'state EndpointRegistry,
-    loads: &LoadTable,
-    now: BootTime,
-    service: &'state ServiceName,
-    scope: &DecodeScope<'_>,
-) -> Vec<Candidate<'state>> {
-    let mut rows = without_tried(
-        registry.resumable(now, service, &scope.version, scope.drain_window),
-        scope.tried,
-    );
-    rows.retain(|(name, endpoint)| {
-        endpoint.stage != Some(EngineStage::Prefill) && !loads.is_switching_stage(now, name, endpoint)
-    });
-    let is_ready = |(_, endpoint): &Candidate<'_>| endpoint.phase == EndpointPhase::Ready;
-    if rows.iter().any(is_ready) {
-        rows.retain(is_ready);
+    fn decode_candidates(&self, scope: &DecodeScope<'_>) -> Vec<Candidate<'state>> {
+        if scope.version != StreamVersion::Any {
+            return self.resume_candidates(scope);
+        }
+        let engines = self.available_of_stage(EngineStage::Decode);
+        if !engines.is_empty() {
+            return without_tried(engines, scope.tried);
+        }
+        // Endpoints that report no stage both prefill and decode.
+        let mut rows = self.registry.ready(self.now, self.service);
+        rows.retain(|(_, endpoint)| endpoint.stage.is_none());
+        without_tried(rows, scope.tried)
+    }
+
+    /// Returns the engines that may write the rest of a stream. Those that drain are used only if no other is left: the
+    /// alternative is a stream that breaks.
+    fn resume_candidates(&self, scope: &DecodeScope<'_>) -> Vec<Candidate<'state>> {
+        let rows = self
+            .registry
+            .resumable(self.now, self.service, &scope.version, scope.drain_window);
+        let mut rows = without_tried(rows, scope.tried);
+        rows.retain(|row| row.1.stage != Some(EngineStage::Prefill) && self.takes_calls(row));
+        let is_ready = |(_, endpoint): &Candidate<'_>| endpoint.phase == EndpointPhase::Ready;
+        if rows.iter().any(is_ready) {
+            rows.retain(is_ready);
+        }
+        rows
     }
-    rows
 }
 
 /// Records that a call would go to any of these engines. Without demand the leader would grant no permits for them.
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -18,6 +18,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::call::refuse;
+use super::endpoint_choice::ChosenEndpoint;
 use super::plain_body::MAX_BUFFERED_BYTES;
 use super::plain_call::build_response;
 use super::refusal::CallRefusal;
@@ -35,8 +36,6 @@
     engine_events: usize,
     /// What the current engine was asked for.
     asked: AskedEvents,
-    /// True if the current engine has written all events, or none has come.
-    has_begun_here: bool,
     /// Held while an event is larger than [`MAX_BUFFERED_BYTES`].
     large_event: Option<OwnedSemaphorePermit>,
 }
@@ -106,10 +105,8 @@
             Some(_) => AskedEvents::Rest,
             None => AskedEvents::All,
         };
-        let has_begun_here = attempts.call.stream_version() == StreamVersion::Any;
         Self {
             attempts,
-            has_begun_here,
             stream: Some(stream),
             splitter: EventSplitter::new(),
             events: 0,
@@ -200,23 +197,23 @@
         if !matches!(expected, StreamVersion::Only(_)) {
             return true;
         }
-        let written = call
-            .shared
-            .state()
-            .registry
-            .written_version(&chosen.name, &chosen.endpoint);
-        if expected == written {
+        if expected == self.written_version(chosen) {
             return true;
         }
         slog::warn!(call.shared.log, "endpoint has started again at another version"; "event" => event::VERSION_CHANGED,
             "request" => &call.head.request, "endpoint" => chosen.name.as_str(), "expected" => expected.label(),
-            "birth" => chosen.endpoint.incarnation.0, "began_here" => self.has_begun_here);
+            "birth" => chosen.endpoint.incarnation.0, "began_here" => self.has_begun_here());
         metrics::counter!("acacia_stream_versions_mismatched_total").increment(1);
-        if self.has_begun_here {
+        if self.has_begun_here() {
             // All that has come is of one process, but it is not certain which one.
             call.doubt_stream_version();
         }
-        self.has_begun_here
+        self.has_begun_here()
+    }
+
+    /// Returns true if the current engine has written all events that the caller has.
+    fn has_begun_here(&self) -> bool {
+        self.events == self.engine_events && !self.attempts.call.head.takes_up_stream()
     }
 
     /// Returns true if a silent engine is waited for on: no other one could go on, and the caller still has time.
@@ -250,28 +247,30 @@
     }
 
     fn record_events(&mut self, count: usize) {
-        let call = &self.attempts.call;
-        if self.events == 0
-            && count > 0
-            && let Some(stream) = &self.stream
-        {
-            let chosen = &stream.source.chosen;
-            let written = call
-                .shared
-                .state()
-                .registry
-                .written_version(&chosen.name, &chosen.endpoint);
-            call.fix_stream_version(written);
-            call.record_begun_stream(&chosen.name);
-        }
         if self.events == 0 && count > 0 {
-            call.shared.count_start(call.customer());
-            metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
+            self.record_first_event();
         }
         self.events += count;
         self.engine_events += count;
     }
 
+    fn record_first_event(&self) {
+        let call = &self.attempts.call;
+        if let Some(stream) = &self.stream {
+            let chosen = &stream.source.chosen;
+            call.fix_stream_version(self.written_version(chosen));
+            call.record_begun_stream(&chosen.name);
+        }
+        call.shared.count_start(call.customer());
+        metrics::histogram!("acacia_first_event_seconds").record(boot_now().since(call.received_at).as_secs_f64());
+    }
+
+    /// Returns the version of what an engine writes, as far as it is certain.
+    fn written_version(&self, chosen: &ChosenEndpoint) -> StreamVersion {
+        let state = self.attempts.call.shared.state();
+        state.registry.written_version(&chosen.name, &chosen.endpoint)
+    }
+
     /// Returns the place after which another engine would have to go on.
     fn resume_point(&self) -> ResumePoint {
         match (self.splitter.resume_point(), self.attempts.call.head.resume_after) {
@@ -312,7 +311,6 @@
                     "endpoint" => stream.source.chosen.name.as_str(), "after" => ?resume_point,
                     "version" => StreamVersion::begun_by(stream.source.chosen.endpoint.version.as_ref()).label());
                 self.stream = Some(stream);
-                self.has_begun_here = self.attempts.call.stream_version() == StreamVersion::Any;
                 self.asked = self.progress().asked_next(resume_point);
                 self.splitter = self.splitter.continued();
                 self.engine_events = 0;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -196,14 +196,6 @@
                     .choose_decode_engine(now, &self.call.service, &scope, domain, self.call.request_hash)
             });
             let chosen = chosen.await.map_err(|refusal| self.held_back(refusal))?;
-            if self.call.stream_version() != StreamVersion::Any && !is_same_incarnation(&self.call, &chosen).await {
-                self.unreachable += 1;
-                if self.unreachable > MAX_UNREACHABLE {
-                    return Err(self.refusal(NO_ENGINE_OF_VERSION, SHORT_RETRY_DELAY));
-                }
-                tried.push(chosen.name);
-                continue;
-            }
             let guard = self.call.shared.add_work(&chosen.name, self.decode_work());
             let outcome = self.send_to(&chosen, prefilled.as_ref(), resume_after).await;
             match outcome {
@@ -309,6 +301,9 @@
         prefilled: Option<&PrefilledPrompt>,
         resume_after: Option<u64>,
     ) -> AttemptOutcome {
+        if self.call.stream_version() != StreamVersion::Any && !is_same_incarnation(&self.call, chosen).await {
+            return AttemptOutcome::NotRun { arrived: false };
+        }
         let role = prefilled.map_or(AttemptRole::Whole, |prefilled| AttemptRole::MakeTokens {
             reader: prefilled.engine.endpoint.address,
             handle: &prefilled.handle,
--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -15,12 +15,12 @@
 use acaciabay::core::serving::endpoint_registry::REPORT_TIMEOUT;
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{
-    ORIGIN_COPIES, ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, OriginTable, choose_keepers,
+    ORIGIN_COPIES, ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, choose_keepers,
 };
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-/// Maximum number of streams that an entry remembers to have begun. A minute of thirty streams a second, in about 500 KB.
+/// Maximum number of streams that an entry remembers to have begun. A minute of thirty streams a second, in about 300 KB.
 const MAX_OWN_STREAMS: usize = 2_048;
 /// Maximum number of searches at a time. Callers that take up what nobody has begun would otherwise load the replicas.
 const MAX_SEARCHES: usize = 256;
@@ -103,8 +103,7 @@
 
 #[derive(Debug)]
 struct OriginState {
-    own: OriginTable,
-    /// Streams of `own`, the oldest first, as they are told to replicas whose sessions open.
+    /// Streams that this entry has begun, the oldest first.
     told: VecDeque<ToldStream>,
     /// Queues of the sessions with replicas that understand these messages.
     replicas: BTreeMap<SocketAddr, mpsc::Sender<Frame>>,
@@ -122,7 +121,6 @@
     pub(super) fn new() -> Self {
         Self {
             state: Mutex::new(OriginState {
-                own: OriginTable::new(2 * MAX_OWN_STREAMS),
                 told: VecDeque::new(),
                 replicas: BTreeMap::new(),
                 searches: HashMap::new(),
@@ -164,9 +162,9 @@
     pub(super) fn record_begun(&self, now: BootTime, told: ToldStream) {
         let mut state = self.state.lock();
         state.forget_old(now);
-        state.tell(now, &told);
+        state.tell(&told);
         state.told.push_back(told);
-        metrics::gauge!("acacia_stream_origins_held").set(state.own.len() as f64);
+        metrics::gauge!("acacia_stream_origins_held").set(state.told.len() as f64);
     }
 
     /// Takes back which version has begun the recent streams of an endpoint that has started again at another version: the
@@ -182,7 +180,7 @@
             }
         }
         for told in &doubted {
-            state.tell(now, told);
+            state.tell(told);
         }
         doubted.len()
     }
@@ -219,15 +217,9 @@
     }
 
     fn find_own(&self, now: BootTime, keys: &[OriginKey]) -> Option<FoundOrigin> {
-        let state = self.state.lock();
-        let found = keys.iter().map(|key| (*key, state.own.find(now, *key)));
-        let found = found.filter(|(_, (finding, _))| *finding != OriginFinding::Unknown);
-        let found = found.map(|(key, (finding, age))| FoundOrigin {
-            finding,
-            key: Some(key),
-            source: OriginSource::Own,
-            age,
-        });
+        let mut state = self.state.lock();
+        state.forget_old(now);
+        let found = keys.iter().filter_map(|key| state.find_told(now, *key));
         single(found)
     }
 
@@ -277,10 +269,8 @@
 }
 
 impl OriginState {
-    /// Records a stream, and tells the replicas that keep it.
-    fn tell(&mut self, now: BootTime, told: &ToldStream) {
-        self.own.record(now, told.keys.attempt, told.version.as_ref());
-        self.own.record(now, told.keys.content, told.version.as_ref());
+    /// Tells the replicas that keep a stream of it.
+    fn tell(&self, told: &ToldStream) {
         let replicas: Vec<_> = self.replicas.iter().collect();
         for (_, queue) in choose_keepers(told.keys.attempt, &replicas, |(address, _)| address.to_string()) {
             enqueue(queue, origin_frame(told));
@@ -288,9 +278,24 @@
         metrics::counter!("acacia_stream_origins_told_total").increment(1);
     }
 
+    /// Returns what this entry has told of the streams with a key.
+    fn find_told(&self, now: BootTime, key: OriginKey) -> Option<FoundOrigin> {
+        let mut streams = self.told.iter().filter(|told| told.keys.contains(key));
+        let first = streams.next()?;
+        let version = first.version.as_ref();
+        let version = version.filter(|_| streams.all(|told| told.version == first.version));
+        Some(FoundOrigin {
+            finding: version
+                .cloned()
+                .map_or(OriginFinding::Conflicting, OriginFinding::Known),
+            key: Some(key),
+            source: OriginSource::Own,
+            age: now.since(first.begun_at),
+        })
+    }
+
     /// Removes the streams that are too old or too many.
     fn forget_old(&mut self, now: BootTime) {
-        self.own.remove_expired(now);
         while let Some(oldest) = self.told.front()
             && (self.told.len() >= MAX_OWN_STREAMS || now.since(oldest.begun_at) >= ORIGIN_RETENTION)
         {
--- a/crates/acaciabay/src/core/serving/call_fingerprint.rs
+++ b/crates/acaciabay/src/core/serving/call_fingerprint.rs
@@ -5,6 +5,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::core::name::CustomerName;
+use crate::util::digest::update_separated;
 
 /// Length of a fingerprint in bytes.
 const FINGERPRINT_BYTES: usize = 16;
@@ -81,11 +82,8 @@
     pub fn fingerprint(&self, content: &CallContent<'_>) -> CallFingerprint {
         let customer = content.customer.map_or("", CustomerName::as_str);
         let mut hasher = Sha256::new_with_prefix(self.0);
-        for field in [content.method, content.host, content.target, customer] {
-            // The length separates the fields, so that no text can be moved from one field to the next.
-            hasher.update((field.len() as u64).to_be_bytes());
-            hasher.update(field);
-        }
+        let head = [content.method, content.host, content.target, customer];
+        update_separated(&mut hasher, head.map(str::as_bytes));
         hasher.update(content.body);
         let digest: [u8; 32] = hasher.finalize().into();
         let mut bytes = [0; FINGERPRINT_BYTES];
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -71,6 +71,12 @@
     draining_since: Option<BootTime>,
 }
 
+impl RegistryRow {
+    fn is_reporting(&self, now: BootTime) -> bool {
+        now.since(self.reported_at) < REPORT_TIMEOUT
+    }
+}
+
 /// All endpoints that have been reported, by name.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRegistry {
@@ -192,11 +198,9 @@
         self.rows.iter().map(|(name, row)| (name, &row.endpoint))
     }
 
-    /// Returns all known endpoints with the times of their last reports, in the order of their names.
-    pub fn reported_rows(&self) -> impl Iterator<Item = (&EndpointName, &ServingEndpoint, BootTime)> {
-        self.rows
-            .iter()
-            .map(|(name, row)| (name, &row.endpoint, row.reported_at))
+    /// Returns true if the endpoint has reported lately.
+    pub fn is_reporting(&self, now: BootTime, name: &EndpointName) -> bool {
+        self.rows.get(name).is_some_and(|row| row.is_reporting(now))
     }
 
     /// Returns the endpoints of a service that take new calls.
@@ -240,9 +244,8 @@
 
     fn is_resumable(&self, now: BootTime, name: &EndpointName, drain_window: Duration) -> bool {
         let Some(row) = self.rows.get(name) else { return false };
-        let is_reporting = now.since(row.reported_at) < REPORT_TIMEOUT;
         let drains_lately = || row.draining_since.is_some_and(|since| now.since(since) < drain_window);
-        is_reporting && (row.endpoint.phase == EndpointPhase::Ready || drains_lately())
+        row.is_reporting(now) && (row.endpoint.phase == EndpointPhase::Ready || drains_lately())
     }
 
     /// Returns the version of what the endpoint `name` writes, which was chosen when its row was `chosen`. If it has started
@@ -271,12 +274,11 @@
             .filter(|(_, row)| row.endpoint.service == *service && is_wanted(row.endpoint.phase))
             .filter(|(_, row)| latest.get(&row.endpoint.address) == Some(&row.endpoint.incarnation))
             .collect();
-        let is_reporting = |row: &RegistryRow| now.since(row.reported_at) < REPORT_TIMEOUT;
-        let any_reporting = wanted.iter().any(|(_, row)| is_reporting(row));
+        let any_reporting = wanted.iter().any(|(_, row)| row.is_reporting(now));
         wanted
             .into_iter()
             // If all are silent, the path of the reports is probably cut, which says nothing about the endpoints.
-            .filter(|(_, row)| !any_reporting || is_reporting(row))
+            .filter(|(_, row)| !any_reporting || row.is_reporting(now))
             .map(|(name, row)| (name, &row.endpoint))
             .collect()
     }
--- a/crates/acaciabay/src/core/serving/stream_origin.rs
+++ b/crates/acaciabay/src/core/serving/stream_origin.rs
@@ -1,7 +1,7 @@
 //! Which software version has begun a stream, known beyond the entry that has begun it.
 //!
 //! A caller may take a stream up at another entry, most often because the first one is gone. The version is recorded once,
-//! with the first event, and never changes. So every copy of a record is right, a lost one means that the version is
+//! with the first event, and may only be taken back. So every copy of a record is right, a lost one means that the version is
 //! unknown, and copies need neither order nor quorum. `docs/design/stream-versions.md` gives the reasons.
 
 use std::cmp::Reverse;
@@ -14,6 +14,7 @@
 use super::software_version::SoftwareVersion;
 use crate::core::clock::BootTime;
 use crate::core::name::{CustomerName, ServiceName};
+use crate::util::digest::update_separated;
 use crate::util::rendezvous;
 
 /// Time for which a record is kept. Callers take a stream up within the time that they wait for its answer.
@@ -50,12 +51,8 @@
         fields: impl IntoIterator<Item = &'field [u8]>,
     ) -> Self {
         let mut hasher = Sha256::new();
-        let first = [kind.as_bytes(), service.as_str().as_bytes()];
-        for field in first.into_iter().chain(fields) {
-            // The length separates the fields, so that no text can be moved from one field to the next.
-            hasher.update((field.len() as u64).to_be_bytes());
-            hasher.update(field);
-        }
+        let first = [kind, service.as_str()].map(str::as_bytes);
+        update_separated(&mut hasher, first.into_iter().chain(fields));
         let digest: [u8; 32] = hasher.finalize().into();
         let mut first = [0; 8];
         first.copy_from_slice(&digest[..8]);
@@ -72,6 +69,13 @@
     pub content: OriginKey,
 }
 
+impl OriginKeys {
+    /// Returns true if the stream has this key.
+    pub fn contains(&self, key: OriginKey) -> bool {
+        self.attempt == key || self.content == key
+    }
+}
+
 /// What is known of the version that has begun a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OriginFinding {
--- a/crates/acaciabay/src/util/digest.rs
+++ b/crates/acaciabay/src/util/digest.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// Adds fields to a digest such that no text can be moved from one field to the next: each follows its length.
+pub(crate) fn update_separated<'field>(hasher: &mut Sha256, fields: impl IntoIterator<Item = &'field [u8]>) {
+    for field in fields {
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+}
+
 impl fmt::Debug for ContentDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.to_hex()[..12])
