--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -106,7 +106,7 @@
             AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost => {
                 attempts.rejections += 1;
                 let arrived = matches!(outcome, AttemptOutcome::NotRun { arrived: true });
-                let is_free = !arrived || call.shared.acquire_retry(boot_now(), &call.service);
+                let is_free = !arrived || call.shared.acquire_retry(boot_now(), &call.service, &call.head.request);
                 if attempts.rejections > MAX_REJECTIONS || !is_free {
                     return Err(attempts.refusal("turned away", SHORT_RETRY_DELAY));
                 }
@@ -173,7 +173,7 @@
     let other = call
         .shared
         .choose_for_plain_call(now, &call.service, &tried, call.request_hash);
-    let goes_on = other.is_some() && call.shared.acquire_retry(now, &call.service);
+    let goes_on = other.is_some() && call.shared.acquire_retry(now, &call.service, &call.head.request);
     slog::info!(call.shared.log, "endpoint failed a call"; "event" => event::ATTEMPT_FAILED,
         "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
         "status" => reply.response.status().as_u16(), "other" => other.map(|other| other.name.to_string()),
@@ -195,7 +195,7 @@
         && attempts.possible_runs < call.route().max_attempts
         && now < call.deadline
         && call.standing() == CallStanding::Unsuspected
-        && call.shared.acquire_retry(now, &call.service)
+        && call.shared.acquire_retry(now, &call.service, &call.head.request)
 }
 
 /// Builds the response to the caller from an endpoint's answer. An answer larger than [`MAX_BUFFERED_BYTES`] is streamed;
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -7,6 +7,7 @@
 
 use acacia_http::{ClientOptions, EndpointClient, WriteGuard};
 use acacia_runtime::clock::{boot_now, wall_nanos};
+use acacia_runtime::event;
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
@@ -342,15 +343,21 @@
         demand.output_tokens += prompt.map_or(0, |prompt| prompt.output_tokens);
     }
 
-    /// Acquires one retry from the retry limit of a service. Returns false if the limit is reached.
-    pub(super) fn acquire_retry(&self, now: BootTime, service: &ServiceName) -> bool {
+    /// Acquires one retry from the retry limit of a service for a request. Returns false if the limit is reached.
+    pub(super) fn acquire_retry(&self, now: BootTime, service: &ServiceName, request: &str) -> bool {
         let limit = self.retry_limit();
-        let mut state = self.state();
-        let entries = state.entry_count;
-        let budget = state.retry_limiters.entry(service.clone()).or_default();
-        let granted = budget.try_acquire(now, &limit, entries);
+        let (entries, usage, granted) = {
+            let mut state = self.state();
+            let entries = state.entry_count;
+            let limiter = state.retry_limiters.entry(service.clone()).or_default();
+            let usage = limiter.usage(now, &limit, entries);
+            (entries, usage, limiter.try_acquire(now, &limit, entries))
+        };
+        slog::info!(self.log, "retry decided"; "event" => event::RETRY_DECIDED, "request" => request,
+            "service" => service.as_str(), "granted" => granted, "calls" => usage.calls, "retries" => usage.retries,
+            "allowed" => usage.allowed, "entries" => entries);
         if !granted {
-            metrics::counter!("acacia_send_budget_exhausted_total").increment(1);
+            metrics::counter!("acacia_send_budget_exhausted_total", "service" => service.to_string()).increment(1);
         }
         granted
     }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -112,6 +112,8 @@
     ORIGIN_SEARCHED = "E0250";
     /// An endpoint that was to go on with a stream has started again, or has not said that it has not.
     INCARNATION_UNCONFIRMED = "E0251";
+    /// A retry of a call was admitted or refused by the limit on the retries of its service.
+    RETRY_DECIDED = "E0252";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
