--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -106,7 +106,10 @@
                 wait.clamp(SHORT_RETRY_DELAY, SHORT_RETRY_DELAY.max(left)),
             ));
         }
-        if arrived && !(call.standing() == CallStanding::Unsuspected && call.shared.acquire_retry(now, &call.service, &call.head.request)) {
+        if arrived
+            && !(call.standing() == CallStanding::Unsuspected
+                && call.shared.acquire_retry(now, &call.service, &call.head.request))
+        {
             return Err(not_run("no second send left", SHORT_RETRY_DELAY));
         }
         match prefill_on(call, prompt, &reader).await {
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -128,7 +128,10 @@
             && self.possible_runs < self.call.route().max_attempts
             && now < self.call.deadline
             && self.call.standing() == CallStanding::Unsuspected
-            && self.call.shared.acquire_retry(now, &self.call.service, &self.call.head.request)
+            && self
+                .call
+                .shared
+                .acquire_retry(now, &self.call.service, &self.call.head.request)
     }
 
     /// Returns the engines that may decode the call.
@@ -237,7 +240,10 @@
                         // prefilled prompt is probably gone.
                         prefilled = None;
                     }
-                    let may_ask = self.call.shared.acquire_retry(boot_now(), &self.call.service, &self.call.head.request);
+                    let may_ask =
+                        self.call
+                            .shared
+                            .acquire_retry(boot_now(), &self.call.service, &self.call.head.request);
                     if self.rejections > MAX_REJECTIONS || !may_ask {
                         return Err(self.refusal("turned away", SHORT_RETRY_DELAY));
                     }
