--- a/crates/acacia-control/src/driver/mod.rs
+++ b/crates/acacia-control/src/driver/mod.rs
@@ -364,6 +364,7 @@
             term: self.replica.term(),
             leader: self.replica.leader(),
             leading_since: self.leading_since,
+            is_first_leader: self.replica.is_first_leader(),
             members: self.replica.members().clone(),
             applied: self.replica.delivered().0,
         };
--- a/crates/acacia-control/src/group.rs
+++ b/crates/acacia-control/src/group.rs
@@ -36,6 +36,8 @@
     pub leader: Option<ReplicaId>,
     /// Time at which this replica, as the leader, could first act; `None` before that and while it does not lead.
     pub leading_since: Option<BootTime>,
+    /// True if this replica leads and no other has led before it.
+    pub is_first_leader: bool,
     /// Members that this replica knows.
     pub members: MemberSet,
     /// Index of the last applied log entry.
--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -16,6 +16,7 @@
 
 use super::codec::{ControlAnswer, ControlCall};
 use super::endpoint_limits::list_limits;
+use super::service_retries::list_retries;
 use super::shared::ControlShared;
 use super::software_versions::list_versions;
 use crate::operator_api::OperatorRefusal;
@@ -32,6 +33,7 @@
     let segments: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
     let operated = match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["v1", "limits"]) => Some(list_limits(&shared).await),
+        (&Method::GET, ["v1", "retries"]) => Some(list_retries(&shared).await),
         (&Method::GET, ["v1", "versions"]) => Some(Ok(list_versions(&shared))),
         _ => operate_quarantine(&shared.suspects, &parts.method, &segments).await,
     };
--- a/crates/acacia-control/src/serving/endpoint_limits.rs
+++ b/crates/acacia-control/src/serving/endpoint_limits.rs
@@ -30,7 +30,7 @@
     });
     let now = boot_now();
     let entry = EntryStart(hello.start);
-    let term = leading_term(shared)?;
+    let term = shared.leading_term()?;
     let (changes, answer) = {
         let mut soft = shared.soft_state();
         // The ledger of an earlier term does not know what other leaders have granted since.
@@ -69,12 +69,6 @@
     Ok(json!({ "limits": rows.collect::<Vec<_>>() }))
 }
 
-fn leading_term(shared: &ControlShared) -> Option<u64> {
-    let status = shared.group.status();
-    let status = status.borrow();
-    status.leading_since.is_some().then_some(status.term.0)
-}
-
 /// Tells all entries which limits have changed, and logs it.
 fn announce(shared: &ControlShared, hello: &ServingHello, term: u64, changes: Vec<LimitChange>) {
     if changes.is_empty() {
--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -6,7 +6,7 @@
 //!   entry or replica, `renewals` answers the lease renewals of entries with configurations from `config_cache`, and
 //!   `observer` receives the endpoint reports that other replicas got.
 //! * `allowances` limits the use of customers over all entries, and `endpoint_limits` divides the limits that endpoints
-//!   name among them.
+//!   name among them. `service_retries` grants retries from the slack of their limits.
 //! * `control_http` answers operators and endpoints through a [`ControlCodec`].
 //! * `duties` runs the work that only one process at a time may do, through a [`PlatformCodec`]: `usage_windows`,
 //!   `pool_orders`, and `stage_orders` with `engine_orders`.
@@ -25,6 +25,7 @@
 mod peers;
 mod pool_orders;
 mod renewals;
+mod service_retries;
 mod session;
 mod shared;
 mod soft_state;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -27,6 +27,7 @@
 
 use super::allowances::record_usage;
 use super::endpoint_limits::exchange_limits;
+use super::service_retries::grant_retries;
 use super::shared::ControlShared;
 use super::soft_state::EntryState;
 
@@ -51,6 +52,7 @@
     let suspects = answer_suspects(shared, hello, request.suspects.take());
     record_usage(shared, hello, request.usage.as_ref());
     let limits = exchange_limits(shared, hello, request.limits.as_ref());
+    let retries = grant_retries(shared, hello, &request.retries);
     let newest = shared.newest_config();
     let (entries, others) = record_entry_state(shared, hello, &request);
     let content = config_update(shared, hello, &request, &newest, &mut sent.config);
@@ -69,6 +71,7 @@
         limits,
         relay_token: shared.relay_token,
         relays: request.wants_relays.then(|| relay_list(shared, hello)),
+        retries,
     })
 }
 
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -319,6 +319,13 @@
         }
     }
 
+    /// Returns the term in which this replica leads, if it does.
+    pub(super) fn leading_term(&self) -> Option<u64> {
+        let status = self.group.status();
+        let status = status.borrow();
+        status.leading_since.is_some().then_some(status.term.0)
+    }
+
     /// Returns the newest configuration that this replica has applied.
     pub(super) fn newest_config(&self) -> ConfigDocument {
         let state = self.group.read();
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::limit_ledger::LimitLedger;
 use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
+use acaciabay::core::serving::retry_ledger::RetryLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use acaciabay::core::serving::work_sums::WorkSums;
@@ -69,6 +70,8 @@
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
     pub(super) limits: Option<LimitLedger>,
+    /// Slack of the retry limits in the term in which this replica led last.
+    pub(super) retries: Option<RetryLedger>,
     /// Prompt parts that engines have cached, as announced by entries.
     pub(super) cached_parts: KeptLog,
     /// Configuration that was parsed last. It is reused while its number is the newest.
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, ConnectionPath, FinishedConnection, body_framing};
+use acacia_http::{ConnectionChoice, ConnectionPath, FinishedConnection, SendFailure, body_framing};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::answer_end::BodyFraming;
@@ -22,6 +22,7 @@
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::{LimitAnswerHead, record_detour, record_limit_notice};
 use super::refusal::CallRefusal;
+use super::retry_permits::RetryPermit;
 
 /// Safety margin before the endpoint's keep-alive timeout: an idle connection is no longer used this long before the
 /// endpoint closes it. Without the margin, a request could be sent while the endpoint is closing the connection.
@@ -43,6 +44,8 @@
     HeldBack(CallRefusal),
     /// The endpoint has a limit, and the entry no permit for it. Nothing was sent.
     LimitReached,
+    /// The retry has waited so long that the limit on retries no longer allows it. Nothing was sent.
+    RetryLapsed,
     /// The path to the endpoint is lost, and no relay has taken the call. Nothing was sent.
     PathLost,
     /// The entry is cut off from all endpoints, and no relay has taken the call. Nothing was sent.
@@ -156,11 +159,11 @@
 }
 
 /// Sends a call to an endpoint and waits for the head of the answer, but not for its body. A failed attempt is logged,
-/// counted in the metrics and recorded in the load table.
+/// counted in the metrics and recorded in the load table. `retry` is the permit of an attempt after one that arrived.
 pub(super) async fn send(
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
-    role: AttemptRole<'_>,
+    (role, retry): (AttemptRole<'_>, Option<&RetryPermit>),
     resume_after: Option<u64>,
     timeouts: AttemptTimeouts,
 ) -> AttemptOutcome {
@@ -173,10 +176,12 @@
     };
     record_detour(call, chosen);
     let request = build_request(call, chosen, role, resume_after, sent_at);
+    let may_send = || retry.is_none_or(|retry| retry.confirm(boot_now()));
+    let choice = connection_choice(call, role);
     let sending = call
         .shared
         .client
-        .send(sent_at, chosen.endpoint.address, connection_choice(call, role), request);
+        .send_if(sent_at, chosen.endpoint.address, choice, request, may_send);
     let was_kept = match role {
         // Prefilling a prompt does not run the call.
         AttemptRole::ReadPrompt { .. } => None,
@@ -198,20 +203,10 @@
     pending.has_ended = true;
     let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
-        Ok(Err(failure)) => {
-            if failure.state != AttemptState::Unsent && !failure.is_path_lost {
-                call.record_break(chosen, sent_at);
-            }
-            let outcome = match failure.state {
-                AttemptState::Unsent if failure.is_path_lost && call.shared.paths.is_cut() => AttemptOutcome::NoPath,
-                AttemptState::Unsent if failure.is_path_lost => AttemptOutcome::PathLost,
-                AttemptState::Unsent => AttemptOutcome::NotRun { arrived: false },
-                // The endpoint may have run the call. This includes `Ended`: the client returned an error, so there is
-                // no answer to pass on.
-                AttemptState::Written | AttemptState::Started | AttemptState::Ended => AttemptOutcome::Lost,
-            };
-            (outcome, failure.to_string())
-        }
+        Ok(Err(failure)) => (
+            outcome_of_failure(call, chosen, sent_at, retry, &failure),
+            failure.to_string(),
+        ),
         Ok(Ok(answer)) => {
             let head = call.shared.codec.read_answer_head(answer.response.headers());
             let status = answer.response.status();
@@ -258,7 +253,7 @@
     let (outcome, reason) = outcome;
     if matches!(
         outcome,
-        AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost | AttemptOutcome::NoPath
+        AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost | AttemptOutcome::NoPath | AttemptOutcome::RetryLapsed
     ) && was_kept == Some(false)
         && let Some(charge) = &call.charge
     {
@@ -268,6 +263,32 @@
     outcome
 }
 
+fn outcome_of_failure(
+    call: &AcceptedCall,
+    chosen: &ChosenEndpoint,
+    sent_at: BootTime,
+    retry: Option<&RetryPermit>,
+    failure: &SendFailure,
+) -> AttemptOutcome {
+    if failure.state != AttemptState::Unsent {
+        if !failure.is_path_lost {
+            call.record_break(chosen, sent_at);
+        }
+        // The endpoint may have run the call. This includes `Ended`: the client returned an error, so there is no answer to
+        // pass on.
+        return AttemptOutcome::Lost;
+    }
+    if let Some(retry) = retry {
+        retry.mark_unsent();
+    }
+    match failure.is_path_lost {
+        _ if failure.is_withheld => AttemptOutcome::RetryLapsed,
+        true if call.shared.paths.is_cut() => AttemptOutcome::NoPath,
+        true => AttemptOutcome::PathLost,
+        false => AttemptOutcome::NotRun { arrived: false },
+    }
+}
+
 /// Returns the choice of the connection for an attempt. One that may be made again does not wait for an answer that is lost.
 fn connection_choice(call: &AcceptedCall, role: AttemptRole<'_>) -> ConnectionChoice {
     let may_repeat = matches!(role, AttemptRole::ReadPrompt { .. }) || call.route().kind.may_repeat();
@@ -294,7 +315,7 @@
     let (is_lost, was_lost) = (paths.is_lost(address), paths.was_lost_after(sent_at, address));
     let mut state = call.shared.state();
     match outcome {
-        AttemptOutcome::NoPath | AttemptOutcome::PathLost => {}
+        AttemptOutcome::NoPath | AttemptOutcome::PathLost | AttemptOutcome::RetryLapsed => {}
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
         AttemptOutcome::Lost | AttemptOutcome::TimedOut if was_lost => {}
         AttemptOutcome::Lost | AttemptOutcome::TimedOut if !is_lost => {
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -307,6 +307,6 @@
         Err(refusal) => return Err((Some(call.head), refusal)),
     };
     let call = AcceptedCall { charge, ..call };
-    shared.record_call(boot_now(), &call.service, call.head.prompt.as_ref());
+    shared.record_call(received_at, &call.service, call.head.prompt.as_ref());
     Ok(call)
 }
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -167,12 +167,12 @@
     ) -> std::io::Result<()> {
         let mut renewal_triggers = self.renewal_triggers.subscribe();
         let mut reports_due = self.shared.suspects.reports_due();
-        let mut limit_reports_due = self.shared.limit_reports_due.subscribe();
+        let mut permits_due = self.shared.reports_due.subscribe();
         let mut path_changes = self.shared.paths.changes();
         loop {
             renewal_triggers.mark_unchanged();
             reports_due.mark_unchanged();
-            limit_reports_due.mark_unchanged();
+            permits_due.mark_unchanged();
             path_changes.mark_unchanged();
             let now = boot_now();
             self.clear_overdue_leader(now, address, session);
@@ -193,7 +193,7 @@
                     () = &mut renewal_due => break,
                     _ = renewal_triggers.changed() => break,
                     _ = reports_due.changed() => break,
-                    _ = limit_reports_due.changed() => break,
+                    _ = permits_due.changed() => break,
                     _ = path_changes.changed() => break,
                     Some(frame) = origins.recv() => write_queued(&mut writer, frame, &mut origins).await?,
                 }
@@ -333,6 +333,7 @@
             limits,
             relay_token,
             relays,
+            retries,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -350,13 +351,18 @@
         if let Some(limits) = limits {
             self.shared.apply_limits(received.requested_at, &limits)?;
         }
+        self.shared.apply_retry_grants(now, received.requested_at, &retries);
         self.shared.paths.record_token(relay_token);
         if let Some(relays) = relays {
             let addresses = relays.addresses.iter().filter_map(|address| address.parse().ok());
             self.shared.paths.replace_relays(now, addresses);
         }
         // A report was due while this renewal was on its way.
-        if self.shared.suspects.has_unreported() || self.shared.state().limits.has_unreported() {
+        let has_unreported = {
+            let state = self.shared.state();
+            state.limits.has_unreported() || state.has_retry_demands(now)
+        };
+        if has_unreported || self.shared.suspects.has_unreported() {
             self.trigger_renewals();
         }
         let mut state = self.shared.state();
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -76,11 +76,6 @@
         }
         Ok(())
     }
-
-    /// Has the leader told of limits, and asked for permits, without waiting for the next renewal.
-    fn request_limit_report(&self) {
-        self.limit_reports_due.send_modify(|count| *count += 1);
-    }
 }
 
 /// Records what an answer says about the limit of its endpoint, and logs it if it is news. `known` is the version under
@@ -114,7 +109,7 @@
         "status" => head.status.as_u16());
     if is_news {
         metrics::counter!("acacia_endpoint_limits_seen_total").increment(1);
-        call.shared.request_limit_report();
+        call.shared.request_report();
     }
 }
 
@@ -152,7 +147,7 @@
     if !call.shared.state().limits.has_queue(began_at, &call.service) {
         let until = tokio::time::Instant::now() + patience;
         let mut news = call.shared.limit_news.notified();
-        call.shared.request_limit_report();
+        call.shared.request_report();
         while tokio::time::timeout_at(until, news).await.is_ok() {
             news = call.shared.limit_news.notified();
             if let Some(chosen) = choose(boot_now()) {
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -4,7 +4,7 @@
 //! `allowance_charge` takes its cost from the customer's allowance. A plain call is answered by a single endpoint. The
 //! prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
-//! endpoints by `attempt`, and what else an endpoint is asked by `endpoint_request`.
+//! endpoints by `attempt`, within the retries of `retry_permits`, and what else an endpoint is asked by `endpoint_request`.
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
 //! this entry begins, `taken_stream` asks them for one that a caller takes up, and `incarnation_check` asks an
@@ -39,6 +39,7 @@
 mod relay_client;
 mod relay_server;
 mod renewal_message;
+mod retry_permits;
 mod shared;
 mod start;
 mod stream_body;
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -22,7 +22,8 @@
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::choose_with_permit;
 use super::plain_body::{BodyStart, MAX_BUFFERED_BYTES, PlainStream, read_start, stream_answer};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, NO_RETRY, SHORT_RETRY_DELAY, not_run};
+use super::retry_permits::{self, RetryPermit};
 use super::shared::LoadGuard;
 
 /// Time limit for reading a discarded answer to its end so that its connection can be reused. Opening a new connection
@@ -38,6 +39,8 @@
     /// Number of attempts so far in which an endpoint may have run the call.
     possible_runs: u32,
     rejections: u32,
+    /// Permit of the next attempt, if an earlier one has arrived.
+    retry: Option<RetryPermit>,
 }
 
 /// Answers a call, and logs the endpoint and the duration.
@@ -83,11 +86,13 @@
             suspect_after: None,
             give_up_after: call.deadline.since(now),
         };
-        let outcome = send(call, &chosen, AttemptRole::Whole, None, timeouts).await;
+        let role = (AttemptRole::Whole, attempts.retry.as_ref());
+        let outcome = send(call, &chosen, role, None, timeouts).await;
+        attempts.retry.take_if(|retry| retry.is_used());
         match outcome {
             AttemptOutcome::Answered(reply) => {
                 let framing = reply.framing;
-                if acquire_retry_elsewhere(call, &attempts, &chosen, &reply) {
+                if acquire_retry_elsewhere(call, &mut attempts, &chosen, &reply).await {
                     attempts.possible_runs += 1;
                     discard(call, *reply).await;
                 } else if let Some(response) = relay_answer(call, &chosen, *reply, guard).await {
@@ -98,7 +103,7 @@
                     });
                 } else {
                     attempts.possible_runs += 1;
-                    if !acquire_retry(call, &attempts) {
+                    if !acquire_retry(call, &mut attempts).await {
                         return Err(CallRefusal::AnswerLost);
                     }
                 }
@@ -106,18 +111,19 @@
             AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost => {
                 attempts.rejections += 1;
                 let arrived = matches!(outcome, AttemptOutcome::NotRun { arrived: true });
-                let is_free = !arrived || call.shared.acquire_retry(boot_now(), &call.service, &call.head.request);
-                if attempts.rejections > MAX_REJECTIONS || !is_free {
+                let may_go_on = attempts.rejections <= MAX_REJECTIONS && (!arrived || attempts.acquire(call).await);
+                if !may_go_on {
                     return Err(attempts.refusal("turned away", SHORT_RETRY_DELAY));
                 }
             }
             AttemptOutcome::Lost => {
                 attempts.possible_runs += 1;
-                if !acquire_retry(call, &attempts) {
+                if !acquire_retry(call, &mut attempts).await {
                     return Err(CallRefusal::AnswerLost);
                 }
             }
             AttemptOutcome::LimitReached => {}
+            AttemptOutcome::RetryLapsed => return Err(attempts.refusal(NO_RETRY, SHORT_RETRY_DELAY)),
             AttemptOutcome::NoPath => return Err(attempts.refusal(NO_PATH, NO_ENDPOINT_RETRY_DELAY)),
             AttemptOutcome::HeldBack(refusal) => return Err(attempts.held_back(refusal)),
             AttemptOutcome::TimedOut => return Err(CallRefusal::TimedOut),
@@ -127,6 +133,14 @@
 }
 
 impl PlainAttempts {
+    /// Acquires the permit of the next attempt, unless there is one. Returns false if there is none.
+    async fn acquire(&mut self, call: &AcceptedCall) -> bool {
+        if self.retry.is_none() {
+            self.retry = retry_permits::acquire_retry(call).await;
+        }
+        self.retry.is_some()
+    }
+
     /// Returns the refusal of a call that may no longer be sent. It states that the call has not run only if that is
     /// certain.
     const fn held_back(&self, refusal: CallRefusal) -> CallRefusal {
@@ -157,9 +171,9 @@
 
 /// Returns true if the endpoint answered with a server error and the call is to be retried at another endpoint. Takes
 /// the retry from the service's retry limit.
-fn acquire_retry_elsewhere(
+async fn acquire_retry_elsewhere(
     call: &AcceptedCall,
-    attempts: &PlainAttempts,
+    attempts: &mut PlainAttempts,
     chosen: &ChosenEndpoint,
     reply: &EndpointReply,
 ) -> bool {
@@ -173,7 +187,7 @@
     let other = call
         .shared
         .choose_for_plain_call(now, &call.service, &tried, call.request_hash);
-    let goes_on = other.is_some() && call.shared.acquire_retry(now, &call.service, &call.head.request);
+    let goes_on = other.is_some() && attempts.acquire(call).await;
     slog::info!(call.shared.log, "endpoint failed a call"; "event" => event::ATTEMPT_FAILED,
         "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
         "status" => reply.response.status().as_u16(), "other" => other.map(|other| other.name.to_string()),
@@ -189,13 +203,13 @@
     }
 }
 
-fn acquire_retry(call: &AcceptedCall, attempts: &PlainAttempts) -> bool {
+async fn acquire_retry(call: &AcceptedCall, attempts: &mut PlainAttempts) -> bool {
     let now = boot_now();
     call.route().kind.may_repeat()
         && attempts.possible_runs < call.route().max_attempts
         && now < call.deadline
         && call.standing() == CallStanding::Unsuspected
-        && call.shared.acquire_retry(now, &call.service, &call.head.request)
+        && attempts.acquire(call).await
 }
 
 /// Builds the response to the caller from an endpoint's answer. An answer larger than [`MAX_BUFFERED_BYTES`] is streamed;
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -21,7 +21,8 @@
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
 use super::endpoint_limits::choose_with_permit;
 use super::endpoint_request::{RequestOutcome, ask_endpoint};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, NO_RETRY, SHORT_RETRY_DELAY, not_run};
+use super::retry_permits::{RetryPermit, acquire_retry};
 use super::shared::EntryShared;
 
 /// Multiple of the expected prefill time, including the queue, after which another engine is asked.
@@ -84,6 +85,7 @@
     let mut tried: Vec<EndpointName> = Vec::new();
     // An engine that was not reached has received nothing, so the next attempt is not a retry.
     let mut arrived = is_retry;
+    let mut retry = None;
     let mut failed = 0;
     let mut is_demand_recorded = false;
     while failed < MAX_FAILED_ENGINES && tried.len() - failed < MAX_UNREACHABLE_ENGINES {
@@ -106,13 +108,15 @@
                 wait.clamp(SHORT_RETRY_DELAY, SHORT_RETRY_DELAY.max(left)),
             ));
         }
-        if arrived
-            && !(call.standing() == CallStanding::Unsuspected
-                && call.shared.acquire_retry(now, &call.service, &call.head.request))
-        {
-            return Err(not_run("no second send left", SHORT_RETRY_DELAY));
+        if arrived && retry.is_none() && call.standing() == CallStanding::Unsuspected {
+            retry = acquire_retry(call).await;
         }
-        match prefill_on(call, prompt, &reader).await {
+        if arrived && retry.is_none() {
+            return Err(not_run(NO_RETRY, SHORT_RETRY_DELAY));
+        }
+        let outcome = prefill_on(call, prompt, &reader, retry.as_ref()).await;
+        retry.take_if(|retry| retry.is_used());
+        match outcome {
             PrefillOutcome::Prefilled(read) => return Ok(read),
             PrefillOutcome::NotReached => {}
             PrefillOutcome::HeldBack(refusal) => return Err(refusal),
@@ -139,7 +143,12 @@
     Failed,
 }
 
-async fn prefill_on(call: &AcceptedCall, prompt: &PromptShape, reader: &ChosenPrefillEngine) -> PrefillOutcome {
+async fn prefill_on(
+    call: &AcceptedCall,
+    prompt: &PromptShape,
+    reader: &ChosenPrefillEngine,
+    retry: Option<&RetryPermit>,
+) -> PrefillOutcome {
     let ChosenPrefillEngine {
         engine: chosen,
         place,
@@ -166,22 +175,17 @@
         .state()
         .loads
         .record_prefill(&chosen.name, &prompt.parts, memory);
-    let outcome = send(
-        call,
-        chosen,
-        AttemptRole::ReadPrompt {
-            copy_from: copy_from.as_ref().map(|source| source.endpoint.address),
-        },
-        None,
-        timeouts,
-    )
-    .await;
+    let role = AttemptRole::ReadPrompt {
+        copy_from: copy_from.as_ref().map(|source| source.endpoint.address),
+    };
+    let outcome = send(call, chosen, (role, retry), None, timeouts).await;
     let reply = match outcome {
         AttemptOutcome::Answered(reply) => reply,
         AttemptOutcome::NotRun { arrived: false } | AttemptOutcome::PathLost | AttemptOutcome::LimitReached => {
             return PrefillOutcome::NotReached;
         }
         AttemptOutcome::HeldBack(refusal) => return PrefillOutcome::HeldBack(refusal),
+        AttemptOutcome::RetryLapsed => return PrefillOutcome::HeldBack(not_run(NO_RETRY, SHORT_RETRY_DELAY)),
         AttemptOutcome::NoPath => {
             return PrefillOutcome::HeldBack(not_run(NO_PATH, NO_ENDPOINT_RETRY_DELAY));
         }
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -17,7 +17,8 @@
 
 /// Builds the renewal request with this number. `held` is the number of the configuration that the entry holds.
 ///
-/// Removes the demand and the announcements of cached parts from the state, since each is reported only once. All other
+/// Removes the demand, the retries asked for and the announcements of cached parts from the state, since each is reported
+/// only once. All other
 /// values are absolute and repeated in every request.
 pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
     let relay = shared.settings.relay_address.filter(|_| shared.offers_relay(now));
@@ -29,6 +30,7 @@
         state.loads.silent_endpoints(now).map(ToString::to_string).collect()
     };
     let usage = state.allowances.report(now);
+    let retries = state.take_retry_demands(shared.retry_limit());
     let limits = state.limits.report(now);
     let uses = state
         .loads
@@ -66,6 +68,7 @@
         limits: Some(limit_report_to_wire(&limits)),
         relay_address: relay.map(|address| address.to_string()).unwrap_or_default(),
         wants_relays: shared.paths.wants_relays(now),
+        retries,
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -7,7 +7,6 @@
 
 use acacia_http::{ClientOptions, EndpointClient, WriteGuard};
 use acacia_runtime::clock::{boot_now, wall_nanos};
-use acacia_runtime::event;
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{CustomerName, DomainName, EndpointName, ServiceName};
@@ -81,7 +80,7 @@
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     prefill_paces: BTreeMap<ServiceName, PrefillPace>,
     answer_paces: BTreeMap<ServiceName, AnswerLatency>,
-    retry_limiters: HashMap<ServiceName, RetryLimiter>,
+    pub(super) retry_limiters: HashMap<ServiceName, RetryLimiter>,
 }
 
 impl EntryState {
@@ -104,6 +103,11 @@
         (&self.registry, &self.loads, &mut self.limits)
     }
 
+    /// Returns the limiter of a service's retries.
+    pub(super) fn retry_limiter(&mut self, service: &ServiceName) -> &mut RetryLimiter {
+        self.retry_limiters.entry(service.clone()).or_default()
+    }
+
     /// Removes endpoints that have not reported for a long time, with what they have cached and their limits.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
         let Self {
@@ -177,10 +181,12 @@
     lease: Arc<LeaseEnd>,
     /// Notifies the calls that wait for a lease.
     lease_extended: Notify,
-    /// Counter of the times at which the leader was to be told of a limit, or asked for permits, at once.
-    pub(super) limit_reports_due: watch::Sender<u64>,
+    /// Counter of the times at which the leader was to be told of a limit, or asked for permits or retries, at once.
+    pub(super) reports_due: watch::Sender<u64>,
     /// Notifies the calls that wait for permits.
     pub(super) limit_news: Notify,
+    /// Notifies the calls that wait for retries.
+    pub(super) retries_granted: Notify,
     /// Permits to hold events of more than the usual size.
     pub(super) large_events: Arc<Semaphore>,
     state: Mutex<EntryState>,
@@ -250,8 +256,9 @@
             stop_phase: Mutex::default(),
             lease,
             lease_extended: Notify::new(),
-            limit_reports_due: watch::Sender::new(0),
+            reports_due: watch::Sender::new(0),
             limit_news: Notify::new(),
+            retries_granted: Notify::new(),
             large_events: Arc::new(Semaphore::new(MAX_LARGE_EVENTS)),
             state: Mutex::default(),
         }
@@ -329,40 +336,18 @@
         self.settings.relay_address.is_some() && self.is_ready(now) && !self.paths.is_cut()
     }
 
-    /// Records an accepted call for the retry limit and the demand of its service.
-    pub(super) fn record_call(&self, now: BootTime, service: &ServiceName, prompt: Option<&PromptShape>) {
+    /// Records a call that was received at `received_at` for the retry limit and the demand of its service.
+    pub(super) fn record_call(&self, received_at: BootTime, service: &ServiceName, prompt: Option<&PromptShape>) {
         let limit = self.retry_limit();
         let mut state = self.state();
-        state
-            .retry_limiters
-            .entry(service.clone())
-            .or_default()
-            .record_call(now, &limit);
+        state.retry_limiter(service).record_call(received_at, &limit);
         let demand = state.demands.entry(service.clone()).or_default();
         demand.calls += 1;
         demand.output_tokens += prompt.map_or(0, |prompt| prompt.output_tokens);
     }
 
-    /// Acquires one retry from the retry limit of a service for a request. Returns false if the limit is reached.
-    pub(super) fn acquire_retry(&self, now: BootTime, service: &ServiceName, request: &str) -> bool {
-        let limit = self.retry_limit();
-        let (entries, usage, granted) = {
-            let mut state = self.state();
-            let entries = state.entry_count;
-            let limiter = state.retry_limiters.entry(service.clone()).or_default();
-            let usage = limiter.usage(now, &limit, entries);
-            (entries, usage, limiter.try_acquire(now, &limit, entries))
-        };
-        slog::info!(self.log, "retry decided"; "event" => event::RETRY_DECIDED, "request" => request,
-            "service" => service.as_str(), "granted" => granted, "calls" => usage.calls, "retries" => usage.retries,
-            "allowed" => usage.allowed, "entries" => entries);
-        if !granted {
-            metrics::counter!("acacia_send_budget_exhausted_total", "service" => service.to_string()).increment(1);
-        }
-        granted
-    }
-
-    fn retry_limit(&self) -> RetryLimit {
+    /// Returns the limit on retries of the operators.
+    pub(super) const fn retry_limit(&self) -> RetryLimit {
         let limit = self.settings.send_bound;
         RetryLimit {
             ratio: limit.ratio,
@@ -371,6 +356,11 @@
         }
     }
 
+    /// Has the leader told of limits, and asked for permits and retries, without waiting for the next renewal.
+    pub(super) fn request_report(&self) {
+        self.reports_due.send_modify(|count| *count += 1);
+    }
+
     /// Returns the time for which an endpoint that drains may be sent a stream that no other can continue. Half of the bound is
     /// left for the news of its departure, which this entry gets after the endpoint has been answered.
     pub(super) fn drain_window(&self) -> Duration {
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -288,13 +288,13 @@
         let Some(OpenStream { source, .. }) = self.stream.take() else {
             return false;
         };
-        let call = &self.attempts.call;
-        source.record_end(call, end);
+        source.record_end(&self.attempts.call, end);
         let resume_point = self.resume_point();
         let may_resume = resume_point != ResumePoint::Unknown && end != AnswerEnd::EventTooLarge;
         // Without an engine that can go on, the retry would be taken in vain.
         let can_go_on = may_resume && self.attempts.can_go_on(&[]);
-        let can_retry = can_go_on && self.attempts.acquire_retry();
+        let can_retry = can_go_on && self.attempts.acquire_retry().await;
+        let call = &self.attempts.call;
         count_resume(may_resume, can_go_on, can_retry);
         slog::info!(call.shared.log, "stream broke off"; "event" => event::ATTEMPT_FAILED,
             "request" => &call.head.request, "endpoint" => source.chosen.name.as_str(), "framing" => source.framing.name(),
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -27,7 +27,10 @@
 use super::plain_body::{PlainStream, stream_answer};
 use super::plain_call::build_response;
 use super::prefill::{PrefilledPrompt, prefill_prompt};
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_ENGINE_OF_VERSION, NO_PATH, SHORT_RETRY_DELAY, not_run};
+use super::refusal::{
+    CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_ENGINE_OF_VERSION, NO_PATH, NO_RETRY, SHORT_RETRY_DELAY, not_run,
+};
+use super::retry_permits::{self, RetryPermit};
 use super::shared::LoadGuard;
 use super::stream_body::answer_with_events;
 
@@ -54,6 +57,8 @@
     rejections: u32,
     unreachable: u32,
     prefills: u32,
+    /// Permit of the next attempt to decode, if an earlier one has arrived.
+    retry: Option<RetryPermit>,
 }
 
 /// Answer of the engine that decodes a call, with the load that the call puts on the engine.
@@ -95,6 +100,7 @@
         rejections: 0,
         unreachable: 0,
         prefills: 0,
+        retry: None,
     };
     let resume_after = attempts.call.head.resume_after;
     match attempts.open(resume_after).await {
@@ -122,16 +128,21 @@
 
 impl StreamAttempts {
     /// Returns true if the call may be sent to another engine. Takes the retry from the service's retry limit.
-    pub(super) fn acquire_retry(&self) -> bool {
+    pub(super) async fn acquire_retry(&mut self) -> bool {
         let now = boot_now();
         self.call.route().kind.may_repeat()
             && self.possible_runs < self.call.route().max_attempts
             && now < self.call.deadline
             && self.call.standing() == CallStanding::Unsuspected
-            && self
-                .call
-                .shared
-                .acquire_retry(now, &self.call.service, &self.call.head.request)
+            && self.acquire_permit().await
+    }
+
+    /// Acquires the permit of the next attempt, unless there is one. Returns false if there is none.
+    async fn acquire_permit(&mut self) -> bool {
+        if self.retry.is_none() {
+            self.retry = retry_permits::acquire_retry(&self.call).await;
+        }
+        self.retry.is_some()
     }
 
     /// Returns the engines that may decode the call.
@@ -201,6 +212,7 @@
             let chosen = chosen.await.map_err(|refusal| self.held_back(refusal))?;
             let guard = self.call.shared.add_work(&chosen.name, self.decode_work());
             let outcome = self.send_to(&chosen, prefilled.as_ref(), resume_after).await;
+            self.retry.take_if(|retry| retry.is_used());
             match outcome {
                 AttemptOutcome::Answered(reply) => {
                     if let Some(prefilled) = &mut prefilled {
@@ -208,7 +220,7 @@
                     }
                     self.possible_runs += 1;
                     let (parts, incoming) = reply.response.into_parts();
-                    if parts.status.is_server_error() && self.acquire_retry() {
+                    if parts.status.is_server_error() && self.acquire_retry().await {
                         self.call.shared.state().loads.record_failure(boot_now(), &chosen.name);
                         prefilled = None;
                         tried.push(chosen.name);
@@ -240,20 +252,17 @@
                         // prefilled prompt is probably gone.
                         prefilled = None;
                     }
-                    let may_ask =
-                        self.call
-                            .shared
-                            .acquire_retry(boot_now(), &self.call.service, &self.call.head.request);
-                    if self.rejections > MAX_REJECTIONS || !may_ask {
+                    if self.rejections > MAX_REJECTIONS || !self.acquire_permit().await {
                         return Err(self.refusal("turned away", SHORT_RETRY_DELAY));
                     }
                 }
                 AttemptOutcome::LimitReached => {}
+                AttemptOutcome::RetryLapsed => return Err(self.refusal(NO_RETRY, SHORT_RETRY_DELAY)),
                 AttemptOutcome::NoPath => return Err(self.refusal(NO_PATH, NO_ENDPOINT_RETRY_DELAY)),
                 AttemptOutcome::HeldBack(refusal) => return Err(self.held_back(refusal)),
                 AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
                     self.possible_runs += 1;
-                    if !self.acquire_retry() {
+                    if !self.acquire_retry().await {
                         let is_late = matches!(outcome, AttemptOutcome::TimedOut);
                         return Err(if is_late {
                             CallRefusal::TimedOut
@@ -320,7 +329,7 @@
             give_up_after: self.first_answer_timeout(suspect_after, std::slice::from_ref(&chosen.name)),
         };
         let sent_at = boot_now();
-        let outcome = send(&self.call, chosen, role, resume_after, timeouts).await;
+        let outcome = send(&self.call, chosen, (role, self.retry.as_ref()), resume_after, timeouts).await;
         if matches!(outcome, AttemptOutcome::Answered(_)) {
             let took = boot_now().since(sent_at);
             self.call.shared.state().record_first_answer(&self.call.service, took);
--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -71,6 +71,8 @@
     pub state: AttemptState,
     /// True if the path to the endpoint is lost, which says nothing about the endpoint.
     pub is_path_lost: bool,
+    /// True if a connection was open, but the request was not to be sent any more, see [`EndpointClient::send_if`].
+    pub is_withheld: bool,
     source: anyhow::Error,
 }
 
@@ -79,9 +81,17 @@
         Self {
             state: AttemptState::Unsent,
             is_path_lost: false,
+            is_withheld: false,
             source: source.into(),
         }
     }
+
+    fn withheld() -> Self {
+        Self {
+            is_withheld: true,
+            ..Self::unsent(anyhow::anyhow!("it was not to be sent any more"))
+        }
+    }
 }
 
 impl From<ConnectFailure> for SendFailure {
@@ -89,6 +99,7 @@
         Self {
             state: AttemptState::Unsent,
             is_path_lost: failure.is_path_lost,
+            is_withheld: false,
             source: failure.source,
         }
     }
@@ -185,10 +196,31 @@
         address: SocketAddr,
         choice: ConnectionChoice,
         request: Request<Full<Bytes>>,
+    ) -> Result<EndpointAnswer, SendFailure> {
+        self.send_if(now, address, choice, request, || true).await
+    }
+
+    /// Sends a request as [`send`](Self::send) does, if `may_send` returns true once a connection is open. That may take so
+    /// long that a bound on what arrives at the endpoint in a time no longer covers the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`send`](Self::send) does, also if `may_send` returns false.
+    pub async fn send_if(
+        &self,
+        now: BootTime,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+        request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<EndpointAnswer, SendFailure> {
         let mut request = request;
         if choice != ConnectionChoice::Fresh {
             while let Some(connection) = self.take_idle(now, address) {
+                if !may_send() {
+                    self.give_back(now, FinishedConnection { address, connection }).await;
+                    return Err(SendFailure::withheld());
+                }
                 match self.send_on(connection, address, choice, request).await {
                     Ok(answer) => return Ok(answer),
                     Err(SendError::Unsent(unsent)) => request = *unsent,
@@ -197,6 +229,10 @@
             }
         }
         let connection = self.connect(address).await?;
+        if !may_send() {
+            self.give_back(now, FinishedConnection { address, connection }).await;
+            return Err(SendFailure::withheld());
+        }
         match self.send_on(connection, address, choice, request).await {
             Ok(answer) => Ok(answer),
             Err(SendError::Unsent(_)) => Err(SendFailure::unsent(anyhow::anyhow!("new connection was closed"))),
@@ -254,6 +290,7 @@
             () = lost => Err(SendError::Failed(SendFailure {
                 state: AttemptState::Written,
                 is_path_lost: true,
+                is_withheld: false,
                 source: anyhow::anyhow!("the path to the endpoint is lost"),
             })),
         }
@@ -327,6 +364,7 @@
                 Err(SendError::Failed(SendFailure {
                     state: AttemptState::Written,
                     is_path_lost: false,
+                    is_withheld: false,
                     source,
                 }))
             }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -191,6 +191,8 @@
     PERMITS_GRANTED = "E0341";
     /// Entries have told several versions for one stream.
     ORIGIN_CONFLICT = "E0342";
+    /// An entry was granted retries from the slack of a service's limit.
+    RETRIES_GRANTED = "E0343";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod origin_message;
 mod relay_message;
 mod replica_message;
+mod retry_message;
 mod serving_message;
 mod suspect_message;
 mod table_row;
@@ -36,6 +37,7 @@
     entry_from_wire, entry_to_wire, hard_state_from_wire, hard_state_to_wire, message_from_wire, message_to_wire,
     snapshot_from_wire, snapshot_to_wire,
 };
+pub use retry_message::{retry_demand_from_wire, retry_demand_to_wire};
 
 pub use serving_message::{
     content_from_wire, content_to_wire, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire,
--- a/crates/acaciabay/src/core/consensus/entry.rs
+++ b/crates/acaciabay/src/core/consensus/entry.rs
@@ -98,10 +98,13 @@
 }
 
 impl ReplicaSnapshot {
+    /// Index of the initial snapshot of a new group.
+    pub(super) const FOUNDING_INDEX: LogIndex = LogIndex(1);
+
     /// Returns the initial snapshot of a new group: these members and an empty state.
     pub fn founding(members: MemberSet) -> Self {
         Self {
-            index: LogIndex(1),
+            index: Self::FOUNDING_INDEX,
             term: Term(1),
             members,
             state: Bytes::new(),
--- a/crates/acaciabay/src/core/consensus/replica.rs
+++ b/crates/acaciabay/src/core/consensus/replica.rs
@@ -247,6 +247,12 @@
         self.role == ReplicaRole::Leader && self.delivered >= self.term_start_index && now < self.lease_until
     }
 
+    /// Returns true if this replica leads and no other has acted for the group before it: nothing was committed since the
+    /// group was founded.
+    pub fn is_first_leader(&self) -> bool {
+        self.role == ReplicaRole::Leader && self.term_start_index == ReplicaSnapshot::FOUNDING_INDEX.next()
+    }
+
     /// Returns the end of the lease, for callers that check it again when they write. Without a lease it is in the
     /// past.
     pub fn lease_until(&self) -> BootTime {
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -36,7 +36,7 @@
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
-//! * [`retry_limiter`] limits retries, and [`duty`] numbers the successive hosts that act for the system.
+//! * [`retry_limiter`] and [`retry_ledger`] limit retries, and [`duty`] numbers the successive hosts that act for the system.
 //!
 //! `docs/design/machines.md` describes the programs that combine these modules.
 
@@ -72,6 +72,7 @@
 pub mod reading_need;
 pub mod relay_choice;
 pub mod replica_tracker;
+pub mod retry_ledger;
 pub mod retry_limiter;
 pub mod serving_state;
 pub mod shared_suspicion;
--- a/src/bin/acacia/commands/mod.rs
+++ b/src/bin/acacia/commands/mod.rs
@@ -7,6 +7,7 @@
 mod members;
 mod pools;
 mod quarantine;
+mod retries;
 mod routes;
 mod status;
 mod table;
@@ -33,6 +34,7 @@
     Endpoints(endpoints::EndpointsArgs),
     Limits(limits::LimitsArgs),
     Quarantine(quarantine::QuarantineArgs),
+    Retries(retries::RetriesArgs),
     Status(status::StatusArgs),
     Usage(usage::UsageArgs),
     Versions(versions::VersionsArgs),
@@ -50,6 +52,7 @@
             Self::Endpoints(args) => args.exec(client).await,
             Self::Limits(args) => args.exec(client).await,
             Self::Quarantine(args) => args.exec(client).await,
+            Self::Retries(args) => args.exec(client).await,
             Self::Status(args) => args.exec(client).await,
             Self::Usage(args) => args.exec(client).await,
             Self::Versions(args) => args.exec(client).await,
