--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -170,10 +170,9 @@
     let Some(ledger) = &soft.limits else {
         return BTreeMap::new();
     };
-    let limited = engines.iter().filter_map(|(name, endpoint)| {
-        let limit = ledger.limit(name, endpoint.incarnation)?;
-        Some((name.clone(), limit))
-    });
+    let limited = engines
+        .iter()
+        .filter_map(|(name, _)| Some((name.clone(), ledger.limit(name)?)));
     limited.collect()
 }
 
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -117,10 +117,7 @@
             ..
         } = self;
         registry.remove_expired(now);
-        limits.retain(|limited| {
-            let endpoint = registry.get(limited.name);
-            endpoint.is_some_and(|endpoint| endpoint.incarnation <= limited.incarnation)
-        });
+        limits.retain(|endpoint| registry.get(endpoint).is_some());
         kept_news.retain(|engine| registry.get(engine).is_some());
     }
 
--- a/crates/acaciabay/src/core/serving/endpoint_limit.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_limit.rs
@@ -71,12 +71,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LimitVersion(pub u64);
 
-/// Limit of one incarnation of an endpoint, as the leader has told it.
+/// Limit of an endpoint, as the leader has told it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitState {
-    /// Incarnation that named the limit.
+    /// Newest incarnation that has named a limit. The next one is presumed to have it.
     pub incarnation: EndpointIncarnation,
-    /// Number of this state among those of the incarnation. 0 if no leader has told it.
+    /// Number of this state. 0 if no leader has told it.
     pub version: LimitVersion,
     /// The limit in force, or `None` if the endpoint no longer names one.
     pub limit: Option<RateLimit>,
--- a/crates/acaciabay/src/core/serving/limit_gate.rs
+++ b/crates/acaciabay/src/core/serving/limit_gate.rs
@@ -1,7 +1,8 @@
 //! Sending by one entry under the limits that endpoints name.
 //!
 //! An endpoint that names no limit is sent to freely. To one that does, the entry sends a request only under a permit of
-//! the leader. It stops as soon as it has read a limit itself, and learns from the leader what other entries have read.
+//! the leader. It stops as soon as it has read a limit itself, and learns from the leader what other entries have read. An
+//! endpoint that starts again is presumed to have its last limit until one of its answers says otherwise.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -146,9 +147,8 @@
 
     /// Adopts a newer state of the leader.
     fn merge(&mut self, state: LimitState, term: u64) {
-        if state.incarnation > self.state.incarnation {
-            *self = Self::new(state);
-        } else if state.incarnation == self.state.incarnation && state.version > self.state.version {
+        let incarnation = self.state.incarnation.max(state.incarnation);
+        if state.version > self.state.version {
             let is_lower = state
                 .limit
                 .is_some_and(|limit| self.limit().is_none_or(|held| limit < held));
@@ -157,6 +157,7 @@
                 self.revoke(term);
             }
         }
+        self.state.incarnation = incarnation;
     }
 
     const fn reported(&self, term: u64) -> ReportedRow {
@@ -233,9 +234,11 @@
             LimitNotice::Unreadable => false,
             LimitNotice::Unlimited => {
                 observation.is_success
-                    && self
-                        .row_mut(endpoint)
-                        .is_some_and(|row| row.state.limit.is_some() && sight_relief(row, None, observation.known))
+                    && self.row_mut(endpoint).is_some_and(|row| {
+                        // A process that has ended says nothing about its successor.
+                        let is_current = endpoint.incarnation >= row.state.incarnation;
+                        is_current && row.state.limit.is_some() && sight_relief(row, None, observation.known)
+                    })
             }
             LimitNotice::Limited(limit) => self.observe_limit(endpoint, limit, observation.known),
         }
@@ -252,10 +255,10 @@
             .rows
             .entry(endpoint.name.clone())
             .or_insert_with(|| GateRow::new(unknown));
-        row.merge(unknown, term);
-        if row.state.incarnation != endpoint.incarnation {
+        if endpoint.incarnation < row.state.incarnation {
             return false;
         }
+        row.state.incarnation = endpoint.incarnation;
         match row.limit() {
             Some(held) if limit > held => sight_relief(row, Some(limit), known),
             Some(held) if limit == held => false,
@@ -323,8 +326,7 @@
         self.confirm(reported_at);
         for row in &answer.rows {
             self.merge(row);
-            let known = self.rows.get_mut(&row.endpoint);
-            if let Some(known) = known.filter(|known| known.state.incarnation == row.state.incarnation) {
+            if let Some(known) = self.rows.get_mut(&row.endpoint) {
                 let granted = row.granted.saturating_sub(known.counts.granted);
                 let permit = HeldPermit {
                     term: answer.term,
@@ -346,14 +348,9 @@
         }
     }
 
-    /// Removes the limits of endpoints for which `is_present` returns false: a new incarnation begins without a limit.
-    pub fn retain(&mut self, is_present: impl Fn(LimitedEndpoint<'_>) -> bool) {
-        self.rows.retain(|name, row| {
-            is_present(LimitedEndpoint {
-                name,
-                incarnation: row.state.incarnation,
-            })
-        });
+    /// Removes the limits of endpoints for which `is_present` returns false.
+    pub fn retain(&mut self, is_present: impl Fn(&EndpointName) -> bool) {
+        self.rows.retain(|name, _| is_present(name));
     }
 
     /// Returns true if a call for the service was refused a moment ago.
@@ -389,14 +386,14 @@
         }
     }
 
+    /// Returns the row of an endpoint. An incarnation that has not answered yet is presumed to have the limit of the last one:
+    /// otherwise all entries would send to it until each of them has read an answer.
     fn row(&self, endpoint: LimitedEndpoint<'_>) -> Option<&GateRow> {
-        let row = self.rows.get(endpoint.name)?;
-        (row.state.incarnation == endpoint.incarnation).then_some(row)
+        self.rows.get(endpoint.name)
     }
 
     fn row_mut(&mut self, endpoint: LimitedEndpoint<'_>) -> Option<&mut GateRow> {
-        let row = self.rows.get_mut(endpoint.name)?;
-        (row.state.incarnation == endpoint.incarnation).then_some(row)
+        self.rows.get_mut(endpoint.name)
     }
 
     /// Begins to count for another leader. Permits of the last one stay valid until they expire.
--- a/crates/acaciabay/src/core/serving/limit_ledger.rs
+++ b/crates/acaciabay/src/core/serving/limit_ledger.rs
@@ -12,7 +12,6 @@
     LimitAnswer, LimitReport, LimitReportRow, LimitRow, LimitSighting, LimitState, LimitVersion, PermitCounts,
     RateLimit,
 };
-use super::endpoint_registry::EndpointIncarnation;
 use super::limit_shares::ShareTable;
 use super::start_counts::EntryStart;
 use crate::core::clock::BootTime;
@@ -107,9 +106,11 @@
     /// Adopts what an entry knows or has seen. Returns true if the state has changed.
     fn adopt(&mut self, now: BootTime, row: &LimitReportRow) -> bool {
         let before = self.state;
+        let incarnation = self.state.incarnation.max(row.state.incarnation);
         if row.state.version > self.state.version {
             self.set_state(now, row.state);
         }
+        self.state.incarnation = incarnation;
         if let Some(sighting) = row.sighting
             && self.is_news(&sighting)
         {
@@ -120,7 +121,7 @@
             };
             self.set_state(now, state);
         }
-        self.state != before
+        (self.state.version, self.state.limit) != (before.version, before.limit)
     }
 
     /// Returns true if a sighting changes the limit. A lower one counts at once; a higher one or none only if the request
@@ -210,9 +211,6 @@
                 continue;
             }
             let bucket = self.bucket(now, row);
-            if bucket.state.incarnation != row.state.incarnation {
-                continue;
-            }
             bucket.heard_at = now;
             let before = bucket.state.limit;
             if bucket.adopt(now, row) {
@@ -242,11 +240,8 @@
     }
 
     /// Returns the limit of an endpoint.
-    pub fn limit(&self, endpoint: &EndpointName, incarnation: EndpointIncarnation) -> Option<RateLimit> {
-        let bucket = self.buckets.get(endpoint)?;
-        (bucket.state.incarnation == incarnation)
-            .then_some(bucket.state.limit)
-            .flatten()
+    pub fn limit(&self, endpoint: &EndpointName) -> Option<RateLimit> {
+        self.buckets.get(endpoint)?.state.limit
     }
 
     /// Returns all limits in force.
@@ -264,7 +259,7 @@
         views.collect()
     }
 
-    /// Returns the bucket of an endpoint, which begins anew with a new incarnation.
+    /// Returns the bucket of an endpoint.
     fn bucket(&mut self, now: BootTime, row: &LimitReportRow) -> &mut LimitBucket {
         let unknown = LimitState {
             version: LimitVersion::default(),
@@ -277,13 +272,8 @@
         } else {
             0.0
         };
-        let bucket = self
-            .buckets
+        self.buckets
             .entry(row.endpoint.clone())
-            .or_insert_with(|| LimitBucket::new(now, unknown, level));
-        if bucket.state.incarnation < row.state.incarnation {
-            *bucket = LimitBucket::new(now, unknown, level);
-        }
-        bucket
+            .or_insert_with(|| LimitBucket::new(now, unknown, level))
     }
 }
