--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -22,6 +22,7 @@
 mod leases;
 mod limit_replay;
 mod limit_rule;
+mod limit_schedules;
 mod members;
 mod pending_renewals;
 mod placement;
