--- a/crates/acaciabay/src/core/serving/limit_shares.rs
+++ b/crates/acaciabay/src/core/serving/limit_shares.rs
@@ -27,7 +27,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EntryShare {
     heard_at: BootTime,
-    /// Granted by the leader; spent and expired as the entry has reported.
+    /// What the entry had counted when the share was created. What it then held unspent is taken to be spent.
+    baseline: PermitCounts,
+    /// Granted by the leader since then; spent and expired as the entry has reported.
     counts: PermitCounts,
     /// Newest state and number of permits that the entry has reported to know.
     known: LimitVersion,
@@ -39,12 +41,13 @@
 }
 
 impl EntryShare {
-    fn new(now: BootTime, row: &LimitReportRow, counts: PermitCounts) -> Self {
+    fn new(now: BootTime, row: &LimitReportRow, baseline: PermitCounts) -> Self {
         Self {
             heard_at: now,
-            counts,
+            baseline,
+            counts: PermitCounts::default(),
             known: row.state.version,
-            received: counts.granted,
+            received: baseline.granted,
             asked: row.asked,
             asked_at: now,
             demand: if row.asked > 0 { 1.0 / DEMAND_TIMES.1 } else { 0.0 },
@@ -61,8 +64,9 @@
     fn record(&mut self, now: BootTime, row: &LimitReportRow, reported: PermitCounts) -> u64 {
         self.known = row.state.version;
         self.received = reported.granted;
-        self.counts.spent = self.counts.spent.max(reported.spent);
-        let expired = reported
+        let since = self.since_baseline(reported);
+        self.counts.spent = self.counts.spent.max(since.spent);
+        let expired = since
             .expired
             .saturating_sub(self.counts.expired)
             .min(self.outstanding());
@@ -71,6 +75,26 @@
         expired
     }
 
+    /// Returns what has become of the permits that were granted since the baseline. Of what the entry has spent or let expire
+    /// since then, the permits that it held before count first: otherwise they would flow back, and be granted again.
+    const fn since_baseline(&self, reported: PermitCounts) -> PermitCounts {
+        let before = self.baseline;
+        let held = before.granted.saturating_sub(before.spent + before.expired);
+        let expired = reported.expired.saturating_sub(before.expired);
+        let spent = reported.spent.saturating_sub(before.spent);
+        let own_expired = expired.saturating_sub(held);
+        PermitCounts {
+            granted: reported.granted.saturating_sub(before.granted),
+            spent: (spent + expired).saturating_sub(held).saturating_sub(own_expired),
+            expired: own_expired,
+        }
+    }
+
+    /// Returns all permits that the entry was granted, as it counts them.
+    const fn total(&self) -> u64 {
+        self.baseline.granted + self.counts.granted
+    }
+
     fn measure_demand(&mut self, now: BootTime, asked: u64) {
         let time = now.since(self.asked_at).as_secs_f64();
         let measured = asked.saturating_sub(self.asked) as f64 / time.clamp(DEMAND_TIMES.0, DEMAND_TIMES.1);
@@ -144,18 +168,13 @@
         row: &LimitReportRow,
         reported: PermitCounts,
     ) -> u64 {
-        // Where the entry or this table has forgotten what it counted, the permits so far are taken to be spent.
-        let all_spent = PermitCounts {
-            granted: reported.granted,
-            spent: reported.granted,
-            expired: 0,
-        };
+        // Where the entry or this table has forgotten what it counted, the count begins anew.
         let is_forgotten = self
             .shares
             .get(&entry)
             .is_none_or(|share| reported.granted < share.received);
         if is_forgotten {
-            let before = self.shares.insert(entry, EntryShare::new(now, row, all_spent));
+            let before = self.shares.insert(entry, EntryShare::new(now, row, reported));
             let (outstanding, demand) = before.map_or((0, 0.0), |share| (share.outstanding(), share.demand));
             self.outstanding -= outstanding;
             self.demand += self.shares[&entry].demand - demand;
@@ -179,8 +198,8 @@
             share.counts.granted += new;
             ShareGrant {
                 new,
-                total: share.counts.granted,
-                is_known: share.known == version && share.received == share.counts.granted,
+                total: share.total(),
+                is_known: share.known == version && share.received == share.total(),
             }
         })
     }
--- a/crates/acaciabay/tests/serving/limit_schedules.rs
+++ b/crates/acaciabay/tests/serving/limit_schedules.rs
@@ -24,6 +24,9 @@
 const LONGEST_LEADER_TICKS: u64 = 8;
 /// Time after a change of the limit from which the rule has to be kept: the users' rule has 3 s from the first naming.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// Time for which the users' rule excuses an entry that has started again. It may get its lease from a leader that is as new
+/// and that no other entry has told of the limit.
+const EXCUSED_TIME: Duration = Duration::from_secs(3);
 const END: f64 = 40.0;
 /// Calls a second at each entry.
 const CALLS: f64 = 20.0;
@@ -75,6 +78,7 @@
 #[derive(Debug)]
 struct Entry {
     start: EntryStart,
+    restarted_at: Option<BootTime>,
     gate: LimitGate,
     phase: u64,
     answers: Vec<DueAnswer>,
@@ -87,6 +91,7 @@
     fn new(start: u64, phase: u64) -> Self {
         Self {
             start: EntryStart(start),
+            restarted_at: None,
             gate: LimitGate::default(),
             phase,
             answers: Vec::new(),
@@ -118,7 +123,7 @@
     times.iter().any(|time| at(*time) <= now && now < at(*time) + TICK)
 }
 
-/// Returns when requests arrived.
+/// Returns when requests arrived of entries that are not excused.
 fn replay(schedule: &Schedule, seed: u64) -> Vec<BootTime> {
     let mut random = StdRng::seed_from_u64(seed);
     let name = endpoint_name();
@@ -153,6 +158,7 @@
         for (index, entry) in entries.iter_mut().enumerate() {
             if restarts && index % 2 == 0 {
                 *entry = Entry::new(entry.start.0 + 10_000, entry.phase);
+                entry.restarted_at = Some(now);
             }
             for (_, term, rows) in &due {
                 if !random.random_bool(schedule.loss) {
@@ -186,7 +192,9 @@
             if entry.has_lease && random.random_bool(CALLS * TICK.as_secs_f64()) {
                 entry.gate.record_demand(endpoint);
                 if let Some(known) = entry.gate.acquire(now, endpoint) {
-                    arrivals.push(now);
+                    if entry.restarted_at.is_none_or(|at| now.since(at) >= EXCUSED_TIME) {
+                        arrivals.push(now);
+                    }
                     entry.answers.push(DueAnswer {
                         due: tick + random.random_range(1..=LONGEST_ANSWER_TICKS),
                         incarnation,
@@ -210,6 +218,24 @@
     })
 }
 
+/// The leader forgets a limit a while after its end, and with it what became of the permits; those that had expired must not flow
+/// back when the limit returns.
+#[test]
+fn a_limit_that_returns_long_after_its_end_brings_no_permits_back() {
+    let schedule = Schedule {
+        entries: 1,
+        limits: vec![(0.0, Some(60.0)), (11.2, None), (22.8, Some(0.0))],
+        elections: Vec::new(),
+        entry_restarts: Vec::new(),
+        endpoint_restarts: Vec::new(),
+        loss: 0.0,
+    };
+
+    let arrivals = replay(&schedule, 0);
+
+    assert_eq!(broken_window(&schedule, &arrivals), None);
+}
+
 fn drawn_limit() -> impl Strategy<Value = Option<f64>> {
     prop_oneof![
         Just(None),
