--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -23,6 +23,7 @@
 use super::endpoint_limits::{LimitAnswerHead, record_detour, record_limit_notice};
 use super::refusal::CallRefusal;
 use super::retry_permits::RetryPermit;
+use super::write_permits::WritePermits;
 
 /// Safety margin before the endpoint's keep-alive timeout: an idle connection is no longer used this long before the
 /// endpoint closes it. Without the margin, a request could be sent while the endpoint is closing the connection.
@@ -171,12 +172,13 @@
         return AttemptOutcome::HeldBack(refusal);
     }
     let sent_at = boot_now();
-    let Some(known_limit) = call.shared.acquire_permit(sent_at, chosen) else {
+    let Some(limit_permit) = call.shared.acquire_permit(sent_at, chosen) else {
         return AttemptOutcome::LimitReached;
     };
     record_detour(call, chosen);
     let request = build_request(call, chosen, role, resume_after, sent_at);
-    let may_send = || retry.is_none_or(|retry| retry.confirm(boot_now()));
+    let permits = WritePermits::new(call, chosen, retry, limit_permit);
+    let may_send = || permits.confirm(boot_now());
     let choice = connection_choice(call, role);
     let sending = call
         .shared
@@ -204,7 +206,7 @@
     let outcome = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => (
-            outcome_of_failure(call, chosen, sent_at, retry, &failure),
+            outcome_of_failure(call, chosen, sent_at, &permits, &failure),
             failure.to_string(),
         ),
         Ok(Ok(answer)) => {
@@ -221,7 +223,7 @@
                 status,
                 has_run: !is_crossed && !head.not_run,
             };
-            record_limit_notice(call, chosen, known_limit, answered);
+            record_limit_notice(call, chosen, permits.known_limit(), answered);
             if is_crossed {
                 slog::warn!(call.shared.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
@@ -253,7 +255,11 @@
     let (outcome, reason) = outcome;
     if matches!(
         outcome,
-        AttemptOutcome::NotRun { .. } | AttemptOutcome::PathLost | AttemptOutcome::NoPath | AttemptOutcome::RetryLapsed
+        AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::PathLost
+            | AttemptOutcome::NoPath
+            | AttemptOutcome::RetryLapsed
+            | AttemptOutcome::LimitReached
     ) && was_kept == Some(false)
         && let Some(charge) = &call.charge
     {
@@ -267,7 +273,7 @@
     call: &AcceptedCall,
     chosen: &ChosenEndpoint,
     sent_at: BootTime,
-    retry: Option<&RetryPermit>,
+    permits: &WritePermits<'_>,
     failure: &SendFailure,
 ) -> AttemptOutcome {
     if failure.state != AttemptState::Unsent {
@@ -278,11 +284,10 @@
         // pass on.
         return AttemptOutcome::Lost;
     }
-    if let Some(retry) = retry {
-        retry.mark_unsent();
-    }
+    permits.mark_unsent();
     match failure.is_path_lost {
-        _ if failure.is_withheld => AttemptOutcome::RetryLapsed,
+        _ if failure.is_withheld && permits.has_retry_lapsed() => AttemptOutcome::RetryLapsed,
+        _ if failure.is_withheld => AttemptOutcome::LimitReached,
         true if call.shared.paths.is_cut() => AttemptOutcome::NoPath,
         true => AttemptOutcome::PathLost,
         false => AttemptOutcome::NotRun { arrived: false },
@@ -315,14 +320,17 @@
     let (is_lost, was_lost) = (paths.is_lost(address), paths.was_lost_after(sent_at, address));
     let mut state = call.shared.state();
     match outcome {
-        AttemptOutcome::NoPath | AttemptOutcome::PathLost | AttemptOutcome::RetryLapsed => {}
+        AttemptOutcome::NoPath
+        | AttemptOutcome::PathLost
+        | AttemptOutcome::RetryLapsed
+        | AttemptOutcome::LimitReached => {}
         AttemptOutcome::NotRun { arrived: false } => state.loads.record_unreachable(boot_now(), &chosen.name),
         AttemptOutcome::Lost | AttemptOutcome::TimedOut if was_lost => {}
         AttemptOutcome::Lost | AttemptOutcome::TimedOut if !is_lost => {
             state.loads.record_silence(boot_now(), &chosen.name);
         }
-        // `NotRun { arrived: true }`, or an answer that was lost over a relay, which may have lost it. `Answered`, `HeldBack`
-        // and `LimitReached` have already been returned.
+        // `NotRun { arrived: true }`, or an answer that was lost over a relay, which may have lost it. `Answered` and `HeldBack`
+        // have already been returned.
         _ => state.loads.record_failure(boot_now(), &chosen.name),
     }
 }
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -22,6 +22,7 @@
 use super::endpoint_choice::ChosenEndpoint;
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
+use super::write_permits::LimitPermit;
 
 /// Longest time for which a call waits for a permit: some exchanges with the leader.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -58,10 +59,21 @@
 }
 
 impl EntryShared {
-    /// Takes a permit if the endpoint has a limit. Returns the version of the limit that the entry knows, or `None` if
-    /// nothing may be sent.
-    pub(super) fn acquire_permit(&self, now: BootTime, chosen: &ChosenEndpoint) -> Option<LimitVersion> {
-        self.state().limits.acquire(now, chosen.limited())
+    /// Takes a permit if the endpoint has a limit. Returns `None` if nothing may be sent.
+    pub(super) fn acquire_permit(&self, now: BootTime, chosen: &ChosenEndpoint) -> Option<LimitPermit> {
+        let mut state = self.state();
+        let is_limited = state.limits.limit(chosen.limited()).is_some();
+        let version = state.limits.acquire(now, chosen.limited())?;
+        Some(LimitPermit {
+            at: now,
+            version,
+            is_limited,
+        })
+    }
+
+    /// Returns true if the endpoint has a limit.
+    pub(super) fn is_limited(&self, chosen: &ChosenEndpoint) -> bool {
+        self.state().limits.limit(chosen.limited()).is_some()
     }
 
     /// Applies the leader's answer to the report that was sent at `reported_at`.
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -4,7 +4,7 @@
 //! `allowance_charge` takes its cost from the customer's allowance. A plain call is answered by a single endpoint. The
 //! prompt of a stream call may be prefilled by one engine (`prefill`) and decoded
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
-//! endpoints by `attempt`, within the retries of `retry_permits`, and what else an endpoint is asked by `endpoint_request`.
+//! endpoints by `attempt`, within the retries of `retry_permits` (`write_permits`), and what else an endpoint is asked by `endpoint_request`.
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
 //! this entry begins, `taken_stream` asks them for one that a caller takes up, and `incarnation_check` asks an
@@ -46,6 +46,7 @@
 mod stream_call;
 mod stream_origins;
 mod taken_stream;
+mod write_permits;
 
 pub use codec::{AnswerHead, AttemptHead, AttemptRole, CallCodec, CallHead, EarlierAttempt, HeadError};
 pub use refusal::{CallRefusal, QUARANTINE_RETRY_DELAY};
--- a/crates/acacia-http/tests/client.rs
+++ b/crates/acacia-http/tests/client.rs
@@ -284,3 +284,20 @@
     assert!(failure.is_err());
     assert_eq!(connector.broken.load(Ordering::SeqCst), 1);
 }
+
+/// A bound on what arrives in a time would count a request long before it is written.
+#[tokio::test]
+async fn a_request_is_withheld_that_may_no_longer_be_sent_once_its_connection_is_open() {
+    let (address, record) = serve(Script::Answer).await;
+    let client = client(ClientOptions::default());
+
+    let withheld = client
+        .send_if(NOW, address, ConnectionChoice::Pooled, request(), || false)
+        .await;
+    let sent = client.send(NOW, address, ConnectionChoice::Pooled, request()).await;
+
+    let withheld = withheld.expect_err("it may not be sent");
+    assert_eq!((withheld.state, withheld.is_withheld), (AttemptState::Unsent, true));
+    sent.expect("the connection serves another request");
+    assert_eq!(record.connections.load(Ordering::SeqCst), 1);
+}
--- a/crates/acaciabay/tests/serving/limit_schedules.rs
+++ b/crates/acaciabay/tests/serving/limit_schedules.rs
@@ -48,8 +48,10 @@
 
 impl Schedule {
     fn limit(&self, now: BootTime) -> Option<f64> {
-        let begun = self.limits.iter().filter(|(from, _)| at(*from) <= now);
-        begun.last().and_then(|(_, limit)| *limit)
+        let mut newest_first = self.limits.iter().rev();
+        newest_first
+            .find(|(from, _)| at(*from) <= now)
+            .and_then(|(_, limit)| *limit)
     }
 
     fn incarnation(&self, now: BootTime) -> EndpointIncarnation {
