Log which shared parts the prompt of a broken attempt holds

Ruled out so far: late or forgotten endings of one call; no fingerprint of 119 broken attempts stands at more than two endings. The logs could not tell a part of the prompt that ends engines from engines that end by themselves in series, because no line names the parts of a broken call. No decision changes.

--- a/crates/acacia-entry/src/completion/mod.rs
+++ b/crates/acacia-entry/src/completion/mod.rs
@@ -159,6 +159,7 @@
             },
             route: &self.body.model,
             fingerprint: &self.fingerprint,
+            parts: &[],
         }
     }
 
--- a/crates/acacia-entry/src/service_attempt.rs
+++ b/crates/acacia-entry/src/service_attempt.rs
@@ -56,6 +56,7 @@
             },
             route: self.route.pool.name.as_str(),
             fingerprint: &self.fingerprint,
+            parts: &[],
         }
     }
 }
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -12,6 +12,7 @@
 use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::config::CallRoute;
 use acaciabay::core::serving::config_index::{AccessRefusal, AdmittedCall};
+use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::stream_origin::{OriginKey, OriginKeys};
 use acaciabay::core::serving::suspect_view::CallStanding;
@@ -116,6 +117,7 @@
             content: self.content(),
             route: &self.route().name,
             fingerprint: &self.fingerprint,
+            parts: self.head.prompt.as_ref().map_or(&[], PromptShape::shared_parts),
         }
     }
 
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -21,6 +21,7 @@
 };
 use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
+use acaciabay::core::serving::prompt::PromptPart;
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable};
 use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectReport, SuspectView};
 use acaciabay::util::number::whole_millis;
@@ -35,6 +36,9 @@
 /// Time limit of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of parts of a prompt that are examined. Parts near its beginning are shared by more prompts.
+const MAX_PARTS: usize = 32;
+
 /// Time for which a suspect call waits to be allowed. The leader answers within a few milliseconds; a call that is answered
 /// whole elsewhere meanwhile frees the others.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(300);
@@ -53,6 +57,8 @@
     /// Name of the route, for logs and operators.
     pub(crate) route: &'call str,
     pub(crate) fingerprint: &'call LazyFingerprint,
+    /// Parts that its prompt shares with others.
+    pub(crate) parts: &'call [PromptPart],
 }
 
 /// An attempt to send a call to an endpoint.
@@ -260,6 +266,7 @@
                 route: call.route.to_owned(),
                 body_bytes: call.content.body.len() as u64,
             },
+            parts: call.parts.iter().take(MAX_PARTS).map(|part| part.id).collect(),
             endpoint: sent.endpoint.clone(),
             incarnation: sent.incarnation,
             address: sent.address,
@@ -347,8 +354,9 @@
 
     fn log_break(&self, now: BootTime, broken: &BrokenAttempt, verdict: BreakVerdict) {
         let call = &broken.call;
+        let parts: Vec<_> = broken.parts.iter().map(ToString::to_string).collect();
         slog::info!(self.log, "broken attempt examined"; "event" => event::BREAK_EXAMINED,
-            "fingerprint" => %call.fingerprint, "route" => &call.route,
+            "fingerprint" => %call.fingerprint, "parts" => parts.join(","), "route" => &call.route,
             "customer" => call.customer.as_ref().map(CustomerName::as_str),
             "endpoint" => broken.endpoint.as_str(), "birth" => broken.incarnation.0, "port" => ?broken.port,
             "ran_ms" => whole_millis(broken.broken_at.since(broken.sent_at)),
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -9,6 +9,7 @@
 
 use super::call_fingerprint::CallFingerprint;
 use super::endpoint_registry::EndpointIncarnation;
+use super::prompt::PartId;
 use crate::core::clock::BootTime;
 use crate::core::name::{CustomerName, EndpointName};
 
@@ -52,6 +53,8 @@
 pub struct BrokenAttempt {
     /// The call.
     pub call: CallIdentity,
+    /// Parts that its prompt shares with others, in prompt order.
+    pub parts: Vec<PartId>,
     /// Endpoint to which the attempt was sent.
     pub endpoint: EndpointName,
     /// Incarnation of the endpoint when it was chosen.
--- a/crates/acaciabay/src/core/serving/prompt.rs
+++ b/crates/acaciabay/src/core/serving/prompt.rs
@@ -1,9 +1,17 @@
 //! The composition of a prompt: its model, its length and the parts that it shares with other prompts.
 
+use std::fmt;
+
 /// Identifier of a prompt part. Requests that share a part use the same identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PartId(pub u64);
 
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// A contiguous part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/acaciabay/tests/serving/broken_attempts.rs
+++ b/crates/acaciabay/tests/serving/broken_attempts.rs
@@ -28,6 +28,7 @@
 
 fn broken(port: PortState) -> BrokenAttempt {
     BrokenAttempt {
+        parts: Vec::new(),
         call: identity(1, "one"),
         endpoint: name("e"),
         incarnation: EndpointIncarnation(1),
