Quarantine the parts of prompts that end endpoints

Cause: the quarantine blames a call as a whole. A part of a prompt was in no evidence, so requests with a last part of their own were each new.

Parts that nothing tells apart are held back only together.

Why it works: the cause is in a prompt at each ending and in no whole answer, while sound calls clear their other parts within tens of milliseconds.

--- a/crates/acacia-control/src/operator_quarantine.rs
+++ b/crates/acacia-control/src/operator_quarantine.rs
@@ -1,7 +1,8 @@
 //! Operators' requests about quarantined calls: `GET /v1/quarantine` lists the suspect calls, and
-//! `DELETE /v1/quarantine/FINGERPRINT` lifts a quarantine.
+//! `DELETE /v1/quarantine/FINGERPRINT` lifts a quarantine, `DELETE /v1/quarantine/parts/PART` that of a part of prompts.
 
 use acaciabay::core::serving::call_fingerprint::CallFingerprint;
+use acaciabay::core::serving::prompt::PartId;
 use hyper::{Method, StatusCode};
 use serde_json::json;
 
@@ -17,6 +18,7 @@
     match (method, segments) {
         (&Method::GET, ["v1", "quarantine"]) => Some(recorder.list().await.map_err(OperatorRefusal::from)),
         (&Method::DELETE, ["v1", "quarantine", fingerprint]) => Some(lift(recorder, fingerprint).await),
+        (&Method::DELETE, ["v1", "quarantine", "parts", part]) => Some(lift_part(recorder, part).await),
         _ => None,
     }
 }
@@ -33,3 +35,16 @@
         Err(OperatorRefusal::new(StatusCode::NOT_FOUND, "no_such_call", message))
     }
 }
+
+async fn lift_part(recorder: &SuspectRecorder, text: &str) -> OperatorResult {
+    let part = u64::from_str_radix(text, 16).map_err(|_error| {
+        let message = format!("`{text}` is not a part of up to 16 hexadecimal digits");
+        OperatorRefusal::new(StatusCode::BAD_REQUEST, "bad_part", message)
+    })?;
+    if recorder.lift_part(PartId(part)).await? {
+        Ok(json!({"lifted": text}))
+    } else {
+        let message = format!("no part `{text}` is suspect");
+        Err(OperatorRefusal::new(StatusCode::NOT_FOUND, "no_such_part", message))
+    }
+}
--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -1,6 +1,6 @@
 //! Records what entries report about calls under which endpoints have ended, commits it, and has these calls judged.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +10,13 @@
 use acaciabay::core::control_state::ControlCommand;
 use acaciabay::core::name::{CustomerName, HostName};
 use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
+use acaciabay::core::serving::part_table::PartQuarantine;
+use acaciabay::core::serving::prompt::PartId;
 use acaciabay::core::serving::serving_state::ServingCommand;
 use acaciabay::core::serving::start_counts::EntryStart;
-use acaciabay::core::serving::suspect_table::{EndingEvidence, SuspectCall, SuspectTable, SuspectUpdate};
+use acaciabay::core::serving::suspect_table::{
+    EndingEvidence, EndpointEnding, SuspectCall, SuspectTable, SuspectUpdate,
+};
 use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
 use acaciabay::core::serving::trial_table::TrialTable;
 use acaciabay::util::number::whole_millis;
@@ -41,13 +45,14 @@
     /// Time at which the first of this evidence was received.
     received_at: Option<BootTime>,
     answered: Vec<CallFingerprint>,
+    sound_parts: BTreeSet<PartId>,
     progress: BTreeMap<HostName, EvidenceProgress>,
     trials: TrialTable,
 }
 
 impl PendingReports {
-    const fn is_empty(&self) -> bool {
-        self.evidence.is_empty() && self.answered.is_empty()
+    fn is_empty(&self) -> bool {
+        self.evidence.is_empty() && self.answered.is_empty() && self.sound_parts.is_empty()
     }
 
     /// Adds a report. Returns the answer to it without the table.
@@ -70,6 +75,7 @@
             }
         }
         self.answered.extend(report.answered);
+        self.sound_parts.extend(report.sound_parts);
         self.progress.insert(host.clone(), progress);
         let mut trials = report.wanted_trials;
         trials.retain(|fingerprint| self.trials.allow(now, host, *fingerprint));
@@ -177,7 +183,8 @@
             key: if has_key { None } else { random_key() },
             evidence: std::mem::take(&mut pending.evidence),
             answered: std::mem::take(&mut pending.answered),
-            lifted: Vec::new(),
+            sound_parts: std::mem::take(&mut pending.sound_parts).into_iter().collect(),
+            ..SuspectUpdate::default()
         };
         Some((update, pending.progress.clone()))
     }
@@ -201,6 +208,25 @@
         Ok(true)
     }
 
+    /// Lifts the quarantines of a part of prompts. Returns false if there is none and nothing speaks against the part.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this replica does not lead, or no longer does. The quarantine may be lifted nevertheless.
+    pub(crate) async fn lift_part(&self, part: PartId) -> Result<bool, NotLeading> {
+        self.group.confirm_leadership().await?;
+        if !self.group.read().serving.suspects.parts.watched().contains(&part) {
+            return Ok(false);
+        }
+        let update = SuspectUpdate {
+            now_ms: wall_nanos() / 1_000_000,
+            lifted_parts: vec![part],
+            ..SuspectUpdate::default()
+        };
+        self.commit(update).await?;
+        Ok(true)
+    }
+
     /// Returns all suspect calls for operators.
     ///
     /// # Errors
@@ -210,14 +236,20 @@
         self.group.confirm_leadership().await?;
         let state = self.group.read();
         let calls: Vec<Value> = state.serving.suspects.calls().map(call_json).collect();
-        Ok(json!({"calls": calls}))
+        let quarantines = state.serving.suspects.parts.quarantines();
+        let parts: Vec<Value> = quarantines.iter().map(quarantine_json).collect();
+        Ok(json!({"calls": calls, "parts": parts}))
     }
 
     async fn commit(&self, update: SuspectUpdate) -> Result<(), NotLeading> {
-        let before = quarantined(&self.group.read().serving.suspects);
+        let (before, held_before) = {
+            let suspects = &self.group.read().serving.suspects;
+            (quarantined(suspects), held_parts(suspects))
+        };
         let command = ControlCommand::Serving(ServingCommand::UpdateSuspects(update));
         self.group.propose(command).await?;
         self.log_changes(&before);
+        self.log_part_changes(&held_before);
         Ok(())
     }
 
@@ -238,6 +270,38 @@
         }
     }
 
+    /// Logs which groups of parts were quarantined or released since `before`.
+    fn log_part_changes(&self, before: &[BTreeSet<PartId>]) {
+        let state = self.group.read();
+        let suspects = &state.serving.suspects;
+        let held = held_parts(suspects);
+        metrics::gauge!("acacia_prompt_parts_quarantined").set(held.len() as f64);
+        metrics::gauge!("acacia_prompt_parts_suspected").set(suspects.parts.watched().len() as f64);
+        for quarantine in suspects.parts.quarantines() {
+            if quarantine.is_held && !before.contains(&quarantine.parts) {
+                self.log_quarantined_parts(quarantine, suspects.parts.watched().len());
+            }
+        }
+        for parts in before.iter().filter(|parts| !held.contains(parts)) {
+            slog::info!(self.log, "quarantine of prompt parts ended"; "event" => event::PART_QUARANTINE_ENDED,
+                "parts" => part_list(parts));
+        }
+    }
+
+    fn log_quarantined_parts(&self, quarantine: &PartQuarantine, suspected: usize) {
+        let endpoints: Vec<_> = quarantine
+            .endings
+            .iter()
+            .map(|ending| ending.endpoint.as_str())
+            .collect();
+        let ended_ms: Vec<_> = quarantine.endings.iter().map(|ending| ending.ended_ms).collect();
+        let oldest_ms = ended_ms.iter().min().copied().unwrap_or(quarantine.quarantined_ms);
+        slog::warn!(self.log, "prompt parts quarantined"; "event" => event::PARTS_QUARANTINED,
+            "parts" => part_list(&quarantine.parts), "route" => &quarantine.route, "endings" => ended_ms.len(),
+            "endpoints" => endpoints.join(","), "ended_ms" => ?ended_ms,
+            "age_ms" => quarantine.quarantined_ms.saturating_sub(oldest_ms), "suspected" => suspected);
+    }
+
     fn log_quarantined(&self, call: &SuspectCall) {
         let endpoints: Vec<_> = call.endings.iter().map(|ending| ending.endpoint.as_str()).collect();
         let ended_ms: Vec<_> = call.endings.iter().map(|ending| ending.ended_ms).collect();
@@ -260,15 +324,41 @@
     calls.map(|call| call.identity.fingerprint).collect()
 }
 
+/// Returns the groups of parts that are held back.
+fn held_parts(suspects: &SuspectTable) -> Vec<BTreeSet<PartId>> {
+    let held = suspects
+        .parts
+        .quarantines()
+        .iter()
+        .filter(|quarantine| quarantine.is_held);
+    held.map(|quarantine| quarantine.parts.clone()).collect()
+}
+
+fn part_list(parts: &BTreeSet<PartId>) -> String {
+    let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
+
+fn ending_json(ending: &EndpointEnding) -> Value {
+    json!({
+        "endpoint": ending.endpoint.as_str(),
+        "birth": ending.incarnation.0,
+        "sent_ms": ending.sent_ms,
+        "ended_ms": ending.ended_ms,
+    })
+}
+
+fn quarantine_json(quarantine: &PartQuarantine) -> Value {
+    json!({
+        "parts": quarantine.parts.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        "route": quarantine.route,
+        "quarantined_ms": quarantine.is_held.then_some(quarantine.quarantined_ms),
+        "endings": quarantine.endings.iter().map(ending_json).collect::<Vec<_>>(),
+    })
+}
+
 fn call_json(call: &SuspectCall) -> Value {
-    let endings = call.endings.iter().map(|ending| {
-        json!({
-            "endpoint": ending.endpoint.as_str(),
-            "birth": ending.incarnation.0,
-            "sent_ms": ending.sent_ms,
-            "ended_ms": ending.ended_ms,
-        })
-    });
+    let endings = call.endings.iter().map(ending_json);
     json!({
         "fingerprint": call.identity.fingerprint.to_string(),
         "route": call.identity.route,
--- a/crates/acacia-entry/src/serving/answer_source.rs
+++ b/crates/acacia-entry/src/serving/answer_source.rs
@@ -26,6 +26,9 @@
         if end.is_whole() {
             call.record_whole_answer();
         }
+        if end.is_whole() && self.status.is_success() {
+            call.record_sound_parts();
+        }
         if end.may_be_crash(self.framing) {
             call.record_break(&self.chosen, self.sent_at);
         }
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -131,6 +131,11 @@
         self.shared.suspects.record_whole_answer(&self.tracked());
     }
 
+    /// Records that an endpoint has answered the call whole and with success.
+    pub(super) fn record_sound_parts(&self) {
+        self.shared.suspects.record_sound_parts(&self.tracked());
+    }
+
     /// Records that the connection of an attempt ended before the answer was complete.
     pub(super) fn record_break(&self, chosen: &ChosenEndpoint, sent_at: BootTime) {
         let sent = SentAttempt {
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -23,7 +23,7 @@
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::core::serving::prompt::PromptPart;
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable};
-use acaciabay::core::serving::suspect_view::{CallStanding, SuspectAnswer, SuspectReport, SuspectView};
+use acaciabay::core::serving::suspect_view::{CallStanding, NewQuarantines, SuspectAnswer, SuspectReport, SuspectView};
 use acaciabay::util::number::whole_millis;
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -161,8 +161,12 @@
         self.news.notify_waiters();
     }
 
-    fn log_quarantined(&self, calls: &[CallIdentity]) {
-        for call in calls {
+    fn log_quarantined(&self, new: &NewQuarantines) {
+        for parts in &new.parts {
+            let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
+            slog::info!(self.log, "prompt parts held back"; "event" => event::PARTS_HELD_BACK, "parts" => parts.join(","));
+        }
+        for call in &new.calls {
             slog::info!(self.log, "call held back"; "event" => event::CALL_HELD_BACK,
                 "fingerprint" => %call.fingerprint, "route" => &call.route, "by" => "group");
         }
@@ -189,6 +193,9 @@
 
     /// Returns the standing of a call.
     pub(crate) fn standing(&self, call: &TrackedCall<'_>) -> CallStanding {
+        if self.state.lock().view.holds_back(call.parts) {
+            return CallStanding::Quarantined;
+        }
         match self.possible_suspect(call) {
             Some(fingerprint) => self.state.lock().view.standing(&fingerprint),
             None => CallStanding::Unsuspected,
@@ -253,6 +260,14 @@
         }
     }
 
+    /// Records that an endpoint has answered a call whole and with success, so that no part of its prompt ends endpoints.
+    pub(crate) fn record_sound_parts(&self, call: &TrackedCall<'_>) {
+        let is_news = self.state.lock().view.record_sound_parts(call.parts);
+        if is_news {
+            self.request_report();
+        }
+    }
+
     /// Records that the connection of an attempt ended before the answer was complete.
     pub(crate) fn record_break(&self, call: &TrackedCall<'_>, sent: SentAttempt<'_>) {
         // Without the key, nothing can be said of the call later. The entry gets the key with its first lease.
@@ -392,5 +407,6 @@
             recorded_ms: 0,
         },
         call: broken.call,
+        parts: broken.parts,
     }
 }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -116,6 +116,8 @@
     RETRY_DECIDED = "E0252";
     /// The engine of a call was silent, and it was decided whether another one takes the call over.
     SILENCE_JUDGED = "E0253";
+    /// An entry holds calls back whose prompts have parts that end endpoints.
+    PARTS_HELD_BACK = "E0254";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -195,6 +197,10 @@
     ORIGIN_CONFLICT = "E0342";
     /// An entry was granted retries from the slack of a service's limit.
     RETRIES_GRANTED = "E0343";
+    /// Parts of prompts were quarantined, since endpoints end under them.
+    PARTS_QUARANTINED = "E0344";
+    /// A quarantine of parts was lifted, narrowed, expired, or refuted by a whole answer.
+    PART_QUARANTINE_ENDED = "E0345";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod frame;
 mod limit_message;
 mod origin_message;
+mod part_message;
 mod relay_message;
 mod replica_message;
 mod retry_message;
--- a/crates/acacia-wire/src/suspect_message.rs
+++ b/crates/acacia-wire/src/suspect_message.rs
@@ -12,15 +12,16 @@
 
 use crate::error::WireError;
 use crate::generated::state;
+use crate::part_message::{part_table_from_wire, part_table_to_wire, parts_from_wire, parts_to_wire};
 use crate::table_row::all;
 
 /// Encodes a fingerprint.
-fn fingerprint_to_wire(fingerprint: &CallFingerprint) -> Bytes {
+pub(crate) fn fingerprint_to_wire(fingerprint: &CallFingerprint) -> Bytes {
     Bytes::copy_from_slice(fingerprint.as_bytes())
 }
 
 /// Decodes a fingerprint.
-fn fingerprint_from_wire(bytes: impl AsRef<[u8]>) -> Result<CallFingerprint, WireError> {
+pub(crate) fn fingerprint_from_wire(bytes: impl AsRef<[u8]>) -> Result<CallFingerprint, WireError> {
     CallFingerprint::from_bytes(bytes.as_ref()).ok_or(WireError::invalid("fingerprint"))
 }
 
@@ -37,7 +38,7 @@
     Ok(Some(key))
 }
 
-fn ending_to_wire(ending: &EndpointEnding) -> state::EndpointEnding {
+pub(crate) fn ending_to_wire(ending: &EndpointEnding) -> state::EndpointEnding {
     state::EndpointEnding {
         endpoint: ending.endpoint.to_string(),
         birth: ending.incarnation.0,
@@ -47,7 +48,7 @@
     }
 }
 
-fn ending_from_wire(message: &state::EndpointEnding) -> EndpointEnding {
+pub(crate) fn ending_from_wire(message: &state::EndpointEnding) -> EndpointEnding {
     EndpointEnding {
         endpoint: message.endpoint.as_str().into(),
         incarnation: EndpointIncarnation(message.birth),
@@ -69,6 +70,7 @@
         body_bytes: identity.body_bytes,
         endings: endings.map(ending_to_wire).collect(),
         quarantined_ms: quarantined_ms.unwrap_or(0),
+        parts: Vec::new(),
     }
 }
 
@@ -88,16 +90,21 @@
 
 /// Encodes one piece of evidence.
 fn evidence_to_wire(evidence: &EndingEvidence) -> state::SuspectCall {
-    call_to_wire(&evidence.call, std::iter::once(&evidence.ending), None)
+    state::SuspectCall {
+        parts: parts_to_wire(&evidence.parts),
+        ..call_to_wire(&evidence.call, std::iter::once(&evidence.ending), None)
+    }
 }
 
 /// Decodes one piece of evidence.
-fn evidence_from_wire(message: state::SuspectCall) -> Result<EndingEvidence, WireError> {
+fn evidence_from_wire(mut message: state::SuspectCall) -> Result<EndingEvidence, WireError> {
+    let parts = parts_from_wire(std::mem::take(&mut message.parts));
     let call = call_from_wire(message)?;
     let ending = call.endings.into_iter().next();
     Ok(EndingEvidence {
         call: call.identity,
         ending: ending.ok_or(WireError::missing("ending"))?,
+        parts,
     })
 }
 
@@ -108,6 +115,8 @@
         endings: update.evidence.iter().map(evidence_to_wire).collect(),
         answered: update.answered.iter().map(fingerprint_to_wire).collect(),
         lifted: update.lifted.iter().map(fingerprint_to_wire).collect(),
+        sound_parts: parts_to_wire(&update.sound_parts),
+        lifted_parts: parts_to_wire(&update.lifted_parts),
     }
 }
 
@@ -118,6 +127,8 @@
         evidence: all(message.endings, evidence_from_wire)?,
         answered: all(message.answered, fingerprint_from_wire)?,
         lifted: all(message.lifted, fingerprint_from_wire)?,
+        sound_parts: parts_from_wire(message.sound_parts),
+        lifted_parts: parts_from_wire(message.lifted_parts),
     })
 }
 
@@ -130,6 +141,7 @@
         version: table.version,
         key: key_to_wire(table.key.as_ref()),
         calls: calls.collect(),
+        parts: Some(part_table_to_wire(&table.parts)),
     }
 }
 
@@ -140,11 +152,9 @@
 /// Fails when the key or a fingerprint has a wrong length.
 pub fn suspects_from_wire(message: state::SuspectTable) -> Result<SuspectTable, WireError> {
     let calls = all(message.calls, call_from_wire)?;
-    Ok(SuspectTable::restore(
-        message.version,
-        key_from_wire(&message.key)?,
-        calls,
-    ))
+    let mut table = SuspectTable::restore(message.version, key_from_wire(&message.key)?, calls);
+    table.parts = part_table_from_wire(message.parts)?;
+    Ok(table)
 }
 
 /// Encodes what an entry tells about suspect calls.
@@ -156,6 +166,7 @@
         answered: report.answered.iter().map(fingerprint_to_wire).collect(),
         wanted_trials: report.wanted_trials.iter().map(fingerprint_to_wire).collect(),
         ended_trials: report.ended_trials.iter().map(fingerprint_to_wire).collect(),
+        sound_parts: parts_to_wire(&report.sound_parts),
     }
 }
 
@@ -173,6 +184,7 @@
         answered: all(message.answered, fingerprint_from_wire)?,
         wanted_trials: all(message.wanted_trials, fingerprint_from_wire)?,
         ended_trials: all(message.ended_trials, fingerprint_from_wire)?,
+        sound_parts: parts_from_wire(message.sound_parts),
     })
 }
 
--- a/crates/acacia-wire/tests/suspects.rs
+++ b/crates/acacia-wire/tests/suspects.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::serving::broken_attempt::CallIdentity;
 use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
+use acaciabay::core::serving::prompt::PartId;
 use acaciabay::core::serving::serving_state::ServingCommand;
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectUpdate};
 use acaciabay::core::serving::suspect_view::{SuspectAnswer, SuspectReport};
@@ -36,6 +37,7 @@
             ended_ms: 10_000 * engine + 80,
             recorded_ms: 0,
         },
+        parts: vec![PartId(u64::from(call)), PartId(7)],
     }
 }
 
@@ -48,6 +50,8 @@
             .collect(),
         answered: vec![fingerprint(4)],
         lifted: vec![fingerprint(5)],
+        sound_parts: vec![PartId(8)],
+        lifted_parts: vec![PartId(9)],
     }
 }
 
@@ -92,6 +96,7 @@
         endpoint_mark: 3,
         demands: Vec::new(),
         suspects: SuspectReport {
+            sound_parts: vec![PartId(3)],
             version: 4,
             first_ending: 5,
             evidence: vec![evidence(1, 1), evidence(2, 2)],
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -24,7 +24,8 @@
 //! * [`call_fingerprint`] recognises a call that is sent again, and [`broken_attempt`] examines whether an endpoint ended
 //!   while it ran one. [`suspect_table`] records such calls and quarantines those
 //!   that end endpoints; [`suspect_view`] is what one entry knows of it, and
-//!   [`trial_table`] lets one entry at a time try a suspect call.
+//!   [`trial_table`] lets one entry at a time try a suspect call. [`part_table`] does the same for the parts of prompts that
+//!   end endpoints in calls no two of which are alike.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams, and [`call_rate`] the average rate of calls.
 //! * [`group_clock`] computes the median wall clock of the replicas.
@@ -66,6 +67,8 @@
 pub mod limit_gate;
 pub mod limit_ledger;
 mod limit_shares;
+mod part_cause;
+pub mod part_table;
 pub mod pending_renewals;
 pub mod prefill_pace;
 pub mod prompt;
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -17,6 +17,8 @@
 use super::broken_attempt::CallIdentity;
 use super::call_fingerprint::{CallFingerprint, FingerprintKey};
 use super::endpoint_registry::EndpointIncarnation;
+use super::part_table::PartTable;
+use super::prompt::PartId;
 use crate::core::name::{CustomerName, EndpointName};
 
 /// Number of endpoints that must have ended one after the other while they ran a call before the call is quarantined.
@@ -27,7 +29,7 @@
 const PUBLISHED_ENDINGS: usize = 2;
 /// Time after the commit of an ending during which other entries may still report the calls that they had at the same endpoint, in
 /// milliseconds. Only then it is known which call explains the ending.
-const SETTLING_MS: u64 = 150;
+pub(super) const SETTLING_MS: u64 = 150;
 /// Maximum number of endings that are kept for a call.
 const MAX_ENDINGS: usize = 16;
 /// Maximum number of calls of one customer in the table: more than the customer has at one endpoint.
@@ -56,7 +58,7 @@
 }
 
 impl EndpointEnding {
-    fn is_same(&self, other: &Self) -> bool {
+    pub(super) fn is_same(&self, other: &Self) -> bool {
         self.endpoint == other.endpoint && self.incarnation == other.incarnation
     }
 
@@ -72,6 +74,8 @@
     pub call: CallIdentity,
     /// The ending.
     pub ending: EndpointEnding,
+    /// Parts that the prompt of the call shares with others, in prompt order.
+    pub parts: Vec<PartId>,
 }
 
 /// A call under which endpoints have ended.
@@ -144,6 +148,8 @@
     pub version: u64,
     /// Key of the fingerprints, or `None` until a leader has committed it.
     pub key: Option<FingerprintKey>,
+    /// Parts of prompts under which endpoints have ended.
+    pub parts: PartTable,
     calls: BTreeMap<CallFingerprint, SuspectCall>,
 }
 
@@ -160,6 +166,10 @@
     pub answered: Vec<CallFingerprint>,
     /// Calls whose quarantine an operator has lifted.
     pub lifted: Vec<CallFingerprint>,
+    /// Parts of prompts that were answered whole.
+    pub sound_parts: Vec<PartId>,
+    /// Parts whose quarantine an operator has lifted.
+    pub lifted_parts: Vec<PartId>,
 }
 
 impl SuspectTable {
@@ -169,6 +179,7 @@
         Self {
             version,
             key,
+            parts: PartTable::default(),
             calls: calls.collect(),
         }
     }
@@ -176,6 +187,7 @@
     /// Applies one committed update.
     pub fn apply(&mut self, update: &SuspectUpdate) {
         let before: Vec<SuspectCall> = self.published().cloned().collect();
+        let parts_before = self.parts.published();
         let had_key = self.key.is_some();
         self.key = self.key.or(update.key);
         for evidence in &update.evidence {
@@ -190,11 +202,26 @@
         }
         self.judge(update.now_ms);
         self.limit();
-        if had_key != self.key.is_some() || !self.published().eq(&before) {
+        self.apply_parts(update);
+        let is_changed = !self.published().eq(&before) || self.parts.published() != parts_before;
+        if had_key != self.key.is_some() || is_changed {
             self.version += 1;
         }
     }
 
+    fn apply_parts(&mut self, update: &SuspectUpdate) {
+        for evidence in &update.evidence {
+            self.parts.record(evidence, update.now_ms);
+        }
+        for part in &update.sound_parts {
+            self.parts.clear(*part);
+        }
+        for part in &update.lifted_parts {
+            self.parts.lift(*part);
+        }
+        self.parts.update(update.now_ms);
+    }
+
     /// Records one piece of evidence. Evidence that is recorded twice counts once.
     pub fn record(&mut self, evidence: &EndingEvidence, recorded_ms: u64) {
         let call = self
@@ -231,6 +258,7 @@
         let mut calls = self.calls.values();
         calls.any(|call| call.is_lapsed(now_ms) || call.quiet_ms(now_ms) >= SUSPICION_MS)
             || self.most_probable_cause(now_ms).is_some()
+            || self.parts.is_update_due(now_ms)
     }
 
     fn most_probable_cause(&self, now_ms: u64) -> Option<CallFingerprint> {
@@ -311,7 +339,10 @@
     /// Returns the part of the table that entries have to know.
     #[must_use]
     pub fn published_table(&self) -> Self {
-        Self::restore(self.version, self.key, self.published().cloned())
+        Self {
+            parts: self.parts.published(),
+            ..Self::restore(self.version, self.key, self.published().cloned())
+        }
     }
 
     /// Returns the call with this fingerprint.
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -5,6 +5,8 @@
 
 use super::broken_attempt::CallIdentity;
 use super::call_fingerprint::{CallFingerprint, FingerprintKey};
+use super::part_table::PartTable;
+use super::prompt::{PartId, PromptPart};
 use super::suspect_table::{EndingEvidence, SuspectCall, SuspectTable};
 use crate::core::clock::BootTime;
 use crate::core::name::CustomerName;
@@ -31,6 +33,8 @@
     pub evidence: Vec<EndingEvidence>,
     /// Suspect calls that were answered whole.
     pub answered: Vec<CallFingerprint>,
+    /// Watched parts of prompts that were answered whole.
+    pub sound_parts: Vec<PartId>,
     /// Suspect calls that the entry would like to send.
     pub wanted_trials: Vec<CallFingerprint>,
     /// Suspect calls that the entry was allowed to send and no longer sends.
@@ -78,6 +82,15 @@
     until: BootTime,
 }
 
+/// What is newly quarantined in a later version of the table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NewQuarantines {
+    /// Calls.
+    pub calls: Vec<CallIdentity>,
+    /// Groups of parts of prompts.
+    pub parts: Vec<BTreeSet<PartId>>,
+}
+
 /// Suspect calls as an entry knows them.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectView {
@@ -88,6 +101,8 @@
     last_reported: u64,
     watched: BTreeMap<CallFingerprint, WatchedCall>,
     answered: BTreeSet<CallFingerprint>,
+    /// Watched parts that were answered whole, of which no report has told.
+    sound_parts: BTreeSet<PartId>,
     /// Calls that this entry holds back until the leader has committed its evidence and judged them.
     held_back: BTreeSet<CallFingerprint>,
     newly_held_back: Vec<CallFingerprint>,
@@ -104,10 +119,10 @@
         self.published.key
     }
 
-    /// Replaces the table by a later version. Returns the calls that are newly quarantined.
-    pub fn apply_published(&mut self, table: SuspectTable) -> Vec<CallIdentity> {
+    /// Replaces the table by a later version. Returns what is newly quarantined.
+    pub fn apply_published(&mut self, table: SuspectTable) -> NewQuarantines {
         if table.version <= self.published.version {
-            return Vec::new();
+            return NewQuarantines::default();
         }
         let before = std::mem::replace(&mut self.published, table);
         self.judge();
@@ -117,7 +132,30 @@
                 .is_some_and(SuspectCall::is_quarantined)
         };
         let new = self.published.quarantined().filter(|call| !was_held(call));
-        new.map(|call| call.identity.clone()).collect()
+        let calls = new.map(|call| call.identity.clone()).collect();
+        NewQuarantines {
+            calls,
+            parts: newly_held(&before.parts, &self.published.parts),
+        }
+    }
+
+    /// Returns true if a call whose prompt shares these parts with others is not sent to any endpoint.
+    pub fn holds_back(&self, parts: &[PromptPart]) -> bool {
+        self.published.parts.holds_back(parts)
+    }
+
+    /// Records that a prompt with these shared parts was answered whole. Returns true if the leader has to be told, because
+    /// endpoints have ended under one of them.
+    pub fn record_sound_parts(&mut self, parts: &[PromptPart]) -> bool {
+        for waiting in &mut self.uncommitted {
+            let suspected = &mut waiting.evidence.parts;
+            suspected.retain(|known| !parts.iter().any(|part| part.id == *known));
+        }
+        let watched = self.published.parts.watched();
+        let sound = parts.iter().map(|part| part.id).filter(|part| watched.contains(part));
+        let count = self.sound_parts.len();
+        self.sound_parts.extend(sound);
+        self.sound_parts.len() > count
     }
 
     /// Returns false if a call with this customer and body length certainly has no standing, so that its fingerprint need
@@ -232,13 +270,14 @@
             first_ending: self.uncommitted.front().map_or(0, |waiting| waiting.number),
             evidence: evidence.collect(),
             answered: std::mem::take(&mut self.answered).into_iter().collect(),
+            sound_parts: std::mem::take(&mut self.sound_parts).into_iter().collect(),
             wanted_trials: std::mem::take(&mut self.wanted_trials).into_iter().collect(),
             ended_trials: std::mem::take(&mut self.ended_trials).into_iter().collect(),
         }
     }
 
-    /// Applies the leader's answer to a report. Returns the calls that are newly quarantined.
-    pub fn apply_answer(&mut self, now: BootTime, answer: SuspectAnswer) -> Vec<CallIdentity> {
+    /// Applies the leader's answer to a report. Returns what is newly quarantined.
+    pub fn apply_answer(&mut self, now: BootTime, answer: SuspectAnswer) -> NewQuarantines {
         let quarantined = answer.table.map(|table| self.apply_published(table));
         self.acknowledge(answer.committed_endings);
         self.allowed_trials.retain(|_, until| now < *until);
@@ -252,6 +291,7 @@
     pub fn has_unreported(&self) -> bool {
         self.last_number > self.last_reported
             || !self.answered.is_empty()
+            || !self.sound_parts.is_empty()
             || !self.wanted_trials.is_empty()
             || !self.ended_trials.is_empty()
     }
@@ -288,3 +328,14 @@
         self.held_back = held_back;
     }
 }
+
+/// Returns the groups of parts that are held back now and were not before.
+fn newly_held(before: &PartTable, now: &PartTable) -> Vec<BTreeSet<PartId>> {
+    let was_held = |parts: &BTreeSet<PartId>| {
+        let mut known = before.quarantines().iter();
+        known.any(|known| known.is_held && known.parts == *parts)
+    };
+    let held = now.quarantines().iter().filter(|quarantine| quarantine.is_held);
+    let parts = held.map(|quarantine| &quarantine.parts);
+    parts.filter(|parts| !was_held(parts)).cloned().collect()
+}
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -42,6 +42,7 @@
 mod state;
 mod stopping;
 mod stream_origins;
+mod suspect_parts;
 mod suspect_view;
 mod suspects;
 mod suspicion;
--- a/crates/acaciabay/tests/serving/suspect_view.rs
+++ b/crates/acaciabay/tests/serving/suspect_view.rs
@@ -64,7 +64,7 @@
     let held_back = view.apply_published(newest);
     view.apply_published(older);
 
-    assert_eq!(held_back.len(), 1);
+    assert_eq!(held_back.calls.len(), 1);
     assert_eq!(view.standing(&fingerprint(1)), CallStanding::Quarantined);
 }
 
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -47,6 +47,7 @@
             ended_ms,
             recorded_ms: 0,
         },
+        parts: Vec::new(),
     }
 }
 
