End answers that always have something ready at the limit of their call

Cause: a time limit around the next piece of a body is looked at only while nothing is ready, and what an entry buffers of an event does not grow by comments.

An event that never ends is still not sent to another engine, see a_stream_with_an_event_that_is_too_large_is_not_resumed.

--- a/crates/acacia-entry/src/serving/plain_body.rs
+++ b/crates/acacia-entry/src/serving/plain_body.rs
@@ -1,6 +1,7 @@
 //! Answers of endpoints that are no event streams: read whole, or streamed with backpressure from the caller.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use acacia_http::ResponseBody;
 use acacia_runtime::clock::boot_now;
@@ -21,6 +22,10 @@
 /// when its answer breaks off. Also bounds the memory that the answer of one call takes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Time after the deadline of a call for which what an endpoint has already sent is still passed on. An endpoint that sends without
+/// end always has something ready.
+pub(super) const READY_GRACE: Duration = Duration::from_millis(200);
+
 /// Beginning of a body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum BodyStart {
@@ -89,6 +94,10 @@
         let call = Arc::clone(&stream.call);
         let left = call.deadline.since(boot_now());
         match tokio::time::timeout(left, stream.incoming.frame()).await {
+            Ok(Some(Ok(_frame))) if boot_now() >= call.deadline + READY_GRACE => {
+                stream.finish(AnswerEnd::DeadlinePassed).await;
+                Some((Err(std::io::Error::other("no end in time")), None))
+            }
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some(stream))),
             Ok(None) => {
                 stream.finish(AnswerEnd::InOrder).await;
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -23,7 +23,7 @@
 use super::call::refuse;
 use super::endpoint_choice::ChosenEndpoint;
 use super::handover::{Handover, KeptReason};
-use super::plain_body::MAX_BUFFERED_BYTES;
+use super::plain_body::{MAX_BUFFERED_BYTES, READY_GRACE};
 use super::plain_call::build_response;
 use super::refusal::CallRefusal;
 use super::stream_call::{EngineSearch, OpenStream, StreamAttempts};
@@ -38,6 +38,8 @@
     events: usize,
     /// Number of events from the current engine.
     engine_events: usize,
+    /// Bytes from the current engine since its last event, which may be comments without end.
+    bytes_since_event: usize,
     /// What the current engine has written of this stream.
     watch: SilenceWatch,
     /// Why the call was last kept at a silent engine.
@@ -119,6 +121,7 @@
             splitter: EventSplitter::new(),
             events: 0,
             engine_events: 0,
+            bytes_since_event: 0,
             watch: SilenceWatch::new(boot_now()),
             kept: None,
             asked,
@@ -173,6 +176,12 @@
         if !self.has_room() {
             return Err((AnswerEnd::EventTooLarge, String::new()));
         }
+        if self.bytes_since_event > MAX_EVENT_BYTES {
+            return Err((AnswerEnd::Endless, String::new()));
+        }
+        if boot_now() >= self.attempts.call.deadline + READY_GRACE {
+            return Err((self.end_of(BodyEnd::Overdue), String::new()));
+        }
         let wait = self.time_to_search();
         let Some(stream) = &mut self.stream else {
             return Err((AnswerEnd::Broken, "no engine".to_owned()));
@@ -199,7 +208,13 @@
         let (body, reason) = match frame {
             Some(Ok(_)) if !self.is_of_version() => (BodyEnd::Broken, "written at another version".to_owned()),
             Some(Ok(frame)) => {
-                let events = self.splitter.push(frame.data_ref().map_or(&[], |data| data));
+                let data = frame.data_ref().map_or(&[] as &[u8], |data| data);
+                let events = self.splitter.push(data);
+                self.bytes_since_event = if events.count > 0 {
+                    0
+                } else {
+                    self.bytes_since_event + data.len()
+                };
                 self.record_heard(boot_now());
                 self.record_events(events.count);
                 return Ok(events.bytes);
@@ -271,6 +286,7 @@
         self.asked = self.progress().asked_next(resume_point);
         self.splitter = self.splitter.continued();
         self.engine_events = 0;
+        self.bytes_since_event = 0;
         self.kept = None;
         self.watch = SilenceWatch::new(boot_now());
     }
--- a/crates/acaciabay/src/core/answer_end.rs
+++ b/crates/acaciabay/src/core/answer_end.rs
@@ -92,6 +92,8 @@
     NoEvent,
     /// An event became larger than an entry buffers.
     EventTooLarge,
+    /// The endpoint sent comments without end in place of events.
+    Endless,
 }
 
 impl AnswerEnd {
@@ -126,7 +128,7 @@
         match self {
             Self::Broken => true,
             Self::InsideEvent | Self::NoEvent => matches!(framing, BodyFraming::UntilClose),
-            Self::InOrder | Self::Silent | Self::DeadlinePassed | Self::EventTooLarge => false,
+            Self::InOrder | Self::Silent | Self::DeadlinePassed | Self::EventTooLarge | Self::Endless => false,
         }
     }
 
@@ -140,6 +142,7 @@
             Self::InsideEvent => "inside_event",
             Self::NoEvent => "no_event",
             Self::EventTooLarge => "event_too_large",
+            Self::Endless => "endless",
         }
     }
 }
