Bound what arrives before the head of an answer is complete

What callers saw: an endpoint that sends interim answers (103) without end held its calls until the callers left: 10 of 20 after 10 s, where the route's limit is 2 s, with the connections still open afterwards (test interim_answers_without_end_cost_no_call, which failed).

Cause: the parser of the connection never waits, so neither the time limit of the attempt nor the caller's leaving reaches it.

Change: a connection fails when 256 KiB have arrived since the request and the head of the answer is not complete. No route allows a head near that size.

--- a/crates/acacia-http/src/client.rs
+++ b/crates/acacia-http/src/client.rs
@@ -22,7 +22,7 @@
 use parking_lot::Mutex;
 
 use crate::connector::{ConnectFailure, ConnectionPath, Connector, DirectConnector, NewConnection};
-use crate::watched_stream::{WatchedStream, WriteGuard, WrittenBytes};
+use crate::watched_stream::{HeadBound, WatchedStream, WriteGuard, WrittenBytes};
 
 /// Timeouts and limits for the connections of a client.
 #[derive(Clone, Debug)]
@@ -145,6 +145,7 @@
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     written: WrittenBytes,
+    head: HeadBound,
     path: ConnectionPath,
     _lifetime: Option<Arc<dyn Any + Send + Sync>>,
 }
@@ -336,13 +337,21 @@
     async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, SendFailure> {
         let NewConnection { stream, path, lifetime } = self.connector.connect(address).await?;
         let written = WrittenBytes::default();
+        let head = HeadBound::default();
         let arrivals = (path == ConnectionPath::Direct).then(|| Arc::clone(&self.connector));
-        let watched = WatchedStream::new(stream, written.clone(), self.options.guard.clone(), arrivals);
+        let watched = WatchedStream::new(
+            stream,
+            written.clone(),
+            head.clone(),
+            self.options.guard.clone(),
+            arrivals,
+        );
         let (sender, connection) = handshake(TokioIo::new(watched)).await.map_err(SendFailure::unsent)?;
         tokio::spawn(connection);
         Ok(OpenConnection {
             sender,
             written,
+            head,
             path,
             _lifetime: lifetime,
         })
@@ -360,7 +369,10 @@
     request: Request<Full<Bytes>>,
 ) -> Result<EndpointAnswer, SendError> {
     let before = connection.written.count();
-    match connection.sender.try_send_request(request).await {
+    connection.head.arm();
+    let sent = connection.sender.try_send_request(request).await;
+    connection.head.disarm();
+    match sent {
         Ok(response) => Ok(EndpointAnswer {
             response,
             connection: FinishedConnection { address, connection },
--- a/crates/acacia-http/src/watched_stream.rs
+++ b/crates/acacia-http/src/watched_stream.rs
@@ -1,4 +1,4 @@
-//! TCP stream that counts the written bytes and can refuse to write.
+//! TCP stream that counts the written bytes, can refuse to write, and bounds what arrives before an answer has begun.
 
 use std::fmt;
 use std::io;
@@ -51,10 +51,58 @@
     }
 }
 
+/// Maximum number of bytes that may arrive before the head of an answer is complete. A peer that sends interim responses without
+/// end would otherwise keep the connection's parser busy, and with it the thread, past every time limit.
+const MAX_HEAD_BYTES: u64 = 256 * 1024;
+
+/// Bound on the bytes that arrive while the head of an answer is awaited.
+#[derive(Clone, Debug)]
+pub(crate) struct HeadBound {
+    /// Number of bytes that may still arrive, or [`u64::MAX`] while no head is awaited.
+    left: Arc<AtomicU64>,
+}
+
+impl Default for HeadBound {
+    fn default() -> Self {
+        Self {
+            left: Arc::new(AtomicU64::new(u64::MAX)),
+        }
+    }
+}
+
+impl HeadBound {
+    /// Begins to count: a request is about to be sent.
+    pub(crate) fn arm(&self) {
+        self.left.store(MAX_HEAD_BYTES, Ordering::Release);
+    }
+
+    /// Stops counting: the head has come.
+    pub(crate) fn disarm(&self) {
+        self.left.store(u64::MAX, Ordering::Release);
+    }
+
+    /// Counts bytes that have arrived. Fails if they are too many.
+    fn count(&self, bytes: u64) -> io::Result<()> {
+        let left = self.left.load(Ordering::Acquire);
+        if left == u64::MAX {
+            return Ok(());
+        }
+        let Some(left) = left.checked_sub(bytes) else {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the head of the answer has no end",
+            ));
+        };
+        self.left.store(left, Ordering::Release);
+        Ok(())
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct WatchedStream {
     inner: TcpStream,
     written: WrittenBytes,
+    head: HeadBound,
     guard: Option<WriteGuard>,
     /// Told when bytes arrive.
     arrivals: Option<Arc<dyn Connector>>,
@@ -64,12 +112,14 @@
     pub(crate) const fn new(
         inner: TcpStream,
         written: WrittenBytes,
+        head: HeadBound,
         guard: Option<WriteGuard>,
         arrivals: Option<Arc<dyn Connector>>,
     ) -> Self {
         Self {
             inner,
             written,
+            head,
             guard,
             arrivals,
         }
@@ -99,11 +149,13 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if buffer.filled().len() > before
+        let arrived = buffer.filled().len() - before;
+        if arrived > 0
             && let Some(arrivals) = &self.arrivals
         {
             arrivals.record_arrival();
         }
+        self.head.count(arrived as u64)?;
         read
     }
 }
