--- a/crates/acacia-control/src/entry_session.rs
+++ b/crates/acacia-control/src/entry_session.rs
@@ -76,12 +76,12 @@
 #[derive(Debug)]
 enum PendingCall {
     Command(PendingOutcome),
-    Renew(LeaseRequest),
+    Renew(Box<LeaseRequest>),
 }
 
 async fn start_call(control: &Control, call: EntryCall) -> PendingCall {
     let command = match call {
-        EntryCall::Renew(lease) => return PendingCall::Renew(lease),
+        EntryCall::Renew(lease) => return PendingCall::Renew(Box::new(lease)),
         EntryCall::Join { host, domain, nonce } => ControlCommand::JoinEntry { host, domain, nonce },
         EntryCall::TakeClaim(ClaimRequest { key, holder, digest }) => ControlCommand::TakeClaim {
             now: wall_now(),
@@ -98,7 +98,7 @@
 async fn finish_call(control: &Control, pending_call: PendingCall) -> EntryAnswer {
     let answer_result = match pending_call {
         PendingCall::Command(pending) => pending.outcome().await.map(outcome_to_answer),
-        PendingCall::Renew(lease) => renew(control, lease).await,
+        PendingCall::Renew(lease) => renew(control, *lease).await,
     };
     answer_result.unwrap_or_else(|NotLeading { leader_address }| EntryAnswer::NotLeader { leader_address })
 }
