Judge parts only when evidence has settled, and share what stood twice

Nothing can change between the settling of an ending and the next update, so it is judged only when one has settled since; the time of the last judgement is part of the state. The cost before was not measured.

Shared: the time limits of quarantines and evidence, the choice of endings that follow one another, the groups that are held back, lists of parts in logs.

--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -11,7 +11,7 @@
 use acaciabay::core::name::{CustomerName, HostName};
 use acaciabay::core::serving::call_fingerprint::{CallFingerprint, FingerprintKey};
 use acaciabay::core::serving::part_table::PartQuarantine;
-use acaciabay::core::serving::prompt::PartId;
+use acaciabay::core::serving::prompt::{PartId, list_parts};
 use acaciabay::core::serving::serving_state::ServingCommand;
 use acaciabay::core::serving::start_counts::EntryStart;
 use acaciabay::core::serving::suspect_table::{
@@ -277,14 +277,14 @@
         let held = held_parts(suspects);
         metrics::gauge!("acacia_prompt_parts_quarantined").set(held.len() as f64);
         metrics::gauge!("acacia_prompt_parts_suspected").set(suspects.parts.watched().len() as f64);
-        for quarantine in suspects.parts.quarantines() {
-            if quarantine.is_held && !before.contains(&quarantine.parts) {
+        for quarantine in suspects.parts.held() {
+            if !before.contains(&quarantine.parts) {
                 self.log_quarantined_parts(quarantine, suspects.parts.watched().len());
             }
         }
         for parts in before.iter().filter(|parts| !held.contains(parts)) {
             slog::info!(self.log, "quarantine of prompt parts ended"; "event" => event::PART_QUARANTINE_ENDED,
-                "parts" => part_list(parts));
+                "parts" => list_parts(parts));
         }
     }
 
@@ -297,7 +297,7 @@
         let ended_ms: Vec<_> = quarantine.endings.iter().map(|ending| ending.ended_ms).collect();
         let oldest_ms = ended_ms.iter().min().copied().unwrap_or(quarantine.quarantined_ms);
         slog::warn!(self.log, "prompt parts quarantined"; "event" => event::PARTS_QUARANTINED,
-            "parts" => part_list(&quarantine.parts), "route" => &quarantine.route, "endings" => ended_ms.len(),
+            "parts" => list_parts(&quarantine.parts), "route" => &quarantine.route, "endings" => ended_ms.len(),
             "endpoints" => endpoints.join(","), "ended_ms" => ?ended_ms,
             "age_ms" => quarantine.quarantined_ms.saturating_sub(oldest_ms), "suspected" => suspected);
     }
@@ -326,19 +326,10 @@
 
 /// Returns the groups of parts that are held back.
 fn held_parts(suspects: &SuspectTable) -> Vec<BTreeSet<PartId>> {
-    let held = suspects
-        .parts
-        .quarantines()
-        .iter()
-        .filter(|quarantine| quarantine.is_held);
+    let held = suspects.parts.held();
     held.map(|quarantine| quarantine.parts.clone()).collect()
 }
 
-fn part_list(parts: &BTreeSet<PartId>) -> String {
-    let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
-    parts.join(",")
-}
-
 fn ending_json(ending: &EndpointEnding) -> Value {
     json!({
         "endpoint": ending.endpoint.as_str(),
--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -21,7 +21,7 @@
 };
 use acaciabay::core::serving::call_fingerprint::{CallContent, CallFingerprint};
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
-use acaciabay::core::serving::prompt::PromptPart;
+use acaciabay::core::serving::prompt::{PromptPart, list_parts};
 use acaciabay::core::serving::suspect_table::{EndingEvidence, EndpointEnding, SuspectTable};
 use acaciabay::core::serving::suspect_view::{CallStanding, NewQuarantines, SuspectAnswer, SuspectReport, SuspectView};
 use acaciabay::util::number::whole_millis;
@@ -163,8 +163,8 @@
 
     fn log_quarantined(&self, new: &NewQuarantines) {
         for parts in &new.parts {
-            let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
-            slog::info!(self.log, "prompt parts held back"; "event" => event::PARTS_HELD_BACK, "parts" => parts.join(","));
+            slog::info!(self.log, "prompt parts held back"; "event" => event::PARTS_HELD_BACK,
+                "parts" => list_parts(parts));
         }
         for call in &new.calls {
             slog::info!(self.log, "call held back"; "event" => event::CALL_HELD_BACK,
@@ -369,9 +369,8 @@
 
     fn log_break(&self, now: BootTime, broken: &BrokenAttempt, verdict: BreakVerdict) {
         let call = &broken.call;
-        let parts: Vec<_> = broken.parts.iter().map(ToString::to_string).collect();
         slog::info!(self.log, "broken attempt examined"; "event" => event::BREAK_EXAMINED,
-            "fingerprint" => %call.fingerprint, "parts" => parts.join(","), "route" => &call.route,
+            "fingerprint" => %call.fingerprint, "parts" => list_parts(&broken.parts), "route" => &call.route,
             "customer" => call.customer.as_ref().map(CustomerName::as_str),
             "endpoint" => broken.endpoint.as_str(), "birth" => broken.incarnation.0, "port" => ?broken.port,
             "ran_ms" => whole_millis(broken.broken_at.since(broken.sent_at)),
--- a/crates/acacia-wire/src/part_message.rs
+++ b/crates/acacia-wire/src/part_message.rs
@@ -83,6 +83,7 @@
         endings: table.endings().iter().map(ended_to_wire).collect(),
         quarantines: table.quarantines().iter().map(quarantine_to_wire).collect(),
         watched: parts_to_wire(table.watched()),
+        judged_ms: table.judged_ms(),
     }
 }
 
@@ -95,5 +96,6 @@
         endings,
         quarantines,
         parts_from_wire(message.watched),
+        message.judged_ms,
     ))
 }
--- a/crates/acaciabay/src/core/serving/part_cause.rs
+++ b/crates/acaciabay/src/core/serving/part_cause.rs
@@ -9,7 +9,7 @@
 
 use super::part_table::{BrokenPrompt, EndedEndpoint, PartQuarantine};
 use super::prompt::PartId;
-use super::suspect_table::SETTLING_MS;
+use super::suspect_table::{SETTLING_MS, retain_sequential};
 
 /// Number of endings under a part before it is quarantined.
 const QUARANTINE_ENDINGS: usize = 4;
@@ -62,15 +62,9 @@
             let sent_ms = sent_by_end.entry(ended.ending.ended_ms).or_default();
             *sent_ms = prompt.sent_ms.max(*sent_ms);
         }
-        let mut last_ended = 0;
-        let mut count = 0;
-        for (ended_ms, sent_ms) in sent_by_end {
-            if sent_ms >= last_ended {
-                last_ended = ended_ms;
-                count += 1;
-            }
-        }
-        count
+        let mut attempts: Vec<_> = sent_by_end.into_iter().collect();
+        retain_sequential(&mut attempts, |(ended_ms, sent_ms)| (*sent_ms, *ended_ms));
+        attempts.len()
     }
 
     /// Returns true if at least half of the moments at which endpoints ended, from its first ending to its last, are its own.
--- a/crates/acaciabay/src/core/serving/part_table.rs
+++ b/crates/acaciabay/src/core/serving/part_table.rs
@@ -14,7 +14,7 @@
 use super::call_fingerprint::CallFingerprint;
 use super::part_cause::find_cause;
 use super::prompt::{PartId, PromptPart};
-use super::suspect_table::{EndingEvidence, EndpointEnding};
+use super::suspect_table::{EndingEvidence, EndpointEnding, QUARANTINE_MS, SETTLING_MS, SUSPICION_MS};
 use crate::core::name::CustomerName;
 
 /// Maximum number of endings in the table.
@@ -29,10 +29,6 @@
 const MAX_PROMPTS_PER_CUSTOMER: usize = 32;
 /// Maximum number of parts in all prompts of the table.
 const MAX_PARTS: usize = 16_384;
-/// Time after its last ending for which a group of parts stays in quarantine, in milliseconds.
-const QUARANTINE_MS: u64 = 3_600_000;
-/// Time for which an ending is kept, in milliseconds.
-const SUSPICION_MS: u64 = 24 * 3_600_000;
 
 /// Prompt of a call that was broken when its endpoint ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +76,10 @@
         self.endings.iter().map(|ending| ending.ended_ms).max().unwrap_or(0)
     }
 
+    fn is_over(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.last_ended_ms()) >= QUARANTINE_MS
+    }
+
     fn add_ending(&mut self, ending: &EndpointEnding) {
         if self.endings.len() >= MAX_QUARANTINE_ENDINGS {
             self.endings.remove(0);
@@ -95,6 +95,8 @@
     quarantines: Vec<PartQuarantine>,
     /// Parts of which entries report whole answers.
     watched: BTreeSet<PartId>,
+    /// Time at which the evidence was last judged, in milliseconds since 1970.
+    judged_ms: u64,
 }
 
 impl PartTable {
@@ -103,11 +105,13 @@
         endings: Vec<EndedEndpoint>,
         quarantines: Vec<PartQuarantine>,
         watched: impl IntoIterator<Item = PartId>,
+        judged_ms: u64,
     ) -> Self {
         let mut table = Self {
             endings,
             quarantines,
             watched: watched.into_iter().collect(),
+            judged_ms,
         };
         let suspected: BTreeSet<_> = table.suspected().collect();
         table.watched.extend(suspected);
@@ -125,6 +129,7 @@
             endings: Vec::new(),
             quarantines: quarantines.collect(),
             watched: self.watched.clone(),
+            judged_ms: 0,
         }
     }
 
@@ -143,10 +148,19 @@
         &self.watched
     }
 
+    /// Returns the time at which the evidence was last judged, in milliseconds since 1970.
+    pub const fn judged_ms(&self) -> u64 {
+        self.judged_ms
+    }
+
+    /// Returns the groups of parts that are held back.
+    pub fn held(&self) -> impl Iterator<Item = &PartQuarantine> {
+        self.quarantines.iter().filter(|quarantine| quarantine.is_held)
+    }
+
     /// Returns true if a call with these parts is not sent to any endpoint.
     pub fn holds_back(&self, parts: &[PromptPart]) -> bool {
-        let mut held = self.quarantines.iter().filter(|quarantine| quarantine.is_held);
-        held.any(|quarantine| {
+        self.held().any(|quarantine| {
             let mut group = quarantine.parts.iter();
             group.all(|id| parts.iter().any(|part| part.id == *id))
         })
@@ -221,7 +235,7 @@
         self.endings
             .retain(|ended| now_ms.saturating_sub(ended.ending.ended_ms) < SUSPICION_MS);
         for quarantine in &mut self.quarantines {
-            if now_ms.saturating_sub(quarantine.last_ended_ms()) >= QUARANTINE_MS {
+            if quarantine.is_over(now_ms) {
                 quarantine.is_held = false;
             }
         }
@@ -230,13 +244,21 @@
         }
         self.limit();
         self.watched = self.suspected().collect();
+        self.judged_ms = now_ms;
     }
 
     /// Returns true if an update without any news changes the table at `now_ms`.
     pub(super) fn is_update_due(&self, now_ms: u64) -> bool {
-        let mut held = self.quarantines.iter().filter(|quarantine| quarantine.is_held);
-        held.any(|quarantine| now_ms.saturating_sub(quarantine.last_ended_ms()) >= QUARANTINE_MS)
-            || find_cause(&self.endings, &self.quarantines, now_ms).is_some()
+        self.held().any(|quarantine| quarantine.is_over(now_ms))
+            || (self.has_settled_since_judged(now_ms) && find_cause(&self.endings, &self.quarantines, now_ms).is_some())
+    }
+
+    /// Returns true if an ending has settled that had not when the evidence was last judged. Without one, the verdict would be the
+    /// same.
+    fn has_settled_since_judged(&self, now_ms: u64) -> bool {
+        let open = self.endings.iter().filter(|ended| !ended.is_explained);
+        let mut settled_ms = open.map(|ended| ended.ending.recorded_ms + SETTLING_MS);
+        settled_ms.any(|settled_ms| self.judged_ms < settled_ms && settled_ms <= now_ms)
     }
 
     /// Quarantines a group of parts in place of the groups that it is a part of.
--- a/crates/acaciabay/src/core/serving/prompt.rs
+++ b/crates/acaciabay/src/core/serving/prompt.rs
@@ -12,6 +12,12 @@
     }
 }
 
+/// Returns identifiers of parts for logs, separated by commas.
+pub fn list_parts<'part>(parts: impl IntoIterator<Item = &'part PartId>) -> String {
+    let parts: Vec<_> = parts.into_iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
+
 /// A contiguous part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -36,11 +36,11 @@
 const MAX_CALLS_PER_CUSTOMER: usize = 64;
 /// Maximum number of calls in the table.
 const MAX_CALLS: usize = 2_048;
-/// Time after its last ending for which a call stays in quarantine, in milliseconds. If endpoints ended under every call,
+/// Time after its last ending for which a call or a group of parts stays in quarantine, in milliseconds. If endpoints ended under every call,
 /// as after a faulty release, they have been mended by then.
-const QUARANTINE_MS: u64 = 3_600_000;
-/// Time after its last ending for which a call is kept, in milliseconds.
-const SUSPICION_MS: u64 = 24 * 3_600_000;
+pub(super) const QUARANTINE_MS: u64 = 3_600_000;
+/// Time after its last ending for which a call is kept, and for which an ending of prompts is, in milliseconds.
+pub(super) const SUSPICION_MS: u64 = 24 * 3_600_000;
 
 /// An incarnation of an endpoint that ended while it ran a call. Times are in milliseconds since 1970.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -130,15 +130,22 @@
 fn sequential_endings<'call>(endings: impl Iterator<Item = &'call EndpointEnding>) -> Vec<&'call EndpointEnding> {
     let mut sorted: Vec<_> = endings.collect();
     sorted.sort_unstable_by_key(|ending| ending.ended_ms);
+    retain_sequential(&mut sorted, |ending| (ending.sent_ms, ending.ended_ms));
+    sorted
+}
+
+/// Retains as many attempts as possible of which each was sent after the end of the one before. They are in the order of their
+/// ends; `span` returns when an attempt was sent and when it ended.
+pub(super) fn retain_sequential<T>(attempts: &mut Vec<T>, span: impl Fn(&T) -> (u64, u64)) {
     let mut last_ended = 0;
-    sorted.retain(|ending| {
-        let follows = ending.sent_ms >= last_ended;
+    attempts.retain(|attempt| {
+        let (sent_ms, ended_ms) = span(attempt);
+        let follows = sent_ms >= last_ended;
         if follows {
-            last_ended = ending.ended_ms;
+            last_ended = ended_ms;
         }
         follows
     });
-    sorted
 }
 
 /// The calls under which endpoints have ended.
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -331,11 +331,7 @@
 
 /// Returns the groups of parts that are held back now and were not before.
 fn newly_held(before: &PartTable, now: &PartTable) -> Vec<BTreeSet<PartId>> {
-    let was_held = |parts: &BTreeSet<PartId>| {
-        let mut known = before.quarantines().iter();
-        known.any(|known| known.is_held && known.parts == *parts)
-    };
-    let held = now.quarantines().iter().filter(|quarantine| quarantine.is_held);
-    let parts = held.map(|quarantine| &quarantine.parts);
+    let was_held = |parts: &BTreeSet<PartId>| before.held().any(|known| known.parts == *parts);
+    let parts = now.held().map(|quarantine| &quarantine.parts);
     parts.filter(|parts| !was_held(parts)).cloned().collect()
 }
--- a/crates/acaciabay/tests/serving/suspect_parts.rs
+++ b/crates/acaciabay/tests/serving/suspect_parts.rs
@@ -181,6 +181,22 @@
     assert!(holds(&table, &[FIRST, 20, BAD]));
 }
 
+/// Guards against a verdict that waits for the next report, although the evidence has settled.
+#[test]
+fn evidence_is_judged_once_it_has_settled() {
+    let mut table = SuspectTable::default();
+    for number in 1..=4 {
+        commit(&mut table, 10_000 + GAP_MS * number, bad_ending(number));
+    }
+
+    assert!(!table.is_update_due(10_900));
+    assert!(table.is_update_due(11_000));
+    commit(&mut table, 11_000, Vec::new());
+
+    assert!(holds(&table, &[FIRST, 20, BAD]));
+    assert!(!table.is_update_due(12_000));
+}
+
 /// Guards against evidence that weighs more or less because an entry reports it to each new leader.
 #[test]
 fn prompt_that_is_reported_again_counts_once() {
