Keep engines for the streams of each version while no call runs for a moment

What callers saw: streams that were broken off were refused with "no engine of the version that began the stream" although engines of that version were there and idle.

Cause: the plan of the stages took a moment without calls for a service that nobody uses. It then kept two decode engines of all, of whichever version, and changed the others to prefill at once. An entry's work is reported in renewals, so one gap between two calls is enough.

Its logs: E0331 at 19.595 s, three of five decode engines planned to prefill in one plan, wanted 2 instead of 5, both of v1.1 among them; the five refusals (E0221) are those of streams of v1.1 after it. The new test fails without load before the change: 11 of 20 went on.

Ruled out: retries that were not granted (no E0252), origins that were not found (24 of 24 E0250 found), silent engines.

Change: a service is idle before its first call, and again when its last call is as long ago as streams can be continued (CallGap); calls between two plans count. A holder of the duties that has a predecessor does not begin with an idle service, since it has not seen its calls.

Measured: the new test 20 of 20.

--- a/crates/acacia-control/src/serving/duties.rs
+++ b/crates/acacia-control/src/serving/duties.rs
@@ -178,13 +178,18 @@
 ) {
     // The very first holder has no predecessor. Any other waits for the duty lease, so that the duties cannot change
     // hands twice within it.
-    let wait = if stamp.fence.0 > 1 {
+    let has_predecessor = stamp.fence.0 > 1;
+    let wait = if has_predecessor {
         shared.settings.duty_lease + HANDOVER_MARGIN
     } else {
         Duration::ZERO
     };
     let mut windows = UsageWindows::default();
-    let mut stages = StageOrders::default();
+    let mut stages = if has_predecessor {
+        StageOrders::after_handover(boot_now())
+    } else {
+        StageOrders::default()
+    };
     let mut pools = PoolOrders::default();
     loop {
         tokio::select! {
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -6,6 +6,7 @@
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, ServiceName};
+use acaciabay::core::serving::call_gap::CallGap;
 use acaciabay::core::serving::call_rate::CallRate;
 use acaciabay::core::serving::config::EngineSpec;
 use acaciabay::core::serving::endpoint_limit::RateLimit;
@@ -34,12 +35,15 @@
     /// Engines that the prefill load needs.
     prefill_engines: f64,
     calls: CallRate,
+    gap: CallGap,
     surplus_since: Option<BootTime>,
 }
 
 /// Stage plans and open stage orders of one duty holder.
 #[derive(Debug, Default)]
 pub(super) struct StageOrders {
+    /// Gap since the calls of the holder before this one.
+    handover: CallGap,
     next_plan: BootTime,
     /// Number of changes of endpoints' limits that the last plan has taken into account.
     planned_limit_changes: u64,
@@ -51,6 +55,14 @@
 type EngineRow = (EndpointName, ServingEndpoint);
 
 impl StageOrders {
+    /// Begins as the successor of a holder whose calls are not known.
+    pub(super) fn after_handover(now: BootTime) -> Self {
+        Self {
+            handover: CallGap::since(now),
+            ..Self::default()
+        }
+    }
+
     /// Plans the stages of each service's engines and orders the changes.
     pub(super) fn tick(&mut self, context: &DutyContext<'_>) {
         let now = context.now;
@@ -99,7 +111,7 @@
 
     fn plan_service(&mut self, context: &DutyContext<'_>, service: &ServiceName, spec: &EngineSpec) {
         let now = context.now;
-        let (reported, present, is_idle) = observe_service(context, service);
+        let (reported, present, has_calls) = observe_service(context, service);
         let has_removed = self.orders.remove_settled(now, &reported);
         let engines: Vec<EngineRow> = reported
             .into_iter()
@@ -108,7 +120,12 @@
         let limits = limits_of(context, &engines);
         let stages = self.services.entry(service.clone()).or_default();
         stages.peak.see(now, present);
-        stages.calls.record(now, take_calls(context, service));
+        let calls = take_calls(context, service);
+        stages.calls.record(now, calls);
+        if has_calls || calls > 0 {
+            stages.gap.record_call(now);
+        }
+        let is_idle = self.handover.is_idle(now) && stages.gap.is_idle(now);
         let demand = stages.peak.demand();
         let domains: BTreeSet<_> = engines.iter().map(|(_, endpoint)| &endpoint.domain).collect();
         let decode_engines = engines
@@ -129,7 +146,7 @@
             stages.surplus_since = None;
         }
         let surplus_since = *stages.surplus_since.get_or_insert(now);
-        // Before any call has come, a change costs nobody anything.
+        // While the service is idle, a change costs nobody anything.
         let is_new_surplus = decode_engines > wanted && !is_idle && now.since(surplus_since) < SURPLUS_DELAY;
         let rows: Vec<_> = engines.iter().map(|(name, endpoint)| (name, endpoint)).collect();
         let mut changes = if !limits.is_empty() {
@@ -185,7 +202,7 @@
     endpoint.stage == Some(EngineStage::Decode)
 }
 
-/// Returns the engines of a service as reported, the demand of the streams that they decode, and true if no call of any
+/// Returns the engines of a service as reported, the demand of the streams that they decode, and true if a call of any
 /// service runs.
 fn observe_service(context: &DutyContext<'_>, service: &ServiceName) -> (Vec<EngineRow>, StreamDemand, bool) {
     let soft = context.shared.soft_state();
@@ -201,5 +218,5 @@
         present.streams += work.calls as f64;
         present.held_tokens += work.held_tokens as f64;
     }
-    (engines, present, uses.is_empty())
+    (engines, present, !uses.is_empty())
 }
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -27,7 +27,8 @@
 //!   [`trial_table`] lets one entry at a time try a suspect call. [`part_table`] does the same for the parts of prompts that
 //!   end endpoints in calls no two of which are alike.
 //! * [`event_stream`] splits an answer into complete events.
-//! * [`stream_peak`] tracks the recent peak of concurrent streams, and [`call_rate`] the average rate of calls.
+//! * [`stream_peak`] tracks the recent peak of concurrent streams, [`call_rate`] the average rate of calls, and
+//!   [`call_gap`] the time without any.
 //! * [`group_clock`] computes the median wall clock of the replicas.
 //! * [`replica_tracker`] tracks the replicas that an entry keeps sessions with, and the one that it takes for the
 //!   leader.
@@ -48,6 +49,7 @@
 pub mod broken_attempt;
 pub mod cached_parts;
 pub mod call_fingerprint;
+pub mod call_gap;
 pub mod call_rate;
 pub mod config;
 pub mod config_freshness;
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -57,8 +57,8 @@
     pub present: usize,
     /// Engines that the pool plan calls for, including those that have not started yet.
     pub expected: usize,
-    /// Engines that decode now, or 0 while no call runs: a change of stage then delays no call, so no decode engine has
-    /// to be kept for the next burst.
+    /// Engines that decode now, or 0 while the service is idle: a change of stage then delays no call, so no decode engine
+    /// has to be kept for the next burst.
     pub decoders: usize,
     /// Number of failure domains that the engines are in.
     pub domains: usize,
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -6,6 +6,7 @@
 mod broken_attempts;
 mod cached_parts;
 mod call_fingerprint;
+mod call_gap;
 mod call_rate;
 mod clock;
 mod config;
