Log the reason of a delayed usage window without a stack trace

Cause: the debug form of an error holds a stack trace when the environment asks for one, so a line of E0313 had 7 kB. Seen in the logs of a failed test. Change: the error with its context, or the status, in both places. Conclusion: the lines are as long as those of other events.

--- a/crates/acacia-control/src/leader_tasks.rs
+++ b/crates/acacia-control/src/leader_tasks.rs
@@ -166,8 +166,9 @@
         }
         other => {
             control.soft_state().windows.end(window.window, boot_now());
+            let reason = other.map_or_else(|error| format!("{error:#}"), |status| status.to_string());
             slog::warn!(control.log, "usage window delayed"; "event" => event::WINDOW_DELAYED,
-                "window" => window.window, "reason" => ?other);
+                "window" => window.window, "reason" => reason);
         }
     }
 }
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -124,9 +124,9 @@
                 "event" => event::WINDOW_DELAYED, "window" => window.0, "fence" => stamp.fence.0);
         }
         other => {
+            let reason = other.map_or_else(|error| format!("{error:#}"), |(status, _)| status.to_string());
             slog::warn!(shared.log, "usage window could not be delivered"; "event" => event::WINDOW_DELAYED,
-                "window" => window.0, "fence" => stamp.fence.0, "reason" => ?other.map(|(status, _)| status),
-                "now" => %boot_now());
+                "window" => window.0, "fence" => stamp.fence.0, "reason" => reason, "now" => %boot_now());
         }
     }
 }
