Read a bounded part of an engine's refusal, for a bounded time

What callers saw: over our own interface (/v1), a call whose engine answers with an error status and a body without end was held until its caller left, and the entry kept all of the body.

Cause: the body of a refusal was collected whole, without a limit on its size or time. It is the same class as the endless answers of the calls by host and path, which read with both limits.

Why the fix works: the refusal is read with read_body, as other answers are: 64 KiB and a second at most. What is not read so leaves the outcome unknown, as a refusal that does not say not_run does.

EndlessEndpoint moves to the fixtures that both test programs use.

--- a/crates/acacia-entry/src/completion/attempt.rs
+++ b/crates/acacia-entry/src/completion/attempt.rs
@@ -3,7 +3,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use acacia_http::{ConnectionChoice, FinishedConnection};
+use acacia_http::{ConnectionChoice, FinishedConnection, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::trace::{ActiveSpan, TRACEPARENT, TraceContext};
@@ -15,7 +15,7 @@
 use acaciabay::core::serving::suspect_view::CallStanding;
 use acaciabay::ops::place_request::PlacementRequest;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -28,6 +28,11 @@
 use crate::refusal::CallerRefusal;
 use crate::shared::SendGuard;
 
+/// Largest refusal of an endpoint that is read, in bytes.
+const LARGEST_REFUSAL: usize = 64 * 1024;
+/// Time for the body of a refusal to come after its head.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 #[derive(Debug)]
 pub(super) struct OpenAttempt {
     pub(super) endpoint: EndpointName,
@@ -102,7 +107,7 @@
                 }
             };
             if answer.response.status() != StatusCode::OK {
-                self.note_refusal(place.endpoint, answer.response).await;
+                self.note_refusal(place.endpoint, answer.response, left).await;
                 continue;
             }
             self.maybe_run = true;
@@ -231,22 +236,26 @@
         self.tried.push(endpoint);
     }
 
-    /// Takes an endpoint's refusal. Only one that says itself that the request was not run leaves that certain.
-    async fn note_refusal(&mut self, endpoint: EndpointName, response: Response<Incoming>) {
+    /// Takes an endpoint's refusal.
+    async fn note_refusal(&mut self, endpoint: EndpointName, response: Response<Incoming>, left: Duration) {
         let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map(Collected::to_bytes)
-            .unwrap_or_default();
-        let error: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        let not_run = error["error"]["not_run"] == Value::Bool(true);
-        let state = if not_run {
-            AttemptState::Unsent
-        } else {
-            AttemptState::Written
+        let (state, reason) = match read_body(response.into_body(), LARGEST_REFUSAL, REFUSAL_TIMEOUT.min(left)).await {
+            Ok(body) => (refused_state(&body), format!("endpoint answered {status}")),
+            Err(refusal) => (
+                AttemptState::Written,
+                format!("endpoint answered {status}, not read: {refusal:?}"),
+            ),
         };
-        self.note_failed_send(endpoint, state, &format!("endpoint answered {status}"));
+        self.note_failed_send(endpoint, state, &reason);
+    }
+}
+
+/// Returns what a refusal tells of the request. Only one that says so itself makes it certain that nothing has run.
+fn refused_state(body: &[u8]) -> AttemptState {
+    let error: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    if error["error"]["not_run"] == Value::Bool(true) {
+        AttemptState::Unsent
+    } else {
+        AttemptState::Written
     }
 }
--- a/platform/tests/machines/endless_endpoint.rs
+++ b/crates/test-support/src/endless_endpoint.rs
@@ -15,26 +15,32 @@
 
 /// What an endpoint sends, and how fast.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct EndlessBytes {
-    pub(crate) name: &'static str,
+pub struct EndlessBytes {
+    /// What a failed test calls it.
+    pub name: &'static str,
     /// Sent once.
-    pub(crate) start: &'static str,
+    pub start: &'static str,
     /// Sent again and again.
-    pub(crate) repeated: &'static str,
+    pub repeated: &'static str,
     /// Pause after each repetition, or `None` to send as fast as they are taken.
-    pub(crate) pause: Option<Duration>,
+    pub pause: Option<Duration>,
 }
 
 /// One endpoint. It answers until its callers close their connections.
 #[derive(Debug)]
-pub(crate) struct EndlessEndpoint {
+pub struct EndlessEndpoint {
     open: Arc<AtomicUsize>,
     requests: Arc<AtomicUsize>,
     accepting: JoinHandle<()>,
 }
 
 impl EndlessEndpoint {
-    pub(crate) async fn start(address: SocketAddr, bytes: EndlessBytes) -> Self {
+    /// Starts the endpoint.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address is taken.
+    pub async fn start(address: SocketAddr, bytes: EndlessBytes) -> Self {
         let listener = listen(address).await.expect("the address is free");
         let (open, requests) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
         let (counted, asked) = (Arc::clone(&open), Arc::clone(&requests));
@@ -52,12 +58,12 @@
     }
 
     /// Returns the number of connections on which it is answering.
-    pub(crate) fn open(&self) -> usize {
+    pub fn open(&self) -> usize {
         self.open.load(Ordering::Acquire)
     }
 
     /// Returns the number of requests that it has begun to answer.
-    pub(crate) fn requests(&self) -> usize {
+    pub fn requests(&self) -> usize {
         self.requests.load(Ordering::Acquire)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod catalogue;
 mod command_line;
+mod endless_answers;
 mod orders;
 mod planned_changes;
 mod poison;
