Close a connection whose answer does not end after its last piece

What was wrong: after [DONE] the rest of an engine's answer was awaited without a limit, in a task for each call that kept its connection.

Change: a second for the end to come, else the connection is closed and not used again. Measured: nothing but that the tests pass. Conclusion: suspected, not shown.

--- a/crates/acacia-entry/src/completion/mod.rs
+++ b/crates/acacia-entry/src/completion/mod.rs
@@ -39,6 +39,8 @@
 /// How long an engine may pause between tokens before another attempt is made; the target is 30 ms, so this is silence, not
 /// slowness.
 const NEXT_TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for the end of an answer to come after its last piece. Later, its connection is closed instead of being used again.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
 
 pub(crate) async fn complete(
     entry: &Arc<Entry>,
@@ -345,7 +347,8 @@
                 ..
             } = attempt;
             drop(guard);
-            if stream.finish().await {
+            let finished = tokio::time::timeout(FINISH_TIMEOUT, stream.finish()).await;
+            if finished == Ok(true) {
                 entry.client.give_back(boot_now(), connection).await;
             }
         });
