--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use test_support::{Caller, ClusterShape, EndlessBytes, EndlessEndpoint, TestCluster, wait_until};
+use test_support::{Caller, ClusterShape, EndlessBytes, EndlessEndpoint, Program, TestCluster, wait_until};
 
 use crate::support::cluster;
 
@@ -58,7 +58,7 @@
         }
     });
     let answers = tokio::time::timeout(3 * ANSWER_TIME, join_all(calls)).await;
-    let memory = cluster.entries[0].as_ref().and_then(|entry| entry.resources());
+    let memory = cluster.entries[0].as_ref().and_then(Program::resources);
     let answers = answers.unwrap_or_else(|_elapsed| panic!("{}: calls are held, memory {memory:?}", bytes.name));
 
     assert!(endless.requests() > 0, "{}: no call reached the endpoint", bytes.name);
