Test two mechanisms of the parts table that no test noticed

Taken out one at a time: the explained endings that are removed first when there are too many, and the whole answer that clears evidence which its entry has not reported.

--- a/crates/acaciabay/tests/serving/suspect_parts.rs
+++ b/crates/acaciabay/tests/serving/suspect_parts.rs
@@ -6,7 +6,7 @@
 use acaciabay::core::serving::suspect_view::SuspectView;
 use proptest::prelude::*;
 
-use crate::fixtures::fixed_cases;
+use crate::fixtures::{at, fixed_cases};
 use crate::suspects::{commit, ending_of, settle};
 
 const FIRST: u64 = 1;
@@ -323,6 +323,46 @@
     assert!(!holds(&table, &[FIRST, 20]));
 }
 
+/// Guards against a part that goes on ending endpoints because the endings of a quarantined one have pushed its own out.
+#[test]
+fn explained_endings_are_removed_before_others() {
+    let mut table = SuspectTable::default();
+    let other_ending = |number: u64| {
+        let call = u32::try_from(number).unwrap_or(0) * 10;
+        let ended_ms = 10_000 + GAP_MS * number;
+        (ended_ms, vec![evidence(call, number, ended_ms, &[500])])
+    };
+    for number in 1..=2 {
+        let (ended_ms, evidence) = other_ending(number);
+        commit(&mut table, ended_ms, evidence);
+    }
+    for number in 3..=160 {
+        commit(&mut table, 10_000 + GAP_MS * number, bad_ending(number));
+    }
+    assert!(holds(&table, &[FIRST, 20, BAD]));
+
+    for number in 161..=163 {
+        let (ended_ms, evidence) = other_ending(number);
+        commit(&mut table, ended_ms, evidence);
+    }
+    settle(&mut table, 10_000 + GAP_MS * 164);
+
+    assert!(holds(&table, &[500]));
+}
+
+/// Guards against an entry that reports a part as suspect which was answered whole in the meantime.
+#[test]
+fn whole_answer_clears_evidence_that_is_not_reported() {
+    let mut view = SuspectView::default();
+    view.record_ending(at(0), evidence(1, 1, 10_000, &[FIRST, BAD]));
+
+    view.record_sound_parts(&prompt(&[FIRST]));
+
+    let report = view.take_report();
+    assert_eq!(report.evidence.len(), 1);
+    assert_eq!(report.evidence[0].parts, [PartId(BAD)]);
+}
+
 /// Guards against an entry that tells the leader nothing of whole answers, so that a part which all calls have stays suspect.
 #[test]
 fn entry_reports_whole_answers_of_watched_parts_once() {
