--- a/crates/test-support/src/endless_endpoint.rs
+++ b/crates/test-support/src/endless_endpoint.rs
@@ -26,6 +26,27 @@
     pub pause: Option<Duration>,
 }
 
+impl EndlessBytes {
+    /// Bytes that are sent as fast as they are taken.
+    pub const fn fast(name: &'static str, start: &'static str, repeated: &'static str) -> Self {
+        Self {
+            name,
+            start,
+            repeated,
+            pause: None,
+        }
+    }
+
+    /// The same bytes with a pause after each repetition.
+    #[must_use]
+    pub const fn dripping(self, pause: Duration) -> Self {
+        Self {
+            pause: Some(pause),
+            ..self
+        }
+    }
+}
+
 /// One endpoint. It answers until its callers close their connections.
 #[derive(Debug)]
 pub struct EndlessEndpoint {
--- a/tests/testsuite/endless_answers.rs
+++ b/tests/testsuite/endless_answers.rs
@@ -19,15 +19,6 @@
 /// Interval at which the memory is read.
 const MEMORY_INTERVAL: Duration = Duration::from_millis(50);
 
-const fn endless(name: &'static str, start: &'static str, repeated: &'static str) -> EndlessBytes {
-    EndlessBytes {
-        name,
-        start,
-        repeated,
-        pause: None,
-    }
-}
-
 /// Starts two engines and an entry, and puts an endless endpoint in the place of the first.
 async fn start(bytes: EndlessBytes) -> (TestCluster, Caller, EndlessEndpoint) {
     let mut cluster = cluster(ClusterShape {
@@ -91,24 +82,39 @@
 /// Guards against a refusal that is read as long as it goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_without_end_is_given_up() {
-    assert_bounded(endless("refusal", "HTTP/1.1 500 Internal Server Error\r\n\r\n", "x")).await;
+    assert_bounded(EndlessBytes::fast(
+        "refusal",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\n",
+        "x",
+    ))
+    .await;
 }
 
 /// Guards against lines that bring no token and reset the time limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn lines_without_tokens_are_given_up() {
-    assert_bounded(endless("comments", "HTTP/1.1 200 OK\r\n\r\n", ": no token\n")).await;
+    assert_bounded(EndlessBytes::fast(
+        "comments",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        ": no token\n",
+    ))
+    .await;
 }
 
 /// Guards against a line that is kept as long as it goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn line_without_end_is_given_up() {
-    assert_bounded(endless("line", "HTTP/1.1 200 OK\r\n\r\ndata:", "x")).await;
+    assert_bounded(EndlessBytes::fast("line", "HTTP/1.1 200 OK\r\n\r\ndata:", "x")).await;
 }
 
 /// Guards against heads and interim answers that are read as long as they go on.
 #[tokio::test(flavor = "multi_thread")]
 async fn head_without_end_is_given_up() {
-    assert_bounded(endless("head", "HTTP/1.1 200 OK\r\n", "x-more: and more\r\n")).await;
-    assert_bounded(endless("interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n")).await;
+    assert_bounded(EndlessBytes::fast(
+        "head",
+        "HTTP/1.1 200 OK\r\n",
+        "x-more: and more\r\n",
+    ))
+    .await;
+    assert_bounded(EndlessBytes::fast("interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n")).await;
 }
