Read in one place whether a refusal says that nothing has run

A twin: bookings and completions of our own interface looked for error.not_run each by itself. Completions use the check of the bookings now. Behaviour is the same; the tests of at_most_once, whole_answers and endless_answers pass.

--- a/crates/acacia-entry/src/completion/attempt.rs
+++ b/crates/acacia-entry/src/completion/attempt.rs
@@ -19,13 +19,13 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use serde_json::Value;
 use tokio::time::error::Elapsed;
 
 use super::{CompletionRun, FIRST_TOKEN_TIMEOUT, MOST_ATTEMPTS};
 use crate::caller_request::place_by_policy;
 use crate::endpoint_stream::EndpointStream;
 use crate::refusal::CallerRefusal;
+use crate::service_attempt::says_not_run;
 use crate::shared::SendGuard;
 
 /// Largest refusal of an endpoint that is read, in bytes.
@@ -240,7 +240,8 @@
     async fn note_refusal(&mut self, endpoint: EndpointName, response: Response<Incoming>, left: Duration) {
         let status = response.status();
         let (state, reason) = match read_body(response.into_body(), LARGEST_REFUSAL, REFUSAL_TIMEOUT.min(left)).await {
-            Ok(body) => (refused_state(&body), format!("endpoint answered {status}")),
+            Ok(body) if says_not_run(&body) => (AttemptState::Unsent, format!("endpoint answered {status}")),
+            Ok(_) => (AttemptState::Written, format!("endpoint answered {status}")),
             Err(refusal) => (
                 AttemptState::Written,
                 format!("endpoint answered {status}, not read: {refusal:?}"),
@@ -249,13 +250,3 @@
         self.note_failed_send(endpoint, state, &reason);
     }
 }
-
-/// Returns what a refusal tells of the request. Only one that says so itself makes it certain that nothing has run.
-fn refused_state(body: &[u8]) -> AttemptState {
-    let error: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-    if error["error"]["not_run"] == Value::Bool(true) {
-        AttemptState::Unsent
-    } else {
-        AttemptState::Written
-    }
-}
--- a/crates/acacia-entry/src/service_attempt.rs
+++ b/crates/acacia-entry/src/service_attempt.rs
@@ -182,7 +182,8 @@
     })
 }
 
-fn says_not_run(body: &[u8]) -> bool {
+/// Returns true if a refusal says itself that nothing has run. Without that, it is not certain.
+pub(crate) fn says_not_run(body: &[u8]) -> bool {
     let error: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
     error["error"]["not_run"] == Value::Bool(true)
 }
