Declare the settings and messages of balanced load

Cause: the two customers with difficult load need slices, endpoint speeds, an admission queue and answer buffers, which are built side by side. Their common settings, messages and stubs come first, so that the parts do not each define them.

Nothing reads them yet, so no deployment is served differently.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -72,6 +72,8 @@
         relay_token: shared.relay_token,
         relays: request.wants_relays.then(|| relay_list(shared, hello)),
         retries,
+        speeds: Vec::new(),
+        slices: Vec::new(),
     })
 }
 
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -15,7 +15,7 @@
 use acacia_wire::generated::state;
 use acacia_wire::{ALLOWANCES_REVISION, EncodedFrame, LIMITS_REVISION, endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::EndpointName;
+use acaciabay::core::name::{EndpointName, ServiceName};
 use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
 use acaciabay::core::serving::config_transfer::ConfigDocument;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
@@ -120,6 +120,13 @@
 }
 
 impl ControlShared {
+    /// Returns true if entries get slices and speeds of a service's endpoints: the settings ask for it, or an endpoint
+    /// has stated its pace.
+    #[expect(dead_code, reason = "slices, speeds and recorded needs follow")]
+    pub(super) fn is_uneven(&self, service: &ServiceName) -> bool {
+        self.settings.balanced_load || self.soft_state().paced_services.contains(service)
+    }
+
     pub(super) fn new(
         settings: ServingControlSettings,
         group: GroupHandle,
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -66,6 +66,8 @@
     pub(super) traffic: BTreeMap<ServiceName, ServiceTraffic>,
     /// Calls of each service since its stages were last planned on this replica.
     pub(super) calls: BTreeMap<ServiceName, u64>,
+    /// Services with an endpoint that has stated its pace.
+    pub(super) paced_services: BTreeSet<ServiceName>,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -17,8 +17,8 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, ORIGINS_REVISION, kept_from_wire, split_frames,
-    suspect_answer_from_wire, use_from_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, ORIGINS_REVISION, kept_from_wire, slice_from_wire,
+    split_frames, suspect_answer_from_wire, use_from_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
@@ -334,6 +334,7 @@
             relay_token,
             relays,
             retries,
+            slices,
             ..
         } = renewed;
         let number = ConfigNumber(renewed.config_number);
@@ -372,7 +373,8 @@
             return Ok(());
         }
         state.entry_count = entries;
-        state.loads.set_peer_work(others.iter().map(use_from_wire));
+        state.loads.set_peer_work(now, others.iter().map(use_from_wire));
+        state.slices = slices.iter().map(slice_from_wire).collect();
         state.loads.set_peer_suspicions(silent.iter().map(EndpointName::new));
         for kept in &kept {
             state.record_cached_part(&kept_from_wire(kept));
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -69,6 +69,7 @@
         relay_address: relay.map(|address| address.to_string()).unwrap_or_default(),
         wants_relays: shared.paths.wants_relays(now),
         retries,
+        paces: Vec::new(),
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -22,6 +22,7 @@
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::lease_recovery::LeaseOutage;
 use acaciabay::core::serving::limit_gate::LimitGate;
+use acaciabay::core::serving::load_slice::LoadSlice;
 use acaciabay::core::serving::prefill_pace::{PrefillPace, PrefillTime};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
@@ -71,6 +72,8 @@
     pub(super) has_endpoints: bool,
     pub(super) loads: LoadTable,
     pub(super) entry_count: u32,
+    /// Slices of the services with uneven load, as the leader told them last.
+    pub(super) slices: BTreeMap<ServiceName, LoadSlice>,
     pub(super) allowances: AllowanceGate,
     pub(super) limits: LimitGate,
     pub(super) start_counts: CallCounts,
--- a/crates/acacia-settings/src/lib.rs
+++ b/crates/acacia-settings/src/lib.rs
@@ -16,6 +16,6 @@
 pub use entry_settings::{AdmissionPolicy, CallerLimits, EntrySettings};
 pub use finding::{Finding, Findings, read_document};
 pub use object_reader::ObjectReader;
-pub use serving_settings::{ServingControlSettings, ServingEntrySettings, WindowBoundSettings};
+pub use serving_settings::{ServingControlSettings, ServingEntrySettings, WaitingRoomSettings, WindowBoundSettings};
 pub use standin_settings::{StandinKind, StandinSettings};
 pub use table_document::{pools_from_json, pools_to_json, routes_from_json, routes_to_json};
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use acaciabay::util::number::round_up;
 use serde_json::Value;
 
 use crate::entry_settings::read_address;
@@ -13,6 +14,14 @@
 /// Largest slack of a bound on second sends, in sends, and on the use of an allowance, in units.
 const MOST_SENDS: f64 = 1e9;
 const MOST_UNITS: f64 = 1e12;
+/// Largest memory of a host, in megabytes.
+const MOST_MEGABYTES: f64 = 16_777_216.0;
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1_048_576.0;
+/// Largest number of calls in a waiting room.
+const MOST_WAITING_CALLS: u64 = 1_000_000;
+/// Largest part of the host's memory that one of its bounds may take.
+const MOST_MEMORY_FRACTION: f64 = 0.5;
 
 /// What a control process is told at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,6 +54,8 @@
     pub duty_lease: Duration,
     /// How far all entries together may exceed a customer's allowance; not at all without it.
     pub allowance_tolerance: Option<WindowBoundSettings>,
+    /// Whether all services count as uneven: entries then get slices and speeds of their endpoints.
+    pub balanced_load: bool,
 }
 
 /// What an entry process is told at its start.
@@ -81,6 +92,20 @@
     /// Within which time after its departure was acknowledged an endpoint must get its last request; without it, none is sent to an
     /// endpoint that drains.
     pub endpoint_drain: Option<Duration>,
+    /// Memory in bytes for answers that callers read slowly, of all calls together. Without it, an answer is read no faster
+    /// than its caller reads.
+    pub answer_buffer: Option<usize>,
+    /// Bounds of the calls that wait at this entry until engines are free; without them, calls are sent at once or refused.
+    pub waiting_room: Option<WaitingRoomSettings>,
+}
+
+/// Bounds of the calls that wait at an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitingRoomSettings {
+    /// Number of calls.
+    pub calls: usize,
+    /// Memory of their bodies, in bytes.
+    pub memory: usize,
 }
 
 /// A bound on what all entries together do within any window.
@@ -139,6 +164,7 @@
     let mut tolerance = reader.child("allowance_tolerance", findings);
     let allowance_tolerance = has_tolerance.then(|| read_window_bound(&mut tolerance, findings, MOST_UNITS));
     tolerance.finish(findings);
+    let balanced_load = reader.optional("balanced_load", findings, as_flag);
     reader.finish(findings);
     Some(ServingControlSettings {
         host: host?.to_owned(),
@@ -158,6 +184,7 @@
             Some(tolerance) => Some(tolerance?),
             None => None,
         },
+        balanced_load: balanced_load.unwrap_or(false),
     })
 }
 
@@ -180,6 +207,10 @@
     let mut bound = reader.child("send_bound", findings);
     let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
     bound.finish(findings);
+    let host_memory = reader.optional("host_memory_mb", findings, as_megabytes(MOST_MEGABYTES));
+    let largest = host_memory.map_or(MOST_MEGABYTES, |bytes| bytes as f64 / MEGABYTE * MOST_MEMORY_FRACTION);
+    let answer_buffer = reader.optional("answer_buffer_mb", findings, as_megabytes(largest));
+    let waiting_room = read_waiting_room(document, &mut reader, findings, largest);
     reader.finish(findings);
     Some(ServingEntrySettings {
         host: host?.to_owned(),
@@ -197,9 +228,44 @@
         relay_address,
         endpoint_source,
         endpoint_drain: endpoint_drain.map(Duration::from_millis),
+        answer_buffer,
+        waiting_room,
+    })
+}
+
+/// Reads the bounds of the waiting room, if there are any and they are valid.
+fn read_waiting_room(
+    document: &Value,
+    reader: &mut ObjectReader<'_>,
+    findings: &mut Findings,
+    largest: f64,
+) -> Option<WaitingRoomSettings> {
+    let is_set = document.get("waiting_room").is_some();
+    let mut room = reader.child("waiting_room", findings);
+    let (calls, memory) = if is_set {
+        let calls = room.required("calls", findings, as_count(1..=MOST_WAITING_CALLS));
+        (calls, room.required("memory_mb", findings, as_megabytes(largest)))
+    } else {
+        (None, None)
+    };
+    room.finish(findings);
+    Some(WaitingRoomSettings {
+        calls: usize::try_from(calls?).ok()?,
+        memory: memory?,
     })
 }
 
+/// Reads an amount of memory above 0 and of at most `largest` megabytes, in bytes.
+fn as_megabytes(largest: f64) -> impl FnOnce(&Value) -> Result<usize, String> {
+    move |value| {
+        let megabytes = as_number(0.0..=largest)(value)?;
+        if megabytes <= 0.0 {
+            return Err("has to be above 0".to_owned());
+        }
+        Ok(usize::try_from(round_up(megabytes * MEGABYTE)).unwrap_or(usize::MAX))
+    }
+}
+
 fn read_window_bound(
     reader: &mut ObjectReader<'_>,
     findings: &mut Findings,
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -42,8 +42,8 @@
 
 pub use serving_message::{
     content_from_wire, content_to_wire, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire,
-    kept_from_wire, kept_to_wire, pace_from_wire, pace_to_wire, stage_from_wire, stage_to_wire, use_from_wire,
-    use_to_wire,
+    kept_from_wire, kept_to_wire, pace_from_wire, pace_to_wire, slice_from_wire, slice_to_wire, stage_from_wire,
+    stage_to_wire, use_from_wire, use_to_wire,
 };
 
 pub use suspect_message::{
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -1,12 +1,13 @@
 //! What entries and replicas say about calls by host and path, to and from the library's types.
 
-use acaciabay::core::name::{CustomerName, EndpointName};
+use acaciabay::core::name::{CustomerName, EndpointName, ServiceName};
 use acaciabay::core::serving::cached_parts::KeptPart;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_transfer::ConfigUpdate;
 use acaciabay::core::serving::duty::{DutyTable, FenceNumber};
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointPhase, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::load_slice::{LINE_PPM, LoadSlice};
 use acaciabay::core::serving::prompt::{PartId, PromptPart};
 use acaciabay::core::serving::serving_state::ServingState;
 use acaciabay::core::serving::software_version::SoftwareVersion;
@@ -54,6 +55,24 @@
     })
 }
 
+/// Encodes the slice of a service that an entry gets.
+pub fn slice_to_wire(service: &ServiceName, slice: LoadSlice) -> serving::EntrySlice {
+    serving::EntrySlice {
+        service: service.to_string(),
+        start_ppm: slice.start_ppm,
+        end_ppm: slice.end_ppm,
+    }
+}
+
+/// Decodes the slice of a service that an entry gets.
+pub fn slice_from_wire(message: &serving::EntrySlice) -> (ServiceName, LoadSlice) {
+    let slice = LoadSlice {
+        start_ppm: message.start_ppm.min(LINE_PPM),
+        end_ppm: message.end_ppm.clamp(message.start_ppm.min(LINE_PPM), LINE_PPM),
+    };
+    (message.service.as_str().into(), slice)
+}
+
 /// Encodes what is known of an endpoint.
 pub fn endpoint_to_wire(name: &EndpointName, endpoint: &ServingEndpoint) -> serving::EndpointRow {
     let phase = match endpoint.phase {
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -94,6 +94,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     rows: HashMap<EndpointName, LoadRow>,
+    /// Time at which the work of the other entries was last replaced.
+    peer_work_at: BootTime,
 }
 
 impl LoadTable {
@@ -124,7 +126,8 @@
     }
 
     /// Replaces the outstanding work of the other entries.
-    pub fn set_peer_work(&mut self, works: impl IntoIterator<Item = (EndpointName, EndpointWork)>) {
+    pub fn set_peer_work(&mut self, now: BootTime, works: impl IntoIterator<Item = (EndpointName, EndpointWork)>) {
+        self.peer_work_at = now;
         for row in self.rows.values_mut() {
             row.peers = EndpointWork::default();
         }
@@ -133,6 +136,16 @@
         }
     }
 
+    /// Returns the time since the other entries' work was last replaced.
+    pub fn peer_work_age(&self, now: BootTime) -> Duration {
+        now.since(self.peer_work_at)
+    }
+
+    /// Returns how long work takes at an endpoint as a multiple of the usual of its service: 1 if nothing is known.
+    pub const fn slowdown(&self, _now: BootTime, _name: &EndpointName) -> f64 {
+        1.0
+    }
+
     /// Returns the length, in tokens, of the prompt prefix that the endpoint is believed to have cached.
     pub fn cached_prefix_tokens(&self, name: &EndpointName, parts: &[PromptPart]) -> u64 {
         self.rows
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -69,6 +69,7 @@
 pub mod limit_gate;
 pub mod limit_ledger;
 mod limit_shares;
+pub mod load_slice;
 mod part_cause;
 pub mod part_table;
 pub mod pending_renewals;
