Account for the memory of slow readers' answers and of request bodies

Cause: a caller that reads slowly stops the entry's reading from the endpoint, which then aborts the answer. Reading ahead needs memory, and an entry has little of it; request bodies that endpoints read slowly take the same memory.

Ruled out: a fixed limit for one answer (too small with one slow caller, or too large with many), and a share by answers that are open (most need none).

--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -26,6 +26,7 @@
 //!   that end endpoints; [`suspect_view`] is what one entry knows of it, and
 //!   [`trial_table`] lets one entry at a time try a suspect call. [`part_table`] does the same for the parts of prompts that
 //!   end endpoints in calls no two of which are alike.
+//! * [`answer_room`] accounts for the memory of answers that callers read slowly, and of request bodies.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams, [`call_rate`] the average rate of calls, and
 //!   [`call_gap`] the time without any.
@@ -46,6 +47,7 @@
 pub mod allowance_gate;
 pub mod allowance_ledger;
 pub mod answer_pace;
+pub mod answer_room;
 pub mod broken_attempt;
 pub mod cached_parts;
 pub mod call_fingerprint;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -3,6 +3,7 @@
 
 mod allowances;
 mod answer_ends;
+mod answer_room;
 mod broken_attempts;
 mod cached_parts;
 mod call_fingerprint;
