Let the HTTP server bound what the kernel holds and break answers off behind their bytes

Cause: the kernel takes megabytes of an answer that its caller does not read, and takes more only after a third of them was read, so that a slow caller looks like one that does not read. And hyper drops what it has not written when a body fails: a slow caller loses up to 64 KiB before the break.

Change: ServerBounds::unsent_bytes (TCP_NOTSENT_LOWAT) and ServerBounds::flushes_breaks, both off unless set: a body that fails is reported to hyper once everything before was written. read_admitted_body reads a body as long as there is memory for it.

Ruled out: a smaller send buffer (SO_SNDBUF), which also bounds what is under way and so the speed of callers that are far away.

--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -165,6 +165,8 @@
         head_bytes: limits.head_bytes,
         head_timeout: limits.head_timeout,
         connections: limits.connections,
+        unsent_bytes: None,
+        flushes_breaks: false,
     }
 }
 
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -31,6 +31,8 @@
     head_bytes: 64 * 1024,
     head_timeout: Duration::from_secs(15),
     connections: MAX_CALLER_CONNECTIONS,
+    unsent_bytes: None,
+    flushes_breaks: false,
 };
 /// Time for which new connections are accepted after the stop request. The balancer polls once a second and acts on two
 /// answers.
@@ -145,6 +147,8 @@
         head_bytes: INITIAL_LIMITS.head_bytes.max(2 * bounds.head_bytes),
         head_timeout: bounds.idle_timeout.max(bounds.head_timeout),
         connections: MAX_CALLER_CONNECTIONS,
+        unsent_bytes: None,
+        flushes_breaks: false,
     }
 }
 
--- a/crates/acacia-http/src/caller_stream.rs
+++ b/crates/acacia-http/src/caller_stream.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_body::FlushSignal;
 use crate::socket::set_reset_on_close;
 
 /// Whether the answer on a connection ends with the connection.
@@ -32,14 +33,16 @@
 pub(crate) struct CallerStream {
     inner: TcpStream,
     unframed: UnframedAnswer,
+    flush: FlushSignal,
     resets_on_close: bool,
 }
 
 impl CallerStream {
-    pub(crate) const fn new(inner: TcpStream, unframed: UnframedAnswer) -> Self {
+    pub(crate) const fn new(inner: TcpStream, unframed: UnframedAnswer, flush: FlushSignal) -> Self {
         Self {
             inner,
             unframed,
+            flush,
             resets_on_close: false,
         }
     }
@@ -82,7 +85,9 @@
         self.inner.is_write_vectored()
     }
 
+    /// Called by the server once it has written everything.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.flush.record_flushed();
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
--- a/crates/acacia-http/src/lib.rs
+++ b/crates/acacia-http/src/lib.rs
@@ -2,6 +2,7 @@
 //! the client reports whether a failed request was written to the connection.
 
 mod body;
+mod caller_body;
 mod caller_stream;
 mod client;
 mod connector;
@@ -12,7 +13,10 @@
 mod socket;
 mod watched_stream;
 
-pub use body::{BodyRefusal, ResponseBody, empty_body, full_body, json_response, read_body, text_response};
+pub use body::{
+    AdmittedBody, BodyRefusal, ResponseBody, empty_body, full_body, json_response, read_admitted_body, read_body,
+    text_response,
+};
 pub use client::{ClientOptions, ConnectionChoice, EndpointAnswer, EndpointClient, FinishedConnection, SendFailure};
 pub use connector::{ConnectFailure, ConnectionPath, Connector, NewConnection};
 pub use fetch::{FetchRequest, FetchedAnswer, fetch_json};
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -18,8 +18,9 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::ResponseBody;
+use crate::caller_body::{CallerBody, FlushSignal};
 use crate::caller_stream::{CallerStream, UnframedAnswer};
-use crate::socket::prepare_socket;
+use crate::socket::{limit_unsent, prepare_socket};
 
 /// TCP user timeout: how long the kernel retransmits a response that the client does not acknowledge.
 const CLIENT_USER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -36,6 +37,10 @@
     pub head_timeout: Duration,
     /// Maximum number of open connections. Further ones wait to be accepted.
     pub connections: usize,
+    /// Maximum number of bytes of a response that the kernel holds before it can send them, if it is limited.
+    pub unsent_bytes: Option<u32>,
+    /// True if a response breaks off only after everything before the break has been written, however slowly its client reads.
+    pub flushes_breaks: bool,
 }
 
 impl Default for ServerBounds {
@@ -44,6 +49,8 @@
             head_bytes: 16 * 1024,
             head_timeout: Duration::from_secs(10),
             connections: 1_024,
+            unsent_bytes: None,
+            flushes_breaks: false,
         }
     }
 }
@@ -115,20 +122,21 @@
 ) where
     F: Future<Output = Response<ResponseBody>>,
 {
-    if prepare_socket(&stream, CLIENT_USER_TIMEOUT).is_err() {
+    if prepare_socket(&stream, CLIENT_USER_TIMEOUT).is_err() || limit_unsent(&stream, bounds.unsent_bytes).is_err() {
         return;
     }
-    let unframed = UnframedAnswer::default();
+    let (unframed, flush) = (UnframedAnswer::default(), FlushSignal::default());
+    let break_flush = bounds.flushes_breaks.then(|| flush.clone());
     let service = service_fn(|request| {
         let is_chunkless = request.version() < Version::HTTP_11;
-        let (answer, unframed) = (handle(request), unframed.clone());
+        let (answer, unframed, flush) = (handle(request), unframed.clone(), break_flush.clone());
         async move {
             let response = answer.await;
             let has_no_chunks = is_chunkless || response.version() < Version::HTTP_11;
             if has_no_chunks && response.body().size_hint().exact().is_none() {
                 unframed.begin();
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, flush)))
         }
     });
     let connection = http1::Builder::new()
@@ -136,7 +144,10 @@
         .header_read_timeout(bounds.head_timeout)
         .max_buf_size(bounds.head_bytes)
         .half_close(false)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, unframed.clone())), service);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream, unframed.clone(), flush)),
+            service,
+        );
     let mut connection = pin!(connection);
     // An error is ignored: it affects only this connection, and the client notices it.
     let _ended = tokio::select! {
--- a/crates/acacia-http/src/socket.rs
+++ b/crates/acacia-http/src/socket.rs
@@ -56,6 +56,15 @@
     SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO))
 }
 
+/// Limits the bytes that the kernel takes for a stream before it can send them, if there is a limit.
+///
+/// # Errors
+///
+/// Fails if the socket option cannot be set.
+pub(crate) fn limit_unsent(stream: &TcpStream, limit: Option<u32>) -> std::io::Result<()> {
+    limit.map_or(Ok(()), |limit| SockRef::from(stream).set_tcp_notsent_lowat(limit))
+}
+
 /// Sets the socket options that detect a dead connection: keepalive while it is idle, and a user timeout while sent
 /// data is unacknowledged. Also disables Nagle's algorithm.
 ///
