Read answers ahead of callers that read slowly

Cause: a caller that reads slowly stops the entry's reading from the endpoint, which aborts the answer after some seconds. Request bodies that endpoints read slowly take memory of the entry without a bound.

Change: with answer_buffer_mb, serving/answer_buffer.rs reads ahead. While the caller keeps up, its connection polls the endpoint's stream itself, as before. A scan every 50 ms finds the callers that have not asked for more since the last one; a task then reads for them into a buffer, until the caller has taken everything. The body that is dropped drops the stream, and with it the connection to the endpoint. Bodies take their declared size from the same budget before they are read, and a call without room is refused as not run. Events E0260 and E0261. Without the setting, no task runs and the path is the one before.

Ruled out: a task and a channel for each answer, which cost two task switches for each event instead of one.

--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, ResponseBody, read_body};
+use acacia_http::{AdmittedBody, BodyRefusal, ResponseBody, read_admitted_body, read_body};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
@@ -236,6 +236,24 @@
     }
 }
 
+/// Reads the body of a request, whose size is counted until the last copy of it is dropped if the memory for bodies is bounded.
+async fn read_request_body(
+    shared: &EntryShared,
+    body: Incoming,
+    limit: usize,
+    timeout: Duration,
+) -> Result<AdmittedBody, BodyRefusal> {
+    let Some(buffers) = &shared.answer_buffers else {
+        return Ok(AdmittedBody::Whole(read_body(body, limit, timeout).await?));
+    };
+    let mut share = buffers.begin_body();
+    let read = read_admitted_body(body, limit, timeout, |bytes| share.grow(bytes)).await?;
+    Ok(match read {
+        AdmittedBody::Whole(body) => AdmittedBody::Whole(share.hold(body)),
+        AdmittedBody::NoRoom => AdmittedBody::NoRoom,
+    })
+}
+
 type RefusedCall = (Option<CallHead>, CallRefusal);
 
 async fn accept(
@@ -277,8 +295,9 @@
         .timeout
         .unwrap_or(admitted.route.timeout)
         .min(admitted.route.timeout);
-    let body = match read_body(body, bounds.body_bytes, timeout).await {
-        Ok(body) => body,
+    let body = match read_request_body(shared, body, bounds.body_bytes, timeout).await {
+        Ok(AdmittedBody::Whole(body)) => body,
+        Ok(AdmittedBody::NoRoom) => return Err((Some(head), not_run("no memory for the body", SHORT_RETRY_DELAY))),
         Err(BodyRefusal::TooLarge) => return Err((Some(head), CallRefusal::BodyTooLarge)),
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => return Err((Some(head), CallRefusal::BodyLate)),
     };
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -15,6 +15,8 @@
 //! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost: `relay_client`
 //! asks for that, and `relay_server` is the other entry's side.
 //!
+//! `answer_buffer` reads answers ahead of callers that read slowly, within a bound that covers request bodies as well.
+//!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
 //! (`endpoint_limits`). `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
@@ -22,6 +24,7 @@
 //! [`CallCodec`].
 
 mod allowance_charge;
+mod answer_buffer;
 mod answer_source;
 mod attempt;
 mod call;
--- a/crates/acacia-entry/src/serving/plain_body.rs
+++ b/crates/acacia-entry/src/serving/plain_body.rs
@@ -10,9 +10,10 @@
 use acaciabay::util::number::whole_millis;
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 
+use super::answer_buffer::pass_on;
 use super::answer_source::AnswerSource;
 use super::attempt::KeptConnection;
 use super::call::AcceptedCall;
@@ -87,6 +88,7 @@
 /// Streams a large body as it arrives. If it breaks off, the caller's connection is broken too, so that the caller
 /// cannot take the body for complete.
 pub(super) fn stream_answer(mut stream: PlainStream) -> ResponseBody {
+    let call = Arc::clone(&stream.call);
     let start = std::mem::take(&mut stream.start);
     let start = stream::iter((!start.is_empty()).then(|| Ok(Frame::data(start))));
     let frames = stream::unfold(Some(stream), |stream| async move {
@@ -113,5 +115,5 @@
             }
         }
     });
-    StreamBody::new(start.chain(frames)).boxed_unsync()
+    pass_on(&call, start.chain(frames))
 }
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -34,6 +34,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
+use super::answer_buffer::AnswerBuffers;
 use super::codec::CallCodec;
 use super::endpoint_paths::{EndpointPaths, PathConnector};
 use super::stream_origins::OriginExchange;
@@ -202,6 +203,8 @@
     pub(super) retries_granted: Notify,
     /// Permits to hold events of more than the usual size.
     pub(super) large_events: Arc<Semaphore>,
+    /// Memory for answers that callers read slowly and for request bodies, if it is bounded.
+    pub(super) answer_buffers: Option<Arc<AnswerBuffers>>,
     state: Mutex<EntryState>,
 }
 
@@ -257,6 +260,9 @@
         };
         Self {
             domain: settings.failure_domain.as_str().into(),
+            answer_buffers: settings
+                .answer_buffer
+                .map(|budget| AnswerBuffers::new(budget, log.clone())),
             settings,
             codec,
             client: EndpointClient::with_connector(options, Arc::new(PathConnector(Arc::clone(&paths)))),
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -34,6 +34,10 @@
     unsent_bytes: None,
     flushes_breaks: false,
 };
+/// Bytes that the kernel holds of an answer before it can send them, where answers are buffered. Otherwise, the kernel takes
+/// megabytes of each, which are memory of the host as well, and it takes more only after a third of them was read, so that a
+/// caller that reads slowly looks like one that does not read.
+const UNSENT_BYTES: u32 = 32 * 1024;
 /// Time for which new connections are accepted after the stop request. The balancer polls once a second and acts on two
 /// answers.
 const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(3_200);
@@ -78,6 +82,9 @@
     background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
     background.spawn(check_paths(Arc::clone(&shared), ended.clone()));
     background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
+    if let Some(buffers) = &shared.answer_buffers {
+        background.spawn(Arc::clone(buffers).scan_until(ended.clone()));
+    }
     let relays = relay.map(|relay| {
         let serving = serve_relays(relay, Arc::clone(&shared), closing.clone(), ended.clone());
         tokio::spawn(serving)
@@ -138,8 +145,13 @@
 }
 
 fn current_bounds(shared: &EntryShared) -> ServerBounds {
+    let unsent_bytes = shared.answer_buffers.as_ref().map(|_| UNSENT_BYTES);
     let Some(index) = shared.state().index.clone() else {
-        return INITIAL_LIMITS;
+        return ServerBounds {
+            unsent_bytes,
+            flushes_breaks: unsent_bytes.is_some(),
+            ..INITIAL_LIMITS
+        };
     };
     let bounds = index.config().limits;
     ServerBounds {
@@ -147,8 +159,8 @@
         head_bytes: INITIAL_LIMITS.head_bytes.max(2 * bounds.head_bytes),
         head_timeout: bounds.idle_timeout.max(bounds.head_timeout),
         connections: MAX_CALLER_CONNECTIONS,
-        unsent_bytes: None,
-        flushes_breaks: false,
+        unsent_bytes,
+        flushes_breaks: unsent_bytes.is_some(),
     }
 }
 
--- a/crates/acacia-entry/src/serving/stream_body.rs
+++ b/crates/acacia-entry/src/serving/stream_body.rs
@@ -14,12 +14,13 @@
 use acaciabay::util::number::whole_millis;
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::sync::OwnedSemaphorePermit;
 
+use super::answer_buffer::pass_on;
 use super::call::refuse;
 use super::endpoint_choice::ChosenEndpoint;
 use super::handover::{Handover, KeptReason};
@@ -64,7 +65,8 @@
     let body = match first {
         RelayStep::Events(bytes) => {
             let first = stream::once(async { Ok(Frame::data(bytes)) });
-            StreamBody::new(first.chain(stream_events(relay))).boxed_unsync()
+            let call = Arc::clone(&relay.attempts.call);
+            pass_on(&call, first.chain(stream_events(relay)))
         }
         RelayStep::End | RelayStep::Broken(_) => {
             relay.finish().await;
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -118,6 +118,10 @@
     SILENCE_JUDGED = "E0253";
     /// An entry holds calls back whose prompts have parts that end endpoints.
     PARTS_HELD_BACK = "E0254";
+    /// An answer was dropped because its caller did not read it.
+    ANSWER_DROPPED = "E0260";
+    /// Calls were refused because the memory for request bodies and answers is used up.
+    BODY_ROOM_FULL = "E0261";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
