Tell of writes only where breaks wait for them

Cause: each flush of a caller's connection took a lock also where answers are not buffered, and the path without the setting is to stay as it was.

Change: the signal exists only with ServerBounds::flushes_breaks.

--- a/crates/acacia-http/src/caller_stream.rs
+++ b/crates/acacia-http/src/caller_stream.rs
@@ -33,12 +33,13 @@
 pub(crate) struct CallerStream {
     inner: TcpStream,
     unframed: UnframedAnswer,
-    flush: FlushSignal,
+    /// Told when everything has been written, if a body may wait for that.
+    flush: Option<FlushSignal>,
     resets_on_close: bool,
 }
 
 impl CallerStream {
-    pub(crate) const fn new(inner: TcpStream, unframed: UnframedAnswer, flush: FlushSignal) -> Self {
+    pub(crate) const fn new(inner: TcpStream, unframed: UnframedAnswer, flush: Option<FlushSignal>) -> Self {
         Self {
             inner,
             unframed,
@@ -87,7 +88,9 @@
 
     /// Called by the server once it has written everything.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.flush.record_flushed();
+        if let Some(flush) = &self.flush {
+            flush.record_flushed();
+        }
         Pin::new(&mut self.inner).poll_flush(context)
     }
 
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -125,11 +125,11 @@
     if prepare_socket(&stream, CLIENT_USER_TIMEOUT).is_err() || limit_unsent(&stream, bounds.unsent_bytes).is_err() {
         return;
     }
-    let (unframed, flush) = (UnframedAnswer::default(), FlushSignal::default());
-    let break_flush = bounds.flushes_breaks.then(|| flush.clone());
+    let unframed = UnframedAnswer::default();
+    let flush = bounds.flushes_breaks.then(FlushSignal::default);
     let service = service_fn(|request| {
         let is_chunkless = request.version() < Version::HTTP_11;
-        let (answer, unframed, flush) = (handle(request), unframed.clone(), break_flush.clone());
+        let (answer, unframed, flush) = (handle(request), unframed.clone(), flush.clone());
         async move {
             let response = answer.await;
             let has_no_chunks = is_chunkless || response.version() < Version::HTTP_11;
@@ -145,7 +145,7 @@
         .max_buf_size(bounds.head_bytes)
         .half_close(false)
         .serve_connection(
-            TokioIo::new(CallerStream::new(stream, unframed.clone(), flush)),
+            TokioIo::new(CallerStream::new(stream, unframed.clone(), flush.clone())),
             service,
         );
     let mut connection = pin!(connection);
