Estimate the speed of endpoints and the expected prefill time

Cause: engines of one service differ lastingly by factors of 0.7 to 1.7, and some take 2.5 times as long for 600 ms. Placement takes all of them for equal, and a time per token expects too little for long prompts.

Change: the load that endpoints state, a slowdown by endpoint and incarnation from stated paces and measured prefills, a ledger that merges the measurements of all entries at the leader and tells changes by position, and a model of the prefill time with a constant, a linear and a quadratic term. Two factors are kept, of the usual and beyond the stated pace, so that it does not matter whether endpoints count their lasting factor into what they state. LoadTable::slowdown returns the result; nothing records anything yet, so it stays 1.

For the model, limiting single measurements by the fit alone: with a third of them in unknown queues the level took hundreds of measurements to recover, so the level follows a quantile by steps.

--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -9,6 +9,7 @@
 
 use super::endpoint_activity::EndpointActivity;
 use super::endpoint_registry::{EndpointIncarnation, EngineStage, ServingEndpoint};
+use super::endpoint_speed::EndpointSpeeds;
 use super::prefill_pace::PrefillTime;
 use super::prompt::PromptPart;
 use super::prompt_cache::PromptCacheEstimate;
@@ -96,6 +97,8 @@
     rows: HashMap<EndpointName, LoadRow>,
     /// Time at which the work of the other entries was last replaced.
     peer_work_at: BootTime,
+    /// Speeds of the endpoints of services with uneven load, and of those that state their pace.
+    pub speeds: EndpointSpeeds,
 }
 
 impl LoadTable {
@@ -142,8 +145,8 @@
     }
 
     /// Returns how long work takes at an endpoint as a multiple of the usual of its service: 1 if nothing is known.
-    pub const fn slowdown(&self, _now: BootTime, _name: &EndpointName) -> f64 {
-        1.0
+    pub fn slowdown(&self, now: BootTime, name: &EndpointName) -> f64 {
+        self.speeds.slowdown(now, name)
     }
 
     /// Returns the length, in tokens, of the prompt prefix that the endpoint is believed to have cached.
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -35,6 +35,9 @@
 //! * [`start_counts`] counts started calls by window and customer.
 //! * [`prefill_pace`] estimates how fast engines read prompts, and [`reading_need`] how many endpoints a service needs
 //!   for it.
+//! * [`load_report`] is the load that endpoints state in their answers. [`endpoint_speed`] estimates from it and from measured
+//!   prefills how long work takes at each endpoint, [`speed_filter`] one factor of it, and [`speed_ledger`] merges at the
+//!   leader what all entries have measured. [`prefill_model`] is the time that prefills usually take.
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
@@ -62,6 +65,7 @@
 pub mod endpoint_load;
 pub mod endpoint_paths;
 pub mod endpoint_registry;
+pub mod endpoint_speed;
 pub mod event_stream;
 pub mod group_clock;
 pub mod issued_order;
@@ -69,10 +73,12 @@
 pub mod limit_gate;
 pub mod limit_ledger;
 mod limit_shares;
+pub mod load_report;
 pub mod load_slice;
 mod part_cause;
 pub mod part_table;
 pub mod pending_renewals;
+pub mod prefill_model;
 pub mod prefill_pace;
 pub mod prompt;
 pub mod prompt_cache;
@@ -85,6 +91,8 @@
 pub mod shared_suspicion;
 pub mod silence_watch;
 pub mod software_version;
+pub mod speed_filter;
+pub mod speed_ledger;
 pub mod start_counts;
 pub mod stop_state;
 pub mod stream_origin;
--- a/crates/acaciabay/tests/serving/fixtures.rs
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -14,6 +14,7 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::prompt::{PartId, PromptPart, PromptShape};
 use acaciabay::util::digest::ContentDigest;
+use acaciabay::util::rendezvous;
 use proptest::test_runner::{Config, RngSeed};
 
 pub(crate) fn at(millis: u64) -> BootTime {
@@ -24,6 +25,14 @@
     EndpointName::new(text)
 }
 
+/// Returns noise of mean 0 and this standard deviation, the same for the same number.
+pub(crate) fn noise(number: u64, deviation: f64) -> f64 {
+    let draw = |salt: u8| rendezvous::fraction(rendezvous::score(&number.to_le_bytes(), &[salt]));
+    // The sum of twelve uniform values has a variance of 1.
+    let sum: f64 = (0..12).map(draw).sum();
+    deviation * (sum - 6.0)
+}
+
 pub(crate) fn domains(names: &[&str]) -> Vec<DomainName> {
     names.iter().map(DomainName::new).collect()
 }
