--- a/crates/acaciabay/tests/serving/endpoint_speed.rs
+++ b/crates/acaciabay/tests/serving/endpoint_speed.rs
@@ -117,6 +117,22 @@
     }
 }
 
+/// An endpoint that has long been known becomes slow for good, or begins to state a wrong pace. A filter that is certain of the
+/// past would follow after hundreds of prefills.
+#[test]
+fn known_endpoint_that_changes_is_followed_after_twenty_measurements() {
+    let mut filter = SpeedFilter::default();
+    for number in 0..200 {
+        filter.record(at(number * 200), 0.0, 1);
+    }
+
+    for number in 200..220 {
+        filter.record(at(number * 200), 2.5_f64.ln(), 1);
+    }
+
+    assert!(filter.mean().exp() > 2.2, "{}", filter.mean().exp());
+}
+
 /// An endpoint takes 2.5 times as long for 600 ms. Entries that hear of it late must not avoid it when it is over.
 #[test]
 fn stated_pace_counts_at_once_and_not_a_second_later() {
