Read, exchange and use the speeds of endpoints

Cause: entries take all endpoints of a service for equally fast, and know nothing of what others measure.

Change: entries read the load header of answers, report stated paces with their renewals, and prefills that they measure for services of which they have a slice; the leader counts a service as uneven once an endpoint has stated its pace, merges the reports and tells each connection what is new to it. Where an entry has a slice, prefill times come from the fitted model times the slowdown of the engine; elsewhere nothing changes, and the new fields stay empty. A header that cannot be read is counted, and logged once for each endpoint.

Ruled out: speeds behind the check of the configuration's number in handle_renewal. The leader tells each change once, so an answer that is dropped there would lose it.

No slices are assigned yet, so measured times are tested in the library alone.

--- a/crates/acacia-control/src/serving/mod.rs
+++ b/crates/acacia-control/src/serving/mod.rs
@@ -20,6 +20,7 @@
 mod control_http;
 mod duties;
 mod endpoint_limits;
+mod endpoint_speeds;
 mod engine_orders;
 mod observer;
 mod peers;
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -27,6 +27,7 @@
 
 use super::allowances::record_usage;
 use super::endpoint_limits::exchange_limits;
+use super::endpoint_speeds::exchange_speeds;
 use super::service_retries::grant_retries;
 use super::shared::ControlShared;
 use super::soft_state::EntryState;
@@ -72,7 +73,7 @@
         relay_token: shared.relay_token,
         relays: request.wants_relays.then(|| relay_list(shared, hello)),
         retries,
-        speeds: Vec::new(),
+        speeds: exchange_speeds(shared, hello, &request, &mut sent.speeds_position),
         slices: Vec::new(),
     })
 }
@@ -117,6 +118,7 @@
 pub(super) struct SentState {
     config: ConfigSender,
     cached_parts_position: LogPlace,
+    speeds_position: LogPlace,
 }
 
 /// Logs the cached prompt parts that the entry announces, and returns those that were logged since its last renewal.
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -15,6 +15,7 @@
 use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
 use acaciabay::core::serving::retry_ledger::RetryLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
+use acaciabay::core::serving::speed_ledger::SpeedLedger;
 use acaciabay::core::serving::start_counts::GatheredRow;
 use acaciabay::core::serving::work_sums::WorkSums;
 
@@ -68,6 +69,8 @@
     pub(super) calls: BTreeMap<ServiceName, u64>,
     /// Services with an endpoint that has stated its pace.
     pub(super) paced_services: BTreeSet<ServiceName>,
+    /// Speeds of the endpoints of uneven services. They are kept across terms: a process that leads again knows the lasting ones.
+    pub(super) speeds: SpeedLedger,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
@@ -126,8 +129,14 @@
 
     /// Removes endpoints that have not reported for a long time.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
-        let Self { registry, handles, .. } = self;
+        let Self {
+            registry,
+            handles,
+            speeds,
+            ..
+        } = self;
         registry.remove_expired(now);
+        speeds.retain(|endpoint| registry.get(endpoint).is_some());
         handles.retain_registered(registry);
     }
 
--- a/crates/acacia-entry/src/serving/attempt.rs
+++ b/crates/acacia-entry/src/serving/attempt.rs
@@ -22,6 +22,7 @@
 use super::codec::{AttemptHead, AttemptRole};
 use super::endpoint_choice::ChosenEndpoint;
 use super::endpoint_limits::{LimitAnswerHead, record_detour, record_limit_notice};
+use super::endpoint_speeds::record_load_notice;
 use super::refusal::CallRefusal;
 use super::retry_permits::RetryPermit;
 use super::write_permits::WritePermits;
@@ -233,7 +234,7 @@
         never = suspect_if_silent(call, chosen, sent_at, timeouts.suspect_after) => match never {},
     };
     pending.has_ended = true;
-    let outcome = match answer {
+    let (outcome, reason) = match answer {
         Err(_elapsed) => (AttemptOutcome::TimedOut, "no answer in time".to_owned()),
         Ok(Err(failure)) => (
             outcome_of_failure(call, chosen, sent_at, &permits, &failure),
@@ -255,6 +256,7 @@
                 has_run: !is_crossed && !head.not_run,
             };
             record_limit_notice(call, chosen, permits.known_limit(), answered);
+            record_load_notice(call, chosen, status, head.load);
             if is_crossed {
                 slog::warn!(call.shared.log, "answer belongs to another request"; "event" => event::ANSWER_CROSSED,
                     "request" => &call.head.request, "answered" => head.request, "endpoint" => chosen.name.as_str());
@@ -283,7 +285,6 @@
             }
         }
     };
-    let (outcome, reason) = outcome;
     if matches!(
         outcome,
         AttemptOutcome::NotRun { .. }
--- a/crates/acacia-entry/src/serving/codec.rs
+++ b/crates/acacia-entry/src/serving/codec.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::serving::config::{ConfigFinding, ServingConfig};
 use acaciabay::core::serving::endpoint_limit::LimitNotice;
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
+use acaciabay::core::serving::load_report::LoadNotice;
 use acaciabay::core::serving::prompt::PromptShape;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -113,6 +114,8 @@
     pub keep_alive: Option<Duration>,
     /// Rate limit that the endpoint names.
     pub limit: LimitNotice,
+    /// Load that the endpoint states.
+    pub load: LoadNotice,
 }
 
 /// Translator between HTTP messages and the entry's types.
--- a/crates/acacia-entry/src/serving/config_install.rs
+++ b/crates/acacia-entry/src/serving/config_install.rs
@@ -11,6 +11,7 @@
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_index::ConfigIndex;
 use acaciabay::core::serving::config_transfer::{ConfigDocument, ConfigReceiver};
+use acaciabay::core::serving::endpoint_speed::SpeedSource;
 use acaciabay::core::serving::pending_renewals::PendingRenewals;
 use acaciabay::util::number::whole_millis;
 use prost::Message;
@@ -22,6 +23,18 @@
 pub(super) struct ReplicaSession {
     pub(super) renewals: PendingRenewals<ConfigDocument>,
     receiver: ConfigReceiver,
+    /// Number of the connection, by which speeds that its replica has told are known.
+    pub(super) speed_source: SpeedSource,
+}
+
+impl ReplicaSession {
+    /// Returns the state of a connection that has just been opened.
+    pub(super) fn new(speed_source: SpeedSource) -> Self {
+        Self {
+            speed_source,
+            ..Self::default()
+        }
+    }
 }
 
 /// Configuration that a replica has sent or confirmed in its answer to a renewal.
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use acacia_http::connect_within;
@@ -24,6 +25,7 @@
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::endpoint_handles::ReceivedHandles;
+use acaciabay::core::serving::endpoint_speed::SpeedSource;
 use acaciabay::core::serving::replica_tracker::{LEADER_TIMEOUT, ReplicaTracker};
 use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
@@ -36,6 +38,7 @@
 use super::endpoint_news::{
     apply_allowances, apply_endpoint_news, apply_limit_states, apply_reports, apply_resting_engines, apply_suspects,
 };
+use super::endpoint_speeds::apply_speeds;
 use super::renewal_message::renewal_frame;
 use super::shared::EntryShared;
 use super::stream_origins::MAX_QUEUED_FRAMES;
@@ -63,6 +66,8 @@
     /// Counter of the events upon which a renewal is requested at once: the announcement of a newer configuration, or a
     /// replica that became leader.
     renewal_triggers: watch::Sender<u64>,
+    /// Number of connections to replicas since the start.
+    connections: AtomicU64,
 }
 
 impl SessionManager {
@@ -74,6 +79,7 @@
             voters_reported: Notify::new(),
             seeds,
             renewal_triggers: watch::Sender::new(0),
+            connections: AtomicU64::new(0),
         }
     }
 
@@ -149,7 +155,8 @@
         *was_open = true;
         slog::info!(self.shared.log, "session with a replica opened"; "event" => event::CONTROL_FOUND,
             "replica" => %address);
-        let session = Mutex::new(ReplicaSession::default());
+        let source = SpeedSource(self.connections.fetch_add(1, Ordering::Relaxed));
+        let session = Mutex::new(ReplicaSession::new(source));
         let (origins, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
         let _origins = self.shared.origins.guard_session(address);
         tokio::select! {
@@ -334,6 +341,7 @@
             relay_token,
             relays,
             retries,
+            speeds,
             slices,
             ..
         } = renewed;
@@ -366,7 +374,10 @@
         if has_unreported || self.shared.suspects.has_unreported() {
             self.trigger_renewals();
         }
+        let source = session.lock().speed_source;
         let mut state = self.shared.state();
+        // Before the return below: the replica tells each change over a connection once.
+        apply_speeds(&self.shared.log, &mut state, now, source, &speeds);
         state.allowances.confirm(received.requested_at);
         // Another replica has meanwhile sent a newer configuration, so this answer confirms an outdated one.
         if state.config.number != received.config.number {
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -169,6 +169,7 @@
         let mut state = self.state();
         let spec = state.engine_spec(service);
         let usual_pace = state.prefill_pace(service);
+        let model = state.prefill_model(service).cloned();
         let (registry, loads, limits) = state.choice_parts();
         let engines = ServiceEngines::new(now, service, registry, loads);
         let mut readers = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
@@ -188,6 +189,7 @@
                     home_engines: &readers,
                     sources: &keepers,
                     pace: usual_pace,
+                    model: model.as_ref(),
                     link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
                 };
                 place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
--- a/crates/acacia-entry/src/serving/endpoint_news.rs
+++ b/crates/acacia-entry/src/serving/endpoint_news.rs
@@ -44,6 +44,10 @@
             slog::info!(shared.log, "endpoint changed"; "event" => event::ENDPOINT_CHANGED,
                 "endpoint" => name.as_str(), "phase" => ?phase, "sequence" => row.sequence, "birth" => row.birth,
                 "version" => &row.version);
+            state
+                .loads
+                .speeds
+                .record_incarnation(&name, EndpointIncarnation(row.birth));
             if let Some(before) = before {
                 doubt_streams(shared, now, &state.registry, &name, &before);
             }
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -33,6 +33,7 @@
 mod endpoint_news;
 mod endpoint_paths;
 mod endpoint_request;
+mod endpoint_speeds;
 mod handover;
 mod incarnation_check;
 mod plain_body;
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -18,6 +18,7 @@
 use super::codec::AttemptRole;
 use super::endpoint_choice::{ChosenEndpoint, ChosenPrefillEngine};
 use super::endpoint_request::{RequestOutcome, ask_endpoint};
+use super::endpoint_speeds::log_model_change;
 use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_PATH, NO_RETRY, SHORT_RETRY_DELAY, not_run};
 use super::retry_permits::RetryPermit;
 use super::shared::EntryShared;
@@ -166,6 +167,7 @@
         took,
     };
     state.record_prefill_time(&call.service, &chosen.name, reading);
+    let changed_model = state.record_prefill_speed(boot_now(), &call.service, chosen, reading, place.copy_time);
     if let Some(source) = copy_from
         && is_copy_source_gone(&source.endpoint, place.wait, took)
     {
@@ -176,6 +178,9 @@
     state.loads.record_success(&chosen.name);
     state.kept_news.record_prefill(&chosen.name, prompt.shared_parts());
     drop(state);
+    if let Some(change) = changed_model {
+        log_model_change(call, &change);
+    }
     PrefillOutcome::Prefilled(PrefilledPrompt {
         engine: chosen.clone(),
         handle,
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -7,8 +7,8 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServiceDemand, ServingFrame};
 use acacia_wire::{
-    counts_to_wire, kept_to_wire, limit_report_to_wire, pace_to_wire, suspect_report_to_wire, usage_report_to_wire,
-    use_to_wire,
+    counts_to_wire, endpoint_pace_to_wire, kept_to_wire, limit_report_to_wire, pace_to_wire, suspect_report_to_wire,
+    usage_report_to_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::config::ConfigNumber;
@@ -17,9 +17,8 @@
 
 /// Builds the renewal request with this number. `held` is the number of the configuration that the entry holds.
 ///
-/// Removes the demand, the retries asked for and the announcements of cached parts from the state, since each is reported
-/// only once. All other
-/// values are absolute and repeated in every request.
+/// Removes the demand, the retries asked for, the announcements of cached parts and the observed speeds from the state, since
+/// each is reported only once. All other values are absolute and repeated in every request.
 pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
     let relay = shared.settings.relay_address.filter(|_| shared.offers_relay(now));
     let mut state = shared.state();
@@ -38,8 +37,10 @@
         .map(|(name, work)| use_to_wire(name, work))
         .collect();
     let kept = state.kept_news.take_pending();
+    let paces = state.speeds.outbox.take();
+    let paces = paces.map(|report| endpoint_pace_to_wire(now, &report)).collect();
     let demands = std::mem::take(&mut state.demands);
-    let paces: BTreeMap<_, _> = demands
+    let service_paces: BTreeMap<_, _> = demands
         .keys()
         .map(|service| (service.clone(), pace_to_wire(state.prefill_pace(service))))
         .collect();
@@ -48,7 +49,7 @@
         calls: demand.calls,
         unread_tokens: demand.unread_tokens,
         output_tokens: demand.output_tokens,
-        pace_us: paces.get(&service).copied().unwrap_or(0),
+        pace_us: service_paces.get(&service).copied().unwrap_or(0),
         wait_us: demand.wait_us,
     });
     let counts = state
@@ -69,7 +70,7 @@
         relay_address: relay.map(|address| address.to_string()).unwrap_or_default(),
         wants_relays: shared.paths.wants_relays(now),
         retries,
-        paces: Vec::new(),
+        paces,
     };
     Frame::Serving(ServingFrame {
         body: Some(Body::Renew(request)),
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -36,6 +36,7 @@
 
 use super::codec::CallCodec;
 use super::endpoint_paths::{EndpointPaths, PathConnector};
+use super::endpoint_speeds::SpeedObservations;
 use super::stream_origins::OriginExchange;
 use crate::suspect_calls::SuspectTracker;
 
@@ -82,6 +83,8 @@
     pub(super) kept_news: CachedPartOutbox,
     pub(super) demands: BTreeMap<ServiceName, DemandCount>,
     prefill_paces: BTreeMap<ServiceName, PrefillPace>,
+    /// What this entry has observed of endpoints' speeds and not yet reported.
+    pub(super) speeds: SpeedObservations,
     answer_paces: BTreeMap<ServiceName, AnswerLatency>,
     pub(super) retry_limiters: HashMap<ServiceName, RetryLimiter>,
     /// Time at which engines of a service and stage were last asked whether they are silent.
@@ -130,11 +133,15 @@
             registry,
             kept_news,
             limits,
+            loads,
+            speeds,
             ..
         } = self;
         registry.remove_expired(now);
         limits.retain(|endpoint| registry.get(endpoint).is_some());
         kept_news.retain(|engine| registry.get(engine).is_some());
+        loads.speeds.retain(|endpoint| registry.get(endpoint).is_some());
+        speeds.retain(|endpoint| registry.get(endpoint).is_some());
     }
 
     /// Records that an engine has cached a part that it prefilled for another entry.
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -118,6 +118,10 @@
     SILENCE_JUDGED = "E0253";
     /// An entry holds calls back whose prompts have parts that end endpoints.
     PARTS_HELD_BACK = "E0254";
+    /// The load that an endpoint states in its answers cannot be read and is ignored.
+    LOAD_UNREADABLE = "E0255";
+    /// The expected prefill time of a service was fitted, or has changed.
+    PREFILL_MODELLED = "E0256";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -201,6 +205,8 @@
     PARTS_QUARANTINED = "E0344";
     /// A quarantine of parts was lifted, narrowed, expired, or refuted by a whole answer.
     PART_QUARANTINE_ENDED = "E0345";
+    /// The speed of an endpoint has changed, or a service has its first endpoint that states one.
+    ENDPOINT_SPEED = "E0346";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -17,6 +17,7 @@
 mod replica_message;
 mod retry_message;
 mod serving_message;
+mod speed_message;
 mod suspect_message;
 mod table_row;
 
@@ -46,6 +47,10 @@
     stage_to_wire, use_from_wire, use_to_wire,
 };
 
+pub use speed_message::{
+    endpoint_pace_from_wire, endpoint_pace_to_wire, endpoint_speed_from_wire, endpoint_speed_to_wire,
+};
+
 pub use suspect_message::{
     suspect_answer_from_wire, suspect_answer_to_wire, suspect_report_from_wire, suspect_report_to_wire,
     suspects_from_wire, suspects_to_wire,
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -10,6 +10,7 @@
 use crate::core::name::EndpointName;
 use crate::core::serving::config::KvCacheLink;
 use crate::core::serving::endpoint_registry::{EndpointPhase, ServingEndpoint};
+use crate::core::serving::prefill_model::PrefillModel;
 use crate::core::serving::prompt::PromptShape;
 use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView};
 use crate::util::number::round_up;
@@ -76,6 +77,8 @@
     pub sources: &'table [Candidate<'table>],
     /// Usual prefill time per prompt token in milliseconds, if known.
     pub pace: Option<f64>,
+    /// Expected prefill times, which replace the pace where the service's endpoints are uneven.
+    pub model: Option<&'table PrefillModel>,
     /// The link over which engines copy memory to each other. Without one, each engine prefills all parts itself.
     pub link: Option<&'table KvCacheLink>,
 }
@@ -89,6 +92,8 @@
     pub unread_tokens: u64,
     /// Estimated time until the prompt is prefilled.
     pub wait: Duration,
+    /// Part of it in which shared parts are copied from another engine.
+    pub copy_time: Duration,
     /// An engine that probably caches shared parts that the chosen engine lacks.
     pub copy_from: Option<EndpointName>,
 }
@@ -129,6 +134,7 @@
         endpoint: name.clone(),
         unread_tokens: round_up(estimate.unread_tokens.max(1.0)),
         wait: Duration::from_secs_f64(estimate.wait_ms / 1_000.0),
+        copy_time: Duration::from_secs_f64(estimate.copy_ms / 1_000.0),
         copy_from: source.map(|(name, _)| name.clone()),
     })
 }
@@ -249,6 +255,7 @@
 struct PrefillEstimate {
     unread_tokens: f64,
     wait_ms: f64,
+    copy_ms: f64,
     cost_ms: f64,
 }
 
@@ -283,11 +290,12 @@
         };
         let unread_tokens = (prompt.prompt_tokens as f64 - cached - expected_copied).max(0.0);
         let queued = view.loads.work(name).unread_tokens as f64;
-        let pace = view.loads.pace(name, engines.pace);
-        let weighted_prefill_ms = (queued + NEW_TOKEN_WEIGHT * unread_tokens) * pace;
+        let times = PrefillTimes::of(view, engines, name, queued, unread_tokens);
+        let weighted_prefill_ms = times.queue_ms + NEW_TOKEN_WEIGHT * times.prompt_ms;
         Self {
             unread_tokens,
-            wait_ms: (queued + unread_tokens) * pace + copy_ms,
+            wait_ms: times.queue_ms + times.prompt_ms + copy_ms,
+            copy_ms,
             cost_ms: weighted_prefill_ms
                 + copy_ms
                 + locality_ms
@@ -297,6 +305,40 @@
     }
 }
 
+/// Expected times of an engine in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct PrefillTimes {
+    /// For what is queued.
+    queue_ms: f64,
+    /// For the prompt itself.
+    prompt_ms: f64,
+}
+
+impl PrefillTimes {
+    fn of(
+        view: &PlacementView<'_>,
+        engines: &PromptEngines<'_>,
+        name: &EndpointName,
+        queued: f64,
+        unread: f64,
+    ) -> Self {
+        let modelled = engines.model.and_then(|model| {
+            let slowdown = view.loads.slowdown(view.now, name);
+            Some(Self {
+                queue_ms: queued * model.queue_pace()? * slowdown,
+                prompt_ms: model.expected_ms(unread)? * slowdown,
+            })
+        });
+        modelled.unwrap_or_else(|| {
+            let pace = view.loads.pace(name, engines.pace);
+            Self {
+                queue_ms: queued * pace,
+                prompt_ms: unread * pace,
+            }
+        })
+    }
+}
+
 fn copy_time_ms(link: &KvCacheLink, tokens: f64, destination: &ServingEndpoint, source: &ServingEndpoint) -> f64 {
     let factor = if destination.domain == source.domain {
         1.0
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -6,6 +6,9 @@
 use acaciabay::core::name::{DomainName, EndpointName};
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, ServingEndpoint};
+use acaciabay::core::serving::endpoint_speed::StatedReport;
+use acaciabay::core::serving::load_report::StatedPace;
+use acaciabay::core::serving::prefill_model::PrefillModel;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::ops::place_call::PlacementView;
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, is_copy_source_gone, place_prompt};
@@ -43,6 +46,7 @@
         home_engines: &candidates(prefill_engines),
         sources: &candidates(sources),
         pace: None,
+        model: None,
         link: copies.then_some(&link),
     };
     place_prompt(&view, &engines, &prompt(shared, 99)).expect("there are engines")
@@ -178,6 +182,7 @@
             home_engines: &candidates(&prefill_engines),
             sources: &candidates(&prefill_engines),
             pace,
+            model: None,
             link: Some(&link),
         };
         let place = place_prompt(&view, &engines, &prompt(5, 99)).expect("there are engines");
@@ -217,6 +222,7 @@
         home_engines: &candidates(&prefill_engines),
         sources: &candidates(&prefill_engines),
         pace: None,
+        model: None,
         link: None,
     };
 
@@ -334,6 +340,7 @@
         home_engines: &candidates(&prefill_engines),
         sources: &candidates(&prefill_engines),
         pace: None,
+        model: None,
         link: Some(&link),
     };
 
@@ -342,6 +349,51 @@
     assert_eq!(place.copy_from, None);
 }
 
+/// An engine takes five times as long as usual, with nothing queued. Prompts sent there would take longer than behind the
+/// short queue of another one.
+#[test]
+fn expected_time_follows_the_model_and_the_speed_of_each_engine() {
+    let prefill_engines = rows(3, EngineStage::Prefill);
+    let domain = DomainName::new("a");
+    let mut model = PrefillModel::default();
+    for _ in 0..20 {
+        model.record(10_000, Duration::from_millis(400), 1.0, 0.04);
+    }
+    let place_in = |loads: &LoadTable| {
+        let view = PlacementView {
+            now: at(0),
+            domain: &domain,
+            loads,
+            permitted: &[],
+        };
+        let engines = PromptEngines {
+            prefill_engines: &candidates(&prefill_engines),
+            home_engines: &candidates(&prefill_engines),
+            sources: &[],
+            pace: Some(0.01),
+            model: Some(&model),
+            link: None,
+        };
+        place_prompt(&view, &engines, &prompt(5, 99)).expect("there are engines")
+    };
+    let mut loads = LoadTable::default();
+
+    let first = place_in(&loads);
+    let pace = StatedPace::from_percent(500).expect("it is possible");
+    let slow = StatedReport { pace, at: at(0) };
+    let birth = prefill_engines[0].1.incarnation;
+    loads.speeds.record_stated(&first.endpoint, birth, slow);
+    let second = place_in(&loads);
+
+    // 16,000 tokens at 0.04 ms each; with the pace alone it would be a quarter of it.
+    assert!(
+        first.wait.abs_diff(Duration::from_millis(640)) < Duration::from_millis(20),
+        "{:?}",
+        first.wait
+    );
+    assert_ne!(second.endpoint, first.endpoint);
+}
+
 /// An entry holds a permit for a limited engine now and then. If the homes of a part moved each time, engines would prefill it
 /// again and again.
 #[test]
@@ -361,6 +413,7 @@
             home_engines: &candidates(&all),
             sources: &[],
             pace: None,
+            model: None,
             link: None,
         };
         let place = place_prompt(&view, &engines, &prompt(5, 99));
