Keep the required capacity of a service as replicated state

Cause: a new leader takes the number of existing endpoints for the required capacity, which is three times as large, because reclaimable endpoints are spread for the loss of two failure domains.

Nothing commits it yet. An estimate of a service that is not uneven is computed as before.

--- a/crates/acacia-wire/src/control_command.rs
+++ b/crates/acacia-wire/src/control_command.rs
@@ -16,6 +16,7 @@
 
 use crate::error::WireError;
 use crate::generated::state::{self, control_command::Command};
+use crate::need_message::{need_from_wire, need_to_wire};
 use crate::serving_message::{gathered_from_wire, gathered_to_wire};
 use crate::suspect_message::{update_from_wire, update_to_wire};
 use crate::table_row::{
@@ -103,6 +104,7 @@
         ServingCommand::SealStarts { window } => Command::SealStarts(window.0),
         ServingCommand::SettleStarts { window } => Command::SettleStarts(window.0),
         ServingCommand::UpdateSuspects(update) => Command::JudgeCalls(update_to_wire(update)),
+        ServingCommand::RecordNeed { service, need } => Command::RecordNeed(need_to_wire(service, need)),
     }
 }
 
@@ -160,6 +162,10 @@
         Command::JudgeCalls(update) => {
             ControlCommand::Serving(ServingCommand::UpdateSuspects(update_from_wire(update)?))
         }
+        Command::RecordNeed(message) => {
+            let (service, need) = need_from_wire(&message);
+            ControlCommand::Serving(ServingCommand::RecordNeed { service, need })
+        }
     })
 }
 
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod frame;
 mod limit_message;
+mod need_message;
 mod origin_message;
 mod part_message;
 mod relay_message;
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -18,6 +18,7 @@
 use crate::error::WireError;
 use crate::generated::serving::{delta_piece, serving_renewed};
 use crate::generated::{serving, state};
+use crate::need_message::{need_from_wire, need_to_wire};
 use crate::suspect_message::{suspects_from_wire, suspects_to_wire};
 
 /// Encodes the counts of a window.
@@ -240,6 +241,7 @@
 
 pub(crate) fn serving_state_to_wire(state: &ServingState) -> state::ServingState {
     let sealed = state.sealed.iter();
+    let needs = state.needs.iter();
     state::ServingState {
         config_number: state.config_number.0,
         document: state.document.clone(),
@@ -249,6 +251,7 @@
         last_sealed: state.last_sealed.0,
         gathered: state.gathered.rows().map(|row| gathered_to_wire(&row)).collect(),
         suspects: Some(suspects_to_wire(&state.suspects)),
+        needs: needs.map(|(service, need)| need_to_wire(service, need)).collect(),
     }
 }
 
@@ -271,6 +274,7 @@
             .map(suspects_from_wire)
             .transpose()?
             .unwrap_or_default(),
+        needs: message.needs.iter().map(need_from_wire).collect(),
     })
 }
 
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -34,7 +34,7 @@
 //!   leader.
 //! * [`start_counts`] counts started calls by window and customer.
 //! * [`prefill_pace`] estimates how fast engines read prompts, and [`reading_need`] how many endpoints a service needs
-//!   for it.
+//!   for it. [`service_need`] keeps that number across changes of the leader.
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
@@ -81,6 +81,7 @@
 pub mod replica_tracker;
 pub mod retry_ledger;
 pub mod retry_limiter;
+pub mod service_need;
 pub mod serving_state;
 pub mod shared_suspicion;
 pub mod silence_watch;
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::service_need::RecordedNeed;
+use super::stream_peak::StreamDemand;
 use crate::core::clock::BootTime;
 use crate::util::number::round_up;
 
@@ -15,6 +17,11 @@
 const PEAK_RISE: f64 = 0.4;
 /// Time for which the need must stay smaller before endpoints are given back.
 const SHRINK_DELAY: Duration = Duration::from_secs(10);
+/// Fraction of the need below which a measurement shows that the need was far too high. It is below what remains of a peak
+/// while a load that swings by half is low, so that such a load keeps its endpoints.
+const EXCESS_FRACTION: f64 = 0.5;
+/// Time for which a measurement must stay below [`EXCESS_FRACTION`] before the need of an uneven service follows it.
+const EXCESS_DELAY: Duration = Duration::from_secs(5);
 /// Target utilization of the prefill engines at the decayed peak.
 const TARGET_UTILIZATION: f64 = 0.7;
 
@@ -43,9 +50,55 @@
     smaller_since: Option<BootTime>,
     is_started: bool,
     is_measured: bool,
+    is_uneven: bool,
+    /// Prefill time per token in milliseconds as of the last measurement, or 0 before the first one.
+    pace: f64,
+    excess_since: Option<BootTime>,
+    /// True once `needed` is the result of a measurement rather than the number of endpoints at the start.
+    is_need_measured: bool,
 }
 
 impl ReadingNeed {
+    /// Sets whether the service is uneven. The need of such a service has no reserve at the start, and follows a
+    /// measurement far below it without the usual delay.
+    pub const fn set_uneven(&mut self, is_uneven: bool) {
+        self.is_uneven = is_uneven;
+    }
+
+    /// Continues from what an earlier duty holder has recorded, with its peaks decayed by the age of the record at the
+    /// group's wall time `wall_ms`. Returns false, without an effect, if the record must not be used.
+    pub fn restore(&mut self, now: BootTime, wall_ms: u64, recorded: &RecordedNeed) -> bool {
+        let Some(age) = recorded.usable_age(wall_ms) else {
+            return false;
+        };
+        self.tokens_per_second = recorded.tokens_per_second * remaining(age, PEAK_DECAY);
+        self.pool_tokens_per_second = recorded.pool_tokens_per_second * remaining(age, POOL_PEAK_DECAY);
+        self.pace = recorded.pace;
+        self.readers = engines_for(self.tokens_per_second, self.pace);
+        // Before the first own measurement, less would be needed only because nobody has measured.
+        self.needed = recorded.needed;
+        self.needed_now = recorded.needed;
+        self.measured_at = Some(now);
+        self.is_uneven = true;
+        self.is_measured = true;
+        self.is_need_measured = true;
+        true
+    }
+
+    /// Returns what the next duty holder needs to know, measured at the group's wall time `wall_ms`, or `None` before the
+    /// first measurement.
+    pub fn record(&self, wall_ms: u64, streams: StreamDemand, decode_engines: u32) -> Option<RecordedNeed> {
+        self.is_measured.then_some(RecordedNeed {
+            tokens_per_second: self.tokens_per_second,
+            pool_tokens_per_second: self.pool_tokens_per_second,
+            pace: self.pace,
+            streams,
+            decode_engines,
+            needed: self.needed,
+            measured_ms: wall_ms,
+        })
+    }
+
     /// Sets the need to the number of endpoints that the operators have started, plus a reserve, until the first
     /// measurement. `is_final` means that all endpoints have reported; later calls are then ignored, so that endpoints
     /// ordered in the meantime are not counted. `has_calls` means that calls are already running: an earlier leader has
@@ -54,7 +107,7 @@
         if self.is_measured || self.is_started {
             return;
         }
-        let reserve = if has_calls {
+        let reserve = if has_calls || self.is_uneven {
             0
         } else {
             endpoints.div_ceil(INITIAL_RESERVE_DIVISOR)
@@ -73,13 +126,14 @@
         let rate = measure.unread_tokens as f64 / since.as_secs_f64();
         self.tokens_per_second = next_peak(self.tokens_per_second, rate, since, PEAK_DECAY);
         self.pool_tokens_per_second = next_peak(self.pool_tokens_per_second, rate, since, POOL_PEAK_DECAY);
-        if measure.pace <= 0.0 {
+        if measure.pace > 0.0 {
+            self.pace = measure.pace;
+        } else if !self.is_uneven || self.pace <= 0.0 {
             return;
         }
         self.is_measured = true;
-        let engines_for = |tokens_per_second: f64| tokens_per_second * measure.pace / 1_000.0 / TARGET_UTILIZATION;
-        self.readers = engines_for(self.tokens_per_second);
-        let wanted = u32::try_from(round_up(engines_for(self.pool_tokens_per_second)))
+        self.readers = engines_for(self.tokens_per_second, self.pace);
+        let wanted = u32::try_from(round_up(engines_for(self.pool_tokens_per_second, self.pace)))
             .unwrap_or(u32::MAX)
             .saturating_add(decode_engines);
         self.needed_now = wanted;
@@ -89,12 +143,25 @@
         } else {
             None
         };
-        if smaller_since.is_none_or(|smaller_since| now.since(smaller_since) >= SHRINK_DELAY) {
+        let is_settled = smaller_since.is_none_or(|smaller_since| now.since(smaller_since) >= SHRINK_DELAY);
+        if is_settled || self.has_excess(now, wanted) {
             self.needed = wanted;
             self.smaller_since = None;
+            self.is_need_measured = true;
         }
     }
 
+    /// Returns true once the need of an uneven service has been far above `wanted` for some time.
+    fn has_excess(&mut self, now: BootTime, wanted: u32) -> bool {
+        let is_excess = self.is_uneven && f64::from(wanted) < EXCESS_FRACTION * f64::from(self.needed);
+        if !is_excess {
+            self.excess_since = None;
+            return false;
+        }
+        let excess_since = *self.excess_since.get_or_insert(now);
+        now.since(excess_since) >= EXCESS_DELAY
+    }
+
     /// Returns the number of endpoints to provide. It falls only after the need has stayed smaller for some time.
     pub const fn needed(&self) -> u32 {
         self.needed
@@ -108,6 +175,18 @@
         self.needed_now
     }
 
+    /// Returns the number of endpoints to spread over the failure domains of an uneven service, or `None` before the first
+    /// measurement. Endpoints that operators have started are no measurement: reclaimable ones that are spread for their
+    /// number are three times as many, and are paid for until they can be released.
+    pub fn measured_need(&self) -> Option<u32> {
+        let need = if self.is_need_measured {
+            self.needed
+        } else {
+            self.needed_now
+        };
+        self.is_measured.then_some(need)
+    }
+
     /// Returns the number of prefill engines that the current peak calls for, as a fraction and without decode engines.
     pub const fn readers(&self) -> f64 {
         self.readers
@@ -119,8 +198,17 @@
     }
 }
 
+fn engines_for(tokens_per_second: f64, pace: f64) -> f64 {
+    tokens_per_second * pace / 1_000.0 / TARGET_UTILIZATION
+}
+
+/// Returns the fraction of a peak that remains after `since`.
+fn remaining(since: Duration, decay: Duration) -> f64 {
+    (-since.as_secs_f64() / decay.as_secs_f64()).exp()
+}
+
 /// Returns the decaying peak after a measurement.
 fn next_peak(peak: f64, rate: f64, since: Duration, decay: Duration) -> f64 {
-    let faded = peak * (-since.as_secs_f64() / decay.as_secs_f64()).exp();
+    let faded = peak * remaining(since, decay);
     faded + PEAK_RISE * (rate - faded).max(0.0)
 }
--- a/crates/acaciabay/src/core/serving/serving_state.rs
+++ b/crates/acaciabay/src/core/serving/serving_state.rs
@@ -1,5 +1,5 @@
-//! Replicated state for calls that are routed by host and path: the configuration, the holder of the duties, and the
-//! usage windows.
+//! Replicated state for calls that are routed by host and path: the configuration, the holder of the duties, the usage
+//! windows, and the required capacity of services.
 //!
 //! The duties are the tasks that only one host may perform at a time, such as reporting usage to the platform and
 //! ordering endpoints. A usage window is a period of wall-clock time for which the calls of each customer are counted
@@ -11,9 +11,10 @@
 
 use super::config::ConfigNumber;
 use super::duty::{DutyTable, FenceNumber};
+use super::service_need::RecordedNeed;
 use super::start_counts::{CustomerCounts, GatheredCounts, GatheredRow, WindowNumber};
 use super::suspect_table::{SuspectTable, SuspectUpdate};
-use crate::core::name::HostName;
+use crate::core::name::{HostName, ServiceName};
 
 /// Command that changes the state.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +50,13 @@
     },
     /// Changes the record of the calls under which endpoints have ended.
     UpdateSuspects(SuspectUpdate),
+    /// Replaces the recorded required capacity of a service.
+    RecordNeed {
+        /// Service that was measured.
+        service: ServiceName,
+        /// Measurement.
+        need: RecordedNeed,
+    },
 }
 
 /// Result of a command.
@@ -79,6 +87,8 @@
     pub last_sealed: WindowNumber,
     /// Calls under which endpoints have ended.
     pub suspects: SuspectTable,
+    /// Required capacity of the services for which it was recorded.
+    pub needs: BTreeMap<ServiceName, RecordedNeed>,
 }
 
 impl ServingState {
@@ -117,6 +127,10 @@
                 self.suspects.apply(update);
                 ServingOutcome::Done
             }
+            ServingCommand::RecordNeed { service, need } => {
+                self.needs.insert(service.clone(), *need);
+                ServingOutcome::Done
+            }
         }
     }
 }
--- a/crates/acaciabay/src/core/serving/stream_peak.rs
+++ b/crates/acaciabay/src/core/serving/stream_peak.rs
@@ -17,6 +17,23 @@
     pub held_tokens: f64,
 }
 
+impl StreamDemand {
+    /// Returns the demand once `prompts` that are being prefilled have become streams, each as large as a present one. A
+    /// change of stage takes seconds, in which these streams start.
+    #[must_use]
+    pub fn with_starting(self, prompts: f64) -> Self {
+        let held_by_stream = if self.streams > 0.0 {
+            self.held_tokens / self.streams
+        } else {
+            0.0
+        };
+        Self {
+            streams: self.streams + prompts,
+            held_tokens: self.held_tokens + held_by_stream * prompts,
+        }
+    }
+}
+
 /// Peak of the stream demand. It follows a rise at once and a fall slowly.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StreamPeak {
@@ -35,6 +52,18 @@
         self.updated_at = now;
     }
 
+    /// Returns the peak at `now`, from one that was recorded `age` ago.
+    pub fn restored(now: BootTime, age: Duration, recorded: StreamDemand) -> Self {
+        let faded = (-age.as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
+        Self {
+            demand: StreamDemand {
+                streams: recorded.streams * faded,
+                held_tokens: recorded.held_tokens * faded,
+            },
+            updated_at: now,
+        }
+    }
+
     /// Returns the peak as of the last update.
     pub const fn demand(&self) -> StreamDemand {
         self.demand
