Plan uneven services by what was measured, and start a new leader from it

Cause: a new leader takes the number of existing endpoints for the required capacity, and orders three times as many; at the first start half of what operators have started is added.

A replica knows the wall time of the group from the keepalives of the other replicas. Services that are not uneven are planned as before.

--- a/crates/acacia-control/src/serving/observer.rs
+++ b/crates/acacia-control/src/serving/observer.rs
@@ -5,6 +5,7 @@
 //! of them to a new session at once.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,6 +69,9 @@
             slog::debug!(shared.log, "session with a replica failed"; "event" => event::CONNECTION_FAILED,
                 "address" => &address, "error" => %error);
         }
+        if let Ok(replica) = address.parse() {
+            shared.record_wall_clock(replica, None);
+        }
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
 }
@@ -85,6 +89,7 @@
     };
     writer.send(Frame::ServingHello(hello)).await?;
     let mut handles = ReceivedHandles::default();
+    let replica: Option<SocketAddr> = address.parse().ok();
     while let Some(frame) = reader.next_within(SILENCE_LIMIT).await? {
         let Frame::Serving(ServingFrame { body: Some(body) }) = frame else {
             return Err(std::io::ErrorKind::InvalidData.into());
@@ -95,6 +100,12 @@
                 shared.record_unchanged(&handles, &reports);
                 continue;
             }
+            Body::Alive(sign) => {
+                if let Some(replica) = replica {
+                    shared.record_wall_clock(replica, Some(sign.wall_ms));
+                }
+                continue;
+            }
             _ => continue,
         };
         for row in &news.rows {
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_runtime::clock::boot_now;
+use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
 use acacia_settings::ServingControlSettings;
 use acacia_wire::generated::replica::peer_frame::Frame;
@@ -20,6 +20,7 @@
 use acaciabay::core::serving::config_transfer::ConfigDocument;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect, ServingEndpoint};
+use acaciabay::core::serving::group_clock::GroupClock;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
 use slog::Logger;
@@ -117,12 +118,12 @@
     soft_state: Mutex<SoftState>,
     endpoint_frames: Mutex<EndpointFrames>,
     config_cache: Mutex<ConfigCache>,
+    group_clock: Mutex<GroupClock>,
 }
 
 impl ControlShared {
     /// Returns true if entries get slices and speeds of a service's endpoints: the settings ask for it, or an endpoint
     /// has stated its pace.
-    #[expect(dead_code, reason = "slices, speeds and recorded needs follow")]
     pub(super) fn is_uneven(&self, service: &ServiceName) -> bool {
         self.settings.balanced_load || self.soft_state().paced_services.contains(service)
     }
@@ -149,6 +150,7 @@
             soft_state: Mutex::default(),
             endpoint_frames: Mutex::default(),
             config_cache: Mutex::default(),
+            group_clock: Mutex::default(),
         }
     }
 
@@ -347,6 +349,24 @@
         suspects_to_wire(&self.group.read().serving.suspects.published_table())
     }
 
+    /// Records the wall clock of another replica, or that it is no longer known.
+    pub(super) fn record_wall_clock(&self, replica: SocketAddr, wall_millis: Option<u64>) {
+        let mut clock = self.group_clock.lock();
+        match wall_millis {
+            Some(wall_millis) => clock.record(boot_now(), replica, wall_millis),
+            None => clock.remove(&replica),
+        }
+    }
+
+    /// Returns the wall time of the group in milliseconds since 1970: the median of the replicas' clocks, or the clock of
+    /// this host while too few are known.
+    pub(super) fn wall_millis(&self, now: BootTime) -> u64 {
+        let own = wall_nanos() / 1_000_000;
+        let mut clock = self.group_clock.lock();
+        clock.record(now, self.settings.peer_address, own);
+        clock.wall_millis(now).unwrap_or(own)
+    }
+
     pub(super) fn config_cache(&self) -> MutexGuard<'_, ConfigCache> {
         self.config_cache.lock()
     }
--- a/crates/acacia-control/src/serving/stage_orders.rs
+++ b/crates/acacia-control/src/serving/stage_orders.rs
@@ -12,8 +12,11 @@
 use acaciabay::core::serving::endpoint_limit::RateLimit;
 use acaciabay::core::serving::endpoint_registry::{EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_ledger::LimitLedger;
+use acaciabay::core::serving::service_need::RecordedNeed;
 use acaciabay::core::serving::stream_peak::{StreamDemand, StreamPeak};
-use acaciabay::ops::plan_stages::{RequestLoad, StageLoad, plan_limited_stages, plan_stages, wanted_decoders};
+use acaciabay::ops::plan_stages::{
+    RequestLoad, StageLoad, needed_decoders, plan_limited_stages, plan_stages, wanted_decoders,
+};
 
 use super::duties::DutyContext;
 use super::engine_orders::EngineOrders;
@@ -30,6 +33,10 @@
 struct ServiceStages {
     peak: StreamPeak,
     wanted_decode_engines: usize,
+    /// Decode engines that the streams need, however many engines are present.
+    needed_decode_engines: usize,
+    /// True if the service is uneven, so that its stages are also planned for streams that are about to start.
+    is_uneven: bool,
     /// Engines that have been ordered from the platform, including those that have not started yet.
     expected: usize,
     /// Engines that the prefill load needs.
@@ -104,6 +111,34 @@
         u32::try_from(wanted).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of decode engines that the streams of an uneven service need.
+    pub(super) fn needed_decode_engines(&self, service: &ServiceName) -> u32 {
+        let needed = self
+            .services
+            .get(service)
+            .map_or(0, |stages| stages.needed_decode_engines);
+        u32::try_from(needed).unwrap_or(u32::MAX)
+    }
+
+    /// Sets whether a service is uneven.
+    pub(super) fn set_uneven(&mut self, service: &ServiceName, is_uneven: bool) {
+        self.services.entry(service.clone()).or_default().is_uneven = is_uneven;
+    }
+
+    /// Returns the peak of the streams of a service.
+    pub(super) fn stream_demand(&self, service: &ServiceName) -> StreamDemand {
+        let stages = self.services.get(service);
+        stages.map(|stages| stages.peak.demand()).unwrap_or_default()
+    }
+
+    /// Continues from what an earlier duty holder has recorded `age` ago.
+    pub(super) fn restore(&mut self, now: BootTime, service: &ServiceName, age: Duration, recorded: &RecordedNeed) {
+        let stages = self.services.entry(service.clone()).or_default();
+        stages.peak = StreamPeak::restored(now, age, recorded.streams);
+        stages.needed_decode_engines = usize::try_from(recorded.decode_engines).unwrap_or(usize::MAX);
+        stages.wanted_decode_engines = stages.needed_decode_engines;
+    }
+
     /// Returns the number of engines that take no calls because they are carrying out an order.
     pub(super) fn resting_count(&self, now: BootTime) -> u32 {
         u32::try_from(self.orders.resting(now).len()).unwrap_or(u32::MAX)
@@ -111,7 +146,12 @@
 
     fn plan_service(&mut self, context: &DutyContext<'_>, service: &ServiceName, spec: &EngineSpec) {
         let now = context.now;
-        let (reported, present, has_calls) = observe_service(context, service);
+        let ServiceView {
+            engines: reported,
+            streams,
+            starting,
+            has_calls,
+        } = observe_service(context, service);
         let has_removed = self.orders.remove_settled(now, &reported);
         let engines: Vec<EngineRow> = reported
             .into_iter()
@@ -119,6 +159,11 @@
             .collect();
         let limits = limits_of(context, &engines);
         let stages = self.services.entry(service.clone()).or_default();
+        let present = if stages.is_uneven {
+            streams.with_starting(starting)
+        } else {
+            streams
+        };
         stages.peak.see(now, present);
         let calls = take_calls(context, service);
         stages.calls.record(now, calls);
@@ -142,6 +187,7 @@
         };
         let wanted = wanted_decoders(&work, spec);
         stages.wanted_decode_engines = wanted;
+        stages.needed_decode_engines = needed_decoders(demand, domains.len(), spec);
         if decode_engines <= wanted {
             stages.surplus_since = None;
         }
@@ -202,9 +248,21 @@
     endpoint.stage == Some(EngineStage::Decode)
 }
 
-/// Returns the engines of a service as reported, the demand of the streams that they decode, and true if a call of any
-/// service runs.
-fn observe_service(context: &DutyContext<'_>, service: &ServiceName) -> (Vec<EngineRow>, StreamDemand, bool) {
+/// A service as the leader knows it.
+#[derive(Debug)]
+struct ServiceView {
+    /// Engines as reported.
+    engines: Vec<EngineRow>,
+    /// Demand of the streams that they decode.
+    streams: StreamDemand,
+    /// Prompts that are being prefilled. Those queued behind them are not counted: in an overload they would take
+    /// engines from prefill, and no prompt would be prefilled sooner.
+    starting: f64,
+    /// True if a call of any service runs.
+    has_calls: bool,
+}
+
+fn observe_service(context: &DutyContext<'_>, service: &ServiceName) -> ServiceView {
     let soft = context.shared.soft_state();
     let ready = soft.registry.ready(context.now, service).into_iter();
     let engines: Vec<EngineRow> = ready
@@ -212,11 +270,21 @@
         .map(|(name, endpoint)| (name.clone(), endpoint.clone()))
         .collect();
     let uses = soft.work();
-    let mut present = StreamDemand::default();
-    for (name, _) in engines.iter().filter(|(_, endpoint)| is_decode_engine(endpoint)) {
+    let mut streams = StreamDemand::default();
+    let mut starting = 0.0;
+    for (name, endpoint) in &engines {
         let work = uses.get(name).copied().unwrap_or_default();
-        present.streams += work.calls as f64;
-        present.held_tokens += work.held_tokens as f64;
+        if is_decode_engine(endpoint) {
+            streams.streams += work.calls as f64;
+            streams.held_tokens += work.held_tokens as f64;
+        } else if work.unread_tokens > 0 {
+            starting += 1.0;
+        }
+    }
+    ServiceView {
+        has_calls: !uses.is_empty(),
+        engines,
+        streams,
+        starting,
     }
-    (engines, present, !uses.is_empty())
 }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -201,6 +201,10 @@
     PARTS_QUARANTINED = "E0344";
     /// A quarantine of parts was lifted, narrowed, expired, or refuted by a whole answer.
     PART_QUARANTINE_ENDED = "E0345";
+    /// The required capacity of an uneven service was proposed for the replicated state.
+    NEED_RECORDED = "E0348";
+    /// A new duty holder has read the required capacity that an earlier one recorded.
+    NEED_RESTORED = "E0349";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -38,6 +38,20 @@
     pub pace: f64,
 }
 
+/// What the need of a service is based on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum NeedBasis {
+    /// The endpoints that have reported so far.
+    #[default]
+    Reported,
+    /// All endpoints at the start.
+    Started,
+    /// All endpoints at the start, since the measured need has not been smaller for long enough.
+    Estimated,
+    /// The measured need.
+    Measured,
+}
+
 /// The need of one service for endpoints, tracked over time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadingNeed {
@@ -48,14 +62,11 @@
     needed: u32,
     needed_now: u32,
     smaller_since: Option<BootTime>,
-    is_started: bool,
-    is_measured: bool,
+    basis: NeedBasis,
     is_uneven: bool,
     /// Prefill time per token in milliseconds as of the last measurement, or 0 before the first one.
     pace: f64,
     excess_since: Option<BootTime>,
-    /// True once `needed` is the result of a measurement rather than the number of endpoints at the start.
-    is_need_measured: bool,
 }
 
 impl ReadingNeed {
@@ -80,15 +91,14 @@
         self.needed_now = recorded.needed;
         self.measured_at = Some(now);
         self.is_uneven = true;
-        self.is_measured = true;
-        self.is_need_measured = true;
+        self.basis = NeedBasis::Measured;
         true
     }
 
     /// Returns what the next duty holder needs to know, measured at the group's wall time `wall_ms`, or `None` before the
     /// first measurement.
     pub fn record(&self, wall_ms: u64, streams: StreamDemand, decode_engines: u32) -> Option<RecordedNeed> {
-        self.is_measured.then_some(RecordedNeed {
+        self.is_measured().then_some(RecordedNeed {
             tokens_per_second: self.tokens_per_second,
             pool_tokens_per_second: self.pool_tokens_per_second,
             pace: self.pace,
@@ -104,8 +114,9 @@
     /// ordered in the meantime are not counted. `has_calls` means that calls are already running: an earlier leader has
     /// planned before, and the endpoints include its reserve.
     pub const fn start_with(&mut self, endpoints: u32, is_final: bool, has_calls: bool) {
-        if self.is_measured || self.is_started {
-            return;
+        match self.basis {
+            NeedBasis::Reported => {}
+            NeedBasis::Started | NeedBasis::Estimated | NeedBasis::Measured => return,
         }
         let reserve = if has_calls || self.is_uneven {
             0
@@ -113,7 +124,9 @@
             endpoints.div_ceil(INITIAL_RESERVE_DIVISOR)
         };
         self.needed = endpoints + reserve;
-        self.is_started = is_final;
+        if is_final {
+            self.basis = NeedBasis::Started;
+        }
     }
 
     /// Applies a measurement. `decode_engines` is the number of decode engines that are needed in addition to the
@@ -131,7 +144,9 @@
         } else if !self.is_uneven || self.pace <= 0.0 {
             return;
         }
-        self.is_measured = true;
+        if !self.is_measured() {
+            self.basis = NeedBasis::Estimated;
+        }
         self.readers = engines_for(self.tokens_per_second, self.pace);
         let wanted = u32::try_from(round_up(engines_for(self.pool_tokens_per_second, self.pace)))
             .unwrap_or(u32::MAX)
@@ -147,7 +162,7 @@
         if is_settled || self.has_excess(now, wanted) {
             self.needed = wanted;
             self.smaller_since = None;
-            self.is_need_measured = true;
+            self.basis = NeedBasis::Measured;
         }
     }
 
@@ -178,13 +193,12 @@
     /// Returns the number of endpoints to spread over the failure domains of an uneven service, or `None` before the first
     /// measurement. Endpoints that operators have started are no measurement: reclaimable ones that are spread for their
     /// number are three times as many, and are paid for until they can be released.
-    pub fn measured_need(&self) -> Option<u32> {
-        let need = if self.is_need_measured {
-            self.needed
-        } else {
-            self.needed_now
-        };
-        self.is_measured.then_some(need)
+    pub const fn measured_need(&self) -> Option<u32> {
+        match self.basis {
+            NeedBasis::Reported | NeedBasis::Started => None,
+            NeedBasis::Estimated => Some(self.needed_now),
+            NeedBasis::Measured => Some(self.needed),
+        }
     }
 
     /// Returns the number of prefill engines that the current peak calls for, as a fraction and without decode engines.
@@ -194,7 +208,7 @@
 
     /// Returns `true` once the need is based on a measurement.
     pub const fn is_measured(&self) -> bool {
-        self.is_measured
+        matches!(self.basis, NeedBasis::Estimated | NeedBasis::Measured)
     }
 }
 
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -79,9 +79,7 @@
     if engines < 2 {
         return engines;
     }
-    let by_slots = demand.streams / (TARGET_UTILIZATION * f64::from(spec.slots.max(1)));
-    let by_memory = demand.held_tokens / (TARGET_UTILIZATION * spec.memory_tokens.max(1) as f64);
-    let decoders = by_slots.max(by_memory);
+    let decoders = decoders_for(*demand, spec);
     let present = load.present as f64;
     let prefill_engines = PREFILL_HEADROOM * load.prefill_engines;
     let divided = if decoders + prefill_engines > present {
@@ -98,6 +96,21 @@
     wanted.max(retained_decoders(load))
 }
 
+/// Returns how many decode engines the streams of a service need, one in each failure domain at least. Unlike
+/// [`wanted_decoders`], this number does not depend on the present engines, so that a service with too many of them does not
+/// need them for that reason.
+pub fn needed_decoders(demand: StreamDemand, domains: usize, spec: &EngineSpec) -> usize {
+    let needed = usize::try_from(round_up(decoders_for(demand, spec))).unwrap_or(usize::MAX);
+    needed.max(domains).max(MIN_ENGINES_PER_STAGE)
+}
+
+/// Returns how many decode engines the streams occupy at the target utilization, as a fraction.
+fn decoders_for(demand: StreamDemand, spec: &EngineSpec) -> f64 {
+    let by_slots = demand.streams / (TARGET_UTILIZATION * f64::from(spec.slots.max(1)));
+    let by_memory = demand.held_tokens / (TARGET_UTILIZATION * spec.memory_tokens.max(1) as f64);
+    by_slots.max(by_memory)
+}
+
 /// Returns how many of the current decode engines may keep decoding although the streams need fewer.
 ///
 /// An engine that changes its stage takes no calls until its longest stream has ended and the change is made. In the
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -37,6 +37,7 @@
 mod retry_limiter;
 mod retry_replay;
 mod retry_rule;
+mod service_need;
 mod silence;
 mod software_versions;
 mod stages;
