--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -95,10 +95,10 @@
         true
     }
 
-    /// Returns what the next duty holder needs to know, measured at the group's wall time `wall_ms`, or `None` before the
-    /// first measurement.
+    /// Returns what the next duty holder needs to know, measured at the group's wall time `wall_ms`, or `None` while the need
+    /// is still the number of endpoints at the start. The next holder would take that number for a measured one.
     pub fn record(&self, wall_ms: u64, streams: StreamDemand, decode_engines: u32) -> Option<RecordedNeed> {
-        self.is_measured().then_some(RecordedNeed {
+        (self.basis == NeedBasis::Measured).then_some(RecordedNeed {
             tokens_per_second: self.tokens_per_second,
             pool_tokens_per_second: self.pool_tokens_per_second,
             pace: self.pace,
--- a/crates/acaciabay/tests/serving/service_need.rs
+++ b/crates/acaciabay/tests/serving/service_need.rs
@@ -125,9 +125,10 @@
         self.need.measure(at(now_ms), measure, DECODE_ENGINES);
         let total = self.total();
         self.need.start_with(total, true, self.is_handed_over);
-        self.record = self
+        let measured = self
             .need
             .record(WALL_MS + now_ms, StreamDemand::default(), DECODE_ENGINES);
+        self.record = measured.or(self.record);
         self.most_needed = self.most_needed.max(self.need.needed());
         let view = PoolView {
             present: self.present.clone(),
@@ -288,6 +289,21 @@
     assert!(needed_after(true) < 80, "{}", needed_after(true));
 }
 
+/// Guards against a record of what operators have started: the next leader would take it for a measurement, and spread
+/// three times as many endpoints.
+#[test]
+fn a_need_is_recorded_once_it_is_measured() {
+    let mut replay = Replay::start(true);
+    replay.run(0..9_000, |_| 50.0);
+    let early = replay.record;
+
+    replay.run(9_000..15_000, |_| 50.0);
+
+    assert_eq!(early, None);
+    let needed = replay.record.expect("the need is measured").needed;
+    assert!(needed.abs_diff(80) <= 8, "{needed}");
+}
+
 /// Guards against three times the endpoints of the start being ordered for a load that nobody has measured.
 #[test]
 fn nothing_is_ordered_before_a_measurement() {
