Compare figures of the service need as whole numbers

Cause: clippy refuses exact comparisons of floating-point numbers in the tests of the service need.

Change: the tests round before they compare.

--- a/crates/acaciabay/tests/serving/service_need.rs
+++ b/crates/acaciabay/tests/serving/service_need.rs
@@ -11,6 +11,7 @@
 use acaciabay::ops::plan_pool::{DomainPool, PoolChange, PoolView, plan_pool, plan_pool_changes};
 use acaciabay::ops::plan_stages::needed_decoders;
 use acaciabay::ops::plan_uneven_pool::{limit_releases, plan_uneven_pool};
+use acaciabay::util::number::{round_up, rounded};
 
 use crate::fixtures::{at, domains, engine, pool};
 
@@ -118,7 +119,7 @@
     fn plan(&mut self, now_ms: u64, busy: f64) {
         let tokens = busy * 1_000.0 / PACE * STEP_MS as f64 / 1_000.0;
         let measure = ReadingMeasure {
-            unread_tokens: format!("{tokens:.0}").parse().expect("tokens are a number"),
+            unread_tokens: round_up(tokens),
             pace: if busy > 0.0 { PACE } else { 0.0 },
         };
         self.need.set_uneven(self.is_uneven);
@@ -354,10 +355,10 @@
         .expect("a restored need is known");
     let streams = StreamPeak::restored(at(50_000), age, recorded().streams).demand();
 
-    let fraction = |value: f64, recorded: f64| (value / recorded * 100.0).round();
-    assert_eq!(fraction(again.tokens_per_second, 3_000_000.0), 51.0);
-    assert_eq!(fraction(again.pool_tokens_per_second, 3_600_000.0), 72.0);
-    assert_eq!(fraction(streams.streams, 300.0), 37.0);
+    let percent = |value: f64, recorded: f64| rounded(value / recorded * 100.0);
+    assert_eq!(percent(again.tokens_per_second, 3_000_000.0), 51);
+    assert_eq!(percent(again.pool_tokens_per_second, 3_600_000.0), 72);
+    assert_eq!(percent(streams.streams, 300.0), 37);
     assert_eq!(again.needed, 112);
 }
 
@@ -435,8 +436,11 @@
     };
     let starting = running.with_starting(50.0);
 
-    assert_eq!((starting.streams, starting.held_tokens), (150.0, 1_200_000.0));
-    assert_eq!(StreamDemand::default().with_starting(2.0).held_tokens, 0.0);
+    assert_eq!(
+        (rounded(starting.streams), rounded(starting.held_tokens)),
+        (150, 1_200_000)
+    );
+    assert_eq!(rounded(StreamDemand::default().with_starting(2.0).held_tokens), 0);
     assert_eq!(needed_decoders(running, 3, &engine()), 4);
     assert_eq!(needed_decoders(starting, 3, &engine()), 6);
     assert_eq!(needed_decoders(StreamDemand::default(), 3, &engine()), 3);
