Seal no usage window before unheard entries have reported

Cause: a window of 5 s was reported with 516 of 3,896 calls missing when control hosts were lost. A new leader knows no silence of an entry that has not renewed with it, and sealed a window after 0.35 of the due time without that entry's counts. The test shows it: 1 call of 3 is billed. Whether this is what happened in the observed case is not shown; 13% fits a few entries that came late.

Change: for 10 s a new duty holder counts entries as silent that have reported counts of open windows to the last one and not to it. The windows to seal are chosen before counts are committed, and none is sealed if that fails: entries that report during a slow commit counted as heard although their counts were not committed (found by reading, without a test).

Ruled out: counts twice, as the highest total of each run of an entry counts and a sealed window does not change; a lost disk, as entries repeat what is not committed.

--- a/crates/acacia-control/src/serving/duties.rs
+++ b/crates/acacia-control/src/serving/duties.rs
@@ -184,7 +184,7 @@
     } else {
         Duration::ZERO
     };
-    let mut windows = UsageWindows::default();
+    let mut windows = UsageWindows::begin(boot_now());
     let mut stages = if has_predecessor {
         StageOrders::after_handover(boot_now())
     } else {
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -220,6 +220,7 @@
     let measured = request.demands.iter();
     paces.extend(measured.filter_map(|row| Some((row.service.as_str().into(), pace_from_wire(row.pace_us)?))));
     let state = EntryState {
+        start,
         heard_at: now,
         domain: hello.domain.as_str().into(),
         work,
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -15,13 +15,13 @@
 use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
 use acaciabay::core::serving::retry_ledger::RetryLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
-use acaciabay::core::serving::start_counts::GatheredRow;
+use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use acaciabay::core::serving::work_sums::WorkSums;
 
 use super::allowances::LeaderAllowances;
 
 /// Time without a renewal after which an entry no longer counts as serving. Its serving lease has ended long before.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time without a renewal after which an entry no longer counts as a relay: four renewals.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,6 +29,8 @@
 /// The state that an entry sent with its last renewal.
 #[derive(Clone, Debug)]
 pub(super) struct EntryState {
+    /// Run of the entry process.
+    pub(super) start: EntryStart,
     /// Time at which this replica received the renewal.
     pub(super) heard_at: BootTime,
     /// Failure domain of the entry.
@@ -124,6 +126,12 @@
         silences.max().unwrap_or_default()
     }
 
+    /// Returns true if all these entry processes have sent a renewal to this replica.
+    pub(super) fn has_heard(&self, mut starts: impl Iterator<Item = EntryStart>) -> bool {
+        let heard: BTreeSet<EntryStart> = self.entries.values().map(|row| row.start).collect();
+        starts.all(|start| heard.contains(&start))
+    }
+
     /// Removes endpoints that have not reported for a long time.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
         let Self { registry, handles, .. } = self;
--- a/crates/acacia-control/src/serving/usage_windows.rs
+++ b/crates/acacia-control/src/serving/usage_windows.rs
@@ -16,22 +16,37 @@
 
 use super::duties::{DutyContext, OwnedDutyContext};
 use super::shared::ControlShared;
+use super::soft_state::ENTRY_TIMEOUT;
 
 /// Minimum time from the start of one attempt to send a window to the next attempt.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Usage windows as delivered by one duty holder.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct UsageWindows {
+    began_at: BootTime,
     attempt: Option<oneshot::Receiver<()>>,
     next_send: BootTime,
 }
 
 impl UsageWindows {
+    /// Begins as the holder of the duties.
+    pub(super) fn begin(now: BootTime) -> Self {
+        Self {
+            began_at: now,
+            attempt: None,
+            next_send: BootTime::default(),
+        }
+    }
+
     /// Commits new counts, seals the windows that are due, and sends the oldest one that the platform has not accepted.
     pub(super) async fn tick(&mut self, context: &DutyContext<'_>) {
-        commit_counts(context.shared).await;
-        seal_due_windows(context.shared).await;
+        // The windows are chosen before the counts are committed. While a commit takes long, entries report more counts, and
+        // would count as heard although these are not committed.
+        let due = due_windows(context.shared, self.began_at);
+        if commit_counts(context.shared).await {
+            seal_windows(context.shared, due).await;
+        }
         self.send_oldest(context);
     }
 
@@ -76,26 +91,42 @@
 }
 
 /// Commits the counts that entries have reported since the previous tick. If they were only in memory until the window
-/// ends, killing all processes at once would lose up to a whole window, and its calls would never be billed.
-async fn commit_counts(shared: &ControlShared) {
+/// ends, killing all processes at once would lose up to a whole window, and its calls would never be billed. Returns false
+/// if they could not be committed.
+async fn commit_counts(shared: &ControlShared) -> bool {
     let rows = std::mem::take(&mut shared.soft_state().uncommitted_counts);
     if rows.is_empty() {
-        return;
+        return true;
     }
     let command = ServingCommand::GatherStarts { rows };
     // If this replica no longer leads, entries report their counts again to the next leader.
-    let _not_leading = shared.group.propose(ControlCommand::Serving(command)).await;
+    shared.group.propose(ControlCommand::Serving(command)).await.is_ok()
 }
 
-async fn seal_due_windows(shared: &ControlShared) {
+/// Returns the windows to seal.
+fn due_windows(shared: &ControlShared, began_at: BootTime) -> Vec<WindowNumber> {
+    let now = boot_now();
     let clock = WindowClock {
         wall_millis: wall_nanos() / 1_000_000,
         length_millis: window_length_millis(shared),
         due: shared.settings.usage_due,
     };
-    let last_sealed = shared.group.read().serving.last_sealed;
-    let silence = shared.soft_state().longest_silence(boot_now());
-    for window in plan_windows(&clock, last_sealed, silence) {
+    let (last_sealed, reporters) = {
+        let state = shared.group.read();
+        let gathered = &state.serving.gathered;
+        (state.serving.last_sealed, gathered.entries().collect::<Vec<_>>())
+    };
+    let mut soft = shared.soft_state();
+    let silence = soft.longest_silence(now);
+    // Entries that have reported to the last holder may have counts that this one has not heard. They count as silent until
+    // they are heard, or as long as any entry without a renewal does.
+    let is_heard = now.since(began_at) >= ENTRY_TIMEOUT || soft.has_heard(reporters.into_iter());
+    let silence = if is_heard { silence } else { Duration::MAX };
+    plan_windows(&clock, last_sealed, silence).collect()
+}
+
+async fn seal_windows(shared: &ControlShared, windows: Vec<WindowNumber>) {
+    for window in windows {
         let command = ServingCommand::SealStarts { window };
         if shared.group.propose(ControlCommand::Serving(command)).await.is_err() {
             return;
--- a/crates/acaciabay/src/core/serving/start_counts.rs
+++ b/crates/acaciabay/src/core/serving/start_counts.rs
@@ -119,6 +119,11 @@
         })
     }
 
+    /// Returns the entry processes that have reported counts.
+    pub fn entries(&self) -> impl Iterator<Item = EntryStart> {
+        self.windows.values().flat_map(|entries| entries.keys().copied())
+    }
+
     /// Removes `window` and all windows before it.
     pub fn remove_through(&mut self, window: WindowNumber) {
         self.windows.retain(|stored, _| *stored > window);
