--- a/crates/acacia-control/src/serving/duties.rs
+++ b/crates/acacia-control/src/serving/duties.rs
@@ -184,7 +184,7 @@
     } else {
         Duration::ZERO
     };
-    let mut windows = UsageWindows::default();
+    let mut windows = UsageWindows::begin(boot_now());
     let mut stages = if has_predecessor {
         StageOrders::after_handover(boot_now())
     } else {
@@ -214,5 +214,6 @@
         windows.tick(&context).await;
         pools.tick(&context, &mut stages);
         stages.tick(&context);
+        pools.record_needs(&context, &stages).await;
     }
 }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -211,6 +211,10 @@
     PART_QUARANTINE_ENDED = "E0345";
     /// The speed of an endpoint has changed, or a service has its first endpoint that states one.
     ENDPOINT_SPEED = "E0346";
+    /// The required capacity of an uneven service was proposed for the replicated state.
+    NEED_RECORDED = "E0348";
+    /// A new duty holder has read the required capacity that an earlier one recorded.
+    NEED_RESTORED = "E0349";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -39,6 +39,7 @@
 //! * [`load_report`] is the load that endpoints state in their answers. [`endpoint_speed`] estimates from it and from measured
 //!   prefills how long work takes at each endpoint, [`speed_filter`] one factor of it, and [`speed_ledger`] merges at the
 //!   leader what all entries have measured. [`prefill_model`] is the time that prefills usually take.
+//!   for it. [`service_need`] keeps that number across changes of the leader.
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
@@ -89,6 +90,7 @@
 pub mod replica_tracker;
 pub mod retry_ledger;
 pub mod retry_limiter;
+pub mod service_need;
 pub mod serving_state;
 pub mod shared_suspicion;
 pub mod silence_watch;
