Decide which prompts of an entry wait while engines are short

Cause: an entry sends each prompt at once. While engines are short, prompts stand in the engines' queues in order of arrival, urgent ones behind others, and what was sent cannot be withdrawn.

Change: PromptRoom, a state machine for one service at one entry. An entry has only so much prefill time outstanding as its slice of the engines can do in 150 ms; the rest waits by urgency, fair between customers by tokens, and within a customer by target. After eight of the most urgent, a lower urgency has a turn. Prompts that can no longer meet their target go behind those of their urgency that can. What cannot be prefilled before its deadline is refused with the measured time to drain, spread over up to double that. FairQueue::withdraw gives back the cost of a request that is not served; cancel, which the other interface uses, is unchanged.

Ruled out: earliest target first, without urgency.

--- a/crates/acaciabay/src/core/fair_queue.rs
+++ b/crates/acaciabay/src/core/fair_queue.rs
@@ -112,6 +112,29 @@
         true
     }
 
+    /// Removes a request that will not be served, and returns true if it was in the queue.
+    ///
+    /// Unlike [`cancel`](Self::cancel), it also gives the cost back: otherwise a customer whose requests were refused or
+    /// abandoned would pay for them with its later ones.
+    pub fn withdraw(&mut self, customer: &CustomerName, ticket: TicketNumber) -> bool {
+        let weight = self.weight(customer);
+        let Some(queue) = self.queues.get_mut(customer) else {
+            return false;
+        };
+        let Some(index) = queue.waiting.iter().position(|request| request.ticket == ticket) else {
+            return false;
+        };
+        if let Some(request) = queue.waiting.remove(index) {
+            let returned = request.cost.tokens as f64 / weight;
+            for later in queue.waiting.iter_mut().skip(index) {
+                later.start -= returned;
+            }
+            queue.last_finish -= returned;
+            queue.pieces -= u64::from(request.cost.pieces);
+        }
+        true
+    }
+
     /// Returns the number of waiting requests of a customer.
     pub fn waiting(&self, customer: &CustomerName) -> usize {
         self.queues.get(customer).map_or(0, |queue| queue.waiting.len())
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -10,6 +10,7 @@
 //! * [`software_version`] is the version of an endpoint's software, by which a stream is continued, and
 //!   [`stream_origin`] which version has begun a stream at any entry.
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
+//! * [`prompt_room`] queues prompts at an entry while engines are short.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`endpoint_paths`] tells an endpoint that has failed from a lost path to it, and [`relay_choice`] selects the entries over
@@ -76,6 +77,9 @@
 pub mod prefill_pace;
 pub mod prompt;
 pub mod prompt_cache;
+mod prompt_drain;
+mod prompt_lane;
+pub mod prompt_room;
 pub mod reading_need;
 pub mod relay_choice;
 pub mod replica_tracker;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -31,6 +31,8 @@
 mod prefill_pace;
 mod prefill_placement;
 mod prompt_cache;
+mod prompt_room;
+mod prompt_room_replay;
 mod relay_choice;
 mod replica_tracker;
 mod retry_ledger;
