Measure how fast the queue drains over at least 16 prompts

Cause: the rate counted after half a second. In a test with one slow engine the three prompts sent in that time were the most urgent ones, so that nothing seemed to be left for the others: they were refused 0.77 s after they had come, with 7 s left and a Retry-After of 27 s.

Change: the rate is known once 16 prompts have left, and goes back four seconds instead of two; before that, it is what the engines of the slice can do.

--- a/crates/acaciabay/src/core/serving/prompt_drain.rs
+++ b/crates/acaciabay/src/core/serving/prompt_drain.rs
@@ -9,15 +9,17 @@
 /// Length of one measurement.
 const BUCKET: Duration = Duration::from_millis(250);
 /// Number of measurements that are averaged.
-const MAX_BUCKETS: usize = 8;
-/// Number of measurements without which the rate is not known.
-const MIN_BUCKETS: usize = 2;
+const MAX_BUCKETS: usize = 16;
+/// Number of prompts without which the rate is not known. With a few, those that happened to go first would seem to leave
+/// nothing for the other urgencies.
+const MIN_PROMPTS: usize = 16;
 
 /// Prefill time of the prompts that have left the queue in one interval.
 #[derive(Clone, Debug)]
 struct DrainBucket {
     start: BootTime,
     sent: BTreeMap<LaneKey, f64>,
+    prompts: usize,
     /// True if prompts were waiting all the time. Otherwise the interval says how much arrived, not how much can leave.
     is_saturated: bool,
 }
@@ -47,6 +49,7 @@
         self.buckets.push_back(DrainBucket {
             start: now,
             sent: BTreeMap::new(),
+            prompts: 0,
             is_saturated: is_waiting,
         });
         if self.buckets.len() > MAX_BUCKETS + 1 {
@@ -58,21 +61,22 @@
     pub(super) fn record(&mut self, lane: LaneKey, prefill: Duration) {
         if let Some(bucket) = self.buckets.back_mut() {
             *bucket.sent.entry(lane).or_default() += prefill.as_secs_f64();
+            bucket.prompts += 1;
         }
     }
 
     /// Returns the rate of the whole queue and that of the lanes before `lane`, or `None` if too little was measured.
     pub(super) fn measured(&self, lane: LaneKey) -> Option<(f64, f64)> {
-        let (mut count, mut seconds, mut all, mut before) = (0, 0.0, 0.0, 0.0);
+        let (mut prompts, mut seconds, mut all, mut before) = (0, 0.0, 0.0, 0.0);
         for (bucket, next) in self.buckets.iter().zip(self.buckets.iter().skip(1)) {
             if !bucket.is_saturated {
                 continue;
             }
-            count += 1;
+            prompts += bucket.prompts;
             seconds += next.start.since(bucket.start).as_secs_f64();
             all += bucket.sent.values().sum::<f64>();
             before += bucket.sent.range(..lane).map(|(_, sent)| sent).sum::<f64>();
         }
-        (count >= MIN_BUCKETS && all > 0.0).then(|| (all / seconds, before / seconds))
+        (prompts >= MIN_PROMPTS && all > 0.0).then(|| (all / seconds, before / seconds))
     }
 }
