Queue prompts at an entry while engines are short

Change: a call asks for a pass before its prompt is prefilled, by a separate engine or by the one that decodes. The pass counts the expected prefill time as outstanding and ends on drop: when the prefill has ended, the attempt has failed or the caller has left. A call that was let through once does not wait again. What waits is refused, not run, when the process stops. Prompts go without credit to an engine that has no call. Only with waiting_room in the settings and a slice of the service; all else is as before.

Ruled out: passing the engine that was chosen for an idle engine on to the prefill. It is chosen again, as placement may have learned more meanwhile; that costs one more placement, and only for prompts that would wait while an engine is idle.

--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -5,15 +5,17 @@
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
-use acaciabay::core::serving::endpoint_load::LoadTable;
+use acaciabay::core::serving::endpoint_load::{DEFAULT_PACE, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::prompt_room::prefill_credit;
 use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::ops::place_call::{Candidate, PlacementView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 use acaciabay::util::rendezvous;
 
+use super::call::AcceptedCall;
 use super::endpoint_limits::{LimitDetour, choose_within_limits, limited};
 use super::shared::EntryShared;
 
@@ -64,7 +66,92 @@
     pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
+/// What the engines of a stage can prefill for this entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefillCapacity {
+    /// Prefill time that may be outstanding.
+    pub(super) credit: Duration,
+    /// True if one of the engines has nothing to do, as far as this entry knows.
+    pub(super) has_idle: bool,
+}
+
+/// Expected work of a prefill.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExpectedPrefill {
+    pub(super) tokens: u64,
+    pub(super) time: Duration,
+}
+
 impl EntryShared {
+    /// Returns what the engines of a stage can prefill for this entry, or `None` if it has no slice of the service or the
+    /// stage no engine.
+    pub(super) fn prefill_capacity(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        prefill_stage: EngineStage,
+    ) -> Option<PrefillCapacity> {
+        let mut state = self.state();
+        let slice = *state.slices.get(service)?;
+        let (registry, loads, _) = state.choice_parts();
+        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
+        let speeds = engines.iter().map(|(name, _)| 1.0 / loads.slowdown(now, name));
+        (!engines.is_empty()).then(|| PrefillCapacity {
+            credit: prefill_credit(slice, speeds.sum()),
+            has_idle: engines.iter().any(|(name, _)| is_idle(loads, name)),
+        })
+    }
+
+    /// Returns the expected work of prefilling a prompt at the engine that has most of it cached.
+    pub(super) fn expected_prefill(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        prefill_stage: EngineStage,
+        prompt: &PromptShape,
+    ) -> ExpectedPrefill {
+        let mut state = self.state();
+        let usual_pace = state.prefill_pace(service);
+        let (registry, loads, _) = state.choice_parts();
+        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
+        let cached = engines
+            .iter()
+            .map(|(name, _)| loads.cached_prefix_tokens(name, &prompt.parts));
+        let tokens = prompt.prompt_tokens.saturating_sub(cached.max().unwrap_or(0)).max(1);
+        let millis = tokens as f64 * usual_pace.unwrap_or(DEFAULT_PACE);
+        ExpectedPrefill {
+            tokens,
+            time: Duration::from_secs_f64(millis / 1_000.0),
+        }
+    }
+
+    /// Returns the engine that would prefill the prompt of a call now, if it is idle as far as this entry knows.
+    pub(super) fn idle_engine(
+        &self,
+        now: BootTime,
+        call: &AcceptedCall,
+        prompt: &PromptShape,
+        stage: EngineStage,
+    ) -> Option<EndpointName> {
+        let name = match stage {
+            EngineStage::Prefill => {
+                let chosen = self.choose_prefill_engine(now, &call.service, (&[], false), prompt)?;
+                chosen.engine.name
+            }
+            EngineStage::Decode => {
+                let scope = DecodeScope {
+                    version: call.stream_version(),
+                    tried: &[],
+                    drain_window: self.drain_window(),
+                    prefers_active: false,
+                };
+                let chosen = self.choose_decode_engine(now, &call.service, &scope, None, call.request_hash)?;
+                chosen.name
+            }
+        };
+        is_idle(&self.state().loads, &name).then_some(name)
+    }
+
     /// Chooses an endpoint for a plain call.
     pub(super) fn choose_for_plain_call(
         &self,
@@ -242,6 +329,10 @@
     }
 }
 
+fn is_idle(loads: &LoadTable, name: &EndpointName) -> bool {
+    loads.work(name).calls == 0
+}
+
 /// Engines of one service at one time.
 #[derive(Clone, Copy, Debug)]
 struct ServiceEngines<'state> {
@@ -276,6 +367,19 @@
         rows
     }
 
+    /// Returns the engines of a stage that may prefill a prompt.
+    fn that_prefill(&self, stage: EngineStage) -> Vec<Candidate<'state>> {
+        match stage {
+            EngineStage::Prefill => self.available_of_stage(EngineStage::Prefill),
+            EngineStage::Decode => self.all_decode_candidates(&DecodeScope {
+                version: StreamVersion::Any,
+                tried: &[],
+                drain_window: Duration::ZERO,
+                prefers_active: false,
+            }),
+        }
+    }
+
     fn decode_candidates(&self, scope: &DecodeScope<'_>) -> Vec<Candidate<'state>> {
         let mut rows = self.all_decode_candidates(scope);
         if scope.prefers_active {
--- a/crates/acacia-entry/src/serving/handover.rs
+++ b/crates/acacia-entry/src/serving/handover.rs
@@ -9,6 +9,7 @@
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::name::EndpointName;
+use acaciabay::core::serving::endpoint_registry::EngineStage;
 use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::util::number::whole_millis;
 use futures::FutureExt;
@@ -191,7 +192,13 @@
         if !self.is_awake(&chosen).await {
             return Err(KeptReason::OthersSilent);
         }
-        Ok(self.prepare(chosen, prefilled))
+        let pass = if prefilled.is_none() {
+            let pass = self.acquire_pass(EngineStage::Decode).await;
+            pass.map_err(|_refusal| KeptReason::PromptNotRead)?
+        } else {
+            None
+        };
+        Ok(self.prepare(chosen, prefilled, pass))
     }
 
     fn handover_scope<'call>(&'call self, tried: &'call [EndpointName]) -> DecodeScope<'call> {
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,6 +6,8 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`, within the retries of `retry_permits` (`write_permits`), and what else an endpoint is asked by `endpoint_request`.
 //!
+//! While engines are short, prompts wait at the entry until they may be prefilled (`prompt_queue`).
+//!
 //! A call whose engine is silent stays there until another engine has taken it over (`handover`, `stream_opening`).
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
@@ -39,6 +41,7 @@
 mod plain_call;
 mod prefill;
 mod prefill_search;
+mod prompt_queue;
 mod refusal;
 mod relay_client;
 mod relay_server;
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -36,6 +36,7 @@
 
 use super::codec::CallCodec;
 use super::endpoint_paths::{EndpointPaths, PathConnector};
+use super::prompt_queue::PromptQueue;
 use super::stream_origins::OriginExchange;
 use crate::suspect_calls::SuspectTracker;
 
@@ -183,6 +184,8 @@
     pub(super) paths: Arc<EndpointPaths>,
     /// Calls under which endpoints have ended.
     pub(super) suspects: Arc<SuspectTracker>,
+    /// Prompts that wait until engines can prefill them.
+    pub(super) prompt_queue: PromptQueue,
     /// Which versions have begun streams.
     pub(super) origins: OriginExchange,
     pub(super) log: Logger,
@@ -262,6 +265,7 @@
             client: EndpointClient::with_connector(options, Arc::new(PathConnector(Arc::clone(&paths)))),
             paths,
             suspects: SuspectTracker::new(log.clone()),
+            prompt_queue: PromptQueue::default(),
             origins: OriginExchange::new(),
             log,
             stopping,
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -21,6 +21,7 @@
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
+use super::prompt_queue::advance_queues;
 use super::relay_server::serve_relays;
 use super::shared::EntryShared;
 
@@ -75,6 +76,9 @@
     background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
     background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
     background.spawn(check_paths(Arc::clone(&shared), ended.clone()));
+    if shared.settings.waiting_room.is_some() {
+        background.spawn(advance_queues(Arc::clone(&shared), ended.clone()));
+    }
     background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
     let relays = relay.map(|relay| {
         let serving = serve_relays(relay, Arc::clone(&shared), closing.clone(), ended.clone());
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -9,6 +9,7 @@
 use acaciabay::core::name::{DomainName, EndpointName};
 use acaciabay::core::serving::endpoint_activity::EndpointActivity;
 use acaciabay::core::serving::endpoint_load::EndpointWork;
+use acaciabay::core::serving::endpoint_registry::EngineStage;
 use acaciabay::core::serving::silence_watch::SilenceWatch;
 use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::core::serving::suspect_view::CallStanding;
@@ -30,6 +31,7 @@
 use super::plain_call::build_response;
 use super::prefill::PrefilledPrompt;
 use super::prefill_search::prefill_prompt;
+use super::prompt_queue::{PromptPass, acquire_pass};
 use super::refusal::{
     CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_ENGINE_OF_VERSION, NO_PATH, NO_RETRY, SHORT_RETRY_DELAY, not_run,
 };
@@ -60,6 +62,8 @@
     rejections: u32,
     unreachable: u32,
     prefills: u32,
+    /// True once the call has been let through: it does not wait behind others again.
+    has_asked: bool,
     /// Permit of the next attempt to decode, if an earlier one has arrived.
     retry: Option<RetryPermit>,
     /// Set when a prefill under way is no longer needed.
@@ -73,6 +77,8 @@
     tried: Vec<EndpointName>,
     /// Prompt that is prefilled for the next attempt.
     prefilled: Option<PrefilledPrompt>,
+    /// Pass of a prompt that the next engine prefills itself.
+    pass: Option<PromptPass>,
     /// Failure that an engine has answered.
     failure: Option<OpenStream>,
 }
@@ -126,6 +132,7 @@
         rejections: 0,
         unreachable: 0,
         prefills: 0,
+        has_asked: false,
         retry: None,
         prefill_given_up: Arc::default(),
     };
@@ -349,12 +356,15 @@
                 self.renew_prefill();
                 search.prefilled = self.prefill_if_separate().await?;
             }
+            if search.prefilled.is_none() && search.pass.is_none() {
+                search.pass = self.acquire_pass(EngineStage::Decode).await?;
+            }
             let prefilled = search.prefilled.as_ref();
             let domain = prefilled.map(|prefilled| &prefilled.engine.endpoint.domain);
             let scope = self.decode_scope(&search.tried);
             let chosen = self.choose_decoder(&scope, domain).await?;
             if self.call.stream_version() == StreamVersion::Any || is_same_incarnation(&self.call, &chosen).await {
-                let prepared = self.prepare(chosen, search.prefilled.take());
+                let prepared = self.prepare(chosen, search.prefilled.take(), search.pass.take());
                 return Ok(self.send(prepared, resume_after));
             }
             self.count_unreachable()?;
@@ -377,15 +387,29 @@
     }
 
     /// Returns an attempt that is ready to be sent. Takes the permit of the next attempt.
-    pub(super) fn prepare(&mut self, chosen: ChosenEndpoint, prefilled: Option<PrefilledPrompt>) -> PreparedAttempt {
+    pub(super) fn prepare(
+        &mut self,
+        chosen: ChosenEndpoint,
+        prefilled: Option<PrefilledPrompt>,
+        pass: Option<PromptPass>,
+    ) -> PreparedAttempt {
         PreparedAttempt {
             guard: self.call.shared.add_work(&chosen.name, self.decode_work()),
             retry: self.retry.take(),
             chosen,
             prefilled,
+            pass,
         }
     }
 
+    /// Waits until the prompt may be prefilled by engines of a stage.
+    pub(super) async fn acquire_pass(&mut self, stage: EngineStage) -> Result<Option<PromptPass>, CallRefusal> {
+        let pass = acquire_pass(&self.call, stage, self.has_asked).await;
+        let pass = pass.map_err(|refusal| self.held_back(refusal))?;
+        self.has_asked = true;
+        Ok(pass)
+    }
+
     /// Sends the call to an engine, which may run it from now on.
     pub(super) fn send(&mut self, prepared: PreparedAttempt, resume_after: Option<u64>) -> StreamOpening {
         self.possible_runs += 1;
@@ -432,7 +456,8 @@
 
     /// Has the prompt prefilled if the service has separate engines for it and the prompt is long enough to gain by it.
     pub(super) async fn prefill_if_separate(&mut self) -> Result<Option<PrefilledPrompt>, CallRefusal> {
-        let Some(prompt) = &self.call.head.prompt else {
+        let call = Arc::clone(&self.call);
+        let Some(prompt) = &call.head.prompt else {
             return Ok(None);
         };
         let pace = self.call.shared.state().prefill_pace(&self.call.service);
@@ -441,10 +466,12 @@
         {
             return Ok(None);
         }
+        // The prefill has ended when this value is dropped.
+        let _pass = self.acquire_pass(EngineStage::Prefill).await?;
         let is_retry = self.prefills > 0;
         self.prefills += 1;
         let given_up = Arc::clone(&self.prefill_given_up);
-        match prefill_prompt(&self.call, prompt, is_retry, given_up).await {
+        match prefill_prompt(&call, prompt, is_retry, given_up).await {
             Ok(prefilled) => Ok(Some(prefilled)),
             // An earlier attempt may have run the call, so `NotRun` would be false.
             Err(CallRefusal::NotRun { .. } | CallRefusal::Quarantined) if self.possible_runs > 0 => {
--- a/crates/acacia-entry/src/serving/stream_opening.rs
+++ b/crates/acacia-entry/src/serving/stream_opening.rs
@@ -13,6 +13,7 @@
 use super::codec::AttemptRole;
 use super::endpoint_choice::ChosenEndpoint;
 use super::prefill::PrefilledPrompt;
+use super::prompt_queue::PromptPass;
 use super::retry_permits::RetryPermit;
 use super::shared::LoadGuard;
 use super::stream_call::OpenStream;
@@ -22,6 +23,8 @@
 pub(super) struct PreparedAttempt {
     pub(super) chosen: ChosenEndpoint,
     pub(super) prefilled: Option<PrefilledPrompt>,
+    /// Pass of a prompt that the engine prefills itself. It ends with the preparation, when the answer has begun.
+    pub(super) pass: Option<PromptPass>,
     /// Permit of an attempt after one that arrived.
     pub(super) retry: Option<RetryPermit>,
     pub(super) guard: LoadGuard,
@@ -92,9 +95,11 @@
         let PreparedAttempt {
             chosen,
             mut prefilled,
+            pass,
             guard,
-            ..
+            retry: _,
         } = prepared;
+        drop(pass);
         if let Some(prefilled) = &mut prefilled {
             prefilled.mark_taken();
         }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -118,6 +118,10 @@
     SILENCE_JUDGED = "E0253";
     /// An entry holds calls back whose prompts have parts that end endpoints.
     PARTS_HELD_BACK = "E0254";
+    /// A call has waited at this entry until engines could prefill its prompt.
+    PROMPT_QUEUED = "E0258";
+    /// A call was refused because engines cannot prefill its prompt in time, or too many calls wait.
+    PROMPT_REFUSED = "E0259";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
