Choose the engine of a waiting prompt once instead of at each step

Cause: by reading. While prompts wait and some engine is idle, up to eight of them were placed every 20 ms. A placement among some hundred engines hashes each of them, and an entry has a tenth of a core.

Change: the engine is chosen when a prompt arrives that has to wait, and only looked at afterwards; one choice is made again every 100 ms, the oldest first. The queue is looked at every 40 ms.

The processor time was not measured.

--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -125,18 +125,23 @@
         }
     }
 
-    /// Returns the engine that would prefill the prompt of a call now, if it is idle as far as this entry knows.
-    pub(super) fn idle_engine(
+    /// Returns true if an engine has no call, as far as this entry knows.
+    pub(super) fn is_idle(&self, engine: &EndpointName) -> bool {
+        is_idle(&self.state().loads, engine)
+    }
+
+    /// Returns the engine that would prefill the prompt of a call now.
+    pub(super) fn choose_prefiller(
         &self,
         now: BootTime,
         call: &AcceptedCall,
         prompt: &PromptShape,
         stage: EngineStage,
     ) -> Option<EndpointName> {
-        let name = match stage {
+        match stage {
             EngineStage::Prefill => {
                 let chosen = self.choose_prefill_engine(now, &call.service, (&[], false), prompt)?;
-                chosen.engine.name
+                Some(chosen.engine.name)
             }
             EngineStage::Decode => {
                 let scope = DecodeScope {
@@ -146,10 +151,9 @@
                     prefers_active: false,
                 };
                 let chosen = self.choose_decode_engine(now, &call.service, &scope, None, call.request_hash)?;
-                chosen.name
+                Some(chosen.name)
             }
-        };
-        is_idle(&self.state().loads, &name).then_some(name)
+        }
     }
 
     /// Chooses an endpoint for a plain call.
--- a/crates/acacia-entry/src/serving/prompt_queue.rs
+++ b/crates/acacia-entry/src/serving/prompt_queue.rs
@@ -27,11 +27,12 @@
 use super::shared::EntryShared;
 
 /// Interval at which the queue is advanced while prompts wait: engines become free by the work of other entries as well.
-const ADVANCE_INTERVAL: Duration = Duration::from_millis(20);
+const ADVANCE_INTERVAL: Duration = Duration::from_millis(40);
 /// Wait from which on a call is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(100);
-/// Number of waiting prompts whose engines are looked for at a time, one for each shared part. Each costs a placement.
-const MAX_PLACED: usize = 8;
+/// Interval at which the engine of one waiting prompt is chosen again. A placement among some hundred engines is the most
+/// expensive step of the queue.
+const PLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a prompt was let go to an idle engine in which that engine does not count as idle, because its work is
 /// counted only once the call is sent.
 const SENDING_TIME: Duration = Duration::from_millis(20);
@@ -54,11 +55,16 @@
     waiters: HashMap<PassNumber, Waiter>,
     /// Idle engines to which prompts were let go, and when.
     given: HashMap<EndpointName, BootTime>,
+    /// Time at which an engine was last chosen again.
+    placed_at: BootTime,
 }
 
 #[derive(Debug)]
 struct Waiter {
     call: Arc<AcceptedCall>,
+    /// Engine that placement has chosen, and when.
+    engine: Option<EndpointName>,
+    placed_at: BootTime,
     answer: oneshot::Sender<Result<(), RoomRefusal>>,
 }
 
@@ -117,13 +123,25 @@
         self.given.contains_key(engine)
     }
 
-    /// Returns the waiting calls whose engines are looked for: the first with each shared part.
-    fn calls_to_place(&self) -> Vec<(PassNumber, Arc<AcceptedCall>)> {
+    /// Returns the engines that placement has chosen, each with the first prompt that waits for it.
+    fn chosen_engines(&self) -> Vec<(PassNumber, EndpointName)> {
         let mut seen = HashSet::new();
         let waiting = self.room.waiting_prompts().into_iter();
-        let calls = waiting.filter_map(|number| Some((number, Arc::clone(&self.waiters.get(&number)?.call))));
-        let first = calls.filter(|(_, call)| seen.insert(call.head.prompt.as_ref().and_then(PromptShape::affinity)));
-        first.take(MAX_PLACED).collect()
+        let chosen = waiting.filter_map(|number| Some((number, self.waiters.get(&number)?.engine.clone()?)));
+        chosen.filter(|(_, engine)| seen.insert(engine.clone())).collect()
+    }
+
+    /// Returns the call whose engine was chosen longest ago, if one is due to be chosen again.
+    fn call_to_place(&mut self, now: BootTime) -> Option<(PassNumber, Arc<AcceptedCall>)> {
+        if now.since(self.placed_at) < PLACEMENT_INTERVAL {
+            return None;
+        }
+        self.placed_at = now;
+        let oldest = self
+            .waiters
+            .iter()
+            .min_by_key(|(number, waiter)| (waiter.placed_at, **number));
+        oldest.map(|(number, waiter)| (*number, Arc::clone(&waiter.call)))
     }
 }
 
@@ -154,10 +172,10 @@
     let has_room = lock_room(&mut shared.prompt_queue.rooms.lock(), &key, capacity.credit)
         .room
         .has_room();
-    let idle = (!has_room && capacity.has_idle)
-        .then(|| shared.idle_engine(asked_at, call, prompt, stage))
+    let engine = (!has_room)
+        .then(|| shared.choose_prefiller(asked_at, call, prompt, stage))
         .flatten();
-    let (pass, decision) = ask(call, key, (capacity.credit, idle), queued, settings);
+    let (pass, decision) = ask(call, key, (capacity.credit, engine), queued, settings);
     let refusal = match decision {
         PassDecision::Goes => None,
         PassDecision::Refused(refusal) => Some(refusal),
@@ -220,7 +238,7 @@
     let now = boot_now();
     let (service, stage) = key;
     let capacity = shared.prefill_capacity(now, service, *stage);
-    let to_place = {
+    let (chosen, to_place) = {
         let mut rooms = shared.prompt_queue.rooms.lock();
         let Some(queue) = rooms.get_mut(key) else {
             return;
@@ -229,27 +247,44 @@
         let changes = queue.room.advance(now);
         queue.answer(changes);
         let has_idle = capacity.is_some_and(|capacity| capacity.has_idle);
-        let to_place = if has_idle { queue.calls_to_place() } else { Vec::new() };
+        let chosen = if has_idle { queue.chosen_engines() } else { Vec::new() };
+        let to_place = if has_idle { queue.call_to_place(now) } else { None };
         record_sizes(&rooms);
-        to_place
+        (chosen, to_place)
     };
-    for (number, call) in to_place {
-        let prompt = call.head.prompt.as_ref();
-        let Some(engine) = prompt.and_then(|prompt| shared.idle_engine(now, &call, prompt, *stage)) else {
-            continue;
-        };
+    send_to_idle(shared, key, now, chosen);
+    if let Some((number, call)) = to_place
+        && let Some(prompt) = &call.head.prompt
+    {
+        let engine = shared.choose_prefiller(now, &call, prompt, *stage);
         let mut rooms = shared.prompt_queue.rooms.lock();
-        let Some(queue) = rooms.get_mut(key) else {
-            return;
-        };
+        let queue = rooms.get_mut(key);
+        if let Some(waiter) = queue.and_then(|queue| queue.waiters.get_mut(&number)) {
+            waiter.engine = engine;
+            waiter.placed_at = now;
+        }
+    }
+}
+
+/// Lets prompts go whose engines are idle.
+fn send_to_idle(shared: &Arc<EntryShared>, key: &RoomKey, now: BootTime, mut chosen: Vec<(PassNumber, EndpointName)>) {
+    chosen.retain(|(_, engine)| shared.is_idle(engine));
+    if chosen.is_empty() {
+        return;
+    }
+    let mut rooms = shared.prompt_queue.rooms.lock();
+    let Some(queue) = rooms.get_mut(key) else {
+        return;
+    };
+    for (number, engine) in chosen {
         if !queue.was_given(now, &engine) && queue.room.go_idle(now, number) {
             queue.given.insert(engine, now);
             let going = vec![number];
             let refused = Vec::new();
             queue.answer(RoomChanges { going, refused });
-            record_sizes(&rooms);
         }
     }
+    record_sizes(&rooms);
 }
 
 fn go_first(shared: &Arc<EntryShared>, key: RoomKey, now: BootTime, queued: &QueuedPrompt) -> PromptPass {
@@ -264,16 +299,17 @@
     }
 }
 
-/// Asks the room for a pass. `idle` is the engine that would prefill the prompt, if it is idle.
+/// Asks the room for a pass. `engine` is the one that would prefill the prompt, if that was looked for.
 fn ask(
     call: &Arc<AcceptedCall>,
     key: RoomKey,
-    (credit, idle): (Duration, Option<EndpointName>),
+    (credit, engine): (Duration, Option<EndpointName>),
     queued: QueuedPrompt,
     settings: WaitingRoomSettings,
 ) -> (PromptPass, PassDecision) {
     let shared = &call.shared;
     let now = boot_now();
+    let idle = engine.clone().filter(|engine| shared.is_idle(engine));
     let mut rooms = shared.prompt_queue.rooms.lock();
     let bounds = free_bounds(&rooms, &key, settings);
     let queue = lock_room(&mut rooms, &key, credit);
@@ -285,8 +321,13 @@
         None if changes.going.contains(&number) => PassDecision::Goes,
         None => {
             let (answer, receiver) = oneshot::channel();
-            let call = Arc::clone(call);
-            queue.waiters.insert(number, Waiter { call, answer });
+            let waiter = Waiter {
+                call: Arc::clone(call),
+                engine,
+                placed_at: now,
+                answer,
+            };
+            queue.waiters.insert(number, waiter);
             PassDecision::Waits(receiver)
         }
     };
