Let the queue drain by its last credit while the leader gives no slice

Cause: a new leader knows no shares of entries at first. If its first answers carry no slice, all prompts that wait would go at once, at every entry in the same moment.

Change: prompts that wait keep the last credit; calls that come meanwhile go as before.

--- a/crates/acacia-entry/src/serving/prompt_queue.rs
+++ b/crates/acacia-entry/src/serving/prompt_queue.rs
@@ -243,7 +243,10 @@
         let Some(queue) = rooms.get_mut(key) else {
             return;
         };
-        queue.room.set_credit(capacity.map(|capacity| capacity.credit));
+        // A new leader may give no slices yet. The prompts that wait would then all go at once.
+        if let Some(capacity) = capacity {
+            queue.room.set_credit(Some(capacity.credit));
+        }
         let changes = queue.room.advance(now);
         queue.answer(changes);
         let has_idle = capacity.is_some_and(|capacity| capacity.has_idle);
