--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -21,6 +21,7 @@
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
+use super::prompt_queue::advance_queues;
 use super::relay_server::serve_relays;
 use super::shared::EntryShared;
 
@@ -81,6 +82,9 @@
     background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
     background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
     background.spawn(check_paths(Arc::clone(&shared), ended.clone()));
+    if shared.settings.waiting_room.is_some() {
+        background.spawn(advance_queues(Arc::clone(&shared), ended.clone()));
+    }
     background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
     if let Some(buffers) = &shared.answer_buffers {
         background.spawn(Arc::clone(buffers).scan_until(ended.clone()));
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -126,6 +126,10 @@
     LOAD_UNREADABLE = "E0255";
     /// The expected prefill time of a service was fitted, or has changed.
     PREFILL_MODELLED = "E0256";
+    /// A call has waited at this entry until engines could prefill its prompt.
+    PROMPT_QUEUED = "E0258";
+    /// A call was refused because engines cannot prefill its prompt in time, or too many calls wait.
+    PROMPT_REFUSED = "E0259";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -34,6 +34,8 @@
 mod prefill_pace;
 mod prefill_placement;
 mod prompt_cache;
+mod prompt_room;
+mod prompt_room_replay;
 mod relay_choice;
 mod replica_tracker;
 mod retry_ledger;
