Place calls by slices of the endpoints and by the age of what is known

Cause: entries that choose the endpoint with the least known work all choose the same one until they learn of each other's calls.

Without a slice the choices are as before; today's tests of placement only name the new field.

Ruled out in the replay: the prompt's own prefill times the slowdown (fast engines overloaded), homes alone for long parts (an entry knows too little of a home's queue), whole engines instead of parts of them.

--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -61,6 +61,8 @@
 const DEFAULT_PACE: f64 = 0.02;
 /// Weight of a new measurement in the moving average of the pace.
 const PACE_WEIGHT: f64 = 0.1;
+/// Weight of newly received work of the other entries in its moving average, which then covers the last few seconds.
+const PEER_WORK_WEIGHT: f64 = 0.1;
 
 /// A change of stage that an engine has been ordered to make and has not yet completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +79,8 @@
 struct LoadRow {
     own: EndpointWork,
     peers: EndpointWork,
+    /// Moving average of the peers' unread tokens.
+    usual_peer_tokens: f64,
     cache: PromptCacheEstimate,
     failures: u32,
     suspected_until: BootTime,
@@ -87,6 +91,7 @@
     is_silent_to_peers: bool,
     stage_switch: Option<StageSwitch>,
     pace: Option<f64>,
+    slowdown: Option<f64>,
     activity: Arc<EndpointActivity>,
 }
 
@@ -107,6 +112,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the outstanding work of this entry and of the other entries at an endpoint.
+    pub fn work_by_origin(&self, name: &EndpointName) -> (EndpointWork, EndpointWork) {
+        self.rows.get(name).map(|row| (row.own, row.peers)).unwrap_or_default()
+    }
+
     /// Returns the outstanding work of this entry, for each endpoint that has any.
     pub fn own_work(&self) -> impl Iterator<Item = (&EndpointName, EndpointWork)> {
         let rows = self.rows.iter().map(|(name, row)| (name, row.own));
@@ -134,6 +144,14 @@
         for (name, work) in works {
             self.row(&name).peers = work;
         }
+        for row in self.rows.values_mut() {
+            row.usual_peer_tokens += PEER_WORK_WEIGHT * (row.peers.unread_tokens as f64 - row.usual_peer_tokens);
+        }
+    }
+
+    /// Returns the prompt tokens that the other entries have queued at an endpoint on average.
+    pub fn usual_peer_tokens(&self, name: &EndpointName) -> f64 {
+        self.rows.get(name).map_or(0.0, |row| row.usual_peer_tokens)
     }
 
     /// Returns the time since the other entries' work was last replaced.
@@ -142,8 +160,18 @@
     }
 
     /// Returns how long work takes at an endpoint as a multiple of the usual of its service: 1 if nothing is known.
-    pub const fn slowdown(&self, _now: BootTime, _name: &EndpointName) -> f64 {
-        1.0
+    pub fn slowdown(&self, _now: BootTime, name: &EndpointName) -> f64 {
+        self.lasting_slowdown(name)
+    }
+
+    /// Returns the lasting part of [`Self::slowdown`], without what the endpoint has stated for the present.
+    pub fn lasting_slowdown(&self, name: &EndpointName) -> f64 {
+        self.rows.get(name).and_then(|row| row.slowdown).unwrap_or(1.0)
+    }
+
+    /// Replaces the lasting slowdown of an endpoint.
+    pub fn set_lasting_slowdown(&mut self, name: &EndpointName, slowdown: f64) {
+        self.row(name).slowdown = Some(slowdown);
     }
 
     /// Returns the length, in tokens, of the prompt prefix that the endpoint is believed to have cached.
@@ -174,6 +202,11 @@
         measured.or(usual).unwrap_or(DEFAULT_PACE)
     }
 
+    /// Returns the usual pace of a service in milliseconds per token, or a typical one if it is not known.
+    pub fn usual_pace(usual: Option<f64>) -> f64 {
+        usual.unwrap_or(DEFAULT_PACE)
+    }
+
     /// Returns when the endpoint last wrote something, for calls to record what they read from it.
     pub fn activity(&mut self, name: &EndpointName) -> Arc<EndpointActivity> {
         Arc::clone(&self.row(name).activity)
--- a/crates/acaciabay/src/ops/mod.rs
+++ b/crates/acaciabay/src/ops/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod check_tables;
 pub mod divide_pool;
+pub mod engine_room;
+mod fill_line;
 pub mod place_call;
 pub mod place_prompt;
 pub mod place_request;
--- a/crates/acaciabay/src/ops/place_call.rs
+++ b/crates/acaciabay/src/ops/place_call.rs
@@ -4,10 +4,14 @@
 //! ([`place_stream`]), preferably in the failure domain of the engine that holds the prompt. A plain call goes to the
 //! endpoint with the most free slots ([`place_plain`]).
 
+use std::time::Duration;
+
 use crate::core::clock::BootTime;
 use crate::core::name::{DomainName, EndpointName};
 use crate::core::serving::endpoint_load::LoadTable;
 use crate::core::serving::endpoint_registry::ServingEndpoint;
+use crate::core::serving::load_slice::EngineLine;
+use crate::ops::fill_line::place_by_slice;
 use crate::util::rendezvous;
 
 /// An endpoint that may be chosen.
@@ -24,11 +28,42 @@
     pub loads: &'table LoadTable,
     /// Endpoints with a limit for which the entry holds a permit that would otherwise expire.
     pub permitted: &'table [EndpointName],
+    /// The entry's slice of the service's endpoints, if the leader has assigned one.
+    pub slice: Option<SliceView<'table>>,
+}
+
+/// The slice by which a call is placed.
+#[derive(Clone, Copy, Debug)]
+pub struct SliceView<'table> {
+    /// The endpoints on the line.
+    pub line: &'table EngineLine,
+    /// Random number of the call, which separates endpoints of equal cost.
+    pub draw: u64,
+    /// Usual time for which a call of this kind is outstanding at an endpoint.
+    pub work_time: Duration,
+    /// Size of an engine's memory in tokens, or 0 for other endpoints.
+    pub memory_tokens: u64,
+}
+
+/// Age of the other entries' work when it is received: the time since they reported it, and the way to the leader and back.
+const REPORT_AGE: Duration = Duration::from_millis(250);
+
+impl PlacementView<'_> {
+    /// Returns the age of what is known of the other entries' work.
+    pub(super) fn peer_work_age(&self) -> Duration {
+        self.loads.peer_work_age(self.now) + REPORT_AGE
+    }
+
+    /// Returns the fraction of the other entries' work that is still outstanding, if it lasts for `work_time` on average.
+    pub(super) fn peer_fraction(&self, work_time: Duration) -> f64 {
+        let age = self.peer_work_age().as_secs_f64();
+        (-age / work_time.as_secs_f64().max(0.001)).exp()
+    }
 }
 
 /// Penalties added to an endpoint's load, in fractions of its slots. A prompt takes twice as long to reach another
 /// failure domain. A recent failure counts more than a full endpoint.
-const SLOT_PENALTY: EndpointPenalty = EndpointPenalty {
+pub(super) const SLOT_PENALTY: EndpointPenalty = EndpointPenalty {
     other_domain: 0.15,
     suspect: 8.0,
     permitted: -0.3,
@@ -51,6 +86,9 @@
     seed: u64,
 ) -> Option<EndpointName> {
     let preferred_domain = prefill_domain.unwrap_or(view.domain);
+    if let Some(slice) = view.slice {
+        return place_by_slice(view, slice, candidates, memory_tokens, preferred_domain);
+    }
     let scored = candidates.iter().map(|candidate| {
         let (name, endpoint) = *candidate;
         let work = view.loads.work(name);
@@ -73,6 +111,9 @@
 
 /// Chooses the endpoint for a plain call. `seed` is a random number that spreads calls over endpoints with equal load.
 pub fn place_plain(view: &PlacementView<'_>, candidates: &[Candidate<'_>], seed: u64) -> Option<EndpointName> {
+    if let Some(slice) = view.slice {
+        return place_by_slice(view, slice, candidates, 0, view.domain);
+    }
     let scored = candidates.iter().map(|candidate| {
         let (name, endpoint) = *candidate;
         let work = view.loads.work(name);
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -9,9 +9,10 @@
 
 use crate::core::name::EndpointName;
 use crate::core::serving::config::KvCacheLink;
+use crate::core::serving::endpoint_load::LoadTable;
 use crate::core::serving::endpoint_registry::{EndpointPhase, ServingEndpoint};
 use crate::core::serving::prompt::PromptShape;
-use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView};
+use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView, SliceView};
 use crate::util::number::round_up;
 use crate::util::rendezvous;
 
@@ -64,6 +65,19 @@
     permitted: -20.0,
 };
 
+/// Minimum length of a shared part that is worth a home, in tokens, where entries have slices. A shorter part is prefilled
+/// again in less time than a prompt waits behind another one.
+const MIN_HOME_TOKENS: u64 = 1_000;
+
+/// Number of homes of a part that take prompts at no extra cost once they cache it, where entries have slices.
+const EVEN_HOMES: usize = 2;
+
+/// Cost of copying a part to an engine of the slice that is no home, in milliseconds, beside the time of the copy.
+const SLICE_COPY_COST_MS: f64 = 10.0;
+
+/// Cost of an engine outside of the slice, in milliseconds.
+const OUTSIDE_SLICE_MS: f64 = 70.0;
+
 /// The engines of a service among which a prompt is placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptEngines<'table> {
@@ -112,11 +126,13 @@
     engines: &PromptEngines<'_>,
     prompt: &PromptShape,
 ) -> Option<PromptPlacement> {
-    let homes = PartHomes::of(
-        engines.home_engines,
-        prompt,
-        busy_fraction(view, engines.prefill_engines),
-    );
+    let busy_fraction = busy_fraction(view, engines.prefill_engines);
+    let homes = if view.slice.is_some() && shared_tokens(prompt) < MIN_HOME_TOKENS {
+        PartHomes::none(prompt, busy_fraction)
+    } else {
+        PartHomes::of(engines.home_engines, prompt, busy_fraction)
+    }
+    .with_keepers(view, prompt);
     let sources = LikelySources::of(view, engines, prompt);
     let scored = engines.prefill_engines.iter().map(|prefill_engine| {
         let source = sources.most_likely_except(prefill_engine.0);
@@ -151,17 +167,29 @@
     /// The result of [`busy_fraction`]. It is computed once for each prompt and kept here for the cost estimates of all
     /// engines.
     busy_fraction: f64,
+    /// Set if all even homes cache the part. An engine of a slice may then copy it, since a copy that it evicts later is not the
+    /// last one.
+    is_kept_by_homes: bool,
+}
+
+fn shared_tokens(prompt: &PromptShape) -> u64 {
+    prompt.shared_parts().iter().map(|part| part.tokens).sum()
 }
 
 impl<'table> PartHomes<'table> {
+    /// Without a shared part there are no homes, and the key serves only to separate engines of equal cost.
+    fn none(prompt: &PromptShape, busy_fraction: f64) -> Self {
+        Self {
+            key: prompt.parts.last().map_or(0, |part| part.id.0).to_be_bytes(),
+            ranked: Vec::new(),
+            busy_fraction,
+            is_kept_by_homes: false,
+        }
+    }
+
     fn of(home_engines: &[Candidate<'table>], prompt: &PromptShape, busy_fraction: f64) -> Self {
         let Some(part) = prompt.affinity() else {
-            // Without a shared part there are no homes, and the key serves only to separate engines of equal cost.
-            return Self {
-                key: prompt.parts.last().map_or(0, |part| part.id.0).to_be_bytes(),
-                ranked: Vec::new(),
-                busy_fraction,
-            };
+            return Self::none(prompt, busy_fraction);
         };
         let key = part.0.to_be_bytes();
         let mut ranked: Vec<_> = home_engines
@@ -174,14 +202,44 @@
             key,
             ranked: ranked.into_iter().map(|(_, name)| name).collect(),
             busy_fraction,
+            is_kept_by_homes: false,
         }
     }
 
+    /// Records whether all even homes cache the part.
+    fn with_keepers(mut self, view: &PlacementView<'_>, prompt: &PromptShape) -> Self {
+        let shared = shared_tokens(prompt);
+        let keeps = |home: &&EndpointName| view.loads.cached_prefix_tokens(home, prompt.shared_parts()) == shared;
+        self.is_kept_by_homes = view.slice.is_some() && self.ranked.iter().take(EVEN_HOMES).all(keeps);
+        self
+    }
+
     /// Returns the term that separates engines of equal cost, in milliseconds.
     fn tie_break_ms(&self, name: &EndpointName) -> f64 {
         TIE_BREAK_MS * hash_rank(&self.key, name) as f64 / u64::MAX as f64
     }
 
+    /// Returns the cost of an engine by its position among the homes and by the slice, in milliseconds.
+    fn slice_locality_ms(&self, name: &EndpointName, slice: SliceView<'_>, sizes: PromptSizes) -> f64 {
+        let coverage = slice.line.coverage(name);
+        let outside_ms = OUTSIDE_SLICE_MS * (1.0 - coverage);
+        if self.ranked.is_empty() || sizes.missing <= 0.0 {
+            return outside_ms;
+        }
+        if sizes.copied < sizes.missing {
+            return self.penalty_ms(name);
+        }
+        let is_even_home = self.ranked.iter().take(EVEN_HOMES).any(|home| *home == name);
+        if is_even_home {
+            // Until both cache the part, the first one gets all prompts with it.
+            0.0
+        } else if coverage > 0.0 && self.is_kept_by_homes {
+            SLICE_COPY_COST_MS + outside_ms
+        } else {
+            CACHED_ELSEWHERE_COST_MS * self.busy_fraction
+        }
+    }
+
     /// Returns the cost of an engine by its position among the homes of the part, in milliseconds. It is zero for the
     /// first home, and for every engine if the prompt has no shared part.
     fn penalty_ms(&self, name: &EndpointName) -> f64 {
@@ -263,8 +321,7 @@
     ) -> Self {
         let (name, endpoint) = prefill_engine;
         let cached = view.loads.cached_prefix_tokens(name, &prompt.parts) as f64;
-        let shared: u64 = prompt.shared_parts().iter().map(|part| part.tokens).sum();
-        let missing = (shared as f64 - cached).max(0.0);
+        let missing = (shared_tokens(prompt) as f64 - cached).max(0.0);
         let source_cached = source.map_or(0, |(source, _)| {
             view.loads.cached_prefix_tokens(source, prompt.shared_parts())
         });
@@ -282,6 +339,15 @@
             homes.penalty_ms(name)
         };
         let unread_tokens = (prompt.prompt_tokens as f64 - cached - expected_copied).max(0.0);
+        if let Some(slice) = view.slice {
+            let sizes = PromptSizes {
+                unread: unread_tokens,
+                reread: (missing - copied).max(0.0),
+                copied,
+                missing,
+            };
+            return Self::by_slice(view, slice, engines.pace, prefill_engine, homes, sizes, copy_ms);
+        }
         let queued = view.loads.work(name).unread_tokens as f64;
         let pace = view.loads.pace(name, engines.pace);
         let weighted_prefill_ms = (queued + NEW_TOKEN_WEIGHT * unread_tokens) * pace;
@@ -295,6 +361,59 @@
                 + PREFILL_PENALTY.of(view, prefill_engine, view.domain),
         }
     }
+
+    /// Estimates the time until the prompt is prefilled at an engine, if the entry has a slice.
+    fn by_slice(
+        view: &PlacementView<'_>,
+        slice: SliceView<'_>,
+        pace: Option<f64>,
+        prefill_engine: Candidate<'_>,
+        homes: &PartHomes<'_>,
+        sizes: PromptSizes,
+        copy_ms: f64,
+    ) -> Self {
+        let name = prefill_engine.0;
+        let usual_pace = LoadTable::usual_pace(pace);
+        let slowdown = view.loads.slowdown(view.now, name);
+        let pace = usual_pace * slowdown;
+        let (own, peers) = view.loads.work_by_origin(name);
+        let peer_fraction = view.peer_fraction(slice.work_time.mul_f64(slowdown));
+        let usual_peers = view.loads.usual_peer_tokens(name);
+        let peers = usual_peers + peer_fraction * (peers.unread_tokens as f64 - usual_peers);
+        let queued = own.unread_tokens as f64 + peers;
+        let wait_ms = (queued + sizes.unread) * pace + copy_ms;
+        let reread_ms = if homes.ranked.is_empty() {
+            0.0
+        } else {
+            (NEW_TOKEN_WEIGHT - 1.0) * sizes.reread * usual_pace
+        };
+        Self {
+            unread_tokens: sizes.unread,
+            wait_ms,
+            // The prompt's own prefill counts at the usual speed. Otherwise entries with a slow slice would send all prompts to
+            // fast engines elsewhere, which would then be overloaded.
+            cost_ms: queued * pace
+                + sizes.unread * usual_pace
+                + copy_ms
+                + reread_ms
+                + homes.slice_locality_ms(name, slice, sizes)
+                + TIE_BREAK_MS * slice.line.fraction(name, slice.draw)
+                + PREFILL_PENALTY.of(view, prefill_engine, view.domain),
+        }
+    }
+}
+
+/// Tokens of a prompt at one engine.
+#[derive(Clone, Copy, Debug)]
+struct PromptSizes {
+    /// Tokens that the engine probably has to prefill.
+    unread: f64,
+    /// Shared tokens among them.
+    reread: f64,
+    /// Shared tokens that it can copy.
+    copied: f64,
+    /// Shared tokens that it lacks.
+    missing: f64,
 }
 
 fn copy_time_ms(link: &KvCacheLink, tokens: f64, destination: &ServingEndpoint, source: &ServingEndpoint) -> f64 {
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -24,6 +24,8 @@
 mod limit_replay;
 mod limit_rule;
 mod limit_schedules;
+mod load_replay;
+mod load_slices;
 mod members;
 mod pending_renewals;
 mod placement;
--- a/crates/acaciabay/tests/serving/placement.rs
+++ b/crates/acaciabay/tests/serving/placement.rs
@@ -29,6 +29,7 @@
             domain: &entry_domain,
             loads,
             permitted: &[],
+            slice: None,
         };
         place_stream(&view, &candidates(&rows), 400_000, Some(&prefill_domain), 7)
     };
@@ -53,6 +54,7 @@
         domain: &entry_domain,
         loads: &loads,
         permitted: &[],
+        slice: None,
     };
 
     let mut streams = BTreeMap::new();
@@ -114,7 +116,7 @@
             loads.begin(name, calls(*count));
         }
         let domain = DomainName::new("a");
-        let view = PlacementView { now: at(0), domain: &domain, loads: &loads, permitted: &[] };
+        let view = PlacementView { now: at(0), domain: &domain, loads: &loads, permitted: &[], slice: None };
         let chosen = place_plain(&view, &candidates(&rows), seed).expect("there are endpoints");
         let used = |name: &EndpointName| loads.work(name).calls as f64 / 64.0;
         let least = rows.iter().map(|(name, _)| used(name)).fold(f64::INFINITY, f64::min);
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -36,6 +36,7 @@
         domain: &domain,
         loads,
         permitted: &[],
+        slice: None,
     };
     let link = link();
     let engines = PromptEngines {
@@ -171,6 +172,7 @@
         domain: &domain,
         loads: &loads,
         permitted: &[],
+        slice: None,
     };
     let expected = |pace| {
         let engines = PromptEngines {
@@ -211,6 +213,7 @@
         domain: &domain,
         loads: &loads,
         permitted: &[],
+        slice: None,
     };
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
@@ -327,6 +330,7 @@
         domain: &domain,
         loads: &loads,
         permitted: &[],
+        slice: None,
     };
     let link = link();
     let engines = PromptEngines {
@@ -355,6 +359,7 @@
             domain: &domain,
             loads,
             permitted: &[],
+            slice: None,
         };
         let engines = PromptEngines {
             prefill_engines: &candidates(admitted),
