Assign slices of uneven services to entries and place calls by them

Cause: the placement by slices was not in use.

A call whose stream would find no memory is refused before its prompt is prefilled.

--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -7,15 +7,16 @@
 use acacia_runtime::event;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{
-    EndpointUse, KeptPart, RelayList, RenewServing, ServingElsewhere, ServingHello, ServingRenewed, serving_renewed,
+    EndpointUse, EntrySlice, KeptPart, RelayList, RenewServing, ServingElsewhere, ServingHello, ServingRenewed,
+    serving_renewed,
 };
 use acacia_wire::generated::state::{self, WindowCounts};
 use acacia_wire::{
-    content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, suspect_answer_to_wire,
-    suspect_report_from_wire, use_from_wire, use_to_wire,
+    content_to_wire, counts_from_wire, kept_from_wire, kept_to_wire, pace_from_wire, slice_to_wire,
+    suspect_answer_to_wire, suspect_report_from_wire, use_from_wire, use_to_wire,
 };
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::name::HostName;
+use acaciabay::core::name::{HostName, ServiceName};
 use acaciabay::core::serving::cached_parts::LogPlace;
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_transfer::{ConfigDocument, ConfigSender};
@@ -73,10 +74,30 @@
         relays: request.wants_relays.then(|| relay_list(shared, hello)),
         retries,
         speeds: Vec::new(),
-        slices: Vec::new(),
+        slices: entry_slices(shared, hello, &request),
     })
 }
 
+/// Records the calls of services with uneven load, and returns the slices of their endpoints that the entry gets.
+fn entry_slices(shared: &ControlShared, hello: &ServingHello, request: &RenewServing) -> Vec<EntrySlice> {
+    let now = boot_now();
+    let host: HostName = hello.host.as_str().into();
+    let demands = request.demands.iter();
+    let calls = demands.map(|demand| (ServiceName::new(demand.service.as_str()), demand.calls));
+    let uneven: Vec<_> = calls.filter(|(service, _)| shared.is_uneven(service)).collect();
+    let mut soft = shared.soft_state();
+    for (service, calls) in uneven {
+        soft.slices.record(now, &service, &host, calls);
+    }
+    for change in soft.divide_slices(now) {
+        slog::info!(shared.log, "slices changed"; "event" => event::SLICES_DIVIDED,
+            "service" => change.service.as_str(), "entries" => change.entries, "smallest_ppm" => change.smallest_ppm,
+            "largest_ppm" => change.largest_ppm);
+    }
+    let slices = soft.slices.slices_of(&host);
+    slices.map(|(service, slice)| slice_to_wire(service, slice)).collect()
+}
+
 /// Returns the entries over which this one can reach endpoints.
 fn relay_list(shared: &ControlShared, hello: &ServingHello) -> RelayList {
     let (host, domain) = (hello.host.as_str().into(), hello.domain.as_str().into());
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -122,7 +122,6 @@
 impl ControlShared {
     /// Returns true if entries get slices and speeds of a service's endpoints: the settings ask for it, or an endpoint
     /// has stated its pace.
-    #[expect(dead_code, reason = "slices, speeds and recorded needs follow")]
     pub(super) fn is_uneven(&self, service: &ServiceName) -> bool {
         self.settings.balanced_load || self.soft_state().paced_services.contains(service)
     }
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -12,6 +12,7 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::limit_ledger::LimitLedger;
+use acaciabay::core::serving::load_slice::{SliceChange, SliceLedger};
 use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
 use acaciabay::core::serving::retry_ledger::RetryLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
@@ -68,6 +69,8 @@
     pub(super) calls: BTreeMap<ServiceName, u64>,
     /// Services with an endpoint that has stated its pace.
     pub(super) paced_services: BTreeSet<ServiceName>,
+    /// Slices of the services with uneven load.
+    pub(super) slices: SliceLedger,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
@@ -95,6 +98,17 @@
         self.entries.len()
     }
 
+    /// Divides the endpoints of services with uneven load among the entries. Returns what has changed.
+    pub(super) fn divide_slices(&mut self, now: BootTime) -> Vec<SliceChange> {
+        let live: Vec<&HostName> = self
+            .entries
+            .iter()
+            .filter(|(_, row)| now.since(row.heard_at) < ENTRY_TIMEOUT)
+            .map(|(host, _)| host)
+            .collect();
+        self.slices.divide(now, &live)
+    }
+
     /// Returns the state that an entry sent with its last renewal.
     pub(super) fn entry(&self, host: &HostName) -> Option<&EntryState> {
         self.entries.get(host)
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -374,7 +374,14 @@
         }
         state.entry_count = entries;
         state.loads.set_peer_work(now, others.iter().map(use_from_wire));
-        state.slices = slices.iter().map(slice_from_wire).collect();
+        let slices: BTreeMap<_, _> = slices.iter().map(slice_from_wire).collect();
+        for (service, slice) in &slices {
+            if state.slices.get(service) != Some(slice) {
+                slog::info!(self.shared.log, "slice changed"; "event" => event::SLICE_CHANGED,
+                    "service" => service.as_str(), "start_ppm" => slice.start_ppm, "end_ppm" => slice.end_ppm);
+            }
+        }
+        state.slices = slices;
         state.loads.set_peer_suspicions(silent.iter().map(EndpointName::new));
         for kept in &kept {
             state.record_cached_part(&kept_from_wire(kept));
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -1,5 +1,6 @@
 //! Choice of endpoints for calls: applies the placement functions of `acaciabay::ops` to the state of this entry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_runtime::clock::boot_now;
@@ -8,14 +9,16 @@
 use acaciabay::core::serving::endpoint_load::LoadTable;
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
+use acaciabay::core::serving::load_slice::EngineLine;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::software_version::StreamVersion;
-use acaciabay::ops::place_call::{Candidate, PlacementView, place_plain, place_stream};
+use acaciabay::ops::engine_room::with_memory;
+use acaciabay::ops::place_call::{Candidate, PlacementView, SliceView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 use acaciabay::util::rendezvous;
 
-use super::endpoint_limits::{LimitDetour, choose_within_limits, limited};
-use super::shared::EntryShared;
+use super::endpoint_limits::{ChoiceFailure, LimitDetour, choose_within_limits, limited};
+use super::shared::{EntryShared, EntryState};
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
 #[derive(Clone, Debug)]
@@ -72,8 +75,10 @@
         service: &ServiceName,
         tried: &[EndpointName],
         request_hash: u64,
-    ) -> Option<ChosenEndpoint> {
+    ) -> Result<ChosenEndpoint, ChoiceFailure> {
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, 0);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(registry.ready(now, service), tried);
         let (name, detour) = choose_within_limits(
@@ -81,9 +86,13 @@
             limits,
             &candidates,
             |name| name,
-            |candidates, permitted| place_plain(&self.placement(now, loads, permitted), candidates, request_hash),
-        )?;
-        find_chosen(&candidates, &name, detour)
+            |candidates, permitted| {
+                let view = self.placement(now, loads, permitted, slice);
+                place_plain(&view, candidates, request_hash)
+            },
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        find_chosen(&candidates, &name, detour).ok_or(ChoiceFailure::NoEndpoint)
     }
 
     /// Returns true if the service has separate engines for prefill that may be sent a prompt at present.
@@ -100,20 +109,31 @@
         has_room
     }
 
-    /// Returns false if limits stand against all engines that could decode a call. A prompt that is prefilled for it would be
-    /// prefilled in vain.
-    pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, scope: &DecodeScope<'_>) -> bool {
+    /// Checks that an engine could decode a call with this number of tokens: that not all are held back by limits, nor by full
+    /// memory. A prompt that is prefilled for it would be prefilled in vain.
+    pub(super) fn check_decode_room(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        scope: &DecodeScope<'_>,
+        tokens: u64,
+    ) -> Result<(), ChoiceFailure> {
+        let memory = self.engine_memory(service);
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, memory);
+        let slice = part.as_ref().map(|part| part.view(0));
         let (registry, loads, limits) = state.choice_parts();
-        if !limits.has_limits() {
-            return true;
+        if !limits.has_limits() && slice.is_none() {
+            return Ok(());
         }
         let engines = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
+        let engines = retain_with_memory(&self.placement(now, loads, &[], slice), engines, tokens)?;
         let mut rows = engines.iter().map(|(name, endpoint)| limited(name, endpoint));
-        engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) || {
-            record_demand(limits, &engines);
-            false
+        if !limits.has_limits() || engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) {
+            return Ok(());
         }
+        record_demand(limits, &engines);
+        Err(ChoiceFailure::NoEndpoint)
     }
 
     /// Returns true if an engine may write the rest of a stream, whether limits stand against it or not.
@@ -165,16 +185,22 @@
         service: &ServiceName,
         (tried, prefers_active): (&[EndpointName], bool),
         prompt: &PromptShape,
-    ) -> Option<ChosenPrefillEngine> {
+        request_hash: u64,
+    ) -> Result<ChosenPrefillEngine, ChoiceFailure> {
         let mut state = self.state();
         let spec = state.engine_spec(service);
         let usual_pace = state.prefill_pace(service);
+        let memory = spec.map_or(0, |spec| spec.memory_tokens);
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Prefill, memory);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let engines = ServiceEngines::new(now, service, registry, loads);
         let mut readers = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
         if prefers_active {
             engines.retain_active(&mut readers);
         }
+        let homes = readers.clone();
+        let readers = retain_with_memory(&self.placement(now, loads, &[], slice), readers, prompt.prompt_tokens)?;
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
         let (place, detour) = choose_within_limits(
@@ -185,18 +211,22 @@
             |admitted, permitted| {
                 let engines = PromptEngines {
                     prefill_engines: admitted,
-                    home_engines: &readers,
+                    home_engines: &homes,
                     sources: &keepers,
                     pace: usual_pace,
                     link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
                 };
-                place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
+                place_prompt(&self.placement(now, loads, permitted, slice), &engines, prompt)
             },
-        )?;
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        if let Some(slice) = slice {
+            count_slice_miss(slice, &readers, &place.endpoint);
+        }
         let copy_from = place.copy_from.as_ref();
-        Some(ChosenPrefillEngine {
+        Ok(ChosenPrefillEngine {
             copy_from: copy_from.and_then(|name| find_chosen(&keepers, name, None)),
-            engine: find_chosen(&readers, &place.endpoint, detour)?,
+            engine: find_chosen(&readers, &place.endpoint, detour).ok_or(ChoiceFailure::NoEndpoint)?,
             place,
         })
     }
@@ -207,24 +237,28 @@
         now: BootTime,
         service: &ServiceName,
         scope: &DecodeScope<'_>,
+        (request_hash, tokens): (u64, u64),
         prefill_domain: Option<&DomainName>,
-        request_hash: u64,
-    ) -> Option<ChosenEndpoint> {
+    ) -> Result<ChosenEndpoint, ChoiceFailure> {
         let memory = self.engine_memory(service);
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, memory);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let candidates = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
+        let candidates = retain_with_memory(&self.placement(now, loads, &[], slice), candidates, tokens)?;
         let (name, detour) = choose_within_limits(
             now,
             limits,
             &candidates,
             |name| name,
             |candidates, permitted| {
-                let view = self.placement(now, loads, permitted);
+                let view = self.placement(now, loads, permitted, slice);
                 place_stream(&view, candidates, memory, prefill_domain, request_hash)
             },
-        )?;
-        find_chosen(&candidates, &name, detour)
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        find_chosen(&candidates, &name, detour).ok_or(ChoiceFailure::NoEndpoint)
     }
 
     const fn placement<'state>(
@@ -232,16 +266,84 @@
         now: BootTime,
         loads: &'state LoadTable,
         permitted: &'state [EndpointName],
+        slice: Option<SliceView<'state>>,
     ) -> PlacementView<'state> {
         PlacementView {
             now,
             domain: &self.domain,
             loads,
             permitted,
+            slice,
         }
     }
 }
 
+/// Returns the engines that have memory for a call with this number of tokens.
+fn retain_with_memory<'state>(
+    view: &PlacementView<'_>,
+    candidates: Vec<Candidate<'state>>,
+    tokens: u64,
+) -> Result<Vec<Candidate<'state>>, ChoiceFailure> {
+    if view.slice.is_none() || candidates.is_empty() {
+        return Ok(candidates);
+    }
+    let roomy = with_memory(view, &candidates, tokens);
+    if roomy.is_empty() {
+        metrics::counter!("acacia_memory_refused_total").increment(1);
+        return Err(ChoiceFailure::NoMemory);
+    }
+    Ok(roomy)
+}
+
+/// What a call of a service is placed by if the entry has a slice of its endpoints.
+#[derive(Debug)]
+struct SlicePart {
+    line: Arc<EngineLine>,
+    work_time: Duration,
+    memory_tokens: u64,
+}
+
+impl SlicePart {
+    fn of(
+        entry: &mut EntryState,
+        now: BootTime,
+        service: &ServiceName,
+        stage: EngineStage,
+        memory_tokens: u64,
+    ) -> Option<Self> {
+        let line = entry.engine_line(now, service, stage)?;
+        let work_time = entry.work_time(service, stage);
+        Some(Self {
+            line,
+            work_time,
+            memory_tokens,
+        })
+    }
+
+    fn view(&self, draw: u64) -> SliceView<'_> {
+        SliceView {
+            line: &self.line,
+            draw,
+            work_time: self.work_time,
+            memory_tokens: self.memory_tokens,
+        }
+    }
+}
+
+/// Counts a prompt that goes to an engine outside of the slice.
+fn count_slice_miss(slice: SliceView<'_>, candidates: &[Candidate<'_>], chosen: &EndpointName) {
+    if slice.line.contains(chosen) {
+        return;
+    }
+    let has_member = candidates.iter().any(|(name, _)| slice.line.contains(name));
+    let reason = if has_member {
+        "better elsewhere"
+    } else {
+        "none available"
+    };
+    metrics::counter!("acacia_slice_misses_total", "reason" => reason).increment(1);
+}
+
 /// Engines of one service at one time.
 #[derive(Clone, Copy, Debug)]
 struct ServiceEngines<'state> {
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -20,7 +20,7 @@
 
 use super::call::AcceptedCall;
 use super::endpoint_choice::ChosenEndpoint;
-use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, not_run};
+use super::refusal::{CallRefusal, NO_ENDPOINT_RETRY_DELAY, NO_MEMORY, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 use super::write_permits::LimitPermit;
 
@@ -134,6 +134,15 @@
     metrics::counter!("acacia_limit_detours_total").increment(1);
 }
 
+/// Reason for which no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChoiceFailure {
+    /// There is none, or limits stand against all.
+    NoEndpoint,
+    /// The memory of all engines is full.
+    NoMemory,
+}
+
 /// Chooses an endpoint, and waits for a permit if only limits stand against it. `choose` chooses among the endpoints that
 /// may be sent a request: those of the given version that were not tried.
 ///
@@ -145,11 +154,13 @@
     call: &AcceptedCall,
     no_endpoint: &'static str,
     (tried, version): (&[EndpointName], &StreamVersion),
-    choose: impl Fn(BootTime) -> Option<T>,
+    choose: impl Fn(BootTime) -> Result<T, ChoiceFailure>,
 ) -> Result<T, CallRefusal> {
     let began_at = boot_now();
-    if let Some(chosen) = choose(began_at) {
-        return Ok(chosen);
+    match choose(began_at) {
+        Ok(chosen) => return Ok(chosen),
+        Err(ChoiceFailure::NoMemory) => return Err(not_run(NO_MEMORY, SHORT_RETRY_DELAY)),
+        Err(ChoiceFailure::NoEndpoint) => {}
     }
     if limits_of(call, tried, version, began_at).is_empty() {
         return Err(not_run(no_endpoint, NO_ENDPOINT_RETRY_DELAY));
@@ -162,7 +173,7 @@
         call.shared.request_report();
         while tokio::time::timeout_at(until, news).await.is_ok() {
             news = call.shared.limit_news.notified();
-            if let Some(chosen) = choose(boot_now()) {
+            if let Ok(chosen) = choose(boot_now()) {
                 return Ok(chosen);
             }
         }
--- a/crates/acacia-entry/src/serving/plain_call.rs
+++ b/crates/acacia-entry/src/serving/plain_call.rs
@@ -199,7 +199,8 @@
     tried.push(chosen.name.clone());
     let other = call
         .shared
-        .choose_for_plain_call(now, &call.service, &tried, call.request_hash);
+        .choose_for_plain_call(now, &call.service, &tried, call.request_hash)
+        .ok();
     let goes_on = other.is_some() && attempts.acquire(call).await;
     slog::info!(call.shared.log, "endpoint failed a call"; "event" => event::ATTEMPT_FAILED,
         "request" => &call.head.request, "endpoint" => chosen.name.as_str(),
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -117,6 +117,9 @@
         held_tokens: 0,
     };
     let queued = call.shared.state().loads.work(&chosen.name).unread_tokens;
+    if queued > 0 {
+        metrics::counter!("acacia_prefill_queued_total").increment(1);
+    }
     let _guard = call.shared.add_work(&chosen.name, work);
     let timeouts = AttemptTimeouts {
         // The engine may be busy with work of other entries that this one has not heard of, so a slow engine is not
--- a/crates/acacia-entry/src/serving/prefill_search.rs
+++ b/crates/acacia-entry/src/serving/prefill_search.rs
@@ -117,7 +117,7 @@
             |now| {
                 let tried = (self.tried.as_slice(), is_other);
                 call.shared
-                    .choose_prefill_engine(now, &call.service, tried, self.prompt)
+                    .choose_prefill_engine(now, &call.service, tried, self.prompt, call.request_hash)
             },
         );
         let reader = reader.await?;
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -370,8 +370,9 @@
     ) -> Result<ChosenEndpoint, CallRefusal> {
         let call = &self.call;
         let chosen = choose_with_permit(call, "no engine makes tokens", (scope.tried, &scope.version), |now| {
+            let size = (call.request_hash, self.decode_work().held_tokens);
             call.shared
-                .choose_decode_engine(now, &call.service, scope, prefill_domain, call.request_hash)
+                .choose_decode_engine(now, &call.service, scope, size, prefill_domain)
         });
         chosen.await.map_err(|refusal| self.held_back(refusal))
     }
@@ -418,8 +419,9 @@
     pub(super) async fn check_decode_room(&self, tried: &[EndpointName]) -> Result<(), CallRefusal> {
         let (shared, service) = (&self.call.shared, &self.call.service);
         let scope = self.decode_scope(tried);
+        let tokens = self.decode_work().held_tokens;
         let has_room = choose_with_permit(&self.call, "no engine makes tokens", (tried, &scope.version), |now| {
-            shared.has_decode_room(now, service, &scope).then_some(())
+            shared.check_decode_room(now, service, &scope, tokens)
         });
         has_room.await.map_err(|refusal| self.held_back(refusal))
     }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -118,6 +118,8 @@
     SILENCE_JUDGED = "E0253";
     /// An entry holds calls back whose prompts have parts that end endpoints.
     PARTS_HELD_BACK = "E0254";
+    /// The leader has assigned this entry another slice of a service's endpoints.
+    SLICE_CHANGED = "E0257";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -201,6 +203,8 @@
     PARTS_QUARANTINED = "E0344";
     /// A quarantine of parts was lifted, narrowed, expired, or refuted by a whole answer.
     PART_QUARANTINE_ENDED = "E0345";
+    /// The endpoints of a service with uneven load were divided anew among the entries.
+    SLICES_DIVIDED = "E0347";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
