--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -130,6 +130,8 @@
     PROMPT_QUEUED = "E0258";
     /// A call was refused because engines cannot prefill its prompt in time, or too many calls wait.
     PROMPT_REFUSED = "E0259";
+    /// The leader has assigned this entry another slice of a service's endpoints.
+    SLICE_CHANGED = "E0257";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -219,6 +221,8 @@
     NEED_RECORDED = "E0348";
     /// A new duty holder has read the required capacity that an earlier one recorded.
     NEED_RESTORED = "E0349";
+    /// The endpoints of a service with uneven load were divided anew among the entries.
+    SLICES_DIVIDED = "E0347";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
