--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -12,16 +12,18 @@
 use acaciabay::core::serving::endpoint_load::EndpointWork;
 use acaciabay::core::serving::endpoint_registry::EndpointRegistry;
 use acaciabay::core::serving::limit_ledger::LimitLedger;
+use acaciabay::core::serving::load_slice::{SliceChange, SliceLedger};
 use acaciabay::core::serving::relay_choice::{RelayOffer, select_relays};
 use acaciabay::core::serving::retry_ledger::RetryLedger;
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
-use acaciabay::core::serving::start_counts::GatheredRow;
+use acaciabay::core::serving::speed_ledger::SpeedLedger;
+use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
 use acaciabay::core::serving::work_sums::WorkSums;
 
 use super::allowances::LeaderAllowances;
 
 /// Time without a renewal after which an entry no longer counts as serving. Its serving lease has ended long before.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const ENTRY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time without a renewal after which an entry no longer counts as a relay: four renewals.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,6 +31,8 @@
 /// The state that an entry sent with its last renewal.
 #[derive(Clone, Debug)]
 pub(super) struct EntryState {
+    /// Run of the entry process.
+    pub(super) start: EntryStart,
     /// Time at which this replica received the renewal.
     pub(super) heard_at: BootTime,
     /// Failure domain of the entry.
@@ -68,6 +72,10 @@
     pub(super) calls: BTreeMap<ServiceName, u64>,
     /// Services with an endpoint that has stated its pace.
     pub(super) paced_services: BTreeSet<ServiceName>,
+    /// Speeds of the endpoints of uneven services. They are kept across terms: a process that leads again knows the lasting ones.
+    pub(super) speeds: SpeedLedger,
+    /// Slices of the services with uneven load.
+    pub(super) slices: SliceLedger,
     /// Allowances of customers, since this replica leads.
     pub(super) allowances: LeaderAllowances,
     /// Limits of endpoints in the term in which this replica led last.
@@ -95,6 +103,17 @@
         self.entries.len()
     }
 
+    /// Divides the endpoints of services with uneven load among the entries. Returns what has changed.
+    pub(super) fn divide_slices(&mut self, now: BootTime) -> Vec<SliceChange> {
+        let live: Vec<&HostName> = self
+            .entries
+            .iter()
+            .filter(|(_, row)| now.since(row.heard_at) < ENTRY_TIMEOUT)
+            .map(|(host, _)| host)
+            .collect();
+        self.slices.divide(now, &live)
+    }
+
     /// Returns the state that an entry sent with its last renewal.
     pub(super) fn entry(&self, host: &HostName) -> Option<&EntryState> {
         self.entries.get(host)
@@ -124,10 +143,22 @@
         silences.max().unwrap_or_default()
     }
 
+    /// Returns true if all these entry processes have sent a renewal to this replica.
+    pub(super) fn has_heard(&self, mut starts: impl Iterator<Item = EntryStart>) -> bool {
+        let heard: BTreeSet<EntryStart> = self.entries.values().map(|row| row.start).collect();
+        starts.all(|start| heard.contains(&start))
+    }
+
     /// Removes endpoints that have not reported for a long time.
     pub(super) fn forget_silent(&mut self, now: BootTime) {
-        let Self { registry, handles, .. } = self;
+        let Self {
+            registry,
+            handles,
+            speeds,
+            ..
+        } = self;
         registry.remove_expired(now);
+        speeds.retain(|endpoint| registry.get(endpoint).is_some());
         handles.retain_registered(registry);
     }
 
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -1,21 +1,26 @@
 //! Choice of endpoints for calls: applies the placement functions of `acaciabay::ops` to the state of this entry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
-use acaciabay::core::serving::endpoint_load::LoadTable;
+use acaciabay::core::serving::endpoint_load::{DEFAULT_PACE, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
+use acaciabay::core::serving::load_slice::EngineLine;
 use acaciabay::core::serving::prompt::PromptShape;
+use acaciabay::core::serving::prompt_room::prefill_credit;
 use acaciabay::core::serving::software_version::StreamVersion;
-use acaciabay::ops::place_call::{Candidate, PlacementView, place_plain, place_stream};
+use acaciabay::ops::engine_room::with_memory;
+use acaciabay::ops::place_call::{Candidate, PlacementView, SliceView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 use acaciabay::util::rendezvous;
 
-use super::endpoint_limits::{LimitDetour, choose_within_limits, limited};
-use super::shared::EntryShared;
+use super::call::AcceptedCall;
+use super::endpoint_limits::{ChoiceFailure, LimitDetour, choose_within_limits, limited};
+use super::shared::{EntryShared, EntryState};
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
 #[derive(Clone, Debug)]
@@ -64,7 +69,97 @@
     pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
+/// What the engines of a stage can prefill for this entry.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefillCapacity {
+    /// Prefill time that may be outstanding.
+    pub(super) credit: Duration,
+    /// True if one of the engines has nothing to do, as far as this entry knows.
+    pub(super) has_idle: bool,
+}
+
+/// Expected work of a prefill.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExpectedPrefill {
+    pub(super) tokens: u64,
+    pub(super) time: Duration,
+}
+
 impl EntryShared {
+    /// Returns what the engines of a stage can prefill for this entry, or `None` if it has no slice of the service or the
+    /// stage no engine.
+    pub(super) fn prefill_capacity(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        prefill_stage: EngineStage,
+    ) -> Option<PrefillCapacity> {
+        let mut state = self.state();
+        let slice = *state.slices.get(service)?;
+        let (registry, loads, _) = state.choice_parts();
+        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
+        let speeds = engines.iter().map(|(name, _)| 1.0 / loads.slowdown(now, name));
+        (!engines.is_empty()).then(|| PrefillCapacity {
+            credit: prefill_credit(slice, speeds.sum()),
+            has_idle: engines.iter().any(|(name, _)| is_idle(loads, name)),
+        })
+    }
+
+    /// Returns the expected work of prefilling a prompt at the engine that has most of it cached.
+    pub(super) fn expected_prefill(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        prefill_stage: EngineStage,
+        prompt: &PromptShape,
+    ) -> ExpectedPrefill {
+        let mut state = self.state();
+        let usual_pace = state.prefill_pace(service);
+        let (registry, loads, _) = state.choice_parts();
+        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
+        let cached = engines
+            .iter()
+            .map(|(name, _)| loads.cached_prefix_tokens(name, &prompt.parts));
+        let tokens = prompt.prompt_tokens.saturating_sub(cached.max().unwrap_or(0)).max(1);
+        let millis = tokens as f64 * usual_pace.unwrap_or(DEFAULT_PACE);
+        ExpectedPrefill {
+            tokens,
+            time: Duration::from_secs_f64(millis / 1_000.0),
+        }
+    }
+
+    /// Returns true if an engine has no call, as far as this entry knows.
+    pub(super) fn is_idle(&self, engine: &EndpointName) -> bool {
+        is_idle(&self.state().loads, engine)
+    }
+
+    /// Returns the engine that would prefill the prompt of a call now.
+    pub(super) fn choose_prefiller(
+        &self,
+        now: BootTime,
+        call: &AcceptedCall,
+        prompt: &PromptShape,
+        stage: EngineStage,
+    ) -> Option<EndpointName> {
+        match stage {
+            EngineStage::Prefill => {
+                let chosen = self.choose_prefill_engine(now, &call.service, (&[], false), prompt, call.request_hash);
+                Some(chosen.ok()?.engine.name)
+            }
+            EngineStage::Decode => {
+                let scope = DecodeScope {
+                    version: call.stream_version(),
+                    tried: &[],
+                    drain_window: self.drain_window(),
+                    prefers_active: false,
+                };
+                let tokens = prompt.prompt_tokens + prompt.output_tokens;
+                let chosen = self.choose_decode_engine(now, &call.service, &scope, (call.request_hash, tokens), None);
+                Some(chosen.ok()?.name)
+            }
+        }
+    }
+
     /// Chooses an endpoint for a plain call.
     pub(super) fn choose_for_plain_call(
         &self,
@@ -72,8 +167,10 @@
         service: &ServiceName,
         tried: &[EndpointName],
         request_hash: u64,
-    ) -> Option<ChosenEndpoint> {
+    ) -> Result<ChosenEndpoint, ChoiceFailure> {
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, 0);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let candidates = without_tried(registry.ready(now, service), tried);
         let (name, detour) = choose_within_limits(
@@ -81,9 +178,13 @@
             limits,
             &candidates,
             |name| name,
-            |candidates, permitted| place_plain(&self.placement(now, loads, permitted), candidates, request_hash),
-        )?;
-        find_chosen(&candidates, &name, detour)
+            |candidates, permitted| {
+                let view = self.placement(now, loads, permitted, slice);
+                place_plain(&view, candidates, request_hash)
+            },
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        find_chosen(&candidates, &name, detour).ok_or(ChoiceFailure::NoEndpoint)
     }
 
     /// Returns true if the service has separate engines for prefill that may be sent a prompt at present.
@@ -100,20 +201,31 @@
         has_room
     }
 
-    /// Returns false if limits stand against all engines that could decode a call. A prompt that is prefilled for it would be
-    /// prefilled in vain.
-    pub(super) fn has_decode_room(&self, now: BootTime, service: &ServiceName, scope: &DecodeScope<'_>) -> bool {
+    /// Checks that an engine could decode a call with this number of tokens: that not all are held back by limits, nor by full
+    /// memory. A prompt that is prefilled for it would be prefilled in vain.
+    pub(super) fn check_decode_room(
+        &self,
+        now: BootTime,
+        service: &ServiceName,
+        scope: &DecodeScope<'_>,
+        tokens: u64,
+    ) -> Result<(), ChoiceFailure> {
+        let memory = self.engine_memory(service);
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, memory);
+        let slice = part.as_ref().map(|part| part.view(0));
         let (registry, loads, limits) = state.choice_parts();
-        if !limits.has_limits() {
-            return true;
+        if !limits.has_limits() && slice.is_none() {
+            return Ok(());
         }
         let engines = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
+        let engines = retain_with_memory(&self.placement(now, loads, &[], slice), engines, tokens)?;
         let mut rows = engines.iter().map(|(name, endpoint)| limited(name, endpoint));
-        engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) || {
-            record_demand(limits, &engines);
-            false
+        if !limits.has_limits() || engines.is_empty() || rows.any(|engine| limits.admits(now, engine)) {
+            return Ok(());
         }
+        record_demand(limits, &engines);
+        Err(ChoiceFailure::NoEndpoint)
     }
 
     /// Returns true if an engine may write the rest of a stream, whether limits stand against it or not.
@@ -165,16 +277,23 @@
         service: &ServiceName,
         (tried, prefers_active): (&[EndpointName], bool),
         prompt: &PromptShape,
-    ) -> Option<ChosenPrefillEngine> {
+        request_hash: u64,
+    ) -> Result<ChosenPrefillEngine, ChoiceFailure> {
         let mut state = self.state();
         let spec = state.engine_spec(service);
         let usual_pace = state.prefill_pace(service);
+        let model = state.prefill_model(service).cloned();
+        let memory = spec.map_or(0, |spec| spec.memory_tokens);
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Prefill, memory);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let engines = ServiceEngines::new(now, service, registry, loads);
         let mut readers = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
         if prefers_active {
             engines.retain_active(&mut readers);
         }
+        let homes = readers.clone();
+        let readers = retain_with_memory(&self.placement(now, loads, &[], slice), readers, prompt.prompt_tokens)?;
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
         let (place, detour) = choose_within_limits(
@@ -185,18 +304,23 @@
             |admitted, permitted| {
                 let engines = PromptEngines {
                     prefill_engines: admitted,
-                    home_engines: &readers,
+                    home_engines: &homes,
                     sources: &keepers,
                     pace: usual_pace,
+                    model: model.as_ref(),
                     link: spec.as_ref().and_then(|spec| spec.link.as_ref()),
                 };
-                place_prompt(&self.placement(now, loads, permitted), &engines, prompt)
+                place_prompt(&self.placement(now, loads, permitted, slice), &engines, prompt)
             },
-        )?;
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        if let Some(slice) = slice {
+            count_slice_miss(slice, &readers, &place.endpoint);
+        }
         let copy_from = place.copy_from.as_ref();
-        Some(ChosenPrefillEngine {
+        Ok(ChosenPrefillEngine {
             copy_from: copy_from.and_then(|name| find_chosen(&keepers, name, None)),
-            engine: find_chosen(&readers, &place.endpoint, detour)?,
+            engine: find_chosen(&readers, &place.endpoint, detour).ok_or(ChoiceFailure::NoEndpoint)?,
             place,
         })
     }
@@ -207,24 +331,28 @@
         now: BootTime,
         service: &ServiceName,
         scope: &DecodeScope<'_>,
+        (request_hash, tokens): (u64, u64),
         prefill_domain: Option<&DomainName>,
-        request_hash: u64,
-    ) -> Option<ChosenEndpoint> {
+    ) -> Result<ChosenEndpoint, ChoiceFailure> {
         let memory = self.engine_memory(service);
         let mut state = self.state();
+        let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, memory);
+        let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let candidates = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
+        let candidates = retain_with_memory(&self.placement(now, loads, &[], slice), candidates, tokens)?;
         let (name, detour) = choose_within_limits(
             now,
             limits,
             &candidates,
             |name| name,
             |candidates, permitted| {
-                let view = self.placement(now, loads, permitted);
+                let view = self.placement(now, loads, permitted, slice);
                 place_stream(&view, candidates, memory, prefill_domain, request_hash)
             },
-        )?;
-        find_chosen(&candidates, &name, detour)
+        )
+        .ok_or(ChoiceFailure::NoEndpoint)?;
+        find_chosen(&candidates, &name, detour).ok_or(ChoiceFailure::NoEndpoint)
     }
 
     const fn placement<'state>(
@@ -232,16 +360,88 @@
         now: BootTime,
         loads: &'state LoadTable,
         permitted: &'state [EndpointName],
+        slice: Option<SliceView<'state>>,
     ) -> PlacementView<'state> {
         PlacementView {
             now,
             domain: &self.domain,
             loads,
             permitted,
+            slice,
         }
     }
 }
 
+fn is_idle(loads: &LoadTable, name: &EndpointName) -> bool {
+    loads.work(name).calls == 0
+}
+
+/// Returns the engines that have memory for a call with this number of tokens.
+fn retain_with_memory<'state>(
+    view: &PlacementView<'_>,
+    candidates: Vec<Candidate<'state>>,
+    tokens: u64,
+) -> Result<Vec<Candidate<'state>>, ChoiceFailure> {
+    if view.slice.is_none() || candidates.is_empty() {
+        return Ok(candidates);
+    }
+    let roomy = with_memory(view, &candidates, tokens);
+    if roomy.is_empty() {
+        metrics::counter!("acacia_memory_refused_total").increment(1);
+        return Err(ChoiceFailure::NoMemory);
+    }
+    Ok(roomy)
+}
+
+/// What a call of a service is placed by if the entry has a slice of its endpoints.
+#[derive(Debug)]
+struct SlicePart {
+    line: Arc<EngineLine>,
+    work_time: Duration,
+    memory_tokens: u64,
+}
+
+impl SlicePart {
+    fn of(
+        entry: &mut EntryState,
+        now: BootTime,
+        service: &ServiceName,
+        stage: EngineStage,
+        memory_tokens: u64,
+    ) -> Option<Self> {
+        let line = entry.engine_line(now, service, stage)?;
+        let work_time = entry.work_time(service, stage);
+        Some(Self {
+            line,
+            work_time,
+            memory_tokens,
+        })
+    }
+
+    fn view(&self, draw: u64) -> SliceView<'_> {
+        SliceView {
+            line: &self.line,
+            draw,
+            work_time: self.work_time,
+            memory_tokens: self.memory_tokens,
+        }
+    }
+}
+
+/// Counts a prompt that goes to an engine outside of the slice.
+fn count_slice_miss(slice: SliceView<'_>, candidates: &[Candidate<'_>], chosen: &EndpointName) {
+    if slice.line.contains(chosen) {
+        return;
+    }
+    let has_member = candidates.iter().any(|(name, _)| slice.line.contains(name));
+    let reason = if has_member {
+        "better elsewhere"
+    } else {
+        "none available"
+    };
+    metrics::counter!("acacia_slice_misses_total", "reason" => reason).increment(1);
+}
+
 /// Engines of one service at one time.
 #[derive(Clone, Copy, Debug)]
 struct ServiceEngines<'state> {
@@ -276,6 +476,19 @@
         rows
     }
 
+    /// Returns the engines of a stage that may prefill a prompt.
+    fn that_prefill(&self, stage: EngineStage) -> Vec<Candidate<'state>> {
+        match stage {
+            EngineStage::Prefill => self.available_of_stage(EngineStage::Prefill),
+            EngineStage::Decode => self.all_decode_candidates(&DecodeScope {
+                version: StreamVersion::Any,
+                tried: &[],
+                drain_window: Duration::ZERO,
+                prefers_active: false,
+            }),
+        }
+    }
+
     fn decode_candidates(&self, scope: &DecodeScope<'_>) -> Vec<Candidate<'state>> {
         let mut rows = self.all_decode_candidates(scope);
         if scope.prefers_active {
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,6 +6,8 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`, within the retries of `retry_permits` (`write_permits`), and what else an endpoint is asked by `endpoint_request`.
 //!
+//! While engines are short, prompts wait at the entry until they may be prefilled (`prompt_queue`).
+//!
 //! A call whose engine is silent stays there until another engine has taken it over (`handover`, `stream_opening`).
 //!
 //! A stream goes on only at the software version that has begun it. `stream_origins` tells the replicas of the streams that
@@ -15,6 +17,8 @@
 //! `endpoint_paths` opens the connections to endpoints, over another entry where the direct path is lost: `relay_client`
 //! asks for that, and `relay_server` is the other entry's side.
 //!
+//! `answer_buffer` reads answers ahead of callers that read slowly, within a bound that covers request bodies as well.
+//!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
 //! (`endpoint_limits`). `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
@@ -22,6 +26,7 @@
 //! [`CallCodec`].
 
 mod allowance_charge;
+mod answer_buffer;
 mod answer_source;
 mod attempt;
 mod call;
@@ -33,12 +38,14 @@
 mod endpoint_news;
 mod endpoint_paths;
 mod endpoint_request;
+mod endpoint_speeds;
 mod handover;
 mod incarnation_check;
 mod plain_body;
 mod plain_call;
 mod prefill;
 mod prefill_search;
+mod prompt_queue;
 mod refusal;
 mod relay_client;
 mod relay_server;
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -21,6 +21,7 @@
 use super::call;
 use super::codec::CallCodec;
 use super::control_sessions::SessionManager;
+use super::prompt_queue::advance_queues;
 use super::relay_server::serve_relays;
 use super::shared::EntryShared;
 
@@ -31,7 +32,13 @@
     head_bytes: 64 * 1024,
     head_timeout: Duration::from_secs(15),
     connections: MAX_CALLER_CONNECTIONS,
+    unsent_bytes: None,
+    flushes_breaks: false,
 };
+/// Bytes that the kernel holds of an answer before it can send them, where answers are buffered. Otherwise, the kernel takes
+/// megabytes of each, which are memory of the host as well, and it takes more only after a third of them was read, so that a
+/// caller that reads slowly looks like one that does not read.
+const UNSENT_BYTES: u32 = 32 * 1024;
 /// Time for which new connections are accepted after the stop request. The balancer polls once a second and acts on two
 /// answers.
 const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(3_200);
@@ -75,7 +82,13 @@
     background.spawn(watch_readiness(Arc::clone(&shared), ended.clone()));
     background.spawn(examine_breaks(Arc::clone(&shared), ended.clone()));
     background.spawn(check_paths(Arc::clone(&shared), ended.clone()));
+    if shared.settings.waiting_room.is_some() {
+        background.spawn(advance_queues(Arc::clone(&shared), ended.clone()));
+    }
     background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
+    if let Some(buffers) = &shared.answer_buffers {
+        background.spawn(Arc::clone(buffers).scan_until(ended.clone()));
+    }
     let relays = relay.map(|relay| {
         let serving = serve_relays(relay, Arc::clone(&shared), closing.clone(), ended.clone());
         tokio::spawn(serving)
@@ -136,8 +149,13 @@
 }
 
 fn current_bounds(shared: &EntryShared) -> ServerBounds {
+    let unsent_bytes = shared.answer_buffers.as_ref().map(|_| UNSENT_BYTES);
     let Some(index) = shared.state().index.clone() else {
-        return INITIAL_LIMITS;
+        return ServerBounds {
+            unsent_bytes,
+            flushes_breaks: unsent_bytes.is_some(),
+            ..INITIAL_LIMITS
+        };
     };
     let bounds = index.config().limits;
     ServerBounds {
@@ -145,6 +163,8 @@
         head_bytes: INITIAL_LIMITS.head_bytes.max(2 * bounds.head_bytes),
         head_timeout: bounds.idle_timeout.max(bounds.head_timeout),
         connections: MAX_CALLER_CONNECTIONS,
+        unsent_bytes,
+        flushes_breaks: unsent_bytes.is_some(),
     }
 }
 
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -9,6 +9,7 @@
 
 use super::endpoint_activity::EndpointActivity;
 use super::endpoint_registry::{EndpointIncarnation, EngineStage, ServingEndpoint};
+use super::endpoint_speed::EndpointSpeeds;
 use super::prefill_pace::PrefillTime;
 use super::prompt::PromptPart;
 use super::prompt_cache::PromptCacheEstimate;
@@ -58,9 +59,11 @@
 const MAX_SUSPICION: Duration = Duration::from_secs(3);
 /// Assumed prefill time per token, in milliseconds, of an engine without measurements. The value is typical of
 /// current engines.
-const DEFAULT_PACE: f64 = 0.02;
+pub const DEFAULT_PACE: f64 = 0.02;
 /// Weight of a new measurement in the moving average of the pace.
 const PACE_WEIGHT: f64 = 0.1;
+/// Weight of newly received work of the other entries in its moving average, which then covers the last few seconds.
+const PEER_WORK_WEIGHT: f64 = 0.1;
 
 /// A change of stage that an engine has been ordered to make and has not yet completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +80,8 @@
 struct LoadRow {
     own: EndpointWork,
     peers: EndpointWork,
+    /// Moving average of the peers' unread tokens.
+    usual_peer_tokens: f64,
     cache: PromptCacheEstimate,
     failures: u32,
     suspected_until: BootTime,
@@ -96,6 +101,8 @@
     rows: HashMap<EndpointName, LoadRow>,
     /// Time at which the work of the other entries was last replaced.
     peer_work_at: BootTime,
+    /// Speeds of the endpoints of services with uneven load, and of those that state their pace.
+    pub speeds: EndpointSpeeds,
 }
 
 impl LoadTable {
@@ -107,6 +114,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the outstanding work of this entry and of the other entries at an endpoint.
+    pub fn work_by_origin(&self, name: &EndpointName) -> (EndpointWork, EndpointWork) {
+        self.rows.get(name).map(|row| (row.own, row.peers)).unwrap_or_default()
+    }
+
     /// Returns the outstanding work of this entry, for each endpoint that has any.
     pub fn own_work(&self) -> impl Iterator<Item = (&EndpointName, EndpointWork)> {
         let rows = self.rows.iter().map(|(name, row)| (name, row.own));
@@ -134,6 +146,14 @@
         for (name, work) in works {
             self.row(&name).peers = work;
         }
+        for row in self.rows.values_mut() {
+            row.usual_peer_tokens += PEER_WORK_WEIGHT * (row.peers.unread_tokens as f64 - row.usual_peer_tokens);
+        }
+    }
+
+    /// Returns the prompt tokens that the other entries have queued at an endpoint on average.
+    pub fn usual_peer_tokens(&self, name: &EndpointName) -> f64 {
+        self.rows.get(name).map_or(0.0, |row| row.usual_peer_tokens)
     }
 
     /// Returns the time since the other entries' work was last replaced.
@@ -142,8 +162,13 @@
     }
 
     /// Returns how long work takes at an endpoint as a multiple of the usual of its service: 1 if nothing is known.
-    pub const fn slowdown(&self, _now: BootTime, _name: &EndpointName) -> f64 {
-        1.0
+    pub fn slowdown(&self, now: BootTime, name: &EndpointName) -> f64 {
+        self.speeds.slowdown(now, name)
+    }
+
+    /// Returns the lasting part of [`Self::slowdown`], without what the endpoint has stated for the present.
+    pub fn lasting_slowdown(&self, now: BootTime, name: &EndpointName) -> f64 {
+        self.speeds.lasting_slowdown(now, name)
     }
 
     /// Returns the length, in tokens, of the prompt prefix that the endpoint is believed to have cached.
@@ -174,6 +199,11 @@
         measured.or(usual).unwrap_or(DEFAULT_PACE)
     }
 
+    /// Returns the usual pace of a service in milliseconds per token, or a typical one if it is not known.
+    pub fn usual_pace(usual: Option<f64>) -> f64 {
+        usual.unwrap_or(DEFAULT_PACE)
+    }
+
     /// Returns when the endpoint last wrote something, for calls to record what they read from it.
     pub fn activity(&mut self, name: &EndpointName) -> Arc<EndpointActivity> {
         Arc::clone(&self.row(name).activity)
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -10,6 +10,7 @@
 //! * [`software_version`] is the version of an endpoint's software, by which a stream is continued, and
 //!   [`stream_origin`] which version has begun a stream at any entry.
 //! * [`prompt`] describes the parts of a prompt, and [`prompt_cache`] estimates which parts an endpoint has cached.
+//! * [`prompt_room`] queues prompts at an entry while engines are short.
 //! * [`cached_parts`] shares among all entries which engines keep which parts.
 //! * [`endpoint_load`] tracks the outstanding work of every endpoint.
 //! * [`endpoint_paths`] tells an endpoint that has failed from a lost path to it, and [`relay_choice`] selects the entries over
@@ -26,6 +27,7 @@
 //!   that end endpoints; [`suspect_view`] is what one entry knows of it, and
 //!   [`trial_table`] lets one entry at a time try a suspect call. [`part_table`] does the same for the parts of prompts that
 //!   end endpoints in calls no two of which are alike.
+//! * [`answer_room`] accounts for the memory of answers that callers read slowly, and of request bodies.
 //! * [`event_stream`] splits an answer into complete events.
 //! * [`stream_peak`] tracks the recent peak of concurrent streams, [`call_rate`] the average rate of calls, and
 //!   [`call_gap`] the time without any.
@@ -35,6 +37,10 @@
 //! * [`start_counts`] counts started calls by window and customer.
 //! * [`prefill_pace`] estimates how fast engines read prompts, and [`reading_need`] how many endpoints a service needs
 //!   for it.
+//! * [`load_report`] is the load that endpoints state in their answers. [`endpoint_speed`] estimates from it and from measured
+//!   prefills how long work takes at each endpoint, [`speed_filter`] one factor of it, and [`speed_ledger`] merges at the
+//!   leader what all entries have measured. [`prefill_model`] is the time that prefills usually take.
+//!   for it. [`service_need`] keeps that number across changes of the leader.
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
@@ -46,6 +52,7 @@
 pub mod allowance_gate;
 pub mod allowance_ledger;
 pub mod answer_pace;
+pub mod answer_room;
 pub mod broken_attempt;
 pub mod cached_parts;
 pub mod call_fingerprint;
@@ -62,6 +69,7 @@
 pub mod endpoint_load;
 pub mod endpoint_paths;
 pub mod endpoint_registry;
+pub mod endpoint_speed;
 pub mod event_stream;
 pub mod group_clock;
 pub mod issued_order;
@@ -69,22 +77,30 @@
 pub mod limit_gate;
 pub mod limit_ledger;
 mod limit_shares;
+pub mod load_report;
 pub mod load_slice;
 mod part_cause;
 pub mod part_table;
 pub mod pending_renewals;
+pub mod prefill_model;
 pub mod prefill_pace;
 pub mod prompt;
 pub mod prompt_cache;
+mod prompt_drain;
+mod prompt_lane;
+pub mod prompt_room;
 pub mod reading_need;
 pub mod relay_choice;
 pub mod replica_tracker;
 pub mod retry_ledger;
 pub mod retry_limiter;
+pub mod service_need;
 pub mod serving_state;
 pub mod shared_suspicion;
 pub mod silence_watch;
 pub mod software_version;
+pub mod speed_filter;
+pub mod speed_ledger;
 pub mod start_counts;
 pub mod stop_state;
 pub mod stream_origin;
