--- a/crates/acacia-entry/src/serving/answer_buffer.rs
+++ b/crates/acacia-entry/src/serving/answer_buffer.rs
@@ -31,7 +31,7 @@
 use super::call::AcceptedCall;
 
 /// Interval at which callers that read slowly are looked for. Endpoints abort an answer that was not read for some seconds.
-const SCAN_INTERVAL: Duration = Duration::from_millis(50);
+const SCAN_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which refused bodies are logged.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest piece of memory that is taken for an answer. Small events share one.
