--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -118,20 +118,20 @@
     SILENCE_JUDGED = "E0253";
     /// An entry holds calls back whose prompts have parts that end endpoints.
     PARTS_HELD_BACK = "E0254";
-    /// An answer was dropped because its caller did not read it.
-    ANSWER_DROPPED = "E0260";
-    /// Calls were refused because the memory for request bodies and answers is used up.
-    BODY_ROOM_FULL = "E0261";
     /// The load that an endpoint states in its answers cannot be read and is ignored.
     LOAD_UNREADABLE = "E0255";
     /// The expected prefill time of a service was fitted, or has changed.
     PREFILL_MODELLED = "E0256";
+    /// The leader has assigned this entry another slice of a service's endpoints.
+    SLICE_CHANGED = "E0257";
     /// A call has waited at this entry until engines could prefill its prompt.
     PROMPT_QUEUED = "E0258";
     /// A call was refused because engines cannot prefill its prompt in time, or too many calls wait.
     PROMPT_REFUSED = "E0259";
-    /// The leader has assigned this entry another slice of a service's endpoints.
-    SLICE_CHANGED = "E0257";
+    /// An answer was dropped because its caller did not read it.
+    ANSWER_DROPPED = "E0260";
+    /// Calls were refused because the memory for request bodies and answers is used up.
+    BODY_ROOM_FULL = "E0261";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -217,12 +217,12 @@
     PART_QUARANTINE_ENDED = "E0345";
     /// The speed of an endpoint has changed, or a service has its first endpoint that states one.
     ENDPOINT_SPEED = "E0346";
+    /// The endpoints of a service with uneven load were divided anew among the entries.
+    SLICES_DIVIDED = "E0347";
     /// The required capacity of an uneven service was proposed for the replicated state.
     NEED_RECORDED = "E0348";
     /// A new duty holder has read the required capacity that an earlier one recorded.
     NEED_RESTORED = "E0349";
-    /// The endpoints of a service with uneven load were divided anew among the entries.
-    SLICES_DIVIDED = "E0347";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -36,11 +36,10 @@
 //!   leader.
 //! * [`start_counts`] counts started calls by window and customer.
 //! * [`prefill_pace`] estimates how fast engines read prompts, and [`reading_need`] how many endpoints a service needs
-//!   for it.
+//!   for it. [`service_need`] keeps that number across changes of the leader.
 //! * [`load_report`] is the load that endpoints state in their answers. [`endpoint_speed`] estimates from it and from measured
 //!   prefills how long work takes at each endpoint, [`speed_filter`] one factor of it, and [`speed_ledger`] merges at the
 //!   leader what all entries have measured. [`prefill_model`] is the time that prefills usually take.
-//!   for it. [`service_need`] keeps that number across changes of the leader.
 //! * [`issued_order`] tracks the outcome of an order for endpoints.
 //! * [`lease_recovery`] determines whether a call is held or refused while an entry has no lease.
 //! * [`stop_state`] determines whether an entry that is stopping still accepts calls.
