Give the lines of endpoints and the capacity for prefills modules of their own

Lines were kept in the state of the entry and read from the choice of endpoints; how much may be prefilled belongs to the admission of prompts.

Change: engine_lines.rs (lines, how long calls are outstanding, what a call is placed by) and prefill_capacity.rs (credit, expected work, the engine that would prefill). The time of a call's end is an argument. Nothing is decided differently.

--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -1,26 +1,23 @@
 //! Choice of endpoints for calls: applies the placement functions of `acaciabay::ops` to the state of this entry.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{DomainName, EndpointName, ServiceName};
-use acaciabay::core::serving::endpoint_load::{DEFAULT_PACE, LoadTable};
+use acaciabay::core::serving::endpoint_load::LoadTable;
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EndpointRegistry, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::limit_gate::LimitGate;
-use acaciabay::core::serving::load_slice::EngineLine;
 use acaciabay::core::serving::prompt::PromptShape;
-use acaciabay::core::serving::prompt_room::prefill_credit;
 use acaciabay::core::serving::software_version::StreamVersion;
 use acaciabay::ops::engine_room::with_memory;
 use acaciabay::ops::place_call::{Candidate, PlacementView, SliceView, place_plain, place_stream};
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, place_prompt};
 use acaciabay::util::rendezvous;
 
-use super::call::AcceptedCall;
 use super::endpoint_limits::{ChoiceFailure, LimitDetour, choose_within_limits, limited};
-use super::shared::{EntryShared, EntryState};
+use super::engine_lines::{SlicePart, count_slice_miss};
+use super::shared::EntryShared;
 
 /// Endpoint to which a call is sent, as it was when it was chosen.
 #[derive(Clone, Debug)]
@@ -69,97 +66,7 @@
     pub(super) copy_from: Option<ChosenEndpoint>,
 }
 
-/// What the engines of a stage can prefill for this entry.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PrefillCapacity {
-    /// Prefill time that may be outstanding.
-    pub(super) credit: Duration,
-    /// True if one of the engines has nothing to do, as far as this entry knows.
-    pub(super) has_idle: bool,
-}
-
-/// Expected work of a prefill.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ExpectedPrefill {
-    pub(super) tokens: u64,
-    pub(super) time: Duration,
-}
-
 impl EntryShared {
-    /// Returns what the engines of a stage can prefill for this entry, or `None` if it has no slice of the service or the
-    /// stage no engine.
-    pub(super) fn prefill_capacity(
-        &self,
-        now: BootTime,
-        service: &ServiceName,
-        prefill_stage: EngineStage,
-    ) -> Option<PrefillCapacity> {
-        let mut state = self.state();
-        let slice = *state.slices.get(service)?;
-        let (registry, loads, _) = state.choice_parts();
-        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
-        let speeds = engines.iter().map(|(name, _)| 1.0 / loads.slowdown(now, name));
-        (!engines.is_empty()).then(|| PrefillCapacity {
-            credit: prefill_credit(slice, speeds.sum()),
-            has_idle: engines.iter().any(|(name, _)| is_idle(loads, name)),
-        })
-    }
-
-    /// Returns the expected work of prefilling a prompt at the engine that has most of it cached.
-    pub(super) fn expected_prefill(
-        &self,
-        now: BootTime,
-        service: &ServiceName,
-        prefill_stage: EngineStage,
-        prompt: &PromptShape,
-    ) -> ExpectedPrefill {
-        let mut state = self.state();
-        let usual_pace = state.prefill_pace(service);
-        let (registry, loads, _) = state.choice_parts();
-        let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
-        let cached = engines
-            .iter()
-            .map(|(name, _)| loads.cached_prefix_tokens(name, &prompt.parts));
-        let tokens = prompt.prompt_tokens.saturating_sub(cached.max().unwrap_or(0)).max(1);
-        let millis = tokens as f64 * usual_pace.unwrap_or(DEFAULT_PACE);
-        ExpectedPrefill {
-            tokens,
-            time: Duration::from_secs_f64(millis / 1_000.0),
-        }
-    }
-
-    /// Returns true if an engine has no call, as far as this entry knows.
-    pub(super) fn is_idle(&self, engine: &EndpointName) -> bool {
-        is_idle(&self.state().loads, engine)
-    }
-
-    /// Returns the engine that would prefill the prompt of a call now.
-    pub(super) fn choose_prefiller(
-        &self,
-        now: BootTime,
-        call: &AcceptedCall,
-        prompt: &PromptShape,
-        stage: EngineStage,
-    ) -> Option<EndpointName> {
-        match stage {
-            EngineStage::Prefill => {
-                let chosen = self.choose_prefill_engine(now, &call.service, (&[], false), prompt, call.request_hash);
-                Some(chosen.ok()?.engine.name)
-            }
-            EngineStage::Decode => {
-                let scope = DecodeScope {
-                    version: call.stream_version(),
-                    tried: &[],
-                    drain_window: self.drain_window(),
-                    prefers_active: false,
-                };
-                let tokens = prompt.prompt_tokens + prompt.output_tokens;
-                let chosen = self.choose_decode_engine(now, &call.service, &scope, (call.request_hash, tokens), None);
-                Some(chosen.ok()?.name)
-            }
-        }
-    }
-
     /// Chooses an endpoint for a plain call.
     pub(super) fn choose_for_plain_call(
         &self,
@@ -372,10 +279,6 @@
     }
 }
 
-fn is_idle(loads: &LoadTable, name: &EndpointName) -> bool {
-    loads.work(name).calls == 0
-}
-
 /// Returns the engines that have memory for a call with this number of tokens.
 fn retain_with_memory<'state>(
     view: &PlacementView<'_>,
@@ -393,58 +296,9 @@
     Ok(roomy)
 }
 
-/// What a call of a service is placed by if the entry has a slice of its endpoints.
-#[derive(Debug)]
-struct SlicePart {
-    line: Arc<EngineLine>,
-    work_time: Duration,
-    memory_tokens: u64,
-}
-
-impl SlicePart {
-    fn of(
-        entry: &mut EntryState,
-        now: BootTime,
-        service: &ServiceName,
-        stage: EngineStage,
-        memory_tokens: u64,
-    ) -> Option<Self> {
-        let line = entry.engine_line(now, service, stage)?;
-        let work_time = entry.work_time(service, stage);
-        Some(Self {
-            line,
-            work_time,
-            memory_tokens,
-        })
-    }
-
-    fn view(&self, draw: u64) -> SliceView<'_> {
-        SliceView {
-            line: &self.line,
-            draw,
-            work_time: self.work_time,
-            memory_tokens: self.memory_tokens,
-        }
-    }
-}
-
-/// Counts a prompt that goes to an engine outside of the slice.
-fn count_slice_miss(slice: SliceView<'_>, candidates: &[Candidate<'_>], chosen: &EndpointName) {
-    if slice.line.contains(chosen) {
-        return;
-    }
-    let has_member = candidates.iter().any(|(name, _)| slice.line.contains(name));
-    let reason = if has_member {
-        "better elsewhere"
-    } else {
-        "none available"
-    };
-    metrics::counter!("acacia_slice_misses_total", "reason" => reason).increment(1);
-}
-
 /// Engines of one service at one time.
 #[derive(Clone, Copy, Debug)]
-struct ServiceEngines<'state> {
+pub(super) struct ServiceEngines<'state> {
     now: BootTime,
     service: &'state ServiceName,
     registry: &'state EndpointRegistry,
@@ -452,7 +306,7 @@
 }
 
 impl<'state> ServiceEngines<'state> {
-    const fn new(
+    pub(super) const fn new(
         now: BootTime,
         service: &'state ServiceName,
         registry: &'state EndpointRegistry,
@@ -477,7 +331,7 @@
     }
 
     /// Returns the engines of a stage that may prefill a prompt.
-    fn that_prefill(&self, stage: EngineStage) -> Vec<Candidate<'state>> {
+    pub(super) fn that_prefill(&self, stage: EngineStage) -> Vec<Candidate<'state>> {
         match stage {
             EngineStage::Prefill => self.available_of_stage(EngineStage::Prefill),
             EngineStage::Decode => self.all_decode_candidates(&DecodeScope {
--- a/crates/acacia-entry/src/serving/mod.rs
+++ b/crates/acacia-entry/src/serving/mod.rs
@@ -6,7 +6,7 @@
 //! by another, and the stream is resumed at another one if the engine breaks off (`stream_body`). Both send calls to
 //! endpoints by `attempt`, within the retries of `retry_permits` (`write_permits`), and what else an endpoint is asked by `endpoint_request`.
 //!
-//! While engines are short, prompts wait at the entry until they may be prefilled (`prompt_queue`).
+//! While engines are short, prompts wait at the entry until they may be prefilled (`prompt_queue`, `prefill_capacity`).
 //!
 //! A call whose engine is silent stays there until another engine has taken it over (`handover`, `stream_opening`).
 //!
@@ -20,7 +20,7 @@
 //! `answer_buffer` reads answers ahead of callers that read slowly, within a bound that covers request bodies as well.
 //!
 //! All calls use the state in `shared`, from which `endpoint_choice` selects endpoints within the limits that they name
-//! (`endpoint_limits`). `control_sessions` keeps this
+//! (`endpoint_limits`), by `engine_lines` where the entry has a slice of them. `control_sessions` keeps this
 //! state up to date over its sessions with the replicas: it sends the requests of `renewal_message`, and
 //! `config_install` and `endpoint_news` handle what the replicas send. The wire format of calls is defined by a
 //! [`CallCodec`].
@@ -39,11 +39,13 @@
 mod endpoint_paths;
 mod endpoint_request;
 mod endpoint_speeds;
+mod engine_lines;
 mod handover;
 mod incarnation_check;
 mod plain_body;
 mod plain_call;
 mod prefill;
+mod prefill_capacity;
 mod prefill_search;
 mod prompt_queue;
 mod refusal;
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -22,7 +22,7 @@
 use acaciabay::core::serving::group_clock::GroupClock;
 use acaciabay::core::serving::lease_recovery::LeaseOutage;
 use acaciabay::core::serving::limit_gate::LimitGate;
-use acaciabay::core::serving::load_slice::{EngineLine, LineEndpoint, LineLayout, LoadSlice};
+use acaciabay::core::serving::load_slice::LoadSlice;
 use acaciabay::core::serving::prefill_pace::{PrefillPace, PrefillTime};
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::retry_limiter::{RetryLimit, RetryLimiter};
@@ -38,6 +38,7 @@
 use super::codec::CallCodec;
 use super::endpoint_paths::{EndpointPaths, PathConnector};
 use super::endpoint_speeds::SpeedObservations;
+use super::engine_lines::EngineLines;
 use super::prompt_queue::PromptQueue;
 use super::stream_origins::OriginExchange;
 use crate::suspect_calls::SuspectTracker;
@@ -54,21 +55,6 @@
 /// Number of streams at a time whose event may be larger than usual, so that such events cannot fill the memory.
 const MAX_LARGE_EVENTS: usize = 8;
 
-/// Interval at which it is checked whether a service's endpoints have changed on their line.
-const LINE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Weight of a call in the moving average of the time for which calls are outstanding.
-const WORK_TIME_WEIGHT: f64 = 0.05;
-/// Time for which calls are assumed to be outstanding before one has ended, by the stage of their endpoints.
-const PREFILL_WORK_TIME: Duration = Duration::from_millis(100);
-const DECODE_WORK_TIME: Duration = Duration::from_secs(1);
-
-/// Line of the endpoints of a service and stage, and the time at which it was last compared with them.
-#[derive(Clone, Debug)]
-struct HeldLine {
-    line: Arc<EngineLine>,
-    checked_at: BootTime,
-}
-
 /// Demand for a service since the last report to the leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct DemandCount {
@@ -92,10 +78,8 @@
     pub(super) entry_count: u32,
     /// Slices of the services with uneven load, as the leader told them last.
     pub(super) slices: BTreeMap<ServiceName, LoadSlice>,
-    /// Lines of these services' endpoints: those that prefill, and all others.
-    lines: HashMap<(ServiceName, EngineStage), HeldLine>,
-    /// Average time in milliseconds for which calls are outstanding at endpoints of usual speed.
-    work_times: HashMap<(ServiceName, EngineStage), f64>,
+    /// The endpoints of these services as they lie on their lines.
+    pub(super) lines: EngineLines,
     pub(super) allowances: AllowanceGate,
     pub(super) limits: LimitGate,
     pub(super) start_counts: CallCounts,
@@ -132,71 +116,6 @@
         (&self.registry, &self.loads, &mut self.limits)
     }
 
-    /// Returns the line of a service's endpoints if the entry has a slice of it: of those that prefill, or of all others.
-    pub(super) fn engine_line(
-        &mut self,
-        now: BootTime,
-        service: &ServiceName,
-        stage: EngineStage,
-    ) -> Option<Arc<EngineLine>> {
-        let slice = *self.slices.get(service)?;
-        let key = (service.clone(), stage);
-        let held = self.lines.get(&key).filter(|held| held.line.slice() == slice);
-        if let Some(held) = held.filter(|held| now.since(held.checked_at) < LINE_CHECK_INTERVAL) {
-            return Some(Arc::clone(&held.line));
-        }
-        let mut rows = self.registry.ready(now, service);
-        rows.retain(|(_, row)| (row.stage == Some(EngineStage::Prefill)) == (stage == EngineStage::Prefill));
-        let endpoints = rows.into_iter().map(|(name, row)| LineEndpoint {
-            name,
-            domain: &row.domain,
-            slowdown: self.loads.lasting_slowdown(now, name),
-        });
-        let endpoints: Vec<_> = endpoints.collect();
-        let layout = match stage {
-            EngineStage::Prefill => LineLayout::Together,
-            EngineStage::Decode => LineLayout::ByDomain,
-        };
-        let line = match held.filter(|held| held.line.fits(&endpoints, slice)) {
-            Some(held) => Arc::clone(&held.line),
-            None => Arc::new(EngineLine::new(&endpoints, layout, slice)),
-        };
-        let held = HeldLine {
-            line: Arc::clone(&line),
-            checked_at: now,
-        };
-        self.lines.insert(key, held);
-        Some(line)
-    }
-
-    /// Returns the time for which calls are usually outstanding at endpoints of a service.
-    pub(super) fn work_time(&self, service: &ServiceName, stage: EngineStage) -> Duration {
-        let known = self.work_times.get(&(service.clone(), stage));
-        known.map_or(
-            match stage {
-                EngineStage::Prefill => PREFILL_WORK_TIME,
-                EngineStage::Decode => DECODE_WORK_TIME,
-            },
-            |millis| Duration::from_secs_f64(millis / 1_000.0),
-        )
-    }
-
-    /// Records that a call was outstanding at an endpoint since `began_at`, if the entry has a slice of its service.
-    fn record_work_time(&mut self, began_at: BootTime, name: &EndpointName) {
-        let Some(row) = self.registry.get(name) else { return };
-        if !self.slices.contains_key(&row.service) {
-            return;
-        }
-        let stage = match row.stage {
-            Some(EngineStage::Prefill) => EngineStage::Prefill,
-            Some(EngineStage::Decode) | None => EngineStage::Decode,
-        };
-        let now = boot_now();
-        let millis = now.since(began_at).as_secs_f64() * 1_000.0 / self.loads.lasting_slowdown(now, name);
-        let average = self.work_times.entry((row.service.clone(), stage)).or_insert(millis);
-        *average += WORK_TIME_WEIGHT * (millis - *average);
-    }
-
     /// Returns the limiter of a service's retries.
     pub(super) fn retry_limiter(&mut self, service: &ServiceName) -> &mut RetryLimiter {
         self.retry_limiters.entry(service.clone()).or_default()
@@ -334,7 +253,7 @@
     fn drop(&mut self) {
         let mut state = self.shared.state();
         state.loads.end(&self.endpoint, self.work);
-        state.record_work_time(self.began_at, &self.endpoint);
+        state.record_work_time(boot_now(), self.began_at, &self.endpoint);
     }
 }
 
