Estimate a prefill's time once for each engine, and do not wait for the record of a need

Cause, found in reading the change: with a slice, the locality of today was computed and thrown away for each engine, the slowdown was looked up twice, and the prompt's time was multiplied by it and divided again. The duty loop waited for the commit of the recorded need, so that a slow disk held up orders and usage windows. Six tests of the placement built the same view.

Change: PrefillTimes is made at usual speed and slowed once; the locality without a slice is computed only there; the commit runs in a task, as orders do; one fixture for the view. Nothing is decided differently.

--- a/crates/acacia-control/src/serving/duties.rs
+++ b/crates/acacia-control/src/serving/duties.rs
@@ -214,6 +214,6 @@
         windows.tick(&context).await;
         pools.tick(&context, &mut stages);
         stages.tick(&context);
-        pools.record_needs(&context, &stages).await;
+        pools.record_needs(&context, &stages);
     }
 }
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -174,7 +174,9 @@
     }
 
     /// Commits the needs of uneven services that have changed, so that the next duty holder starts from them.
-    pub(super) async fn record_needs(&mut self, context: &DutyContext<'_>, stages: &StageOrders) {
+    ///
+    /// The duties do not wait for the commit: on a slow disk, orders and usage windows would be late.
+    pub(super) fn record_needs(&mut self, context: &DutyContext<'_>, stages: &StageOrders) {
         let (now, shared) = (context.now, context.shared);
         let has_calls = shared.soft_state().has_calls();
         for (service, row) in self.needs.iter_mut().filter(|(_, row)| row.is_uneven && row.is_own) {
@@ -192,8 +194,11 @@
                 "tokens_per_second" => need.pool_tokens_per_second, "pace_ms" => need.pace);
             metrics::gauge!("acacia_required_endpoints", "service" => service.to_string()).set(need.needed);
             let command = ControlCommand::Serving(ServingCommand::RecordNeed { service, need });
-            // If this replica no longer leads, the next duty holder starts from the record before this one.
-            let _not_leading = shared.group.propose(command).await;
+            let shared = Arc::clone(shared);
+            tokio::spawn(async move {
+                // If this replica no longer leads, the next duty holder starts from the record before this one.
+                let _not_leading = shared.group.propose(command).await;
+            });
         }
     }
 
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -338,13 +338,6 @@
             (Some(link), Some((_, source))) if copied > 0.0 => copy_time_ms(link, copied, endpoint, source),
             _ => 0.0,
         };
-        let locality_ms = if missing <= 0.0 {
-            0.0
-        } else if copied >= missing {
-            CACHED_ELSEWHERE_COST_MS * homes.busy_fraction
-        } else {
-            homes.penalty_ms(name)
-        };
         let unread_tokens = (prompt.prompt_tokens as f64 - cached - expected_copied).max(0.0);
         if let Some(slice) = view.slice {
             let sizes = PromptSizes {
@@ -355,8 +348,19 @@
             };
             return Self::by_slice(view, engines, slice, prefill_engine, homes, sizes, copy_ms);
         }
+        let locality_ms = if missing <= 0.0 {
+            0.0
+        } else if copied >= missing {
+            CACHED_ELSEWHERE_COST_MS * homes.busy_fraction
+        } else {
+            homes.penalty_ms(name)
+        };
         let queued = view.loads.work(name).unread_tokens as f64;
-        let times = PrefillTimes::of(view, engines, name, queued, unread_tokens);
+        let modelled = PrefillTimes::by_model(engines, queued, unread_tokens);
+        let times = match modelled {
+            Some(usual) => usual.slowed(view.loads.slowdown(view.now, name)),
+            None => PrefillTimes::by_pace(view.loads.pace(name, engines.pace), queued, unread_tokens),
+        };
         let weighted_prefill_ms = times.queue_ms + NEW_TOKEN_WEIGHT * times.prompt_ms;
         Self {
             unread_tokens,
@@ -387,11 +391,14 @@
         let usual_peers = view.loads.usual_peer_tokens(name);
         let peers = usual_peers + peer_fraction * (peers.unread_tokens as f64 - usual_peers);
         let queued = own.unread_tokens as f64 + peers;
-        let times = PrefillTimes::of(view, engines, name, queued, sizes.unread);
+        let usual_pace = LoadTable::usual_pace(engines.pace);
+        let usual = PrefillTimes::by_model(engines, queued, sizes.unread);
+        let usual = usual.unwrap_or_else(|| PrefillTimes::by_pace(usual_pace, queued, sizes.unread));
+        let times = usual.slowed(slowdown);
         let reread_ms = if homes.ranked.is_empty() {
             0.0
         } else {
-            (NEW_TOKEN_WEIGHT - 1.0) * sizes.reread * LoadTable::usual_pace(engines.pace)
+            (NEW_TOKEN_WEIGHT - 1.0) * sizes.reread * usual_pace
         };
         Self {
             unread_tokens: sizes.unread,
@@ -400,7 +407,7 @@
             // The prompt's own prefill counts at the usual speed. Otherwise entries with a slow slice would send all prompts to
             // fast engines elsewhere, which would then be overloaded.
             cost_ms: times.queue_ms
-                + times.prompt_ms / slowdown
+                + usual.prompt_ms
                 + copy_ms
                 + reread_ms
                 + homes.slice_locality_ms(name, slice, sizes)
@@ -433,32 +440,29 @@
 }
 
 impl PrefillTimes {
-    fn of(
-        view: &PlacementView<'_>,
-        engines: &PromptEngines<'_>,
-        name: &EndpointName,
-        queued: f64,
-        unread: f64,
-    ) -> Self {
-        let modelled = engines.model.and_then(|model| {
-            let slowdown = view.loads.slowdown(view.now, name);
-            Some(Self {
-                queue_ms: queued * model.queue_pace()? * slowdown,
-                prompt_ms: model.expected_ms(unread)? * slowdown,
-            })
-        });
-        modelled.unwrap_or_else(|| {
-            let pace = if view.slice.is_some() {
-                LoadTable::usual_pace(engines.pace) * view.loads.slowdown(view.now, name)
-            } else {
-                view.loads.pace(name, engines.pace)
-            };
-            Self {
-                queue_ms: queued * pace,
-                prompt_ms: unread * pace,
-            }
+    /// Returns the times at an engine of usual speed by the service's model, if that is known.
+    fn by_model(engines: &PromptEngines<'_>, queued: f64, unread: f64) -> Option<Self> {
+        let model = engines.model?;
+        Some(Self {
+            queue_ms: queued * model.queue_pace()?,
+            prompt_ms: model.expected_ms(unread)?,
         })
     }
+
+    /// Returns the times by a prefill time per token, in milliseconds.
+    fn by_pace(pace: f64, queued: f64, unread: f64) -> Self {
+        Self {
+            queue_ms: queued * pace,
+            prompt_ms: unread * pace,
+        }
+    }
+
+    fn slowed(self, slowdown: f64) -> Self {
+        Self {
+            queue_ms: self.queue_ms * slowdown,
+            prompt_ms: self.prompt_ms * slowdown,
+        }
+    }
 }
 
 fn copy_time_ms(link: &KvCacheLink, tokens: f64, destination: &ServingEndpoint, source: &ServingEndpoint) -> f64 {
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -16,6 +16,17 @@
 
 use crate::fixtures::{EngineRows, at, candidates, link, name, numbered, prompt, rows, unread};
 
+/// The state of an entry that has no slice of the engines.
+fn unsliced_view<'table>(domain: &'table DomainName, loads: &'table LoadTable) -> PlacementView<'table> {
+    PlacementView {
+        now: at(0),
+        domain,
+        loads,
+        permitted: &[],
+        slice: None,
+    }
+}
+
 /// Places a prompt with the shared part `shared` among engines that cannot copy cached parts.
 fn place(loads: &LoadTable, rows: &EngineRows, shared: u64) -> EndpointName {
     place_with(loads, rows, &[], false, shared).endpoint
@@ -34,13 +45,7 @@
     shared: u64,
 ) -> PromptPlacement {
     let domain = DomainName::new("a");
-    let view = PlacementView {
-        now: at(0),
-        domain: &domain,
-        loads,
-        permitted: &[],
-        slice: None,
-    };
+    let view = unsliced_view(&domain, loads);
     let link = link();
     let engines = PromptEngines {
         prefill_engines: &candidates(prefill_engines),
@@ -171,13 +176,7 @@
 fn unmeasured_engine_is_assumed_to_have_the_pace_of_its_service() {
     let prefill_engines = rows(3, EngineStage::Prefill);
     let (loads, domain, link) = (LoadTable::default(), DomainName::new("a"), link());
-    let view = PlacementView {
-        now: at(0),
-        domain: &domain,
-        loads: &loads,
-        permitted: &[],
-        slice: None,
-    };
+    let view = unsliced_view(&domain, &loads);
     let expected = |pace| {
         let engines = PromptEngines {
             prefill_engines: &candidates(&prefill_engines),
@@ -213,13 +212,7 @@
 fn prompts_without_shared_parts_go_to_different_engines() {
     let prefill_engines = rows(7, EngineStage::Prefill);
     let (loads, domain) = (LoadTable::default(), DomainName::new("elsewhere"));
-    let view = PlacementView {
-        now: at(0),
-        domain: &domain,
-        loads: &loads,
-        permitted: &[],
-        slice: None,
-    };
+    let view = unsliced_view(&domain, &loads);
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
         home_engines: &candidates(&prefill_engines),
@@ -331,13 +324,7 @@
     shape.parts.remove(0);
     let domain = DomainName::new("a");
     let loads = LoadTable::default();
-    let view = PlacementView {
-        now: at(0),
-        domain: &domain,
-        loads: &loads,
-        permitted: &[],
-        slice: None,
-    };
+    let view = unsliced_view(&domain, &loads);
     let link = link();
     let engines = PromptEngines {
         prefill_engines: &candidates(&prefill_engines),
@@ -364,13 +351,7 @@
         model.record(10_000, Duration::from_millis(400), 1.0, 0.04);
     }
     let place_in = |loads: &LoadTable| {
-        let view = PlacementView {
-            now: at(0),
-            domain: &domain,
-            loads,
-            permitted: &[],
-            slice: None,
-        };
+        let view = unsliced_view(&domain, loads);
         let engines = PromptEngines {
             prefill_engines: &candidates(&prefill_engines),
             home_engines: &candidates(&prefill_engines),
@@ -407,13 +388,7 @@
     let domain = DomainName::new("a");
     let mut loads = LoadTable::default();
     let place_among = |loads: &LoadTable, admitted: &EngineRows| {
-        let view = PlacementView {
-            now: at(0),
-            domain: &domain,
-            loads,
-            permitted: &[],
-            slice: None,
-        };
+        let view = unsliced_view(&domain, loads);
         let engines = PromptEngines {
             prefill_engines: &candidates(admitted),
             home_engines: &candidates(&all),
