--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -66,6 +66,9 @@
         self.next_plan = now + PLAN_INTERVAL;
         let Some(config) = context.shared.config() else { return };
         let is_registry_complete = context.shared.is_registry_complete(now);
+        // A need that is no longer measured must not be recorded as if it were new.
+        self.needs
+            .retain(|service, _| config.services.get(service).is_some_and(|spec| spec.pool.is_some()));
         for (service, spec) in &config.services {
             let Some(pool) = &spec.pool else { continue };
             let measure = take_prefill_load(context.shared, service);
--- a/crates/acacia-entry/src/serving/endpoint_choice.rs
+++ b/crates/acacia-entry/src/serving/endpoint_choice.rs
@@ -195,12 +195,14 @@
         let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
         let engines = ServiceEngines::new(now, service, registry, loads);
-        let mut readers = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
+        let mut homes = without_tried(engines.available_of_stage(EngineStage::Prefill), tried);
+        let view = self.placement(now, loads, &[], slice);
+        // Others may have memory while those that are active have none.
+        let mut readers = retain_with_memory(&view, homes.clone(), prompt.prompt_tokens)?;
         if prefers_active {
+            engines.retain_active(&mut homes);
             engines.retain_active(&mut readers);
         }
-        let homes = readers.clone();
-        let readers = retain_with_memory(&self.placement(now, loads, &[], slice), readers, prompt.prompt_tokens)?;
         let mut keepers = registry.answering(now, service);
         keepers.retain(|(_, endpoint)| endpoint.stage == Some(EngineStage::Prefill));
         let (place, detour) = choose_within_limits(
@@ -246,8 +248,12 @@
         let part = SlicePart::of(&mut state, now, service, EngineStage::Decode, memory);
         let slice = part.as_ref().map(|part| part.view(request_hash));
         let (registry, loads, limits) = state.choice_parts();
-        let candidates = ServiceEngines::new(now, service, registry, loads).decode_candidates(scope);
-        let candidates = retain_with_memory(&self.placement(now, loads, &[], slice), candidates, tokens)?;
+        let engines = ServiceEngines::new(now, service, registry, loads);
+        let view = self.placement(now, loads, &[], slice);
+        let mut candidates = retain_with_memory(&view, engines.all_decode_candidates(scope), tokens)?;
+        if scope.prefers_active {
+            engines.retain_active(&mut candidates);
+        }
         let (name, detour) = choose_within_limits(
             now,
             limits,
--- a/crates/acacia-entry/src/serving/endpoint_limits.rs
+++ b/crates/acacia-entry/src/serving/endpoint_limits.rs
@@ -173,8 +173,10 @@
         call.shared.request_report();
         while tokio::time::timeout_at(until, news).await.is_ok() {
             news = call.shared.limit_news.notified();
-            if let Ok(chosen) = choose(boot_now()) {
-                return Ok(chosen);
+            match choose(boot_now()) {
+                Ok(chosen) => return Ok(chosen),
+                Err(ChoiceFailure::NoMemory) => return Err(not_run(NO_MEMORY, SHORT_RETRY_DELAY)),
+                Err(ChoiceFailure::NoEndpoint) => {}
             }
         }
     }
--- a/crates/acacia-entry/src/serving/endpoint_speeds.rs
+++ b/crates/acacia-entry/src/serving/endpoint_speeds.rs
@@ -99,7 +99,8 @@
             return None;
         }
         let pace = self.prefill_pace(service)?;
-        let took = reading.took.saturating_sub(copy_time);
+        // A copy that was faster than estimated leaves nothing to measure.
+        let took = reading.took.checked_sub(copy_time).filter(|took| !took.is_zero())?;
         let (name, birth) = (&chosen.name, chosen.endpoint.incarnation);
         let Self { speeds, loads, .. } = self;
         let slowdown = loads.slowdown(now, name);
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -194,12 +194,15 @@
 
 /// Counts the prompt as demand for engines that prefill.
 pub(super) fn record_demand(call: &AcceptedCall, place: &PromptPlacement) {
+    record_unread_demand(call, place.unread_tokens, place.wait);
+}
+
+/// Counts so many tokens that an engine would have to prefill after this wait as demand for engines.
+pub(super) fn record_unread_demand(call: &AcceptedCall, unread_tokens: u64, wait: Duration) {
     let mut state = call.shared.state();
     let demand = state.demands.entry(call.service.clone()).or_default();
-    demand.unread_tokens += place.unread_tokens;
-    demand.wait_us = demand
-        .wait_us
-        .max(u64::try_from(place.wait.as_micros()).unwrap_or(u64::MAX));
+    demand.unread_tokens += unread_tokens;
+    demand.wait_us = demand.wait_us.max(u64::try_from(wait.as_micros()).unwrap_or(u64::MAX));
 }
 
 async fn receive_handle(call: &AcceptedCall, chosen: &ChosenEndpoint, reply: EndpointReply) -> Option<String> {
--- a/crates/acacia-entry/src/serving/prefill_capacity.rs
+++ b/crates/acacia-entry/src/serving/prefill_capacity.rs
@@ -4,7 +4,7 @@
 
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, ServiceName};
-use acaciabay::core::serving::endpoint_load::{DEFAULT_PACE, LoadTable};
+use acaciabay::core::serving::endpoint_load::LoadTable;
 use acaciabay::core::serving::endpoint_registry::EngineStage;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::prompt_room::prefill_credit;
@@ -58,14 +58,16 @@
         prompt: &PromptShape,
     ) -> ExpectedPrefill {
         let mut state = self.state();
-        let usual_pace = state.prefill_pace(service);
+        let usual_pace = LoadTable::usual_pace(state.prefill_pace(service));
+        let model = state.prefill_model(service).cloned();
         let (registry, loads, _) = state.choice_parts();
         let engines = ServiceEngines::new(now, service, registry, loads).that_prefill(prefill_stage);
         let cached = engines
             .iter()
             .map(|(name, _)| loads.cached_prefix_tokens(name, &prompt.parts));
         let tokens = prompt.prompt_tokens.saturating_sub(cached.max().unwrap_or(0)).max(1);
-        let millis = tokens as f64 * usual_pace.unwrap_or(DEFAULT_PACE);
+        let modelled = model.and_then(|model| model.expected_ms(tokens as f64));
+        let millis = modelled.unwrap_or(tokens as f64 * usual_pace);
         ExpectedPrefill {
             tokens,
             time: Duration::from_secs_f64(millis / 1_000.0),
--- a/crates/acacia-entry/src/serving/prompt_queue.rs
+++ b/crates/acacia-entry/src/serving/prompt_queue.rs
@@ -23,6 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::call::AcceptedCall;
+use super::prefill::record_unread_demand;
 use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, not_run};
 use super::shared::EntryShared;
 
@@ -166,6 +167,7 @@
     };
     let key = (call.service.clone(), stage);
     let queued = queued_prompt(call, prompt, stage);
+    let tokens = queued.tokens;
     if goes_first {
         return Ok(Some(go_first(shared, key, asked_at, &queued)));
     }
@@ -198,6 +200,8 @@
         }
     };
     if let Some(RoomRefusal { reason, retry_after }) = refusal {
+        // Counted although it is refused: its caller returns, and the service has to grow for it.
+        record_unread_demand(call, tokens, retry_after);
         let reason = match reason {
             RoomReason::TooLate => "prompt cannot be read in time",
             RoomReason::Full => "admission queue is full",
--- a/crates/acacia-entry/src/serving/stream_call.rs
+++ b/crates/acacia-entry/src/serving/stream_call.rs
@@ -270,6 +270,8 @@
             let OpeningEnd { outcome, mut prepared } = *end;
             self.settle_run(&outcome);
             self.retry = prepared.retry.take().filter(|retry| !retry.is_used());
+            // The attempt has ended: if its pass were held during the next one, the prompt would count twice.
+            prepared.pass = None;
             let chosen = prepared.chosen.name.clone();
             match outcome {
                 AttemptOutcome::Answered(reply) => {
--- a/crates/acaciabay/src/core/serving/answer_room.rs
+++ b/crates/acaciabay/src/core/serving/answer_room.rs
@@ -64,7 +64,11 @@
 
 impl AnswerUse {
     fn is_unread(&self, now: BootTime) -> bool {
-        self.bytes > 0 && now.since(self.read_at) > UNREAD_TIMEOUT
+        now.since(self.read_at) > UNREAD_TIMEOUT
+    }
+
+    fn holds_unread(&self, now: BootTime) -> bool {
+        self.bytes > 0 && self.is_unread(now)
     }
 }
 
@@ -131,19 +135,14 @@
         if answer.bytes + bytes > self.free().max(MIN_ANSWER_BYTES) {
             return self.drop_if_unread(now, number);
         }
-        let decision = self.make_room(now, bytes);
+        let decision = self.make_room(now, bytes, Some(number));
         if decision.is_admitted
             && let Some(answer) = self.answers.get_mut(&number)
         {
             answer.bytes += bytes;
             self.answer_bytes += bytes;
-            return decision;
-        }
-        // The answer itself was dropped to make the room.
-        RoomDecision {
-            is_admitted: false,
-            ..decision
         }
+        decision
     }
 
     /// Releases bytes of an answer that its caller has taken.
@@ -171,7 +170,7 @@
 
     /// Decides whether so many bytes of a request body may be held.
     pub fn admit_body(&mut self, now: BootTime, bytes: usize) -> RoomDecision {
-        let decision = self.make_room(now, bytes);
+        let decision = self.make_room(now, bytes, None);
         if decision.is_admitted {
             self.body_bytes += bytes;
         }
@@ -200,8 +199,8 @@
     }
 
     fn drop_if_unread(&mut self, now: BootTime, number: AnswerNumber) -> RoomDecision {
-        let is_unread = self.answers.get(&number).is_some_and(|answer| answer.is_unread(now));
-        if !is_unread {
+        let holds_unread = self.answers.get(&number).is_some_and(|answer| answer.holds_unread(now));
+        if !holds_unread {
             return RoomDecision::refused();
         }
         self.close(number);
@@ -212,13 +211,15 @@
     }
 
     /// Makes room for so many bytes: answers that nobody reads are dropped, those that have not ended at their endpoint first,
-    /// and of these the one that was not read for the longest time. Drops nothing if that is not enough.
-    fn make_room(&mut self, now: BootTime, bytes: usize) -> RoomDecision {
+    /// and of these the one that was not read for the longest time. Drops nothing if that is not enough, and never the answer
+    /// that asks.
+    fn make_room(&mut self, now: BootTime, bytes: usize, asking: Option<AnswerNumber>) -> RoomDecision {
         let free = self.free();
         if bytes <= free {
             return RoomDecision::admitted(Vec::new());
         }
-        let unread = self.answers.iter().filter(|(_, answer)| answer.is_unread(now));
+        let others = self.answers.iter().filter(|(number, _)| Some(**number) != asking);
+        let unread = others.filter(|(_, answer)| answer.holds_unread(now));
         let mut unread: Vec<_> = unread.map(|(number, answer)| (*number, *answer)).collect();
         unread.sort_by_key(|(_, answer)| (answer.has_ended, answer.read_at));
         let mut dropped = Vec::new();
--- a/crates/acaciabay/src/core/serving/endpoint_load.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_load.rs
@@ -59,7 +59,7 @@
 const MAX_SUSPICION: Duration = Duration::from_secs(3);
 /// Assumed prefill time per token, in milliseconds, of an engine without measurements. The value is typical of
 /// current engines.
-pub const DEFAULT_PACE: f64 = 0.02;
+const DEFAULT_PACE: f64 = 0.02;
 /// Weight of a new measurement in the moving average of the pace.
 const PACE_WEIGHT: f64 = 0.1;
 /// Weight of newly received work of the other entries in its moving average, which then covers the last few seconds.
--- a/crates/acaciabay/src/core/serving/endpoint_speed.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_speed.rs
@@ -314,13 +314,16 @@
 impl PaceOutbox {
     /// Queues a pace that an endpoint has stated.
     pub fn record_stated(&mut self, name: &EndpointName, birth: EndpointIncarnation, report: StatedReport) {
-        let row = self.row(name, birth);
-        row.stated = Some(StatedReport::newer(row.stated, report));
+        if let Some(row) = self.row(name, birth) {
+            row.stated = Some(StatedReport::newer(row.stated, report));
+        }
     }
 
     /// Queues measured prefills.
     pub fn record_prefills(&mut self, name: &EndpointName, birth: EndpointIncarnation, sums: &PrefillSums) {
-        self.row(name, birth).sums.add(sums);
+        if let Some(row) = self.row(name, birth) {
+            row.sums.add(sums);
+        }
     }
 
     /// Returns what is queued and empties the queue.
@@ -328,18 +331,19 @@
         std::mem::take(&mut self.rows).into_values()
     }
 
-    fn row(&mut self, name: &EndpointName, birth: EndpointIncarnation) -> &mut PaceReport {
+    fn row(&mut self, name: &EndpointName, birth: EndpointIncarnation) -> Option<&mut PaceReport> {
         let row = self.rows.entry(name.clone()).or_insert_with(|| PaceReport {
             endpoint: name.clone(),
             birth,
             stated: None,
             sums: PrefillSums::default(),
         });
-        if row.birth != birth {
+        if row.birth < birth {
             row.birth = birth;
             row.stated = None;
             row.sums = PrefillSums::default();
         }
-        row
+        // A late answer of an earlier process says nothing about the one that runs now.
+        (row.birth == birth).then_some(row)
     }
 }
--- a/crates/acaciabay/src/core/serving/reading_need.rs
+++ b/crates/acaciabay/src/core/serving/reading_need.rs
@@ -159,9 +159,11 @@
             None
         };
         let is_settled = smaller_since.is_none_or(|smaller_since| now.since(smaller_since) >= SHRINK_DELAY);
-        if is_settled || self.has_excess(now, wanted) {
+        let has_excess = self.has_excess(now, wanted);
+        if is_settled || has_excess {
             self.needed = wanted;
             self.smaller_since = None;
+            self.excess_since = None;
             self.basis = NeedBasis::Measured;
         }
     }
--- a/crates/acaciabay/src/ops/engine_room.rs
+++ b/crates/acaciabay/src/ops/engine_room.rs
@@ -27,7 +27,7 @@
 fn has_memory(view: &PlacementView<'_>, slice: SliceView<'_>, name: &EndpointName, tokens: u64) -> bool {
     let (own, peers) = view.loads.work_by_origin(name);
     let memory = slice.memory_tokens as f64;
-    // An engine that prefills holds the prompts that are queued, which are counted as unread.
+    // Of the prompts queued at an engine that prefills, only what it has to prefill is counted: the least that it holds.
     let peers = (peers.held_tokens + peers.unread_tokens) as f64;
     let own = (own.held_tokens + own.unread_tokens) as f64;
     // As much as has ended since the information was sent has probably arrived, too.
--- a/crates/acaciabay/tests/serving/answer_room.rs
+++ b/crates/acaciabay/tests/serving/answer_room.rs
@@ -144,3 +144,31 @@
 
     assert_eq!(room.current_use(), AnswerRoom::new(BUDGET).current_use());
 }
+
+/// Guards against an endpoint's request that goes on after the deadline, because nothing of its answer found room and its
+/// caller reads nothing.
+#[test]
+fn an_overdue_answer_without_buffered_bytes_is_dropped() {
+    let mut room = AnswerRoom::new(BUDGET);
+    let unread = room.open(at(0), at(5_000));
+    let read = room.open(at(0), at(5_000));
+    room.record_read(at(4_000), read);
+
+    let early = room.take_overdue(at(4_900));
+    let overdue = room.take_overdue(at(5_000));
+
+    assert_eq!((early, overdue), (vec![], vec![unread]));
+}
+
+/// Guards against answers that are dropped for one that is dropped with them.
+#[test]
+fn an_answer_does_not_make_room_for_itself() {
+    let mut room = AnswerRoom::new(BUDGET);
+    hold(&mut room, at(0), 16 * KIB);
+    let asking = hold(&mut room, at(1), 24 * KIB);
+    assert!(room.admit_body(at(1), BUDGET - 40 * KIB).is_admitted);
+
+    let decision = room.admit_answer(at(4_000), asking, 40 * KIB);
+
+    assert_eq!((decision.is_admitted, decision.dropped), (false, vec![]));
+}
--- a/crates/acaciabay/tests/serving/endpoint_speed.rs
+++ b/crates/acaciabay/tests/serving/endpoint_speed.rs
@@ -5,7 +5,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::core::serving::endpoint_speed::{
-    EndpointSpeed, EndpointSpeeds, PrefillSums, SpeedRow, SpeedSource, StatedReport,
+    EndpointSpeed, EndpointSpeeds, PaceOutbox, PrefillSums, SpeedRow, SpeedSource, StatedReport,
 };
 use acaciabay::core::serving::load_report::StatedPace;
 use acaciabay::core::serving::speed_filter::SpeedFilter;
@@ -233,3 +233,21 @@
 
     assert!((speeds.slowdown(at(1_200), &e1) - 1.2).abs() < 0.01);
 }
+
+/// Guards against a late answer of a process that has ended, which would wipe what was measured of the one that runs now.
+#[test]
+fn late_answer_of_an_earlier_incarnation_is_not_reported() {
+    let (engine, sums) = (name("e1"), prefill(1.0, 1.0));
+    let mut outbox = PaceOutbox::default();
+    outbox.record_prefills(&engine, EndpointIncarnation(2), &sums);
+
+    outbox.record_stated(&engine, EndpointIncarnation(1), stated(at(0), 500));
+    outbox.record_prefills(&engine, EndpointIncarnation(1), &sums);
+
+    let reports: Vec<_> = outbox.take().collect();
+    assert_eq!(reports.len(), 1);
+    assert_eq!(
+        (reports[0].birth, reports[0].sums, reports[0].stated),
+        (EndpointIncarnation(2), sums, None)
+    );
+}
