Call what stands already, and take the leader's soft state once for a renewal

Cause, found in the review: the count of microseconds on the wire, the fading of a stream peak and the demand in decode engines were written a second time; a line kept a layout that nobody read; the leader locked its soft state up to three times for each reported pace and once for each service, and listed all entries for slices that no service has.

Nothing is decided differently.

--- a/crates/acacia-control/src/serving/endpoint_speeds.rs
+++ b/crates/acacia-control/src/serving/endpoint_speeds.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::serving::endpoint_speed::PaceReport;
 
 use super::shared::ControlShared;
+use super::soft_state::SoftState;
 
 /// Merges what the entry has observed, and returns the speeds that have changed since its last renewal on this connection.
 pub(super) fn exchange_speeds(
@@ -19,16 +20,16 @@
     position: &mut LogPlace,
 ) -> Vec<EndpointSpeed> {
     let now = boot_now();
+    let mut soft = shared.soft_state();
     for message in &request.paces {
         match endpoint_pace_from_wire(now, message) {
-            Ok(report) => merge_report(shared, now, &report),
+            Ok(report) => merge_report(shared, &mut soft, now, &report),
             Err(error) => {
                 slog::warn!(shared.log, "malformed pace of an endpoint received"; "event" => event::MESSAGE_REFUSED,
                     "entry" => &hello.host, "endpoint" => &message.endpoint, "error" => %error);
             }
         }
     }
-    let soft = shared.soft_state();
     let (rows, next) = soft.speeds.since(*position);
     *position = next;
     let speeds: Vec<EndpointSpeed> = rows.map(|row| endpoint_speed_to_wire(now, &row)).collect();
@@ -37,30 +38,25 @@
 }
 
 /// Merges one report, if its endpoint belongs to an uneven service. A service becomes one by the first pace that is stated.
-fn merge_report(shared: &ControlShared, now: BootTime, report: &PaceReport) {
+fn merge_report(shared: &ControlShared, soft: &mut SoftState, now: BootTime, report: &PaceReport) {
     let endpoint = report.endpoint.as_str();
-    let service = {
-        let mut soft = shared.soft_state();
-        // An endpoint that has not reported to this replica yet is measured again.
-        let Some(row) = soft.registry.get(&report.endpoint) else {
-            return;
-        };
-        let service: ServiceName = row.service.clone();
-        if let Some(stated) = report.stated
-            && !soft.paced_services.contains(&service)
-        {
-            soft.paced_services.insert(service.clone());
-            slog::info!(shared.log, "endpoint has stated its pace"; "event" => event::ENDPOINT_SPEED,
-                "service" => service.as_str(), "endpoint" => endpoint, "birth" => report.birth.0,
-                "stated_percent" => stated.pace.percent());
-        }
-        service
+    // An endpoint that has not reported to this replica yet is measured again.
+    let Some(row) = soft.registry.get(&report.endpoint) else {
+        return;
     };
-    if !shared.is_uneven(&service) {
+    let service: ServiceName = row.service.clone();
+    if let Some(stated) = report.stated
+        && !soft.paced_services.contains(&service)
+    {
+        soft.paced_services.insert(service.clone());
+        slog::info!(shared.log, "endpoint has stated its pace"; "event" => event::ENDPOINT_SPEED,
+            "service" => service.as_str(), "endpoint" => endpoint, "birth" => report.birth.0,
+            "stated_percent" => stated.pace.percent());
+    }
+    if !shared.is_uneven_in(soft, &service) {
         return;
     }
-    let change = shared.soft_state().speeds.merge(now, &service, report);
-    if let Some(change) = change {
+    if let Some(change) = soft.speeds.merge(now, &service, report) {
         slog::info!(shared.log, "speed of an endpoint changed"; "event" => event::ENDPOINT_SPEED,
             "service" => service.as_str(), "endpoint" => endpoint, "birth" => report.birth.0,
             "before" => change.before, "lasting" => change.lasting);
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -83,12 +83,15 @@
 fn entry_slices(shared: &ControlShared, hello: &ServingHello, request: &RenewServing) -> Vec<EntrySlice> {
     let now = boot_now();
     let host: HostName = hello.host.as_str().into();
-    let demands = request.demands.iter();
-    let calls = demands.map(|demand| (ServiceName::new(demand.service.as_str()), demand.calls));
-    let uneven: Vec<_> = calls.filter(|(service, _)| shared.is_uneven(service)).collect();
     let mut soft = shared.soft_state();
-    for (service, calls) in uneven {
-        soft.slices.record(now, &service, &host, calls);
+    for demand in &request.demands {
+        let service = ServiceName::new(demand.service.as_str());
+        if shared.is_uneven_in(&soft, &service) {
+            soft.slices.record(now, &service, &host, demand.calls);
+        }
+    }
+    if soft.slices.is_empty() {
+        return Vec::new();
     }
     for change in soft.divide_slices(now) {
         slog::info!(shared.log, "slices changed"; "event" => event::SLICES_DIVIDED,
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -125,7 +125,12 @@
     /// Returns true if entries get slices and speeds of a service's endpoints: the settings ask for it, or an endpoint
     /// has stated its pace.
     pub(super) fn is_uneven(&self, service: &ServiceName) -> bool {
-        self.settings.balanced_load || self.soft_state().paced_services.contains(service)
+        self.is_uneven_in(&self.soft_state(), service)
+    }
+
+    /// The same for a caller that holds the soft state.
+    pub(super) fn is_uneven_in(&self, soft: &SoftState, service: &ServiceName) -> bool {
+        self.settings.balanced_load || soft.paced_services.contains(service)
     }
 
     pub(super) fn new(
--- a/crates/acacia-wire/src/entry_message.rs
+++ b/crates/acacia-wire/src/entry_message.rs
@@ -385,7 +385,7 @@
     }
 }
 
-fn micros(time: Duration) -> u64 {
+pub(crate) fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/crates/acacia-wire/src/speed_message.rs
+++ b/crates/acacia-wire/src/speed_message.rs
@@ -9,6 +9,7 @@
 use acaciabay::util::number::{round_up, whole_millis};
 
 use crate::WireError;
+use crate::entry_message::micros;
 use crate::generated::serving;
 
 /// Encodes what an entry has observed of an endpoint.
@@ -19,10 +20,10 @@
         birth: report.birth.0,
         stated_percent,
         stated_age_ms,
-        took_us: whole_micros(report.sums.took),
-        expected_us: whole_micros(report.sums.expected),
+        took_us: micros(report.sums.took),
+        expected_us: micros(report.sums.expected),
         prefills: report.sums.prefills,
-        expected_stated_us: whole_micros(report.sums.expected_stated),
+        expected_stated_us: micros(report.sums.expected_stated),
     }
 }
 
@@ -101,7 +102,3 @@
     }
     (f64::from(percent) / 100.0).ln()
 }
-
-fn whole_micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/acaciabay/src/core/serving/load_slice.rs
+++ b/crates/acaciabay/src/core/serving/load_slice.rs
@@ -180,6 +180,11 @@
         };
     }
 
+    /// Returns true if no calls of any service were recorded.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Divides the endpoints of the services among the live entries, in order of their names, where that is due.
     /// Returns what has changed.
     pub fn divide(&mut self, now: BootTime, live: &[&HostName]) -> Vec<SliceChange> {
@@ -249,7 +254,6 @@
 #[derive(Clone, Debug)]
 pub struct EngineLine {
     slice: LoadSlice,
-    layout: LineLayout,
     rows: HashMap<EndpointName, LineRow>,
 }
 
@@ -287,7 +291,7 @@
                     }),
             );
         }
-        Self { slice, layout, rows }
+        Self { slice, rows }
     }
 
     /// Returns true if the line need not be laid out anew for these endpoints and this slice: the endpoints are the same, and
@@ -300,11 +304,6 @@
         self.slice == slice && self.rows.len() == endpoints.len() && endpoints.iter().all(is_same)
     }
 
-    /// Returns how the endpoints are laid out.
-    pub const fn layout(&self) -> LineLayout {
-        self.layout
-    }
-
     /// Returns true if the endpoint lies in the slice.
     pub fn contains(&self, name: &EndpointName) -> bool {
         self.rows.get(name).is_some_and(|row| row.is_member)
--- a/crates/acaciabay/src/core/serving/stream_peak.rs
+++ b/crates/acaciabay/src/core/serving/stream_peak.rs
@@ -32,6 +32,15 @@
             held_tokens: self.held_tokens + held_by_stream * prompts,
         }
     }
+
+    /// Returns what remains of this demand, if it is a peak, after `since`.
+    fn faded(self, since: Duration) -> Self {
+        let fraction = (-since.as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
+        Self {
+            streams: self.streams * fraction,
+            held_tokens: self.held_tokens * fraction,
+        }
+    }
 }
 
 /// Peak of the stream demand. It follows a rise at once and a fall slowly.
@@ -44,22 +53,18 @@
 impl StreamPeak {
     /// Updates the peak with the current demand.
     pub fn see(&mut self, now: BootTime, present: StreamDemand) {
-        let faded = (-now.since(self.updated_at).as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
+        let faded = self.demand.faded(now.since(self.updated_at));
         self.demand = StreamDemand {
-            streams: present.streams.max(self.demand.streams * faded),
-            held_tokens: present.held_tokens.max(self.demand.held_tokens * faded),
+            streams: present.streams.max(faded.streams),
+            held_tokens: present.held_tokens.max(faded.held_tokens),
         };
         self.updated_at = now;
     }
 
     /// Returns the peak at `now`, from one that was recorded `age` ago.
     pub fn restored(now: BootTime, age: Duration, recorded: StreamDemand) -> Self {
-        let faded = (-age.as_secs_f64() / PEAK_DECAY.as_secs_f64()).exp();
         Self {
-            demand: StreamDemand {
-                streams: recorded.streams * faded,
-                held_tokens: recorded.held_tokens * faded,
-            },
+            demand: recorded.faded(age),
             updated_at: now,
         }
     }
--- a/crates/acaciabay/src/ops/plan_stages.rs
+++ b/crates/acaciabay/src/ops/plan_stages.rs
@@ -79,7 +79,9 @@
     if engines < 2 {
         return engines;
     }
-    let decoders = decoders_for(*demand, spec);
+    let by_slots = demand.streams / (TARGET_UTILIZATION * f64::from(spec.slots.max(1)));
+    let by_memory = demand.held_tokens / (TARGET_UTILIZATION * spec.memory_tokens.max(1) as f64);
+    let decoders = by_slots.max(by_memory);
     let present = load.present as f64;
     let prefill_engines = PREFILL_HEADROOM * load.prefill_engines;
     let divided = if decoders + prefill_engines > present {
@@ -96,13 +98,6 @@
     wanted.max(retained_decoders(load))
 }
 
-/// Returns how many decode engines the streams occupy at the target utilization, as a fraction.
-fn decoders_for(demand: StreamDemand, spec: &EngineSpec) -> f64 {
-    let by_slots = demand.streams / (TARGET_UTILIZATION * f64::from(spec.slots.max(1)));
-    let by_memory = demand.held_tokens / (TARGET_UTILIZATION * spec.memory_tokens.max(1) as f64);
-    by_slots.max(by_memory)
-}
-
 /// Returns how many of the current decode engines may keep decoding although the streams need fewer.
 ///
 /// An engine that changes its stage takes no calls until its longest stream has ended and the change is made. In the
