Show the unheard departure with the settings of the fleet's sheet

The case had ten core machines with the drain_ms of the small sheets. It now has the settings of the sheet that has ten core machines, and the disruption is one that PROTOCOL.md names: a report that arrives late, after which the endpoint goes on to the next node.

--- a/review/standin/case_early_answer.rs
+++ b/review/standin/case_early_answer.rs
@@ -20,7 +20,7 @@
 
 fn main() {
     let case = Case::begin();
-    let fleet = Fleet::new(&case, 3);
+    let fleet = Fleet::new(&case, 3, &SMALL);
     start_platform(&case, &fleet);
     fleet.start(1);
     let routes = [route("r-book", "/book/", "non_idempotent", "app", TIMEOUT_MS, 1, "")];
--- a/review/standin/case_stray_answer.rs
+++ b/review/standin/case_stray_answer.rs
@@ -173,7 +173,7 @@
 
 fn main() {
     let case = Case::begin();
-    let fleet = Fleet::new(&case, 3);
+    let fleet = Fleet::new(&case, 3, &SMALL);
     start_platform(&case, &fleet);
     fleet.start(1);
     let more = r#","sticky":true,"resumable":true,"target_gap_ms":400"#;
--- a/review/standin/case_unheard_departure.rs
+++ b/review/standin/case_unheard_departure.rs
@@ -1,4 +1,4 @@
-//! Endpoints leave as planned, each by way of another core machine. See `claim.txt` of the case.
+//! Endpoints leave as planned, each by way of another core machine, as one report is late. See `claim.txt` of the case.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -14,23 +14,32 @@
 const ENDPOINTS: u8 = 24;
 /// Endpoints that leave: an eighth of all.
 const LEAVING: u8 = 3;
+/// The core machine that all endpoints report to: a seed.
+const SEED: u8 = 1;
+/// The first of the nodes that are next in the lists of those that leave: no seeds.
+const NEXT: u8 = 4;
+/// How late the last report before the departure arrives.
+const DELAY: Duration = Duration::from_millis(3_500);
+/// The time after which a report without an answer goes to the next node.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// How much longer than `drain_ms` an endpoint that leaves serves on.
-const LINGER_MS: u64 = 1_500;
+const LINGER: Duration = Duration::from_millis(2_000);
 
 fn main() {
     let case = Case::begin();
-    let fleet = Fleet::new(&case, CORES);
+    let fleet = Fleet::new(&case, CORES, &LARGE);
+    let drain = Duration::from_millis(LARGE.drain_ms);
     start_platform(&case, &fleet);
     fleet.start(EDGES);
     let routes = [route("r-book", "/book/", "non_idempotent", "app", 1_000, 1, "")];
     let tenants = r#"{"name":"rossi","api_keys":["key-rossi-1"],"priority":1}"#;
     fleet.put(&case, &manifest(3, &routes, PLAIN_SERVICE, tenants));
-    let list = fleet.control_list();
     let arrivals = Arrivals::default();
     let hearts: Vec<_> = (1..=ENDPOINTS)
         .map(|number| {
             let id = format!("i-app-{number}");
-            let heart = Heart::new(&id, "app", fleet.endpoint(number), "cremona", 6, None, list.clone());
+            let nodes = vec![fleet.core(SEED)];
+            let heart = Heart::new(&id, "app", fleet.endpoint(number), "cremona", 6, None, nodes);
             start_plain(&case, &heart, Duration::from_millis(15), Arc::clone(&arrivals));
             heart.keep_beating();
             heart
@@ -40,18 +49,13 @@
         fleet.wait_ready(&case, edge);
     }
     let book = {
-        let (edges, record): (Vec<_>, _) = ((1..=EDGES).map(|edge| fleet.edge(edge)).collect(), case.record.clone());
+        let edges: Vec<_> = (1..=EDGES).map(|edge| fleet.edge(edge)).collect();
+        let record = case.record.clone();
         move |number: usize| {
             let id = format!("book-{number}");
             let edge = edges[number % edges.len()];
-            let answer = call(
-                edge,
-                "POST",
-                "/book/a",
-                &proper(HOST, &id, "key-rossi-1", "1000"),
-                b"slot",
-                Duration::from_secs(2),
-            );
+            let headers = proper(HOST, &id, "key-rossi-1", "1000");
+            let answer = call(edge, "POST", "/book/a", &headers, b"slot", Duration::from_secs(2));
             let status = answer.map_or(0, |answer| answer.status);
             if status != 200 {
                 record.note(format!("caller: {id} -> {status}"));
@@ -64,44 +68,59 @@
     // All core machines have joined long before anybody leaves.
     thread::sleep(Duration::from_secs(12));
 
-    // Each endpoint that leaves picks a node of its list. Without the disruption, the nodes are the three seeds.
-    let first = if case.trouble { 4 } else { 1 };
-    let mut acks = Vec::new();
-    for (leaving, node) in hearts.iter().zip(first..).take(usize::from(LEAVING)) {
-        leaving.use_nodes(vec![fleet.core(node)]);
-        leaving.drain();
-        let acked = leaving.beat().map(|_node| Instant::now());
-        if acked.is_none() {
-            // It goes on to the next node, as it does after every failure.
-            case.record
-                .note(format!("{} reports draining to core-{node}: no ack", leaving.id));
-            leaving.use_nodes(list.clone());
-        } else {
-            case.record
-                .note(format!("{} reports draining to core-{node}: acknowledged", leaving.id));
+    let leaving: Vec<_> = hearts.iter().take(usize::from(LEAVING)).cloned().collect();
+    if case.trouble {
+        for heart in &leaving {
+            heart.pause();
+            heart.beat_late(fleet.core(SEED), DELAY);
+            case.record.note(format!(
+                "{} reports ready to core-{SEED}; the report arrives {DELAY:?} late",
+                heart.id
+            ));
         }
-        acks.push((Arc::clone(leaving), node, acked));
+        thread::sleep(ANSWER_TIME);
     }
     let began = Instant::now();
-    let exits: Vec<_> = acks
+    let mut departures = Vec::new();
+    for (heart, next) in leaving.iter().zip(NEXT..) {
+        // Without the disruption, the node that has acknowledged all reports gets this one too.
+        let node = if case.trouble { next } else { SEED };
+        heart.use_nodes(vec![fleet.core(node)]);
+        heart.drain();
+        let acked = heart.beat().map(|_node| Instant::now());
+        let told = if acked.is_some() {
+            "acknowledged"
+        } else {
+            "not acknowledged"
+        };
+        case.record
+            .note(format!("{} reports draining to core-{node}: {told}", heart.id));
+        heart.go_on();
+        if let Some(acked) = acked {
+            departures.push((Arc::clone(heart), node, acked));
+        }
+    }
+    if departures.is_empty() {
+        case.end(NOT_RUN, "could not run: no departure was acknowledged");
+    }
+    let exits: Vec<_> = departures
         .iter()
-        .filter_map(|(heart, node, acked)| {
-            let (heart, node, acked, record) = (Arc::clone(heart), *node, (*acked)?, case.record.clone());
-            Some(thread::spawn(move || {
-                thread::sleep(Duration::from_millis(DRAIN_MS + LINGER_MS).saturating_sub(acked.elapsed()));
-                let told = heart.deregister();
+        .map(|(heart, node, acked)| {
+            let (heart, node, acked, record) = (Arc::clone(heart), *node, *acked, case.record.clone());
+            thread::spawn(move || {
+                thread::sleep((drain + LINGER).saturating_sub(acked.elapsed()));
+                let told = heart.deregister().is_some();
                 heart.stopped.store(true, Ordering::Relaxed);
                 record.note(format!(
-                    "{} deregisters at core-{node}, acknowledged: {}; it exits",
-                    heart.id,
-                    told.is_some()
+                    "{} deregisters at core-{node}, acknowledged: {told}; it exits",
+                    heart.id
                 ));
-            }))
+            })
         })
         .collect();
     let (mut number, mut statuses) = (0, Vec::new());
-    while began.elapsed() < Duration::from_millis(DRAIN_MS + 4_000) {
-        let callers: Vec<_> = (0..4)
+    while began.elapsed() < drain + LINGER + Duration::from_secs(2) {
+        let callers: Vec<_> = (0..8)
             .map(|_| {
                 number += 1;
                 let (book, number) = (book.clone(), number);
@@ -112,16 +131,15 @@
         thread::sleep(Duration::from_millis(20));
     }
     for exit in exits {
-        let _ = exit.join();
+        let _ended = exit.join();
     }
     case.record.note(format!("callers got {}", tally(&statuses)));
     let mut late = 0;
-    for (heart, node, acked) in &acks {
-        let Some(acked) = acked else { continue };
+    for (heart, node, acked) in &departures {
         let rows = arrivals.lock().unwrap();
         let reached = rows
             .iter()
-            .filter(|run| run.endpoint == heart.id && run.at > *acked + Duration::from_millis(DRAIN_MS));
+            .filter(|run| run.endpoint == heart.id && run.at > *acked + drain);
         let ages: Vec<_> = reached
             .map(|run| format!("{:.2}", (run.at - *acked).as_secs_f64()))
             .collect();
--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -28,7 +28,6 @@
 /// Bounds of the deployment: those of the site that the cases name.
 pub const REVOKE_MS: u64 = 5_000;
 pub const CONFIG_APPLY_MS: u64 = 2_000;
-pub const DRAIN_MS: u64 = 2_000;
 pub const HEARTBEAT_MS: u64 = 1_200;
 pub const SEED_LAG_MS: u64 = 3_000;
 
@@ -139,11 +138,20 @@
     network: (u8, u8),
     record: Record,
     cores: u8,
-    zones: [&'static str; 3],
+    sheet: &'static Sheet,
+}
+
+/// What the settings of a deployment take from its sheet.
+pub struct Sheet {
+    zones: &'static [&'static str],
+    contracts: &'static str,
+    memory_mb: &'static str,
+    pub drain_ms: u64,
+    bounds: &'static [(&'static str, &'static str)],
 }
 
 impl Fleet {
-    pub fn new(case: &Case, cores: u8) -> Self {
+    pub fn new(case: &Case, cores: u8, sheet: &'static Sheet) -> Self {
         let root = std::env::current_dir().expect("the repository is the working folder");
         let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         fs::create_dir_all(&folder).expect("a temporary folder can be made");
@@ -166,7 +174,7 @@
             network,
             record: case.record.clone(),
             cores,
-            zones: ["cremona", "milano", "bologna"],
+            sheet,
         }
     }
 
@@ -224,7 +232,7 @@
             fields.insert(name, value.to_owned());
         };
         set("node_name", &name);
-        set("zone", self.zones[usize::from(number) % 3]);
+        set("zone", self.sheet.zones[usize::from(number) % self.sheet.zones.len()]);
         set("listen.front", &self.address(machine, FRONT_PORT).to_string());
         set("listen.ready", &self.address(machine, READY_PORT).to_string());
         set("listen.control", &self.address(machine, CONTROL_PORT).to_string());
@@ -236,9 +244,10 @@
         set("bootstrap|json", if bootstrap { "true" } else { "false" });
         set("fault_tolerance.machines", "2");
         set("cloud.address", &self.platform().to_string());
-        set("limits.memory_mb", "260");
-        set("contracts|json", CONTRACTS);
-        for (name, value) in BOUNDS {
+        set("limits.memory_mb", self.sheet.memory_mb);
+        set("contracts|json", self.sheet.contracts);
+        set("bounds.drain_ms", &self.sheet.drain_ms.to_string());
+        for (name, value) in self.sheet.bounds {
             set(name, value);
         }
         let settings = self.folder.join(format!("{name}.json"));
@@ -360,23 +369,43 @@
     }
 }
 
-const CONTRACTS: &str =
-    r#"["base","drain","config","cost","retry","recover","split","stream","engine","tenants","leader"]"#;
-
-const BOUNDS: [(&str, &str); 12] = [
-    ("bounds.seed_lag_s", "3"),
-    ("bounds.contact_ms", "3000"),
-    ("bounds.drain_ms", "2000"),
-    ("bounds.grace_s", "8"),
-    ("bounds.config_apply_ms", "2000"),
-    ("bounds.revoke_ms", "5000"),
-    ("bounds.retry_budget_ratio", "0.2"),
-    ("bounds.budget_window_s", "10"),
-    ("bounds.budget_slack", "52"),
-    ("bounds.lease_ms", "3000"),
-    ("bounds.usage_window_s", "5"),
-    ("bounds.usage_late_s", "10"),
-];
+/// The sheet of padana-liuteria.
+pub static SMALL: Sheet = Sheet {
+    zones: &["cremona", "milano", "bologna"],
+    contracts: r#"["base","drain","config","cost","retry","recover","split","stream","engine","tenants","leader"]"#,
+    memory_mb: "260",
+    drain_ms: 2_000,
+    bounds: &[
+        ("bounds.grace_s", "8"),
+        ("bounds.config_apply_ms", "2000"),
+        ("bounds.revoke_ms", "5000"),
+        ("bounds.retry_budget_ratio", "0.2"),
+        ("bounds.budget_window_s", "10"),
+        ("bounds.budget_slack", "52"),
+        ("bounds.lease_ms", "3000"),
+        ("bounds.usage_window_s", "5"),
+        ("bounds.usage_late_s", "10"),
+    ],
+};
+
+/// The sheet of padana-liuteria-fleet.
+pub static LARGE: Sheet = Sheet {
+    zones: &["cremona", "milano", "bologna", "verona", "torino"],
+    contracts: r#"["base","drain","config","cost","retry","recover","health","pool","split","stream","engine","tenants","leader"]"#,
+    memory_mb: "160",
+    drain_ms: 4_000,
+    bounds: &[
+        ("bounds.grace_s", "8"),
+        ("bounds.config_apply_ms", "4000"),
+        ("bounds.revoke_ms", "5000"),
+        ("bounds.retry_budget_ratio", "0.2"),
+        ("bounds.budget_window_s", "10"),
+        ("bounds.budget_slack", "1040"),
+        ("bounds.lease_ms", "3000"),
+        ("bounds.usage_window_s", "5"),
+        ("bounds.usage_late_s", "10"),
+    ],
+};
 
 /// Fills in a template of the deploy folder: values, and sections that are there or not.
 fn render(template: &str, fields: &BTreeMap<&str, String>) -> String {
@@ -707,6 +736,7 @@
     /// Calls the endpoint knows for its reports; it stays with one that acknowledges, and else goes on to the next.
     nodes: Mutex<Vec<SocketAddr>>,
     pub stopped: AtomicBool,
+    paused: AtomicBool,
 }
 
 impl Heart {
@@ -731,6 +761,7 @@
             state: Mutex::new("ready"),
             nodes: Mutex::new(nodes),
             stopped: AtomicBool::new(false),
+            paused: AtomicBool::new(false),
         })
     }
 
@@ -738,16 +769,40 @@
         *self.nodes.lock().unwrap() = nodes;
     }
 
+    /// Sends no reports of its own until it goes on.
+    pub fn pause(&self) {
+        self.paused.store(true, Ordering::Relaxed);
+    }
+
+    pub fn go_on(&self) {
+        self.paused.store(false, Ordering::Relaxed);
+    }
+
     pub fn drain(&self) {
         *self.state.lock().unwrap() = "draining";
     }
 
     /// Sends one report; returns the node that has acknowledged it.
     pub fn beat(&self) -> Option<SocketAddr> {
+        let body = self.report();
+        self.send("heartbeat", &body)
+    }
+
+    /// Sends one report that arrives late at its node. Its sender hears nothing of it.
+    pub fn beat_late(&self, node: SocketAddr, delay: Duration) {
+        let (body, path) = (self.report(), format!("/-/instances/{}/heartbeat", self.id));
+        thread::spawn(move || {
+            thread::sleep(delay);
+            let json = [("Content-Type", "application/json")];
+            let _unheard = call(node, "POST", &path, &json, body.as_bytes(), Duration::from_secs(1));
+        });
+    }
+
+    fn report(&self) -> String {
         let stage = self.stage.as_ref().map_or(String::new(), |stage| {
             format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
         });
-        let body = format!(
+        format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{}","cold_left_ms":0{stage},"seq":{},"born":{}}}"#,
             self.service,
             self.address,
@@ -756,8 +811,7 @@
             *self.state.lock().unwrap(),
             self.sequence.fetch_add(1, Ordering::Relaxed),
             self.born
-        );
-        self.send("heartbeat", &body)
+        )
     }
 
     pub fn deregister(&self) -> Option<SocketAddr> {
@@ -787,7 +841,9 @@
         let heart = Arc::clone(self);
         thread::spawn(move || {
             while !heart.stopped.load(Ordering::Relaxed) {
-                heart.beat();
+                if !heart.paused.load(Ordering::Relaxed) {
+                    heart.beat();
+                }
                 thread::sleep(Duration::from_millis(HEARTBEAT_MS));
             }
         });
