--- a/review/standin/case_stray_answer.rs
+++ b/review/standin/case_stray_answer.rs
@@ -11,7 +11,7 @@
 const HOST: &str = "shop.example";
 const ROUNDS: usize = 12;
 /// How long the runner takes for its own state: less than a step of its engine and a queue of calls.
-const REPORT_TIME: Duration = Duration::from_millis(15);
+const REPORT_TIME: Duration = Duration::from_millis(5);
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(40);
 /// Events of a stream.
