--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -309,6 +309,17 @@
         }
     }
 
+    /// Returns true if a process has ended by itself.
+    pub fn has_ended(&self, name: &str) -> bool {
+        let mut children = CHILDREN.lock().unwrap();
+        let child = children.iter_mut().rev().find(|(known, _)| known == name);
+        let status = child.and_then(|(_, child)| child.try_wait().ok().flatten());
+        if let Some(status) = status {
+            self.record.note(format!("{name} has ended by itself: {status}"));
+        }
+        status.is_some()
+    }
+
     /// Returns the exit statuses of processes that have ended by themselves.
     pub fn ended(&self) -> Vec<String> {
         let mut ended = Vec::new();
