--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/case_unread_body ] || exit 2
-exec target/review/case_unread_body review/5
+[ -x target/review/case_crossed_bounds ] || exit 2
+exec target/review/case_crossed_bounds review/5
--- a/review/earlier/1/run.sh
+++ b/review/beside/two-framings/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../../.." || exit 2
-[ -x target/review/case_founders ] || exit 2
-exec target/review/case_founders review/earlier/1
+[ -x target/review/case_two_framings ] || exit 2
+exec target/review/case_two_framings review/beside/two-framings
