--- a/review/standin/case_empty_tenants.rs
+++ b/review/standin/case_empty_tenants.rs
@@ -10,7 +10,7 @@
 
 fn main() {
     let case = Case::begin();
-    let fleet = Fleet::new(&case, 3, &SMALL);
+    let fleet = Fleet::new(&case, 5, &SMALL);
     start_platform(&case, &fleet);
     fleet.start(2);
     let routes = [route("r-book", "/book/", "non_idempotent", "app", 1_000, 1, "")];
