Tell a configuration of version 0 from none

Change: "none" is None, which is lower than every number. The announcement has presence in its oneof, and an earlier release announces 0 for "none", so 0 makes an entry that holds nothing ask once and is not recorded; recorded, such an entry would ask without a pause.

Not tried: processes of both releases in one group.

--- a/crates/acacia-control/src/group.rs
+++ b/crates/acacia-control/src/group.rs
@@ -136,8 +136,8 @@
     pub(crate) state: RwLock<ControlState>,
     pub(crate) config_version: watch::Sender<ConfigVersion>,
     pub(crate) status: watch::Sender<GroupStatus>,
-    /// Number of the configuration for calls by host and path.
-    pub(crate) serving_config_number: watch::Sender<ConfigNumber>,
+    /// Number of the configuration for calls by host and path, if there is one.
+    pub(crate) serving_config_number: watch::Sender<Option<ConfigNumber>>,
     /// Version of the suspect calls.
     pub(crate) suspects_version: watch::Sender<u64>,
     /// End of the leader lease in microseconds of the boot clock, or 0 if this replica has no lease.
@@ -238,7 +238,7 @@
     }
 
     /// Subscribes to the number of the configuration for calls by host and path.
-    pub fn serving_config_numbers(&self) -> watch::Receiver<ConfigNumber> {
+    pub fn serving_config_numbers(&self) -> watch::Receiver<Option<ConfigNumber>> {
         self.shared.serving_config_number.subscribe()
     }
 
--- a/crates/acacia-control/src/serving/allowances.rs
+++ b/crates/acacia-control/src/serving/allowances.rs
@@ -30,16 +30,15 @@
 pub(super) struct LeaderAllowances {
     /// The ledger, with the start of the leadership that it belongs to.
     ledger: Option<(Option<BootTime>, AllowanceLedger)>,
-    number: ConfigNumber,
+    number: Option<ConfigNumber>,
     in_force: HashMap<CustomerName, UsageAllowance>,
 }
 
 impl LeaderAllowances {
     fn apply_config(&mut self, config: &ServingConfig) {
-        if self.number == config.number {
+        if self.number.replace(config.number) == Some(config.number) {
             return;
         }
-        self.number = config.number;
         let customers = config.customers.iter();
         self.in_force = customers
             .filter_map(|customer| Some((customer.name.clone(), customer.allowance?)))
--- a/crates/acacia-control/src/serving/config_cache.rs
+++ b/crates/acacia-control/src/serving/config_cache.rs
@@ -12,8 +12,8 @@
 /// The delta from one configuration to a later one.
 #[derive(Debug)]
 struct CachedDelta {
-    base: ConfigNumber,
-    target: ConfigNumber,
+    base: Option<ConfigNumber>,
+    target: Option<ConfigNumber>,
     delta: ByteDelta,
 }
 
--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -113,7 +113,7 @@
         return redirect_to_leader(shared);
     }
     let held = shared.group.read().serving.config_number;
-    if config.number <= held {
+    if let Some(held) = held.filter(|held| *held >= config.number) {
         slog::info!(shared.log, "configuration is not newer and was acknowledged without effect";
             "event" => event::SERVING_CONFIG_OLD,
             "number" => config.number.0, "held" => held.0);
@@ -154,7 +154,7 @@
         return redirect_to_leader(shared);
     }
     let state = shared.group.read();
-    if state.serving.config_number == ConfigNumber(0) {
+    if state.serving.config_number.is_none() {
         return ControlAnswer::Unavailable("there is no configuration yet");
     }
     ControlAnswer::Document(state.serving.document.clone())
--- a/crates/acacia-control/src/serving/renewals.rs
+++ b/crates/acacia-control/src/serving/renewals.rs
@@ -63,7 +63,7 @@
     }
     Body::Renewed(ServingRenewed {
         request: request.request,
-        config_number: newest.number.0,
+        config_number: newest.number.map(|number| number.0),
         content,
         entries,
         others,
@@ -164,7 +164,7 @@
     newest: &ConfigDocument,
     sent: &mut ConfigSender,
 ) -> Option<serving_renewed::Content> {
-    let held = ConfigNumber(request.config_number);
+    let held = request.config_number.map(ConfigNumber);
     if !hello.takes_deltas {
         let is_behind = held != newest.number;
         return is_behind.then(|| serving_renewed::Content::Document(newest.document.clone()));
@@ -188,10 +188,10 @@
 ) {
     let (base, bytes) = match content {
         serving_renewed::Content::Document(document) => (None, document.len()),
-        serving_renewed::Content::Delta(delta) => (Some(delta.base_number), delta.encoded_len()),
+        serving_renewed::Content::Delta(delta) => (delta.base_number, delta.encoded_len()),
     };
     slog::info!(shared.log, "configuration sent"; "event" => event::CONFIG_SENT, "entry" => &hello.host,
-        "number" => newest.number.0, "held" => request.config_number, "base" => base, "bytes" => bytes,
+        "number" => newest.number.map(|number| number.0), "held" => request.config_number, "base" => base, "bytes" => bytes,
         "asked" => request.request, "answer_ms" => whole_millis(boot_now().since(received_at)));
     metrics::counter!("acacia_config_bytes_sent_total").increment(bytes as u64);
 }
--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -76,7 +76,7 @@
 struct QueuedFrame {
     frame: EncodedFrame,
     /// Number of the configuration that the frame carries, if any, and the time at which it was queued.
-    queued_config: Option<(u64, BootTime)>,
+    queued_config: Option<(Option<u64>, BootTime)>,
 }
 
 impl QueuedFrame {
@@ -172,7 +172,10 @@
                 }
                 Err(RecvError::Closed) => return,
             },
-            Ok(()) = numbers.changed() => Body::NewerConfig(numbers.borrow_and_update().0).into(),
+            Ok(()) = numbers.changed() => {
+                let Some(number) = *numbers.borrow_and_update() else { continue };
+                Body::NewerConfig(number.0).into()
+            }
             Ok(()) = suspects.changed() => {
                 suspects.mark_unchanged();
                 // Each entry has a session with every replica, and needs the table only once.
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -16,7 +16,7 @@
 use acacia_wire::{ALLOWANCES_REVISION, EncodedFrame, LIMITS_REVISION, endpoint_to_wire, suspects_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::{EndpointName, ServiceName};
-use acaciabay::core::serving::config::{ConfigNumber, ServingConfig};
+use acaciabay::core::serving::config::ServingConfig;
 use acaciabay::core::serving::config_transfer::ConfigDocument;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
 use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect, ServingEndpoint};
@@ -312,9 +312,7 @@
     /// parsed once is not parsed again.
     pub(super) fn config(&self) -> Option<Arc<ServingConfig>> {
         let ConfigDocument { number, document } = self.newest_config();
-        if number == ConfigNumber(0) {
-            return None;
-        }
+        let number = number?;
         let mut soft = self.soft_state();
         if let Some(config) = soft.config.as_ref().filter(|config| config.number == number) {
             return Some(Arc::clone(config));
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -198,7 +198,7 @@
     };
     slog::info!(shared.log, "call refused"; "event" => event::CALL_REFUSED, "request" => request,
         "path" => head.map(|head| head.path.as_str()), "refusal" => ?refusal,
-        "config" => number.0, "told" => freshness.announced().0,
+        "config" => number.map(|number| number.0), "told" => freshness.announced().map(|told| told.0),
         "confirmed_ms" => freshness.time_since_confirmed(received_at).map(whole_millis),
         "after_ms" => whole_millis(now.since(received_at)));
     metrics::counter!("acacia_calls_refused_total", "reason" => refusal.reason()).increment(1);
--- a/crates/acacia-entry/src/serving/config_install.rs
+++ b/crates/acacia-entry/src/serving/config_install.rs
@@ -49,7 +49,7 @@
 }
 
 impl ReplicaSession {
-    /// Processes the answer to a renewal. `number` is the number of the newest configuration, and `content` is its
+    /// Processes the answer to a renewal. `number` is the number of the newest configuration, if there is one, and `content` is its
     /// document or the difference from an earlier one.
     ///
     /// # Errors
@@ -59,7 +59,7 @@
         &mut self,
         now: BootTime,
         renewal: u64,
-        number: ConfigNumber,
+        number: Option<ConfigNumber>,
         content: Option<serving_renewed::Content>,
     ) -> io::Result<ReceivedConfig> {
         let asked = self.renewals.complete(renewal);
@@ -85,11 +85,10 @@
     ///
     /// Fails if the document cannot be parsed.
     pub(super) fn install_config(&self, received: &ReceivedConfig) -> io::Result<()> {
-        let number = received.config.number;
         let previous = self.state().config.number;
-        if number <= previous {
+        let Some(number) = received.config.number.filter(|number| Some(*number) > previous) else {
             return Ok(());
-        }
+        };
         let config = self.codec.read_config(&received.config.document).map_err(|findings| {
             slog::error!(self.log, "configuration is invalid"; "event" => event::CONFIG_UNREADABLE,
                 "number" => number.0, "findings" => ?findings);
@@ -97,21 +96,27 @@
         })?;
         let index = Arc::new(ConfigIndex::new(config));
         let mut state = self.state();
-        if number <= state.config.number {
+        if Some(number) <= state.config.number {
             return Ok(());
         }
         let announced_at = state.freshness.behind_since(state.config.number);
         state.config = received.config.clone();
         state.index = Some(index);
         drop(state);
-        self.log_installed(received, previous, announced_at);
+        self.log_installed(received, number, previous, announced_at);
         Ok(())
     }
 
-    fn log_installed(&self, received: &ReceivedConfig, previous: ConfigNumber, announced_at: Option<BootTime>) {
+    fn log_installed(
+        &self,
+        received: &ReceivedConfig,
+        number: ConfigNumber,
+        previous: Option<ConfigNumber>,
+        announced_at: Option<BootTime>,
+    ) {
         let now = boot_now();
         slog::info!(self.log, "configuration applied"; "event" => event::SERVING_CONFIG_APPLIED,
-            "number" => received.config.number.0, "before" => previous.0, "bytes" => received.bytes,
+            "number" => number.0, "before" => previous.map(|previous| previous.0), "bytes" => received.bytes,
             "told_ms" => announced_at.map(|announced_at| whole_millis(now.since(announced_at))),
             "asked_ms" => whole_millis(now.since(received.requested_at)),
             "read_ms" => whole_millis(now.since(received.received_at)));
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -227,15 +227,17 @@
     }
 
     /// Records the number of a committed configuration that a replica has announced. Returns true if it is higher than
-    /// that of the held configuration.
+    /// that of the held configuration, so that the entry has to ask for it.
     fn record_announced(&self, address: SocketAddr, number: ConfigNumber) -> bool {
         let mut state = self.shared.state();
-        if number <= state.config.number {
+        if Some(number) <= state.config.number {
             return false;
         }
-        if state.freshness.record_announced(boot_now(), number) {
+        // A replica of an earlier release announces 0 also while there is no configuration. If that were recorded, the entry
+        // would be behind for good, and ask without a pause.
+        if number != ConfigNumber(0) && state.freshness.record_announced(boot_now(), number) {
             slog::info!(self.shared.log, "newer configuration announced"; "event" => event::CONFIG_TOLD,
-                "number" => number.0, "held" => state.config.number.0, "replica" => %address);
+                "number" => number.0, "held" => state.config.number.map(|held| held.0), "replica" => %address);
         }
         true
     }
@@ -245,7 +247,8 @@
         let held = state.config.number;
         if let Some(announced_at) = state.freshness.behind_since(held) {
             slog::info!(self.shared.log, "newer configuration requested"; "event" => event::CONFIG_ASKED,
-                "asked" => renewal, "told" => state.freshness.announced().0, "held" => held.0, "replica" => %address,
+                "asked" => renewal, "told" => state.freshness.announced().map(|told| told.0), "held" => held.map(|held| held.0),
+                "replica" => %address,
                 "told_ms" => whole_millis(now.since(announced_at)));
         }
     }
@@ -255,7 +258,7 @@
         if took >= LEADER_TIMEOUT {
             metrics::counter!("acacia_renewals_late_total").increment(1);
             slog::info!(self.shared.log, "renewal answered late"; "event" => event::RENEWAL_LATE,
-                "asked" => renewal, "took_ms" => whole_millis(took), "number" => received.config.number.0,
+                "asked" => renewal, "took_ms" => whole_millis(took), "number" => received.config.number.map(|number| number.0),
                 "bytes" => received.bytes, "replica" => %address);
         }
     }
@@ -345,7 +348,7 @@
             slices,
             ..
         } = renewed;
-        let number = ConfigNumber(renewed.config_number);
+        let number = renewed.config_number.map(ConfigNumber);
         let received = session
             .lock()
             .receive_answer(now, renewed.request, number, renewed.content)?;
--- a/crates/acacia-entry/src/serving/renewal_message.rs
+++ b/crates/acacia-entry/src/serving/renewal_message.rs
@@ -15,11 +15,11 @@
 
 use super::shared::EntryShared;
 
-/// Builds the renewal request with this number. `held` is the number of the configuration that the entry holds.
+/// Builds the renewal request with this number. `held` is the number of the configuration that the entry holds, if any.
 ///
 /// Removes the demand, the retries asked for, the announcements of cached parts and the observed speeds from the state, since
 /// each is reported only once. All other values are absolute and repeated in every request.
-pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: ConfigNumber) -> Frame {
+pub(super) fn renewal_frame(now: BootTime, shared: &EntryShared, number: u64, held: Option<ConfigNumber>) -> Frame {
     let relay = shared.settings.relay_address.filter(|_| shared.offers_relay(now));
     let mut state = shared.state();
     // Nothing is to be said against endpoints by an entry that reaches none.
@@ -58,7 +58,7 @@
         .map(|(window, counts)| counts_to_wire(window, counts));
     let request = RenewServing {
         request: number,
-        config_number: held.0,
+        config_number: held.map(|held| held.0),
         counts: counts.collect(),
         uses,
         demands: demands.collect(),
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -216,7 +216,7 @@
             was_ready = is_ready;
             let state = shared.state();
             slog::info!(shared.log, "readiness changed"; "event" => event::READINESS_CHANGED, "ready" => is_ready,
-                "config" => state.config.number.0, "endpoints" => state.registry.rows().count(),
+                "config" => state.config.number.map(|number| number.0), "endpoints" => state.registry.rows().count(),
                 "lease" => shared.has_lease(now), "leaving" => shared.stopping.is_cancelled());
         }
         shared.state().forget_silent(now);
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -191,7 +191,7 @@
         ConfigUpdate::Delta { base, delta } => {
             let pieces = delta.pieces().iter().map(piece_to_wire);
             serving_renewed::Content::Delta(serving::DocumentDelta {
-                base_number: base.0,
+                base_number: base.map(|base| base.0),
                 pieces: pieces.collect(),
             })
         }
@@ -209,7 +209,7 @@
         serving_renewed::Content::Delta(message) => {
             let pieces: Result<Vec<_>, WireError> = message.pieces.into_iter().map(piece_from_wire).collect();
             Ok(ConfigUpdate::Delta {
-                base: ConfigNumber(message.base_number),
+                base: message.base_number.map(ConfigNumber),
                 delta: ByteDelta::from_pieces(pieces?),
             })
         }
@@ -243,7 +243,7 @@
     let sealed = state.sealed.iter();
     let needs = state.needs.iter();
     state::ServingState {
-        config_number: state.config_number.0,
+        config_number: state.config_number.map(|number| number.0),
         document: state.document.clone(),
         fence: state.duties.fence().0,
         holder: state.duties.holder().map(ToString::to_string).unwrap_or_default(),
@@ -262,7 +262,7 @@
     }
     let holder = (!message.holder.is_empty()).then(|| message.holder.as_str().into());
     Ok(ServingState {
-        config_number: ConfigNumber(message.config_number),
+        config_number: message.config_number.map(ConfigNumber),
         document: message.document,
         duties: DutyTable::restored(FenceNumber(message.fence), holder),
         sealed: message.sealed.into_iter().map(counts_from_wire).collect(),
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -9,7 +9,10 @@
 use crate::util::digest::ContentDigest;
 
 /// Version number of a configuration. The highest number that was accepted is in force.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+///
+/// Operators may begin with any number, 0 included. So the absence of a configuration is `None`, which is lower than every
+/// number, and never a number of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConfigNumber(pub u64);
 
 /// Kind of a call, which determines whether it may be retried while its outcome is unknown.
--- a/crates/acaciabay/src/core/serving/config_freshness.rs
+++ b/crates/acaciabay/src/core/serving/config_freshness.rs
@@ -21,7 +21,7 @@
 /// Announcements and confirmations of configurations that an entry has received.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConfigFreshness {
-    announced: ConfigNumber,
+    announced: Option<ConfigNumber>,
     announced_at: BootTime,
     confirmed_at: Option<BootTime>,
 }
@@ -30,9 +30,9 @@
     /// Records that a replica has announced the number of a committed configuration. Returns true if it is higher than
     /// all announced before.
     pub fn record_announced(&mut self, now: BootTime, number: ConfigNumber) -> bool {
-        let is_newer = number > self.announced;
+        let is_newer = Some(number) > self.announced;
         if is_newer {
-            self.announced = number;
+            self.announced = Some(number);
             self.announced_at = now;
         }
         is_newer
@@ -44,13 +44,14 @@
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 
-    /// Returns the highest announced number.
-    pub const fn announced(&self) -> ConfigNumber {
+    /// Returns the highest announced number, if any was announced.
+    pub const fn announced(&self) -> Option<ConfigNumber> {
         self.announced
     }
 
-    /// Returns when the entry first heard of a configuration newer than the one of this number.
-    pub fn behind_since(&self, held: ConfigNumber) -> Option<BootTime> {
+    /// Returns when the entry first heard of a configuration newer than the one of this number, or of any at all if it holds
+    /// none.
+    pub fn behind_since(&self, held: Option<ConfigNumber>) -> Option<BootTime> {
         (self.announced > held).then_some(self.announced_at)
     }
 
@@ -62,7 +63,7 @@
 
     /// Returns true if a call may be denied by the configuration with the number `held`, given that a change has to be
     /// in force within `change_deadline` of its commit.
-    pub fn may_deny(&self, now: BootTime, held: ConfigNumber, change_deadline: Duration) -> bool {
+    pub fn may_deny(&self, now: BootTime, held: Option<ConfigNumber>, change_deadline: Duration) -> bool {
         let time_since_confirmed = self.time_since_confirmed(now);
         let is_confirmed = time_since_confirmed.is_some_and(|ago| ago < change_deadline.mul_f64(CONFIRMATION_FRACTION));
         is_confirmed && self.behind_since(held).is_none()
--- a/crates/acaciabay/src/core/serving/config_transfer.rs
+++ b/crates/acaciabay/src/core/serving/config_transfer.rs
@@ -19,8 +19,8 @@
 /// Configuration document as the operator sent it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigDocument {
-    /// Version number; 0 if there is no configuration yet.
-    pub number: ConfigNumber,
+    /// Version number, or `None` if there is no configuration yet.
+    pub number: Option<ConfigNumber>,
     /// Content of the document.
     pub document: Bytes,
 }
@@ -33,8 +33,8 @@
     /// Delta against the last configuration sent on this connection or, if none was sent, against the one that the
     /// entry held when it asked.
     Delta {
-        /// Number of the configuration that the delta applies to.
-        base: ConfigNumber,
+        /// Number of the configuration that the delta applies to, or `None` if it applies to the empty document.
+        base: Option<ConfigNumber>,
         /// Difference between the two documents.
         delta: ByteDelta,
     },
@@ -65,7 +65,7 @@
     }
 
     /// Returns the configuration with this number.
-    pub fn get(&self, number: ConfigNumber) -> Option<&ConfigDocument> {
+    pub fn get(&self, number: Option<ConfigNumber>) -> Option<&ConfigDocument> {
         self.rows.iter().find(|config| config.number == number)
     }
 }
@@ -80,14 +80,14 @@
     /// Returns the update that has to be sent so that an entry gets `newest`, or `None` if the entry already has it or
     /// it is in transit.
     ///
-    /// `held` is the number that the entry reported when it asked. It matters only for the first update on a
+    /// `held` is the number that the entry reported when it asked, or `None` if it held nothing. It matters only for the first update on a
     /// connection. `lookup` returns the configuration with a given number, if it is still available. `delta_between`
     /// computes the delta that turns the first configuration into the second.
     pub fn next_update(
         &mut self,
-        held: ConfigNumber,
+        held: Option<ConfigNumber>,
         newest: &ConfigDocument,
-        lookup: impl FnOnce(ConfigNumber) -> Option<ConfigDocument>,
+        lookup: impl FnOnce(Option<ConfigNumber>) -> Option<ConfigDocument>,
         delta_between: impl FnOnce(&ConfigDocument, &ConfigDocument) -> ByteDelta,
     ) -> Option<ConfigUpdate> {
         let last = self.last.replace(newest.clone());
@@ -111,7 +111,7 @@
     /// delivered none, than the one that the entry held when it asked.
     BaseMismatch {
         /// Number of the configuration that the delta applies to.
-        base: ConfigNumber,
+        base: Option<ConfigNumber>,
     },
     /// The delta has the right base number, but cannot be applied to the content of that configuration.
     DeltaMismatch,
@@ -123,7 +123,10 @@
 impl std::fmt::Display for ConfigUpdateError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::BaseMismatch { base } => write!(f, "change of configuration {}, which did not come before", base.0),
+            Self::BaseMismatch { base: Some(base) } => {
+                write!(f, "change of configuration {}, which did not come before", base.0)
+            }
+            Self::BaseMismatch { base: None } => f.write_str("change of no configuration, and one is held"),
             Self::DeltaMismatch => f.write_str("change does not fit its configuration"),
             Self::MissingUpdate => f.write_str("no configuration was sent, and another is held"),
         }
@@ -158,7 +161,7 @@
     /// another number than the configuration that it would confirm.
     pub fn receive(
         &mut self,
-        number: ConfigNumber,
+        number: Option<ConfigNumber>,
         content: Option<ConfigUpdate>,
         held: &ConfigDocument,
     ) -> Result<&ConfigDocument, ConfigUpdateError> {
--- a/crates/acaciabay/src/core/serving/serving_state.rs
+++ b/crates/acaciabay/src/core/serving/serving_state.rs
@@ -73,8 +73,8 @@
 /// State that results from the committed commands.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServingState {
-    /// Number of the configuration in force; 0 if there is none.
-    pub config_number: ConfigNumber,
+    /// Number of the configuration in force, if there is one.
+    pub config_number: Option<ConfigNumber>,
     /// Configuration in force, as the operator sent it.
     pub document: Bytes,
     /// Current assignment of the duties.
@@ -96,11 +96,12 @@
     pub fn apply(&mut self, command: &ServingCommand) -> ServingOutcome {
         match command {
             ServingCommand::PutConfig { number, document } => {
-                if *number > self.config_number {
-                    self.config_number = *number;
+                let held = self.config_number.filter(|held| held >= number);
+                if held.is_none() {
+                    self.config_number = Some(*number);
                     self.document = document.clone();
                 }
-                ServingOutcome::Config(self.config_number)
+                ServingOutcome::Config(held.unwrap_or(*number))
             }
             ServingCommand::AssumeDuties { holder } => ServingOutcome::Fence(self.duties.assume(holder)),
             ServingCommand::GatherStarts { rows } => {
--- a/crates/acaciabay/tests/serving/config_freshness.rs
+++ b/crates/acaciabay/tests/serving/config_freshness.rs
@@ -7,7 +7,7 @@
 
 use crate::fixtures::at;
 
-const HELD: ConfigNumber = ConfigNumber(12);
+const HELD: Option<ConfigNumber> = Some(ConfigNumber(12));
 const IN_FORCE: Duration = Duration::from_secs(2);
 
 #[test]
@@ -38,5 +38,16 @@
 
     assert!(!freshness.may_deny(at(1_030), HELD, IN_FORCE));
     assert_eq!(freshness.behind_since(HELD), Some(at(1_010)));
-    assert!(freshness.may_deny(at(1_030), ConfigNumber(15), IN_FORCE));
+    assert!(freshness.may_deny(at(1_030), Some(ConfigNumber(15)), IN_FORCE));
+}
+
+/// Guards against an entry that holds nothing and does not ask for an announced configuration, since its number is 0.
+#[test]
+fn an_entry_without_a_configuration_is_behind_one_of_number_0() {
+    let mut freshness = ConfigFreshness::default();
+
+    assert!(freshness.record_announced(at(1_010), ConfigNumber(0)));
+
+    assert_eq!(freshness.behind_since(None), Some(at(1_010)));
+    assert_eq!(freshness.behind_since(Some(ConfigNumber(0))), None);
 }
--- a/crates/acaciabay/tests/serving/config_transfer.rs
+++ b/crates/acaciabay/tests/serving/config_transfer.rs
@@ -14,23 +14,23 @@
         .map(|route| format!("route {route} of {number}"))
         .collect();
     ConfigDocument {
-        number: ConfigNumber(number),
+        number: Some(ConfigNumber(number)),
         document: format!("version {number}: {} idle {}", routes.join(","), number % 7).into(),
     }
 }
 
-fn next_update(sender: &mut ConfigSender, held: u64, newest: &ConfigDocument) -> Option<ConfigUpdate> {
+fn next_update(sender: &mut ConfigSender, held: Option<u64>, newest: &ConfigDocument) -> Option<ConfigUpdate> {
     next_update_with_recent(sender, held, newest, &RecentConfigs::default())
 }
 
 fn next_update_with_recent(
     sender: &mut ConfigSender,
-    held: u64,
+    held: Option<u64>,
     newest: &ConfigDocument,
     recent: &RecentConfigs,
 ) -> Option<ConfigUpdate> {
     sender.next_update(
-        ConfigNumber(held),
+        held.map(ConfigNumber),
         newest,
         |number| recent.get(number).cloned(),
         |base, target| ByteDelta::between(&base.document, &target.document),
@@ -42,16 +42,16 @@
 fn a_configuration_in_transit_is_not_sent_again() {
     let mut sender = ConfigSender::default();
 
-    let first = next_update(&mut sender, 0, &config(12));
-    let again = next_update(&mut sender, 0, &config(12));
-    let later = next_update(&mut sender, 0, &config(15));
+    let first = next_update(&mut sender, None, &config(12));
+    let again = next_update(&mut sender, None, &config(12));
+    let later = next_update(&mut sender, None, &config(15));
 
     assert_eq!(first, Some(ConfigUpdate::Full(config(12).document)));
     assert_eq!(again, None);
     assert!(matches!(
         later,
         Some(ConfigUpdate::Delta {
-            base: ConfigNumber(12),
+            base: Some(ConfigNumber(12)),
             ..
         })
     ));
@@ -61,11 +61,13 @@
 #[test]
 fn a_delta_is_based_on_the_last_configuration_of_its_connection() {
     let (mut sender, mut receiver) = (ConfigSender::default(), ConfigReceiver::default());
-    let first = next_update(&mut sender, 0, &config(12));
-    receiver.receive(ConfigNumber(12), first, &config(0)).expect("whole");
-    let change = next_update(&mut sender, 20, &config(21));
+    let first = next_update(&mut sender, None, &config(12));
+    receiver
+        .receive(Some(ConfigNumber(12)), first, &ConfigDocument::default())
+        .expect("whole");
+    let change = next_update(&mut sender, Some(20), &config(21));
 
-    let held = receiver.receive(ConfigNumber(21), change, &config(20));
+    let held = receiver.receive(Some(ConfigNumber(21)), change, &config(20));
 
     assert_eq!(held, Ok(&config(21)));
 }
@@ -77,16 +79,16 @@
     (1..=9).for_each(|number| recent.record(config(number)));
     recent.record(config(4));
 
-    let change = next_update_with_recent(&mut ConfigSender::default(), 6, &config(9), &recent);
-    let without_base = next_update_with_recent(&mut ConfigSender::default(), 4, &config(9), &recent);
+    let change = next_update_with_recent(&mut ConfigSender::default(), Some(6), &config(9), &recent);
+    let without_base = next_update_with_recent(&mut ConfigSender::default(), Some(4), &config(9), &recent);
 
     let taken = ConfigReceiver::default()
-        .receive(ConfigNumber(9), change.clone(), &config(6))
+        .receive(Some(ConfigNumber(9)), change.clone(), &config(6))
         .cloned();
     assert!(matches!(
         change,
         Some(ConfigUpdate::Delta {
-            base: ConfigNumber(6),
+            base: Some(ConfigNumber(6)),
             ..
         })
     ));
@@ -97,18 +99,23 @@
 #[test]
 fn an_answer_without_its_base_is_an_error() {
     let other = ConfigUpdate::Delta {
-        base: ConfigNumber(2),
+        base: Some(ConfigNumber(2)),
         delta: ByteDelta::default(),
     };
 
     let change = ConfigReceiver::default()
-        .receive(ConfigNumber(4), Some(other), &config(3))
+        .receive(Some(ConfigNumber(4)), Some(other), &config(3))
         .cloned();
     let nothing = ConfigReceiver::default()
-        .receive(ConfigNumber(4), None, &config(3))
+        .receive(Some(ConfigNumber(4)), None, &config(3))
         .cloned();
 
-    assert_eq!(change, Err(ConfigUpdateError::BaseMismatch { base: ConfigNumber(2) }));
+    assert_eq!(
+        change,
+        Err(ConfigUpdateError::BaseMismatch {
+            base: Some(ConfigNumber(2))
+        })
+    );
     assert_eq!(nothing, Err(ConfigUpdateError::MissingUpdate));
 }
 
@@ -121,7 +128,7 @@
     Answer(usize),
     /// The next answer of a replica arrives.
     Arrive(usize),
-    /// A newer configuration is committed.
+    /// A newer configuration is committed: the first one under this number, each later one so many numbers after the next.
     Commit(u64),
     /// The connection to a replica breaks and is opened again.
     Reconnect(usize),
@@ -132,7 +139,7 @@
     sender: ConfigSender,
     receiver: ConfigReceiver,
     requests: VecDeque<ConfigDocument>,
-    answers: VecDeque<(ConfigDocument, ConfigNumber, Option<ConfigUpdate>)>,
+    answers: VecDeque<(ConfigDocument, Option<ConfigNumber>, Option<ConfigUpdate>)>,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -141,7 +148,7 @@
         4 => replica.clone().prop_map(Step::Ask),
         4 => replica.clone().prop_map(Step::Answer),
         4 => replica.clone().prop_map(Step::Arrive),
-        1 => (1..5_u64).prop_map(Step::Commit),
+        1 => (0..4_u64).prop_map(Step::Commit),
         1 => replica.prop_map(Step::Reconnect),
     ]
 }
@@ -151,21 +158,26 @@
     #[test]
     fn every_answer_gives_the_document_of_its_number(steps in prop::collection::vec(step(), 0..200)) {
         let mut connections: [Connection; 3] = Default::default();
-        let mut newest = config(1);
+        let mut newest = ConfigDocument::default();
         let mut recent = RecentConfigs::default();
         let mut held = ConfigDocument::default();
         for step in steps {
             match step {
                 Step::Commit(ahead) => {
                     recent.record(newest.clone());
-                    newest = config(newest.number.0 + ahead);
+                    newest = config(newest.number.map_or(0, |number| number.0 + 1) + ahead);
                 }
                 Step::Reconnect(replica) => connections[replica] = Connection::default(),
                 Step::Ask(replica) => connections[replica].requests.push_back(held.clone()),
                 Step::Answer(replica) => {
                     let connection = &mut connections[replica];
                     if let Some(asked) = connection.requests.pop_front() {
-                        let content = next_update_with_recent(&mut connection.sender, asked.number.0, &newest, &recent);
+                        let content = next_update_with_recent(
+                            &mut connection.sender,
+                            asked.number.map(|number| number.0),
+                            &newest,
+                            &recent,
+                        );
                         connection.answers.push_back((asked, newest.number, content));
                     }
                 }
@@ -173,9 +185,10 @@
                     let connection = &mut connections[replica];
                     if let Some((asked, number, content)) = connection.answers.pop_front() {
                         let taken = connection.receiver.receive(number, content, &asked);
-                        prop_assert_eq!(taken, Ok(&config(number.0)));
+                        let expected = number.map_or_else(ConfigDocument::default, |number| config(number.0));
+                        prop_assert_eq!(taken, Ok(&expected));
                         if number > held.number {
-                            held = config(number.0);
+                            held = expected;
                         }
                     }
                 }
--- a/crates/acaciabay/tests/serving/state.rs
+++ b/crates/acaciabay/tests/serving/state.rs
@@ -43,6 +43,18 @@
     assert_eq!(state.document.as_ref(), b"five");
 }
 
+/// Guards against the number 0 being taken for "none": the first configuration of an operator who counts from 0 is dropped.
+#[test]
+fn a_first_configuration_may_have_the_number_0() {
+    let mut state = ServingState::default();
+
+    let outcomes = [put(0, "zero"), put(0, "other zero")].map(|command| state.apply(&command));
+
+    assert_eq!(outcomes, [ServingOutcome::Config(ConfigNumber(0)); 2]);
+    assert_eq!(state.config_number, Some(ConfigNumber(0)));
+    assert_eq!(state.document.as_ref(), b"zero");
+}
+
 /// One host takes the duties twice. With the same number for both periods, delayed calls from the first could not be
 /// told from those of the second.
 #[test]
@@ -112,17 +124,18 @@
 
     /// In any order of arrival, the configuration in force is the first one received under the highest number.
     #[test]
-    fn the_first_of_the_highest_number_is_in_force(puts in prop::collection::vec((1_u64..6, "[a-c]"), 1..20)) {
+    fn the_first_of_the_highest_number_is_in_force(puts in prop::collection::vec((0_u64..6, "[a-c]"), 1..20)) {
         let mut state = ServingState::default();
-        let mut best: (u64, String) = (0, String::new());
+        let mut best: Option<(u64, String)> = None;
         for (number, text) in puts {
-            if number > best.0 {
-                best = (number, text.clone());
+            if best.as_ref().is_none_or(|(highest, _)| number > *highest) {
+                best = Some((number, text.clone()));
             }
             let document = Bytes::from(text.into_bytes());
             state.apply(&ServingCommand::PutConfig { number: ConfigNumber(number), document });
         }
-        prop_assert_eq!(state.config_number, ConfigNumber(best.0));
-        prop_assert_eq!(state.document.as_ref(), best.1.as_bytes());
+        let (number, text) = best.expect("at least one was sent");
+        prop_assert_eq!(state.config_number, Some(ConfigNumber(number)));
+        prop_assert_eq!(state.document.as_ref(), text.as_bytes());
     }
 }
