Plan a pool whose bounds cross, and refuse a new one

Calls go on, but the manifest cannot be read in a quarter of the tries and no duty is done.

Cause: Ord::clamp in plan_pool panics where its bounds cross, and the release profile aborts on a panic. Nothing checked a service's figures.

Change: PoolSpec::bounded is total, and max holds. Sums of pools saturate. A new configuration is refused with the service and both figures; one that is not newer than what is held is acknowledged as before, since an accepted order is never refused, and one in force is served with a line in the log (E0350).

--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -119,6 +119,10 @@
             "number" => config.number.0, "held" => held.0);
         return ControlAnswer::Done;
     }
+    let contradictions = config.contradictions();
+    if !contradictions.is_empty() {
+        return refuse_config(shared, Some(config.number), &contradictions);
+    }
     let number = config.number;
     let command = ServingCommand::PutConfig { number, document };
     match shared.group.propose(ControlCommand::Serving(command)).await {
--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -93,7 +93,7 @@
     ) {
         let now = context.now;
         let present = present_pools(context.shared, service);
-        let total: u32 = present.values().map(|pool| pool.total()).sum();
+        let total = present.values().map(|pool| pool.total()).fold(0, u32::saturating_add);
         self.record_present(service, &present);
         let (agreed, refused) = (self.accepted_counts(service), self.refused_domains(service));
         let has_calls = context.shared.soft_state().has_calls();
@@ -125,7 +125,8 @@
             pool.domain_prices.keys().cloned().collect()
         };
         let wanted = plan_pool(pool, &domains, view.needed);
-        stages.set_expected(service, wanted.values().map(|pool| pool.total()).sum(), readers);
+        let expected = wanted.values().map(|pool| pool.total());
+        stages.set_expected(service, expected.fold(0, u32::saturating_add), readers);
         if view.is_idle && wanted.iter().any(|(domain, want)| view.lasting(domain) > want.lasting) {
             // Engines that the platform is about to remove need no change of stage.
             stages.suspend(now);
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -319,6 +319,11 @@
         }
         match self.codec.read_config(&document) {
             Ok(config) => {
+                for contradiction in config.contradictions() {
+                    slog::warn!(self.log, "configuration in force contradicts itself";
+                        "event" => event::SERVING_CONFIG_CONTRADICTED, "number" => number.0,
+                        "finding" => %contradiction);
+                }
                 let config = Arc::new(config);
                 soft.config = Some(Arc::clone(&config));
                 Some(config)
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -225,6 +225,8 @@
     NEED_RECORDED = "E0348";
     /// A new duty holder has read the required capacity that an earlier one recorded.
     NEED_RESTORED = "E0349";
+    /// The configuration in force has a contradiction, for which a new one would be refused.
+    SERVING_CONFIG_CONTRADICTED = "E0350";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -145,6 +145,9 @@
 }
 
 /// Limits and prices of the endpoints that may be ordered for a service.
+///
+/// `min` may be above `max` in a configuration that an earlier release has accepted. `max` then holds: an operator who has
+/// mixed up the two should not pay for more endpoints than either allows.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PoolSpec {
     /// Minimum number of endpoints in each failure domain.
@@ -159,6 +162,13 @@
     pub domain_prices: BTreeMap<DomainName, f64>,
 }
 
+impl PoolSpec {
+    /// Returns the number of endpoints nearest to `count` that the limits allow in a failure domain.
+    pub fn bounded(&self, count: u32) -> u32 {
+        count.max(self.min).min(self.max)
+    }
+}
+
 /// Configuration of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
@@ -252,6 +262,24 @@
         findings
     }
 
+    /// Returns the contradictions in this configuration, for which a new one is refused.
+    ///
+    /// A configuration with contradictions can be served. One that was accepted before they were looked for stays in force,
+    /// and is acknowledged when it is sent again.
+    pub fn contradictions(&self) -> Vec<ConfigFinding> {
+        let pools = self
+            .services
+            .iter()
+            .filter_map(|(service, spec)| Some((service, spec.pool.as_ref()?)));
+        let crossed = pools.filter(|(_, pool)| pool.min > pool.max);
+        crossed
+            .map(|(service, pool)| {
+                let text = format!("the pool's min {} is above its max {}", pool.min, pool.max);
+                finding(service.as_str(), text)
+            })
+            .collect()
+    }
+
     fn check_route(&self, route: &CallRoute, findings: &mut Vec<ConfigFinding>) {
         for share in &route.shares {
             if !self.services.contains_key(&share.service) {
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -23,7 +23,7 @@
 impl DomainPool {
     /// Returns the number of endpoints of both kinds.
     pub const fn total(self) -> u32 {
-        self.lasting + self.reclaimable
+        self.lasting.saturating_add(self.reclaimable)
     }
 }
 
@@ -51,7 +51,7 @@
     if !is_worthwhile || count < 2 {
         for (domain, lasting) in spread_evenly(spec, domains, needed) {
             let pool = DomainPool {
-                lasting: lasting.clamp(spec.min, spec.max),
+                lasting: spec.bounded(lasting),
                 reclaimable: 0,
             };
             pools.insert(domain, pool);
@@ -60,7 +60,7 @@
     }
     let per_domain = round_up(f64::from(needed) * ON_DEMAND_FRACTION / f64::from(count));
     let lasting = u32::try_from(per_domain).unwrap_or(u32::MAX).clamp(1, spec.max.max(1));
-    let rest = needed.saturating_sub(lasting * count);
+    let rest = needed.saturating_sub(lasting.saturating_mul(count));
     let reclaimable = rest.div_ceil(count.saturating_sub(TOLERATED_DOMAIN_LOSSES).max(1));
     for domain in domains {
         let room = spec.max.saturating_sub(lasting);
@@ -211,7 +211,7 @@
         let have = view.present.get(domain).copied().unwrap_or_default();
         want.reclaimable.saturating_sub(have.reclaimable)
     });
-    let count: u32 = shortfall.sum();
+    let count = shortfall.fold(0, u32::saturating_add);
     let others = wanted.keys().filter(|domain| !view.refused.contains(*domain)).count();
     ReclaimableShortfall {
         count,
--- a/crates/acaciabay/src/ops/replace_refused.rs
+++ b/crates/acaciabay/src/ops/replace_refused.rs
@@ -29,7 +29,7 @@
         .iter()
         .map(|(domain, want)| (domain, expected_pool(domain, *want, view)))
         .collect();
-    let total: u32 = expected.values().map(|pool| pool.total()).sum();
+    let total = expected.values().map(|pool| pool.total()).fold(0, u32::saturating_add);
     // The length of the range is the number of missing endpoints.
     for _ in total.saturating_sub(endpoints_at_risk(&expected, view))..view.needed_now {
         let with_room = expected.iter_mut().filter(|(_, pool)| pool.total() < spec.max);
--- a/crates/acaciabay/tests/serving/config.rs
+++ b/crates/acaciabay/tests/serving/config.rs
@@ -1,11 +1,12 @@
 //! Tests of configuration lookups and validation.
 
-use acaciabay::core::serving::config::{CallKind, CallRoute};
+use acaciabay::core::name::ServiceName;
+use acaciabay::core::serving::config::{CallKind, CallRoute, PoolSpec};
 use acaciabay::core::serving::config_index::{AccessRefusal, ConfigIndex};
 use proptest::prelude::*;
 use std::time::Duration;
 
-use crate::fixtures::{config, customer, fixed_cases, route, share};
+use crate::fixtures::{config, customer, fixed_cases, pool, route, share};
 
 #[test]
 fn the_longest_prefix_wins() {
@@ -96,6 +97,24 @@
     );
 }
 
+/// Guards against an operator's slip that comes into force: the bounds of a pool, exchanged.
+#[test]
+fn crossed_bounds_are_named_with_their_service() {
+    let mut document = config(vec![route("r", "/a/")], Vec::new());
+    for (service, min) in [("app", 7), ("other", 6)] {
+        let spec = document
+            .services
+            .get_mut(&ServiceName::new(service))
+            .expect("the service is there");
+        spec.pool = Some(PoolSpec { min, ..pool(6, None) });
+    }
+
+    let contradictions: Vec<String> = document.contradictions().iter().map(ToString::to_string).collect();
+
+    assert_eq!(contradictions, ["app: the pool's min 7 is above its max 6"]);
+    assert_eq!(document.findings(), []);
+}
+
 #[test]
 fn callers_leave_a_stream_after_the_longest_of_three_pauses() {
     let stream = CallRoute {
--- a/crates/acaciabay/tests/serving/pools.rs
+++ b/crates/acaciabay/tests/serving/pools.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use acaciabay::core::name::DomainName;
+use acaciabay::core::serving::config::PoolSpec;
 use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
 use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
 use acaciabay::ops::replace_refused::replace_refused;
@@ -43,6 +44,26 @@
     assert!(wanted.values().all(|pool| pool.reclaimable == 0));
 }
 
+/// Guards against a planner that panics at a configuration which an earlier release has accepted: its `min` is above its
+/// `max`. All processes that lead would end one after the other.
+#[test]
+fn a_pool_whose_bounds_cross_is_planned_up_to_its_max() {
+    for (names, price) in [
+        (&["a", "b", "c"][..], None),
+        (&["a"][..], Some(0.2)),
+        (&["a", "b", "c"][..], Some(0.2)),
+    ] {
+        let crossed = PoolSpec {
+            min: 4,
+            ..pool(3, price)
+        };
+
+        let wanted = plan_pool(&crossed, &domains(names), 30);
+
+        assert!(wanted.values().all(|pool| pool.total() == 3), "{wanted:?}");
+    }
+}
+
 /// Guards against a release in all domains at once. The platform chooses the endpoints that it removes and may choose
 /// all decode engines; callers would then find none until other engines have changed their stage.
 #[test]
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -161,6 +161,16 @@
         }
     }
 
+    /// Returns true while the process has not ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be asked for.
+    pub fn is_running(&mut self) -> bool {
+        let ended = self.child.try_wait().expect("the child was started by this test");
+        ended.is_none()
+    }
+
     /// Freezes the process.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
