Ask for keys wherever a configuration speaks of customers

Cause: ConfigIndex::admit asked for a key only while the list of customers was not empty, and read_config read an absent list as an empty one.

--- a/crates/acacia-control/src/serving/allowances.rs
+++ b/crates/acacia-control/src/serving/allowances.rs
@@ -39,7 +39,7 @@
         if self.number.replace(config.number) == Some(config.number) {
             return;
         }
-        let customers = config.customers.iter();
+        let customers = config.customer_rows().iter();
         self.in_force = customers
             .filter_map(|customer| Some((customer.name.clone(), customer.allowance?)))
             .collect();
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -217,8 +217,10 @@
     pub services: BTreeMap<ServiceName, ServiceSpec>,
     /// Limits on callers' requests and connections.
     pub limits: RequestLimits,
-    /// Customers. If there are none, no call needs a key.
-    pub customers: Vec<CustomerRow>,
+    /// Customers, or `None` if the configuration does not speak of customers: only then does no call need a key.
+    ///
+    /// An empty list is the one that the last customer has left. It closes all routes that are not public.
+    pub customers: Option<Vec<CustomerRow>>,
 }
 
 /// Error that makes a configuration unusable, with its place in the document.
@@ -250,7 +252,7 @@
             }
         }
         let mut owners = BTreeMap::new();
-        for customer in &self.customers {
+        for customer in self.customer_rows() {
             for key in &customer.keys {
                 let owner = owners.insert(*key, &customer.name);
                 if owner.is_some_and(|owner| *owner != customer.name) {
@@ -262,6 +264,16 @@
         findings
     }
 
+    /// Returns the customers, of which there are none if the configuration does not speak of customers.
+    pub fn customer_rows(&self) -> &[CustomerRow] {
+        self.customers.as_deref().unwrap_or_default()
+    }
+
+    /// Returns true if calls need a key on routes that are not public.
+    pub const fn requires_keys(&self) -> bool {
+        self.customers.is_some()
+    }
+
     /// Returns the contradictions in this configuration, for which a new one is refused.
     ///
     /// A configuration with contradictions can be served. One that was accepted before they were looked for stays in force,
--- a/crates/acaciabay/src/core/serving/config_index.rs
+++ b/crates/acaciabay/src/core/serving/config_index.rs
@@ -29,7 +29,7 @@
     /// Route of the call.
     pub route: Arc<CallRoute>,
     /// Customer that owns the call's key. `None` if the call has no key or an unknown one, which is admitted only on a
-    /// public route or if the configuration has no customers.
+    /// public route or if the configuration requires no keys.
     pub customer: Option<Arc<CustomerRow>>,
 }
 
@@ -50,7 +50,7 @@
             prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
         }
         let mut by_key = HashMap::new();
-        for customer in &config.customers {
+        for customer in config.customer_rows() {
             let row = Arc::new(customer.clone());
             for key in &customer.keys {
                 by_key.insert(*key, Arc::clone(&row));
@@ -76,7 +76,7 @@
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<AdmittedCall, AccessRefusal> {
         let route = self.route(host, path).ok_or(AccessRefusal::NoRoute)?;
         let customer = key.and_then(|key| self.by_key.get(&ContentDigest::of(key)));
-        if customer.is_none() && !route.public && !self.config.customers.is_empty() {
+        if customer.is_none() && !route.public && self.config.requires_keys() {
             return Err(AccessRefusal::UnknownKey);
         }
         Ok(AdmittedCall {
--- a/crates/acaciabay/tests/serving/config.rs
+++ b/crates/acaciabay/tests/serving/config.rs
@@ -6,11 +6,11 @@
 use proptest::prelude::*;
 use std::time::Duration;
 
-use crate::fixtures::{config, customer, fixed_cases, pool, route, share};
+use crate::fixtures::{config, customer, fixed_cases, open_config, pool, route, share};
 
 #[test]
 fn the_longest_prefix_wins() {
-    let index = ConfigIndex::new(config(vec![route("short", "/a/"), route("long", "/a/b/")], Vec::new()));
+    let index = ConfigIndex::new(open_config(vec![route("short", "/a/"), route("long", "/a/b/")]));
 
     let found = |path: &str| {
         index
@@ -41,6 +41,25 @@
     assert_eq!(found(None).err(), Some(AccessRefusal::UnknownKey));
 }
 
+/// Guards against routes that are open to everybody once the last customer has left, with its key withdrawn.
+#[test]
+fn no_key_is_known_once_the_last_customer_has_left() {
+    let public = CallRoute {
+        public: true,
+        ..route("open", "/open/")
+    };
+    let routes = vec![route("r", "/a/"), public];
+    let keyless = customer("one", &[]);
+
+    for customers in [Vec::new(), vec![keyless]] {
+        let index = ConfigIndex::new(config(routes.clone(), customers));
+
+        let refused = [Some("k1"), None].map(|key| index.admit("shop.example", "/a/", key).err());
+        assert_eq!(refused, [Some(AccessRefusal::UnknownKey); 2]);
+        assert!(index.admit("shop.example", "/open/", Some("k1")).is_ok());
+    }
+}
+
 #[test]
 fn a_public_route_asks_for_no_key() {
     let public = CallRoute {
@@ -154,7 +173,7 @@
     fn a_look_up_agrees_with_a_scan(prefixes in prop::collection::btree_set("/([ab]/){0,3}", 1..6), path in "/([abc]/){0,4}[ab]?") {
         let routes: Vec<_> = prefixes.iter().map(|prefix| route(prefix, prefix)).collect();
         let scanned = prefixes.iter().filter(|prefix| path.starts_with(prefix.as_str())).max_by_key(|prefix| prefix.len());
-        let index = ConfigIndex::new(config(routes, Vec::new()));
+        let index = ConfigIndex::new(open_config(routes));
         let found = index.admit("shop.example", &path, None).ok().map(|call| call.route.name.clone());
         prop_assert_eq!(found.as_ref(), scanned);
     }
--- a/crates/acaciabay/tests/serving/fixtures.rs
+++ b/crates/acaciabay/tests/serving/fixtures.rs
@@ -137,7 +137,15 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
-        customers,
+        customers: Some(customers),
+    }
+}
+
+/// A configuration that does not speak of customers.
+pub(crate) fn open_config(routes: Vec<CallRoute>) -> ServingConfig {
+    ServingConfig {
+        customers: None,
+        ..config(routes, Vec::new())
     }
 }
 
