--- a/crates/acacia-entry/src/serving/endpoint_speeds.rs
+++ b/crates/acacia-entry/src/serving/endpoint_speeds.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::serving::load_report::LoadNotice;
 use acaciabay::core::serving::prefill_model::PrefillModel;
 use acaciabay::core::serving::prefill_pace::PrefillTime;
+use acaciabay::util::number::bounded_time;
 use hyper::StatusCode;
 use slog::Logger;
 
@@ -109,7 +110,7 @@
         }
         let row = speeds.models.get_mut(service)?;
         if let Some(expected_ms) = row.model.expected_ms(reading.unread as f64) {
-            let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+            let expected = bounded_time(expected_ms / 1_000.0);
             let sums = PrefillSums {
                 prefills: 1,
                 took,
--- a/crates/acacia-entry/src/serving/engine_lines.rs
+++ b/crates/acacia-entry/src/serving/engine_lines.rs
@@ -10,6 +10,7 @@
 use acaciabay::core::serving::endpoint_registry::{EndpointRegistry, EngineStage};
 use acaciabay::core::serving::load_slice::{EngineLine, LineEndpoint, LineLayout, LoadSlice};
 use acaciabay::ops::place_call::{Candidate, SliceView};
+use acaciabay::util::number::bounded_time;
 
 use super::shared::EntryState;
 
@@ -83,7 +84,7 @@
                 EngineStage::Prefill => PREFILL_WORK_TIME,
                 EngineStage::Decode => DECODE_WORK_TIME,
             },
-            |millis| Duration::from_secs_f64(millis / 1_000.0),
+            |millis| bounded_time(millis / 1_000.0),
         )
     }
 }
--- a/crates/acacia-entry/src/serving/prefill_capacity.rs
+++ b/crates/acacia-entry/src/serving/prefill_capacity.rs
@@ -8,6 +8,7 @@
 use acaciabay::core::serving::endpoint_registry::EngineStage;
 use acaciabay::core::serving::prompt::PromptShape;
 use acaciabay::core::serving::prompt_room::prefill_credit;
+use acaciabay::util::number::bounded_time;
 
 use super::call::AcceptedCall;
 use super::endpoint_choice::{DecodeScope, ServiceEngines};
@@ -70,7 +71,7 @@
         let millis = modelled.unwrap_or(tokens as f64 * usual_pace);
         ExpectedPrefill {
             tokens,
-            time: Duration::from_secs_f64(millis / 1_000.0),
+            time: bounded_time(millis / 1_000.0),
         }
     }
 
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -160,7 +160,7 @@
     let bounds = index.config().limits;
     ServerBounds {
         // The codec checks the exact limit once the head has been read, so that the caller gets a proper refusal.
-        head_bytes: INITIAL_LIMITS.head_bytes.max(2 * bounds.head_bytes),
+        head_bytes: INITIAL_LIMITS.head_bytes.max(bounds.head_bytes.saturating_mul(2)),
         head_timeout: bounds.idle_timeout.max(bounds.head_timeout),
         connections: MAX_CALLER_CONNECTIONS,
         unsent_bytes,
--- a/crates/acaciabay/src/core/serving/answer_pace.rs
+++ b/crates/acaciabay/src/core/serving/answer_pace.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use crate::util::number::bounded_time;
+
 /// The estimate follows the slowest one in this many answers, that is, the 95th percentile.
 const ANSWERS_PER_SLOW_ONE: f64 = 20.0;
 /// Relative step by which an answer above the estimate raises it. An answer below lowers it by a step
@@ -35,7 +37,7 @@
 
     /// Returns the time without an answer after which an engine is suspected, or `None` before the first measurement.
     pub fn suspicion_timeout(&self) -> Option<Duration> {
-        let p95 = Duration::from_secs_f64(self.p95_ms? / 1_000.0);
+        let p95 = bounded_time(self.p95_ms? / 1_000.0);
         Some(p95.mul_f64(SUSPICION_FACTOR).max(MIN_SUSPICION_TIMEOUT))
     }
 }
--- a/crates/acaciabay/src/core/serving/config.rs
+++ b/crates/acaciabay/src/core/serving/config.rs
@@ -99,13 +99,13 @@
     ///
     /// `random` must be uniformly distributed over all values of `u64`.
     pub fn pick_service(&self, random: u64) -> Option<&ServiceName> {
-        let total: u64 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remainder = random.checked_rem(total)?;
-        for share in &self.shares {
-            if remainder < share.weight {
+        let weights = || self.shares.iter().map(|share| u128::from(share.weight));
+        let mut remainder = u128::from(random).checked_rem(weights().sum())?;
+        for (share, weight) in self.shares.iter().zip(weights()) {
+            if remainder < weight {
                 return Some(&share.service);
             }
-            remainder -= share.weight;
+            remainder -= weight;
         }
         None
     }
--- a/crates/acaciabay/src/ops/place_prompt.rs
+++ b/crates/acaciabay/src/ops/place_prompt.rs
@@ -14,7 +14,7 @@
 use crate::core::serving::prefill_model::PrefillModel;
 use crate::core::serving::prompt::PromptShape;
 use crate::ops::place_call::{Candidate, EndpointPenalty, PlacementView, SliceView};
-use crate::util::number::round_up;
+use crate::util::number::{bounded_time, round_up};
 use crate::util::rendezvous;
 
 /// Estimated probability that an engine still caches the parts that this entry believes it to have cached.
@@ -149,8 +149,8 @@
     Some(PromptPlacement {
         endpoint: name.clone(),
         unread_tokens: round_up(estimate.unread_tokens.max(1.0)),
-        wait: Duration::from_secs_f64(estimate.wait_ms / 1_000.0),
-        copy_time: Duration::from_secs_f64(estimate.copy_ms / 1_000.0),
+        wait: bounded_time(estimate.wait_ms / 1_000.0),
+        copy_time: bounded_time(estimate.copy_ms / 1_000.0),
         copy_from: source.map(|(name, _)| name.clone()),
     })
 }
--- a/crates/acaciabay/tests/serving/prefill_placement.rs
+++ b/crates/acaciabay/tests/serving/prefill_placement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use acaciabay::core::name::{DomainName, EndpointName};
+use acaciabay::core::serving::config::KvCacheLink;
 use acaciabay::core::serving::endpoint_load::{EndpointWork, LoadTable};
 use acaciabay::core::serving::endpoint_registry::{EndpointPhase, EngineStage, ServingEndpoint};
 use acaciabay::core::serving::endpoint_speed::StatedReport;
@@ -13,6 +14,7 @@
 use acaciabay::ops::place_call::PlacementView;
 use acaciabay::ops::place_prompt::{PromptEngines, PromptPlacement, is_copy_source_gone, place_prompt};
 use acaciabay::ops::split_call::is_prefilled_by_decoder;
+use acaciabay::util::number::MAX_TIME;
 
 use crate::fixtures::{EngineRows, at, candidates, link, name, numbered, prompt, rows, unread};
 
@@ -71,6 +73,42 @@
     assert_eq!(place(&other, &rows, 5), first);
 }
 
+/// Guards against an entry that ends at a prompt, since the figures of a link in the configuration or the length that a caller
+/// names make an estimate longer than a time can be.
+#[test]
+fn endless_estimates_are_bounded() {
+    let (domain, loads, rows) = (
+        DomainName::new("a"),
+        LoadTable::default(),
+        rows(3, EngineStage::Prefill),
+    );
+    let mut keeper = loads.clone();
+    keeper.record_prefill(&rows[0].0, &prompt(5, 1).parts, u64::MAX);
+    let mut endless = prompt(5, u64::MAX);
+    endless.prompt_tokens = u64::MAX;
+    for slow in [0.0, f64::MIN_POSITIVE, 1e308] {
+        let link = KvCacheLink {
+            token_bytes: u64::MAX,
+            bits_per_second: slow,
+        };
+        let engines = PromptEngines {
+            prefill_engines: &candidates(&rows[1..]),
+            home_engines: &candidates(&rows),
+            sources: &candidates(&rows[..1]),
+            pace: Some(1e300),
+            model: None,
+            link: Some(&link),
+        };
+
+        let placement = place_prompt(&unsliced_view(&domain, &keeper), &engines, &endless).expect("there are engines");
+
+        assert!(
+            placement.wait <= MAX_TIME && placement.copy_time <= MAX_TIME,
+            "{placement:?}"
+        );
+    }
+}
+
 /// A burst of requests has one shared part. If requests moved to another engine as soon as the queue of the first grew
 /// a little, each engine would prefill the part again, and every queue would grow by it.
 #[test]
