Let no odd report take a living endpoint out of use

Cause: a report was judged by start and sequence number alone.

An endpoint that is known to be of the service may still say that it drains after the service was dropped.

--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -75,8 +75,14 @@
     if is_cut_off(shared) {
         return CUT_OFF_FROM_GROUP;
     }
+    // Nobody is sent to an endpoint whose report was kept aside, so nobody has to be told.
+    let was_kept_aside = shared.soft_state().unnamed.forget(name);
     if !shared.has_endpoint(name) {
-        return UNKNOWN_ENDPOINT;
+        return if was_kept_aside {
+            ControlAnswer::Done
+        } else {
+            UNKNOWN_ENDPOINT
+        };
     }
     shared.record_leave(name, birth);
     ControlAnswer::Done
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -175,12 +175,40 @@
     }
 
     /// Records a report that an endpoint sent to this process, and broadcasts it to all sessions unless it is stale.
+    ///
+    /// A report that names a service which the configuration does not name is kept aside, unless the endpoint is known to
+    /// belong to that service.
     pub(super) fn record_report(&self, name: &EndpointName, endpoint: ServingEndpoint) -> ReportEffect {
-        let effect = self.soft_state().registry.apply_report(boot_now(), name, endpoint);
+        let now = boot_now();
+        let is_named = self
+            .config()
+            .is_none_or(|config| config.services.contains_key(&endpoint.service));
+        let mut soft = self.soft_state();
+        let known = soft.registry.get(name).map(|known| &known.service);
+        if !is_named && known != Some(&endpoint.service) {
+            slog::debug!(self.log, "report of an unnamed service kept aside"; "event" => event::REPORT_UNNAMED,
+                "endpoint" => name.as_str(), "service" => endpoint.service.as_str(), "address" => %endpoint.address,
+                "birth" => endpoint.incarnation.0, "sequence" => endpoint.sequence);
+            metrics::counter!("acacia_unnamed_reports_total").increment(1);
+            soft.unnamed.keep(now, name, endpoint);
+            return ReportEffect::Ignored;
+        }
+        let effect = soft.registry.apply_report(now, name, endpoint);
+        drop(soft);
         self.broadcast_endpoint(name, effect);
         effect
     }
 
+    /// Records the reports that were kept aside until the configuration in force named their services.
+    fn record_named_reports(&self) {
+        let Some(config) = self.config() else { return };
+        let is_named = |service: &ServiceName| config.services.contains_key(service);
+        let reports = self.soft_state().unnamed.take_named(boot_now(), is_named);
+        for (name, endpoint) in reports {
+            self.record_report(&name, endpoint);
+        }
+    }
+
     /// Returns true if the registry has the endpoint.
     pub(super) fn has_endpoint(&self, name: &EndpointName) -> bool {
         self.soft_state().registry.get(name).is_some()
@@ -379,7 +407,8 @@
         self.config_cache.lock()
     }
 
-    /// Adds each configuration that comes into force to the cache, until the process ends.
+    /// Adds each configuration that comes into force to the cache, and takes the endpoints into use that it names, until the
+    /// process ends.
     pub(super) async fn cache_recent_configs(&self) {
         let mut numbers = self.group.serving_config_numbers();
         numbers.mark_changed();
@@ -387,6 +416,7 @@
             numbers.borrow_and_update();
             let newest = self.newest_config();
             self.config_cache().recent.record(newest);
+            self.record_named_reports();
         }
     }
 
--- a/crates/acacia-control/src/serving/soft_state.rs
+++ b/crates/acacia-control/src/serving/soft_state.rs
@@ -18,6 +18,7 @@
 use acaciabay::core::serving::shared_suspicion::shared_suspicions;
 use acaciabay::core::serving::speed_ledger::SpeedLedger;
 use acaciabay::core::serving::start_counts::{EntryStart, GatheredRow};
+use acaciabay::core::serving::unnamed_reports::UnnamedReports;
 use acaciabay::core::serving::work_sums::WorkSums;
 
 use super::allowances::LeaderAllowances;
@@ -63,6 +64,8 @@
 pub(super) struct SoftState {
     pub(super) registry: EndpointRegistry,
     pub(super) handles: HandleTable,
+    /// Reports of endpoints whose service the configuration does not name.
+    pub(super) unnamed: UnnamedReports,
     entries: BTreeMap<HostName, EntryState>,
     work_sums: WorkSums,
     /// Counts of started calls that entries have reported and that are not committed yet.
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -227,6 +227,8 @@
     NEED_RESTORED = "E0349";
     /// The configuration in force has a contradiction, for which a new one would be refused.
     SERVING_CONFIG_CONTRADICTED = "E0350";
+    /// A report names a service that the configuration does not name, and was kept aside.
+    REPORT_UNNAMED = "E0351";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -3,6 +3,9 @@
 //! Reports travel by several paths and may be delayed, duplicated and reordered. Each report carries the start time of
 //! its sender and an increasing sequence number; a report whose pair is not above the stored one is stale. Without this
 //! order, a delayed `ready` would undo a `draining`, and calls would be sent to an endpoint that is about to leave.
+//!
+//! An incarnation keeps its service and address. A report that names others comes from another writer, whatever its
+//! sequence number, and is ignored: it would take the endpoint out of use until its own numbers are higher.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -109,6 +112,9 @@
         if (endpoint.incarnation, endpoint.sequence) <= (stored.incarnation, stored.sequence) {
             return ReportEffect::Ignored;
         }
+        if is_other_place(stored, &endpoint) {
+            return ReportEffect::Ignored;
+        }
         let mut endpoint = endpoint;
         if endpoint.incarnation == stored.incarnation {
             // An endpoint that has announced its departure does not return within the same incarnation.
@@ -318,6 +324,14 @@
     }
 }
 
+/// Returns true if a report of the stored incarnation names another service or address. Endpoints that do not tell when they
+/// have started may have started again.
+fn is_other_place(stored: &ServingEndpoint, reported: &ServingEndpoint) -> bool {
+    stored.incarnation == reported.incarnation
+        && stored.incarnation != EndpointIncarnation::default()
+        && (&stored.service, stored.address) != (&reported.service, reported.address)
+}
+
 /// Effect of a report on the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportEffect {
@@ -325,6 +339,7 @@
     Changed,
     /// The report was current but the endpoint's state is unchanged.
     Unchanged,
-    /// The report was ignored: it is older than the stored state, or announces the departure of an unknown endpoint.
+    /// The report was ignored: it is older than the stored state, announces the departure of an unknown endpoint, or names
+    /// another service or address than the same incarnation has.
     Ignored,
 }
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -108,4 +108,5 @@
 pub mod suspect_table;
 pub mod suspect_view;
 pub mod trial_table;
+pub mod unnamed_reports;
 pub mod work_sums;
--- a/crates/acaciabay/tests/serving/endpoint_registry.rs
+++ b/crates/acaciabay/tests/serving/endpoint_registry.rs
@@ -118,6 +118,29 @@
     assert_eq!(registry.answering_at(address).count(), 0);
 }
 
+/// Guards against an odd report of another writer under a living endpoint's name: nobody is sent to the endpoint until its own
+/// sequence numbers are higher.
+#[test]
+fn an_incarnation_keeps_its_service_and_address() {
+    let mut registry = EndpointRegistry::default();
+    registry.apply_report(at(0), &name("e"), report(7, 1, EndpointPhase::Ready));
+    let elsewhere = ServingEndpoint {
+        address: SocketAddr::from(([10, 0, 0, 9], 8_000)),
+        ..report(7, 900, EndpointPhase::Draining)
+    };
+    let of_another = ServingEndpoint {
+        service: "other".into(),
+        ..report(7, 901, EndpointPhase::Ready)
+    };
+
+    let odd = [elsewhere, of_another].map(|odd| registry.apply_report(at(10), &name("e"), odd));
+    let own = registry.apply_report(at(20), &name("e"), report(7, 2, EndpointPhase::Ready));
+
+    assert_eq!(odd, [ReportEffect::Ignored; 2]);
+    assert_eq!(own, ReportEffect::Unchanged);
+    assert_eq!(registry.ready(at(20), &"llm".into()).len(), 1);
+}
+
 /// An endpoint crashes without announcing its departure. If it were still used, one caller after another would wait for
 /// its connection to time out.
 #[test]
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -59,5 +59,6 @@
 mod suspect_view;
 mod suspects;
 mod suspicion;
+mod unnamed_reports;
 mod windows;
 mod work_sums;
