Let enough replicas agree before a stream is taken up by its content

Cause: a search in which no replica answered was taken for one in which all said that they know nothing, so that the entry's own record of another stream of the same content held. Beside it, the first answer settled a search by content, although each stream is told to three replicas only, so that another may know a stream of the same content at another version.

Change: OriginSearch in the library; by content it needs voters - 2 answers that agree, and an entry's own record settles nothing without them. By attempt the first record settles it, as before.

--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -288,7 +288,12 @@
                 Body::Replicas(replicas) => {
                     let voters: BTreeSet<_> = replicas.addresses.iter().filter_map(|text| text.parse().ok()).collect();
                     if !voters.is_empty() {
-                        self.replicas.lock().record_voters(address, voters);
+                        let count = {
+                            let mut replicas = self.replicas.lock();
+                            replicas.record_voters(address, voters);
+                            replicas.voter_count()
+                        };
+                        self.shared.origins.record_voters(count);
                         self.voters_reported.notify_one();
                     }
                 }
--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -13,6 +13,7 @@
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::endpoint_registry::REPORT_TIMEOUT;
+use acaciabay::core::serving::origin_search::{FoundOrigin, OriginRule, OriginSearch, OriginSource, join_findings};
 use acaciabay::core::serving::software_version::SoftwareVersion;
 use acaciabay::core::serving::stream_origin::{
     ORIGIN_COPIES, ORIGIN_RETENTION, OriginFinding, OriginKey, OriginKeys, choose_keepers,
@@ -34,40 +35,6 @@
 /// again within this time.
 const RECONNECT_SEARCH_DELAY: Duration = Duration::from_millis(250);
 
-/// Where the version of a stream was found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum OriginSource {
-    /// This entry has begun the stream.
-    Own,
-    Replica(SocketAddr),
-    /// Nowhere, after so many replicas were asked.
-    Nowhere {
-        asked: usize,
-    },
-}
-
-/// Result of a search.
-#[derive(Clone, Debug)]
-pub(super) struct FoundOrigin {
-    pub(super) finding: OriginFinding,
-    /// The stream that was found, among those that were searched.
-    pub(super) key: Option<OriginKey>,
-    pub(super) source: OriginSource,
-    /// How long the source has known it.
-    pub(super) age: Duration,
-}
-
-impl FoundOrigin {
-    const fn nowhere(asked: usize) -> Self {
-        Self {
-            finding: OriginFinding::Unknown,
-            key: None,
-            source: OriginSource::Nowhere { asked },
-            age: Duration::ZERO,
-        }
-    }
-}
-
 /// A stream that this entry has begun.
 #[derive(Clone, Debug)]
 pub(super) struct ToldStream {
@@ -79,12 +46,10 @@
     pub(super) begun_at: BootTime,
 }
 
-/// A question to the replicas that is not settled.
+/// A question to the replicas that is not settled, and who waits for the result.
 #[derive(Debug)]
 struct OpenSearch {
-    /// Replicas that have not answered.
-    awaited: BTreeSet<SocketAddr>,
-    asked: usize,
+    search: OriginSearch,
     found: oneshot::Sender<FoundOrigin>,
 }
 
@@ -109,6 +74,8 @@
     replicas: BTreeMap<SocketAddr, mpsc::Sender<Frame>>,
     searches: HashMap<u64, OpenSearch>,
     last_search: u64,
+    /// Number of replicas that vote, as far as any of them has told.
+    voters: usize,
 }
 
 /// Streams that this entry has begun, and its questions about others.
@@ -125,6 +92,7 @@
                 replicas: BTreeMap::new(),
                 searches: HashMap::new(),
                 last_search: 0,
+                voters: 0,
             }),
         }
     }
@@ -152,10 +120,15 @@
         state.replicas.remove(&replica);
         let open: Vec<u64> = state.searches.keys().copied().collect();
         for search in open {
-            state.settle(search, replica, None);
+            state.settle(search, |open| open.record_lost(replica));
         }
     }
 
+    /// Records how many replicas vote.
+    pub(super) fn record_voters(&self, voters: usize) {
+        self.state.lock().voters = voters;
+    }
+
     /// Records that this entry has passed on the first event of a stream, and tells the replicas without waiting.
     ///
     /// A version of `None` says that it is not certain: it contradicts what was told before.
@@ -185,27 +158,24 @@
         doubted.len()
     }
 
-    /// Searches the version that has begun one of these streams: the caller knows its request, and the service follows from
-    /// the route, which may name several.
-    pub(super) async fn search(&self, keys: &[OriginKey]) -> FoundOrigin {
+    /// Searches the version that has begun one of these streams: the caller knows its request or its content, and the service
+    /// follows from the route, which may name several.
+    pub(super) async fn search(&self, keys: &[OriginKey], rule: OriginRule) -> FoundOrigin {
         if keys.is_empty() {
-            return FoundOrigin::nowhere(0);
+            return FoundOrigin::nowhere(0, true);
         }
         let own = self.find_own(boot_now(), keys);
-        let told = self.ask(keys).await;
-        match own {
-            // Another entry may have begun a stream under the same identifier.
-            Some(own) if told.finding == OriginFinding::Unknown || told.finding == own.finding => own,
-            Some(own) => FoundOrigin {
-                finding: OriginFinding::Conflicting,
-                ..own
-            },
-            None if told.finding == OriginFinding::Unknown => {
-                tokio::time::sleep(self.second_search_delay()).await;
-                self.ask(keys).await
-            }
-            None => told,
+        let told = self.ask(keys, rule).await;
+        if let Some(found) = join_findings(rule, own.clone(), told) {
+            return found;
         }
+        tokio::time::sleep(self.second_search_delay()).await;
+        let told = self.ask(keys, rule).await;
+        let asked = told.source;
+        join_findings(rule, own, told).unwrap_or(FoundOrigin {
+            source: asked,
+            ..FoundOrigin::nowhere(0, false)
+        })
     }
 
     fn second_search_delay(&self) -> Duration {
@@ -223,48 +193,43 @@
         single(found)
     }
 
-    /// Asks all replicas, and returns the first answer that knows a stream.
-    async fn ask(&self, keys: &[OriginKey]) -> FoundOrigin {
-        let Some((search, found)) = self.begin_search(keys) else {
-            return FoundOrigin::nowhere(0);
+    /// Asks all replicas, and returns what their answers settle.
+    async fn ask(&self, keys: &[OriginKey], rule: OriginRule) -> FoundOrigin {
+        let Some((search, found)) = self.begin_search(keys, rule) else {
+            return FoundOrigin::nowhere(0, false);
         };
         let answer = tokio::time::timeout(SEARCH_TIMEOUT, found).await;
         let open = self.state.lock().searches.remove(&search);
-        let asked = open.map_or(0, |open| open.asked);
-        // A dropped question was answered by no replica.
-        answer.map_or(FoundOrigin::nowhere(asked), |answer| {
-            answer.unwrap_or(FoundOrigin::nowhere(asked))
-        })
+        let so_far = open.map_or(FoundOrigin::nowhere(0, false), |open| open.search.result());
+        answer.map_or(so_far, |answer| answer.unwrap_or(FoundOrigin::nowhere(0, false)))
     }
 
-    fn begin_search(&self, keys: &[OriginKey]) -> Option<(u64, oneshot::Receiver<FoundOrigin>)> {
+    fn begin_search(&self, keys: &[OriginKey], rule: OriginRule) -> Option<(u64, oneshot::Receiver<FoundOrigin>)> {
         let mut state = self.state.lock();
         if state.searches.len() >= MAX_SEARCHES {
             metrics::counter!("acacia_stream_origin_searches_total", "outcome" => "too_many").increment(1);
             return None;
         }
         state.last_search += 1;
-        let search = state.last_search;
-        let query = query_frame(search, keys);
+        let number = state.last_search;
+        let query = query_frame(number, keys);
         let asked = state.replicas.iter().filter(|(_, queue)| enqueue(queue, query.clone()));
-        let awaited: BTreeSet<_> = asked.map(|(address, _)| *address).collect();
-        if awaited.is_empty() {
+        let asked: BTreeSet<_> = asked.map(|(address, _)| *address).collect();
+        if asked.is_empty() {
             return None;
         }
         let (found, receiver) = oneshot::channel();
-        let open = OpenSearch {
-            asked: awaited.len(),
-            awaited,
-            found,
-        };
-        state.searches.insert(search, open);
-        Some((search, receiver))
+        let search = OriginSearch::begin(rule, asked, state.voters);
+        state.searches.insert(number, OpenSearch { search, found });
+        Some((number, receiver))
     }
 
     /// Takes the answer of a replica.
     pub(super) fn receive(&self, replica: SocketAddr, answer: &OriginAnswer) {
         let found = single(answer.rows.iter().map(|row| found_at(replica, row)));
-        self.state.lock().settle(answer.query, replica, found);
+        self.state
+            .lock()
+            .settle(answer.query, |open| open.record_answer(replica, found));
     }
 }
 
@@ -291,6 +256,7 @@
             key: Some(key),
             source: OriginSource::Own,
             age: now.since(first.begun_at),
+            is_settled: true,
         })
     }
 
@@ -303,17 +269,15 @@
         }
     }
 
-    /// Takes what a replica knows, and ends the search if that is something, or if no other replica is awaited.
-    fn settle(&mut self, search: u64, replica: SocketAddr, found: Option<FoundOrigin>) {
-        let Some(open) = self.searches.get_mut(&search) else {
+    /// Takes what a replica has answered, or that it will not, and ends the search if that settles it.
+    fn settle(&mut self, number: u64, record: impl FnOnce(&mut OriginSearch) -> Option<FoundOrigin>) {
+        let Some(open) = self.searches.get_mut(&number) else {
             return;
         };
-        open.awaited.remove(&replica);
-        if found.is_none() && !open.awaited.is_empty() {
+        let Some(found) = record(&mut open.search) else {
             return;
-        }
-        if let Some(open) = self.searches.remove(&search) {
-            let found = found.unwrap_or(FoundOrigin::nowhere(open.asked));
+        };
+        if let Some(open) = self.searches.remove(&number) {
             // The caller may have left.
             let _unheard = open.found.send(found);
         }
@@ -340,6 +304,7 @@
         key: Some(key),
         source: OriginSource::Replica(replica),
         age,
+        is_settled: true,
     }
 }
 
--- a/crates/acacia-entry/src/serving/taken_stream.rs
+++ b/crates/acacia-entry/src/serving/taken_stream.rs
@@ -5,6 +5,7 @@
 use acaciabay::core::name::ServiceName;
 use acaciabay::core::serving::call_fingerprint::CallContent;
 use acaciabay::core::serving::config::CallRoute;
+use acaciabay::core::serving::origin_search::{FoundOrigin, OriginRule};
 use acaciabay::core::serving::software_version::{SoftwareVersion, StreamVersion};
 use acaciabay::core::serving::stream_origin::{OriginFinding, OriginKey};
 use acaciabay::util::number::whole_millis;
@@ -12,7 +13,6 @@
 use super::codec::{CallHead, EarlierAttempt};
 use super::refusal::{CallRefusal, SHORT_RETRY_DELAY, UNKNOWN_ORIGIN, not_run};
 use super::shared::EntryShared;
-use super::stream_origins::FoundOrigin;
 
 /// Service that runs a call, and the version at which it has to go on.
 #[derive(Clone, Debug)]
@@ -60,7 +60,7 @@
         .collect();
     let searched: Vec<OriginKey> = keys.iter().map(|(key, _)| *key).collect();
     let began_at = boot_now();
-    let found = shared.origins.search(&searched).await;
+    let found = shared.origins.search(&searched, search_rule(head)).await;
     log_search(shared, head, &found, whole_millis(boot_now().since(began_at)));
     let service = keys
         .iter()
@@ -85,6 +85,14 @@
     }
 }
 
+/// Returns how many answers settle the search: calls of the same content share a key, those of one attempt do not.
+const fn search_rule(head: &CallHead) -> OriginRule {
+    match &head.earlier_attempt {
+        EarlierAttempt::Named(_) => OriginRule::FirstRecord,
+        EarlierAttempt::Unnamed | EarlierAttempt::Unclear => OriginRule::EveryRecord,
+    }
+}
+
 const fn known_version(found: &FoundOrigin) -> Option<&SoftwareVersion> {
     match &found.finding {
         OriginFinding::Known(version) => Some(version),
--- a/crates/acaciabay/src/core/serving/mod.rs
+++ b/crates/acaciabay/src/core/serving/mod.rs
@@ -79,6 +79,7 @@
 mod limit_shares;
 pub mod load_report;
 pub mod load_slice;
+pub mod origin_search;
 mod part_cause;
 pub mod part_table;
 pub mod pending_renewals;
--- a/crates/acaciabay/src/core/serving/replica_tracker.rs
+++ b/crates/acaciabay/src/core/serving/replica_tracker.rs
@@ -60,6 +60,12 @@
         self.clear_leader(replica);
     }
 
+    /// Returns how many replicas vote, by the report that names the most.
+    pub fn voter_count(&self) -> usize {
+        let counts = self.replicas.values().map(|known| known.voters.len());
+        counts.max().unwrap_or(0)
+    }
+
     /// Returns the replicas to keep sessions with: the seeds, and all voters in any report.
     pub fn session_targets(&self, seeds: impl IntoIterator<Item = SocketAddr>) -> BTreeSet<SocketAddr> {
         let reported = self.replicas.values().flat_map(|known| known.voters.iter().copied());
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -32,6 +32,7 @@
 mod load_simulation;
 mod load_slices;
 mod members;
+mod origin_search;
 mod pending_renewals;
 mod placement;
 mod pools;
