--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns the name by which messages of failed tests call the program.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Waits for an event with this number and returns it.
     ///
     /// # Panics
