Acknowledge no leaving of an endpoint whose report was kept aside

It now answers as for an endpoint that it does not know, so that the endpoint asks another.

A core machine without a configuration keeps all reports aside, too.

--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -17,7 +17,7 @@
 use super::codec::{ControlAnswer, ControlCall};
 use super::endpoint_limits::list_limits;
 use super::service_retries::list_retries;
-use super::shared::ControlShared;
+use super::shared::{ControlShared, ReportOutcome};
 use super::software_versions::list_versions;
 use crate::operator_api::OperatorRefusal;
 use crate::operator_quarantine::operate_quarantine;
@@ -67,22 +67,20 @@
     if endpoint.phase != EndpointPhase::Ready && is_cut_off(shared) {
         return CUT_OFF_FROM_GROUP;
     }
-    shared.record_report(name, endpoint);
-    ControlAnswer::Done
+    match shared.record_report(name, endpoint) {
+        ReportOutcome::Recorded | ReportOutcome::KeptAside(EndpointPhase::Ready) => ControlAnswer::Done,
+        // Another replica may have told the entries of it already, by a configuration that has not arrived here.
+        ReportOutcome::KeptAside(EndpointPhase::Draining | EndpointPhase::Gone) => UNKNOWN_ENDPOINT,
+    }
 }
 
 fn handle_leave(shared: &ControlShared, name: &EndpointName, birth: Option<EndpointIncarnation>) -> ControlAnswer {
     if is_cut_off(shared) {
         return CUT_OFF_FROM_GROUP;
     }
-    // Nobody is sent to an endpoint whose report was kept aside, so nobody has to be told.
-    let was_kept_aside = shared.soft_state().unnamed.forget(name);
+    shared.soft_state().unnamed.forget(name);
     if !shared.has_endpoint(name) {
-        return if was_kept_aside {
-            ControlAnswer::Done
-        } else {
-            UNKNOWN_ENDPOINT
-        };
+        return UNKNOWN_ENDPOINT;
     }
     shared.record_leave(name, birth);
     ControlAnswer::Done
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -19,7 +19,7 @@
 use acaciabay::core::serving::config::ServingConfig;
 use acaciabay::core::serving::config_transfer::ConfigDocument;
 use acaciabay::core::serving::endpoint_handles::{EndpointHandle, ReceivedHandles};
-use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, ReportEffect, ServingEndpoint};
+use acaciabay::core::serving::endpoint_registry::{EndpointIncarnation, EndpointPhase, ReportEffect, ServingEndpoint};
 use acaciabay::core::serving::group_clock::GroupClock;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
@@ -100,6 +100,15 @@
     EncodedFrame::new(Frame::Serving(ServingFrame { body: Some(body) }))
 }
 
+/// What became of a report that an endpoint sent to this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReportOutcome {
+    /// The registry has judged it.
+    Recorded,
+    /// It names a service that the configuration does not name, and was kept aside with this phase.
+    KeptAside(EndpointPhase),
+}
+
 /// Settings, handles and soft state that the tasks of a control process share.
 #[derive(Debug)]
 pub(super) struct ControlShared {
@@ -176,13 +185,11 @@
 
     /// Records a report that an endpoint sent to this process, and broadcasts it to all sessions unless it is stale.
     ///
-    /// A report that names a service which the configuration does not name is kept aside, unless the endpoint is known to
+    /// A report that names a service which no configuration in force names is kept aside, unless the endpoint is known to
     /// belong to that service.
-    pub(super) fn record_report(&self, name: &EndpointName, endpoint: ServingEndpoint) -> ReportEffect {
+    pub(super) fn record_report(&self, name: &EndpointName, endpoint: ServingEndpoint) -> ReportOutcome {
         let now = boot_now();
-        let is_named = self
-            .config()
-            .is_none_or(|config| config.services.contains_key(&endpoint.service));
+        let is_named = self.names_service(&endpoint.service);
         let mut soft = self.soft_state();
         let known = soft.registry.get(name).map(|known| &known.service);
         if !is_named && known != Some(&endpoint.service) {
@@ -190,13 +197,20 @@
                 "endpoint" => name.as_str(), "service" => endpoint.service.as_str(), "address" => %endpoint.address,
                 "birth" => endpoint.incarnation.0, "sequence" => endpoint.sequence);
             metrics::counter!("acacia_unnamed_reports_total").increment(1);
+            let phase = endpoint.phase;
             soft.unnamed.keep(now, name, endpoint);
-            return ReportEffect::Ignored;
+            return ReportOutcome::KeptAside(phase);
         }
         let effect = soft.registry.apply_report(now, name, endpoint);
         drop(soft);
         self.broadcast_endpoint(name, effect);
-        effect
+        ReportOutcome::Recorded
+    }
+
+    /// Returns true if the configuration in force names a service. One that cannot be parsed may name any.
+    fn names_service(&self, service: &ServiceName) -> bool {
+        let has_config = self.group.read().serving.config_number.is_some();
+        has_config && self.config().is_none_or(|config| config.services.contains_key(service))
     }
 
     /// Records the reports that were kept aside until the configuration in force named their services.
@@ -205,7 +219,7 @@
         let is_named = |service: &ServiceName| config.services.contains_key(service);
         let reports = self.soft_state().unnamed.take_named(boot_now(), is_named);
         for (name, endpoint) in reports {
-            self.record_report(&name, endpoint);
+            let _recorded = self.record_report(&name, endpoint);
         }
     }
 
