Announce configurations in a field in which 0 is a number

An entry took an announced 0 for "perhaps none, perhaps version 0", since earlier releases announce 0 while there is none: a special case on top of an ambiguous message. Announcements to callers from revision 4 on have a field of their own (announced_config), so that the 0 of the old field means none again, as in the protocol of the earlier release, and is decoded so next to the message.

--- a/crates/acacia-control/src/serving/session.rs
+++ b/crates/acacia-control/src/serving/session.rs
@@ -8,7 +8,7 @@
 use acacia_wire::generated::replica::peer_frame::Frame;
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{Leadership, ReplicaAddresses, ServingFrame, ServingHello, SignOfLife};
-use acacia_wire::{EncodedFrame, FrameReader, FrameWriter, MESSAGE_REVISION};
+use acacia_wire::{EncodedFrame, FrameReader, FrameWriter, MESSAGE_REVISION, announcement_to_wire};
 use acaciabay::core::clock::BootTime;
 use acaciabay::util::number::whole_millis;
 use tokio::net::TcpStream;
@@ -174,7 +174,7 @@
             },
             Ok(()) = numbers.changed() => {
                 let Some(number) = *numbers.borrow_and_update() else { continue };
-                Body::NewerConfig(number.0).into()
+                announcement_to_wire(number, hello.revision).into()
             }
             Ok(()) = suspects.changed() => {
                 suspects.mark_unchanged();
--- a/crates/acacia-entry/src/serving/control_sessions.rs
+++ b/crates/acacia-entry/src/serving/control_sessions.rs
@@ -18,8 +18,8 @@
 use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{ServingFrame, ServingHello, ServingRenewed};
 use acacia_wire::{
-    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, ORIGINS_REVISION, kept_from_wire, slice_from_wire,
-    split_frames, suspect_answer_from_wire, use_from_wire,
+    CONNECT_TIMEOUT, FrameReader, FrameWriter, MESSAGE_REVISION, ORIGINS_REVISION, kept_from_wire,
+    newer_config_from_wire, slice_from_wire, split_frames, suspect_answer_from_wire, use_from_wire,
 };
 use acaciabay::core::clock::BootTime;
 use acaciabay::core::name::EndpointName;
@@ -226,20 +226,19 @@
         }
     }
 
-    /// Records the number of a committed configuration that a replica has announced. Returns true if it is higher than
-    /// that of the held configuration, so that the entry has to ask for it.
-    fn record_announced(&self, address: SocketAddr, number: ConfigNumber) -> bool {
+    /// Records the number of a committed configuration that a replica has announced, and asks for it if it is higher than
+    /// that of the held one.
+    fn handle_announcement(&self, address: SocketAddr, number: ConfigNumber) {
         let mut state = self.shared.state();
         if Some(number) <= state.config.number {
-            return false;
+            return;
         }
-        // A replica of an earlier release announces 0 also while there is no configuration. If that were recorded, the entry
-        // would be behind for good, and ask without a pause.
-        if number != ConfigNumber(0) && state.freshness.record_announced(boot_now(), number) {
+        if state.freshness.record_announced(boot_now(), number) {
             slog::info!(self.shared.log, "newer configuration announced"; "event" => event::CONFIG_TOLD,
                 "number" => number.0, "held" => state.config.number.map(|held| held.0), "replica" => %address);
         }
-        true
+        drop(state);
+        self.trigger_renewals();
     }
 
     fn log_config_request(&self, now: BootTime, address: SocketAddr, renewal: u64) {
@@ -297,9 +296,10 @@
                         self.voters_reported.notify_one();
                     }
                 }
+                Body::AnnouncedConfig(number) => self.handle_announcement(address, ConfigNumber(number)),
                 Body::NewerConfig(number) => {
-                    if self.record_announced(address, ConfigNumber(number)) {
-                        self.trigger_renewals();
+                    if let Some(number) = newer_config_from_wire(number) {
+                        self.handle_announcement(address, number);
                     }
                 }
                 Body::Leads(_) => {
--- a/crates/acacia-wire/src/lib.rs
+++ b/crates/acacia-wire/src/lib.rs
@@ -43,9 +43,9 @@
 pub use retry_message::{retry_demand_from_wire, retry_demand_to_wire};
 
 pub use serving_message::{
-    content_from_wire, content_to_wire, counts_from_wire, counts_to_wire, endpoint_from_wire, endpoint_to_wire,
-    kept_from_wire, kept_to_wire, pace_from_wire, pace_to_wire, slice_from_wire, slice_to_wire, stage_from_wire,
-    stage_to_wire, use_from_wire, use_to_wire,
+    announcement_to_wire, content_from_wire, content_to_wire, counts_from_wire, counts_to_wire, endpoint_from_wire,
+    endpoint_to_wire, kept_from_wire, kept_to_wire, newer_config_from_wire, pace_from_wire, pace_to_wire,
+    slice_from_wire, slice_to_wire, stage_from_wire, stage_to_wire, use_from_wire, use_to_wire,
 };
 
 pub use speed_message::{
@@ -58,13 +58,15 @@
 };
 
 /// Revision of the messages between entries and replicas that this release understands, as a session's first message says.
-pub const MESSAGE_REVISION: u32 = ORIGINS_REVISION;
+pub const MESSAGE_REVISION: u32 = ANNOUNCEMENTS_REVISION;
 /// First revision with the allowances of customers and with reports as numbers.
 pub const ALLOWANCES_REVISION: u32 = 1;
 /// First revision with the limits of endpoints.
 pub const LIMITS_REVISION: u32 = 2;
 /// First revision with the versions that have begun streams.
 pub const ORIGINS_REVISION: u32 = 3;
+/// First revision in which a configuration is announced by its number alone, which may be 0.
+pub const ANNOUNCEMENTS_REVISION: u32 = 4;
 
 /// The types made from the `.proto` files.
 #[expect(missing_docs, reason = "the comments stand in the .proto files")]
--- a/crates/acacia-wire/src/serving_message.rs
+++ b/crates/acacia-wire/src/serving_message.rs
@@ -15,8 +15,9 @@
 use acaciabay::util::byte_delta::{ByteDelta, DeltaPiece};
 use acaciabay::util::number::round_up;
 
+use crate::ANNOUNCEMENTS_REVISION;
 use crate::error::WireError;
-use crate::generated::serving::{delta_piece, serving_renewed};
+use crate::generated::serving::{delta_piece, serving_frame, serving_renewed};
 use crate::generated::{serving, state};
 use crate::need_message::{need_from_wire, need_to_wire};
 use crate::suspect_message::{suspects_from_wire, suspects_to_wire};
@@ -184,6 +185,20 @@
     (message.name.as_str().into(), work)
 }
 
+/// Encodes the announcement of a committed configuration for a caller that understands the given revision of these messages.
+pub fn announcement_to_wire(number: ConfigNumber, revision: u32) -> serving_frame::Body {
+    if revision < ANNOUNCEMENTS_REVISION {
+        serving_frame::Body::NewerConfig(number.0)
+    } else {
+        serving_frame::Body::AnnouncedConfig(number.0)
+    }
+}
+
+/// Decodes `newer_config`, the announcement of an earlier release: 0 stands for no configuration.
+pub fn newer_config_from_wire(number: u64) -> Option<ConfigNumber> {
+    (number > 0).then_some(ConfigNumber(number))
+}
+
 /// Encodes what brings an entry to a configuration.
 pub fn content_to_wire(content: ConfigUpdate) -> serving_renewed::Content {
     match content {
--- a/crates/acacia-wire/tests/configs.rs
+++ b/crates/acacia-wire/tests/configs.rs
@@ -1,8 +1,11 @@
 //! Numbers of configurations in snapshots and messages: "none" and 0 are told apart.
 
+use acacia_wire::generated::serving::serving_frame::Body;
 use acacia_wire::generated::serving::{RenewServing, ServingRenewed};
-use acacia_wire::{command_from_bytes, command_to_bytes, content_from_wire, content_to_wire};
-use acacia_wire::{state_from_bytes, state_to_bytes};
+use acacia_wire::{
+    ANNOUNCEMENTS_REVISION, announcement_to_wire, command_from_bytes, command_to_bytes, content_from_wire,
+    content_to_wire, newer_config_from_wire, state_from_bytes, state_to_bytes,
+};
 use acaciabay::core::control_state::{ControlCommand, ControlState};
 use acaciabay::core::serving::config::ConfigNumber;
 use acaciabay::core::serving::config_transfer::ConfigUpdate;
@@ -53,6 +56,18 @@
     }
 }
 
+/// Guards against the 0 of an earlier release, which announces it while there is none, being taken for version 0: an entry would ask
+/// without a pause for what nobody has.
+#[test]
+fn an_announcement_tells_number_0_from_none() {
+    let [earlier, present] = [ANNOUNCEMENTS_REVISION - 1, ANNOUNCEMENTS_REVISION]
+        .map(|revision| [0, 7].map(|number| announcement_to_wire(ConfigNumber(number), revision)));
+
+    assert_eq!(earlier, [0, 7].map(Body::NewerConfig));
+    assert_eq!(present, [0, 7].map(Body::AnnouncedConfig));
+    assert_eq!([0, 7].map(newer_config_from_wire), [None, Some(ConfigNumber(7))]);
+}
+
 /// Guards against a change of version 0 that is applied to the empty document.
 #[test]
 fn a_change_names_its_base() {
