Say twice less in the change, and keep the usual report cheap

A replica that has kept no report aside no longer parses each configuration when it comes into force. - The sum of endpoints over failure domains stood in three places: total_endpoints. - The state of a search names its rule instead of a count of 0; a search that settles nothing returns what was told; the conflict inside one answer uses the same function as one between answers; an accessor that nobody called is gone.

--- a/crates/acacia-control/src/serving/pool_orders.rs
+++ b/crates/acacia-control/src/serving/pool_orders.rs
@@ -15,7 +15,7 @@
 use acaciabay::core::serving::reading_need::{ReadingMeasure, ReadingNeed};
 use acaciabay::core::serving::service_need::NeedRecorder;
 use acaciabay::core::serving::serving_state::ServingCommand;
-use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes};
+use acaciabay::ops::plan_pool::{DomainPool, PoolView, plan_pool, plan_pool_changes, total_endpoints};
 use acaciabay::ops::replace_refused::replace_refused;
 use acaciabay::util::number::whole_millis;
 use parking_lot::Mutex;
@@ -93,7 +93,7 @@
     ) {
         let now = context.now;
         let present = present_pools(context.shared, service);
-        let total = present.values().map(|pool| pool.total()).fold(0, u32::saturating_add);
+        let total = total_endpoints(present.values());
         self.record_present(service, &present);
         let (agreed, refused) = (self.accepted_counts(service), self.refused_domains(service));
         let has_calls = context.shared.soft_state().has_calls();
@@ -125,8 +125,7 @@
             pool.domain_prices.keys().cloned().collect()
         };
         let wanted = plan_pool(pool, &domains, view.needed);
-        let expected = wanted.values().map(|pool| pool.total());
-        stages.set_expected(service, expected.fold(0, u32::saturating_add), readers);
+        stages.set_expected(service, total_endpoints(wanted.values()), readers);
         if view.is_idle && wanted.iter().any(|(domain, want)| view.lasting(domain) > want.lasting) {
             // Engines that the platform is about to remove need no change of stage.
             stages.suspend(now);
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -189,20 +189,21 @@
     /// belong to that service.
     pub(super) fn record_report(&self, name: &EndpointName, endpoint: ServingEndpoint) -> ReportOutcome {
         let now = boot_now();
-        let is_named = self.names_service(&endpoint.service);
-        let mut soft = self.soft_state();
-        let known = soft.registry.get(name).map(|known| &known.service);
-        if !is_named && known != Some(&endpoint.service) {
+        let is_known = {
+            let soft = self.soft_state();
+            let known = soft.registry.get(name);
+            known.is_some_and(|known| known.service == endpoint.service)
+        };
+        if !is_known && !self.names_service(&endpoint.service) {
             slog::debug!(self.log, "report of an unnamed service kept aside"; "event" => event::REPORT_UNNAMED,
                 "endpoint" => name.as_str(), "service" => endpoint.service.as_str(), "address" => %endpoint.address,
                 "birth" => endpoint.incarnation.0, "sequence" => endpoint.sequence);
             metrics::counter!("acacia_unnamed_reports_total").increment(1);
             let phase = endpoint.phase;
-            soft.unnamed.keep(now, name, endpoint);
+            self.soft_state().unnamed.keep(now, name, endpoint);
             return ReportOutcome::KeptAside(phase);
         }
-        let effect = soft.registry.apply_report(now, name, endpoint);
-        drop(soft);
+        let effect = self.soft_state().registry.apply_report(now, name, endpoint);
         self.broadcast_endpoint(name, effect);
         ReportOutcome::Recorded
     }
@@ -215,6 +216,10 @@
 
     /// Records the reports that were kept aside until the configuration in force named their services.
     fn record_named_reports(&self) {
+        // Only a leader needs the parsed configuration otherwise.
+        if self.soft_state().unnamed.is_empty() {
+            return;
+        }
         let Some(config) = self.config() else { return };
         let is_named = |service: &ServiceName| config.services.contains_key(service);
         let reports = self.soft_state().unnamed.take_named(boot_now(), is_named);
--- a/crates/acacia-entry/src/serving/stream_origins.rs
+++ b/crates/acacia-entry/src/serving/stream_origins.rs
@@ -166,16 +166,12 @@
         }
         let own = self.find_own(boot_now(), keys);
         let told = self.ask(keys, rule).await;
-        if let Some(found) = join_findings(rule, own.clone(), told) {
+        if let Some(found) = join_findings(rule, own.as_ref(), &told) {
             return found;
         }
         tokio::time::sleep(self.second_search_delay()).await;
         let told = self.ask(keys, rule).await;
-        let asked = told.source;
-        join_findings(rule, own, told).unwrap_or(FoundOrigin {
-            source: asked,
-            ..FoundOrigin::nowhere(0, false)
-        })
+        join_findings(rule, own.as_ref(), &told).unwrap_or(told)
     }
 
     fn second_search_delay(&self) -> Duration {
@@ -289,12 +285,7 @@
     let mut found = found.into_iter();
     let first = found.next()?;
     let is_single = found.next().is_none();
-    let finding = if is_single {
-        first.finding
-    } else {
-        OriginFinding::Conflicting
-    };
-    Some(FoundOrigin { finding, ..first })
+    Some(if is_single { first } else { first.conflicting() })
 }
 
 fn found_at(replica: SocketAddr, row: &KnownOrigin) -> FoundOrigin {
--- a/crates/acaciabay/src/core/serving/origin_search.rs
+++ b/crates/acaciabay/src/core/serving/origin_search.rs
@@ -75,10 +75,13 @@
 /// A question to the replicas that is not settled.
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
+    rule: OriginRule,
     /// Replicas that have not answered.
     awaited: BTreeSet<SocketAddr>,
     asked: usize,
     answered: usize,
+    /// Number of answers of which one knows every stream: each was told to so many replicas that no more than the others can
+    /// lack it.
     needed: usize,
     found: Option<FoundOrigin>,
 }
@@ -86,17 +89,13 @@
 impl OriginSearch {
     /// Begins a search at the replicas `asked`, in a group of `voters`.
     pub fn begin(rule: OriginRule, asked: BTreeSet<SocketAddr>, voters: usize) -> Self {
-        let needed = match rule {
-            OriginRule::FirstRecord => 0,
-            // Each stream was told to so many replicas that one of any this many knows it.
-            OriginRule::EveryRecord => (voters.max(asked.len()) + 1).saturating_sub(ORIGIN_COPIES).max(1),
-        };
         Self {
+            rule,
             asked: asked.len(),
-            awaited: asked,
             answered: 0,
-            needed,
+            needed: (voters.max(asked.len()) + 1).saturating_sub(ORIGIN_COPIES).max(1),
             found: None,
+            awaited: asked,
         }
     }
 
@@ -112,11 +111,7 @@
             }
             (known, other) => known.or(other),
         };
-        let is_found = self.found.is_some();
-        if self.awaited.is_empty() || (self.answered >= self.needed && (is_found || self.needed > 0)) {
-            return Some(self.result());
-        }
-        None
+        (self.is_settled() || self.awaited.is_empty()).then(|| self.result())
     }
 
     /// Records that a replica will not answer. Returns the result if nobody is left to answer.
@@ -125,29 +120,31 @@
         (was_awaited && self.awaited.is_empty()).then(|| self.result())
     }
 
-    /// Returns what is known so far. Without enough answers nothing is: a stream of another version may be missing.
+    /// Returns what is known so far: nothing before the search is settled, since a stream of another version may be missing.
     pub fn result(&self) -> FoundOrigin {
-        let is_settled = self.answered >= self.needed.max(1);
+        let is_settled = self.is_settled();
         let found = self.found.clone().filter(|_| is_settled);
         found.unwrap_or(FoundOrigin::nowhere(self.asked, is_settled))
     }
 
-    /// Returns the number of replicas that were asked.
-    pub const fn asked(&self) -> usize {
-        self.asked
+    const fn is_settled(&self) -> bool {
+        match self.rule {
+            OriginRule::FirstRecord => self.found.is_some(),
+            OriginRule::EveryRecord => self.answered >= self.needed,
+        }
     }
 }
 
-/// Joins what this entry has begun itself with what the replicas have told. `None` if both know nothing, and the replicas should
-/// be asked again.
-pub fn join_findings(rule: OriginRule, own: Option<FoundOrigin>, told: FoundOrigin) -> Option<FoundOrigin> {
+/// Joins what this entry has begun itself with what the replicas have told. `None` if nothing is known for certain, and the
+/// replicas should be asked again.
+pub fn join_findings(rule: OriginRule, own: Option<&FoundOrigin>, told: &FoundOrigin) -> Option<FoundOrigin> {
     let is_known = told.finding != OriginFinding::Unknown;
     match own {
         // Another entry may have begun a stream under the same identifier, or with the same content.
-        Some(own) if is_known && told.finding != own.finding => Some(own.conflicting()),
+        Some(own) if is_known && told.finding != own.finding => Some(own.clone().conflicting()),
         // An entry that is cut off from the replicas knows of none that other entries have begun with the same content.
         Some(_) if rule == OriginRule::EveryRecord && !told.is_settled => None,
-        Some(own) => Some(own),
-        None => is_known.then_some(told),
+        Some(own) => Some(own.clone()),
+        None => is_known.then(|| told.clone()),
     }
 }
--- a/crates/acaciabay/src/core/serving/unnamed_reports.rs
+++ b/crates/acaciabay/src/core/serving/unnamed_reports.rs
@@ -4,7 +4,7 @@
 //! another writer that uses an endpoint's name. It must not replace what is known of the endpoint with that name, and its
 //! sequence number says nothing about that endpoint's own. So it is kept beside the registry until its service is named.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use super::endpoint_registry::{REPORT_TIMEOUT, ServingEndpoint};
 use crate::core::clock::BootTime;
@@ -16,7 +16,7 @@
 /// The last report of each endpoint whose service is not named.
 #[derive(Clone, Debug, Default)]
 pub struct UnnamedReports {
-    rows: BTreeMap<EndpointName, (BootTime, ServingEndpoint)>,
+    rows: HashMap<EndpointName, (BootTime, ServingEndpoint)>,
 }
 
 impl UnnamedReports {
@@ -31,9 +31,14 @@
         }
     }
 
-    /// Drops the report with this name. Returns true if there was one.
-    pub fn forget(&mut self, name: &EndpointName) -> bool {
-        self.rows.remove(name).is_some()
+    /// Returns true if no report is kept.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Drops the report with this name, if there is one.
+    pub fn forget(&mut self, name: &EndpointName) {
+        self.rows.remove(name);
     }
 
     /// Removes and returns the reports whose services are named by now, except for those that are no longer repeated.
@@ -42,16 +47,8 @@
         now: BootTime,
         is_named: impl Fn(&ServiceName) -> bool,
     ) -> Vec<(EndpointName, ServingEndpoint)> {
-        let (named, others): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut self.rows)
-            .into_iter()
-            .partition(|(_, (_, endpoint))| is_named(&endpoint.service));
-        self.rows = others;
-        let named = named
-            .into_iter()
-            .map(|(name, (reported_at, endpoint))| (name, reported_at, endpoint));
-        named
-            .filter(|(_, reported_at, _)| now.since(*reported_at) < REPORT_TIMEOUT)
-            .map(|(name, _, endpoint)| (name, endpoint))
-            .collect()
+        let named = self.rows.extract_if(|_, (_, endpoint)| is_named(&endpoint.service));
+        let recent = named.filter(|(_, (reported_at, _))| now.since(*reported_at) < REPORT_TIMEOUT);
+        recent.map(|(name, (_, endpoint))| (name, endpoint)).collect()
     }
 }
--- a/crates/acaciabay/src/ops/plan_pool.rs
+++ b/crates/acaciabay/src/ops/plan_pool.rs
@@ -27,6 +27,12 @@
     }
 }
 
+/// Returns the number of endpoints of both kinds in all failure domains.
+pub fn total_endpoints<'pool>(pools: impl IntoIterator<Item = &'pool DomainPool>) -> u32 {
+    let totals = pools.into_iter().map(|pool| pool.total());
+    totals.fold(0, u32::saturating_add)
+}
+
 /// Fraction of the needed endpoints that are on-demand if reclaimable ones are worthwhile. It is enough to keep the
 /// service running, although slowly, after the platform has reclaimed the reclaimable endpoints of two domains and
 /// until it has replacements.
--- a/crates/acaciabay/src/ops/replace_refused.rs
+++ b/crates/acaciabay/src/ops/replace_refused.rs
@@ -9,7 +9,7 @@
 
 use crate::core::name::DomainName;
 use crate::core::serving::config::PoolSpec;
-use crate::ops::plan_pool::{DomainPool, PoolView, TOLERATED_DOMAIN_LOSSES};
+use crate::ops::plan_pool::{DomainPool, PoolView, TOLERATED_DOMAIN_LOSSES, total_endpoints};
 
 /// Returns the wanted endpoints of each failure domain, with additional on-demand ones in place of those that the
 /// platform refuses.
@@ -29,7 +29,7 @@
         .iter()
         .map(|(domain, want)| (domain, expected_pool(domain, *want, view)))
         .collect();
-    let total = expected.values().map(|pool| pool.total()).fold(0, u32::saturating_add);
+    let total = total_endpoints(expected.values());
     // The length of the range is the number of missing endpoints.
     for _ in total.saturating_sub(endpoints_at_risk(&expected, view))..view.needed_now {
         let with_room = expected.iter_mut().filter(|(_, pool)| pool.total() < spec.max);
--- a/crates/acaciabay/tests/serving/origin_search.rs
+++ b/crates/acaciabay/tests/serving/origin_search.rs
@@ -76,13 +76,11 @@
 /// itself, at another version.
 #[test]
 fn an_entry_does_not_settle_a_content_alone() {
-    let own = || {
-        Some(FoundOrigin {
-            source: OriginSource::Own,
-            ..found(0, version("v1"))
-        })
+    let own = FoundOrigin {
+        source: OriginSource::Own,
+        ..found(0, version("v1"))
     };
-    let finding = |rule, told| join_findings(rule, own(), told).map(|found| found.finding);
+    let finding = |rule, told: FoundOrigin| join_findings(rule, Some(&own), &told).map(|found| found.finding);
     let unheard = FoundOrigin::nowhere(0, false);
     let unknown = FoundOrigin::nowhere(3, true);
 
--- a/crates/acaciabay/tests/serving/unnamed_reports.rs
+++ b/crates/acaciabay/tests/serving/unnamed_reports.rs
@@ -37,9 +37,10 @@
     reports.keep(at(0), &name("silent"), of("new"));
     reports.keep(at(4_000), &name("left"), of("new"));
 
-    assert!(reports.forget(&name("left")));
+    reports.forget(&name("left"));
 
     assert_eq!(named(&mut reports, 5_000, "new"), []);
+    assert!(reports.is_empty());
 }
 
 /// Guards against a writer of odd reports that fills the memory of a core machine.
