Tell why a port is taken for silent, what clears a part, and what evidence comes late

The logs show that half of the breaks are found Silent after 2.6 s by some entries while others find the same port Refused, and not why; no line says which whole answer clears which part, nor that evidence comes after a verdict. E0263, E0352 and E0353 say these. No logic is changed.

--- a/crates/acacia-control/src/suspect_calls.rs
+++ b/crates/acacia-control/src/suspect_calls.rs
@@ -29,6 +29,8 @@
 
 /// Interval at which the leader commits new evidence.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of parts that a log line names.
+const MAX_LOGGED_PARTS: usize = 16;
 
 /// Evidence of one start of an entry that has been received, by its numbers.
 #[derive(Clone, Copy, Debug)]
@@ -133,6 +135,11 @@
     }
 
     fn log_received(&self, host: &HostName, report: &SuspectReport) {
+        if !report.sound_parts.is_empty() {
+            slog::info!(self.log, "sound parts received"; "event" => event::SOUND_PARTS_RECEIVED,
+                "entry" => host.as_str(), "count" => report.sound_parts.len(),
+                "parts" => list_parts(report.sound_parts.iter().take(MAX_LOGGED_PARTS)));
+        }
         let Some(newest) = report.evidence.last() else { return };
         let now_ms = wall_nanos() / 1_000_000;
         slog::info!(self.log, "evidence received"; "event" => event::EVIDENCE_RECEIVED, "entry" => host.as_str(),
@@ -154,6 +161,7 @@
                 continue;
             };
             let endings = update.evidence.len();
+            self.log_late(&update);
             let received_at = self.pending.lock().received_at.take();
             if self.commit(update).await.is_ok() {
                 self.pending.lock().confirm(&taken);
@@ -189,6 +197,21 @@
         Some((update, pending.progress.clone()))
     }
 
+    /// Logs the evidence of endings that a quarantine has explained.
+    fn log_late(&self, update: &SuspectUpdate) {
+        let state = self.group.read();
+        let endings = state.serving.suspects.parts.endings();
+        for ended in endings.iter().filter(|ended| ended.is_explained) {
+            let same = |evidence: &&EndingEvidence| evidence.ending.is_same(&ended.ending);
+            let prompts = update.evidence.iter().filter(same).count();
+            if prompts > 0 {
+                slog::info!(self.log, "late evidence received"; "event" => event::EVIDENCE_LATE,
+                    "endpoint" => ended.ending.endpoint.as_str(), "birth" => ended.ending.incarnation.0,
+                    "prompts" => prompts, "late_ms" => update.now_ms.saturating_sub(ended.ending.recorded_ms));
+            }
+        }
+    }
+
     /// Lifts a quarantine. Returns false if no such call is suspect.
     ///
     /// # Errors
--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -233,7 +233,10 @@
         let attempts = addresses.into_iter().map(|address| async move {
             let state = match self.connect_directly(address, CONNECT_TIMEOUT).await {
                 Ok(_connection) => PortState::Open,
-                Err(PortState::Refused) if self.is_reached_elsewhere(address).await => PortState::Silent,
+                Err(PortState::Refused) if self.is_reached_elsewhere(address).await => {
+                    self.log_doubted(address, "elsewhere");
+                    PortState::Silent
+                }
                 Err(state) => state,
             };
             (address, state)
@@ -241,11 +244,19 @@
         let mut states = join_all(attempts).await;
         if self.has_lost_paths() {
             let refused = states.iter_mut().filter(|(_, state)| *state == PortState::Refused);
-            refused.for_each(|(_, state)| *state = PortState::Silent);
+            for (address, state) in refused {
+                self.log_doubted(*address, "lost_paths");
+                *state = PortState::Silent;
+            }
         }
         states
     }
 
+    fn log_doubted(&self, address: SocketAddr, reason: &'static str) {
+        slog::info!(self.log, "refused port doubted"; "event" => event::PORT_DOUBTED, "address" => %address,
+            "reason" => reason, "lost" => self.state.lock().paths.lost_count());
+    }
+
     fn has_lost_paths(&self) -> bool {
         self.state.lock().paths.lost_count() > 0
     }
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -134,6 +134,8 @@
     BODY_ROOM_FULL = "E0261";
     /// An answer asked for rest, or said that its endpoint leaves.
     REST_ASKED = "E0262";
+    /// A refused connection is not taken for the end of the endpoint.
+    PORT_DOUBTED = "E0263";
 
     /// A replica became leader.
     LEADER_ELECTED = "E0301";
@@ -229,6 +231,10 @@
     SERVING_CONFIG_CONTRADICTED = "E0350";
     /// A report names a service that the configuration does not name, and was kept aside.
     REPORT_UNNAMED = "E0351";
+    /// An entry has reported that prompts with suspect parts were answered whole.
+    SOUND_PARTS_RECEIVED = "E0352";
+    /// Evidence came after the ending was explained.
+    EVIDENCE_LATE = "E0353";
 
     /// A stand-in has carried out an order.
     STANDIN_ORDERED = "E0401";
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -58,7 +58,8 @@
 }
 
 impl EndpointEnding {
-    pub(super) fn is_same(&self, other: &Self) -> bool {
+    /// Returns true if both are of one incarnation.
+    pub fn is_same(&self, other: &Self) -> bool {
         self.endpoint == other.endpoint && self.incarnation == other.incarnation
     }
 
