Believe a refused port that another entry confirms, whatever paths are lost

What callers saw: calls with a part that ends engines were sent on after the fifth ending, and sound calls of other parts were refused as quarantined.

Cause: an entry with any lost path took no refused port for an ending, also of endpoints that its relays found closed as well, and waited for 2.6 s of silence instead.

Change: the entries that are asked already say what they found; only one that has lost no path says that a port is closed, and its word now suffices. A connection that was refused while a relay's was taken is tried once more before the path counts as lost: an endpoint that has just started refuses what came too early.

--- a/crates/acacia-entry/src/serving/endpoint_paths.rs
+++ b/crates/acacia-entry/src/serving/endpoint_paths.rs
@@ -226,39 +226,47 @@
 
     /// Returns the states of endpoints' ports.
     ///
-    /// A port that refuses connections is that of an endpoint that has ended, or the network refuses them. It counts as
-    /// refusing only if other entries find the same, as far as they can say, and no path of this one is found to be lost.
-    /// Otherwise the endpoints' own reports have to tell.
+    /// A port that refuses connections is that of an endpoint that has ended, or the network refuses them. Other entries are
+    /// asked which of the two it is. Where they cannot tell, the endpoints' own reports have to.
     pub(super) async fn port_states(self: &Arc<Self>, addresses: BTreeSet<SocketAddr>) -> Vec<(SocketAddr, PortState)> {
-        let attempts = addresses.into_iter().map(|address| async move {
-            let state = match self.connect_directly(address, CONNECT_TIMEOUT).await {
-                Ok(_connection) => PortState::Open,
-                Err(PortState::Refused) if self.is_reached_elsewhere(address).await => {
-                    self.log_doubted(address, "elsewhere");
-                    PortState::Silent
-                }
-                Err(state) => state,
-            };
-            (address, state)
-        });
-        let mut states = join_all(attempts).await;
-        if self.has_lost_paths() {
-            let refused = states.iter_mut().filter(|(_, state)| *state == PortState::Refused);
-            for (address, state) in refused {
-                self.log_doubted(*address, "lost_paths");
-                *state = PortState::Silent;
-            }
-        }
-        states
+        let attempts = addresses
+            .into_iter()
+            .map(|address| async move { (address, self.port_state(address).await) });
+        join_all(attempts).await
     }
 
-    fn log_doubted(&self, address: SocketAddr, reason: &'static str) {
-        slog::info!(self.log, "refused port doubted"; "event" => event::PORT_DOUBTED, "address" => %address,
-            "reason" => reason, "lost" => self.state.lock().paths.lost_count());
+    async fn port_state(self: &Arc<Self>, address: SocketAddr) -> PortState {
+        match self.connect_directly(address, CONNECT_TIMEOUT).await {
+            Ok(_connection) => return PortState::Open,
+            Err(PortState::Refused) => {}
+            Err(state) => return state,
+        }
+        let witnesses = self.ask_witnesses(address).await;
+        if witnesses.opened > 0 {
+            return match self.connect_unless_refused(address).await {
+                Some(_connection) => PortState::Open,
+                None => PortState::Silent,
+            };
+        }
+        let lost = self.state.lock().paths.lost_count();
+        let state = witnesses.judge_refusal(lost);
+        if state != PortState::Refused {
+            slog::info!(self.log, "refused port doubted"; "event" => event::PORT_DOUBTED, "address" => %address,
+                "refused" => witnesses.refused, "silent" => witnesses.silent, "lost" => lost);
+        }
+        state
     }
 
-    fn has_lost_paths(&self) -> bool {
-        self.state.lock().paths.lost_count() > 0
+    /// Connects to an endpoint that has refused a connection which others got. One that has just started refuses those that
+    /// came too early; only if it refuses again, the path of this entry is lost.
+    async fn connect_unless_refused(&self, address: SocketAddr) -> Option<TcpStream> {
+        match self.connect_directly(address, CONNECT_TIMEOUT).await {
+            Ok(stream) => Some(stream),
+            Err(state) => {
+                self.record_lost(address, path_fault(state));
+                None
+            }
+        }
     }
 
     async fn connect(self: &Arc<Self>, address: SocketAddr) -> Result<NewConnection, ConnectFailure> {
@@ -309,6 +317,10 @@
             }
         };
         match relayed {
+            Ok(connection) if direct_state == Some(PortState::Refused) => {
+                let direct = self.connect_unless_refused(address).await;
+                Ok(direct.map_or(connection, direct_connection))
+            }
             Ok(connection) => {
                 self.record_lost(address, path_fault(direct_state.unwrap_or(PortState::Silent)));
                 Ok(connection)
--- a/crates/acacia-entry/src/serving/relay_client.rs
+++ b/crates/acacia-entry/src/serving/relay_client.rs
@@ -12,7 +12,7 @@
 use acaciabay::core::endpoint_rest::RestRequest;
 use acaciabay::core::name::EndpointName;
 use acaciabay::core::serving::broken_attempt::PortState;
-use acaciabay::core::serving::endpoint_paths::PathFault;
+use acaciabay::core::serving::endpoint_paths::PortWitnesses;
 use acaciabay::core::serving::endpoint_registry::EndpointIncarnation;
 use acaciabay::core::serving::relay_choice::RelayRefusal;
 use futures::future::join_all;
@@ -52,9 +52,9 @@
 }
 
 impl EndpointPaths {
-    /// Returns true if another entry reaches an endpoint that refuses the connections of this one, or finds it silent. Several
-    /// are asked at once: an endpoint that has ended may do so with a call that others are about to send.
-    pub(super) async fn is_reached_elsewhere(self: &Arc<Self>, address: SocketAddr) -> bool {
+    /// Returns what other entries find at a port that has refused a connection of this one. Several are asked at once: an
+    /// endpoint that has ended may do so with a call that others are about to send.
+    pub(super) async fn ask_witnesses(self: &Arc<Self>, address: SocketAddr) -> PortWitnesses {
         let relays = self.choose_relays(MAX_RELAYS_ASKED);
         let asked = relays.into_iter().map(|(relay, token)| async move {
             let request = self.relay_request(token, address);
@@ -62,11 +62,12 @@
             outcome.ok()?.ok().map(|(reply, _connection)| reply.outcome)
         });
         let found = join_all(asked).await;
-        let is_reached = found.contains(&Some(RelayOutcome::Opened));
-        if is_reached {
-            self.record_lost(address, PathFault::Refused);
+        let count = |outcome| found.iter().filter(|reply| **reply == Some(outcome)).count();
+        PortWitnesses {
+            opened: count(RelayOutcome::Opened),
+            refused: count(RelayOutcome::Refused),
+            silent: count(RelayOutcome::Silent),
         }
-        is_reached || found.contains(&Some(RelayOutcome::Silent))
     }
 
     /// Chooses several different relays, as far as there are any, with the token to ask them with.
--- a/crates/acaciabay/src/core/serving/endpoint_paths.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_paths.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::broken_attempt::PortState;
 use crate::core::clock::BootTime;
 
 /// Interval at which the direct path to one endpoint is tried again at first. It doubles up to [`MAX_TRIAL_INTERVAL`].
@@ -48,6 +49,34 @@
     Refused,
 }
 
+/// What other entries found at a port that refused a connection of this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PortWitnesses {
+    /// Number of those that were connected.
+    pub opened: usize,
+    /// Number of those that were refused as well.
+    pub refused: usize,
+    /// Number of those that got no answer.
+    pub silent: usize,
+}
+
+impl PortWitnesses {
+    /// Returns what a refused connection says of the endpoint's port.
+    ///
+    /// A network that is cut may refuse connections, so that a refusal that nobody confirms says nothing where this entry has
+    /// lost paths. What another entry confirms holds whatever is lost, since only one that has lost no path does so: an entry that
+    /// waited for the endpoint's silence instead would tell of its calls long after the others, and a verdict would be found
+    /// without them.
+    #[must_use]
+    pub const fn judge_refusal(&self, lost_paths: usize) -> PortState {
+        if self.opened > 0 || self.silent > 0 || (lost_paths > 0 && self.refused == 0) {
+            PortState::Silent
+        } else {
+            PortState::Refused
+        }
+    }
+}
+
 /// Change of what the entry reaches as a whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathChange {
--- a/crates/acaciabay/tests/serving/endpoint_paths.rs
+++ b/crates/acaciabay/tests/serving/endpoint_paths.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use acaciabay::core::clock::BootTime;
-use acaciabay::core::serving::endpoint_paths::{PathChange, PathFault, PathOrder, PathTable};
+use acaciabay::core::serving::broken_attempt::PortState;
+use acaciabay::core::serving::endpoint_paths::{PathChange, PathFault, PathOrder, PathTable, PortWitnesses};
 
 fn at(millis: u64) -> BootTime {
     BootTime::from_millis(10_000 + millis)
@@ -260,3 +261,33 @@
     assert!(!table.is_cut());
     assert_eq!(table.order(at(11_000), endpoint(1)), PathOrder::DirectFirst);
 }
+
+/// Guards against evidence that is seconds late because the entry has lost the path to some other endpoint.
+#[test]
+fn a_refusal_that_another_entry_confirms_holds_whatever_is_lost() {
+    let witnesses = PortWitnesses {
+        refused: 1,
+        ..PortWitnesses::default()
+    };
+
+    assert_eq!(witnesses.judge_refusal(3), PortState::Refused);
+}
+
+/// Guards against endpoints that are taken for ended because a network that is cut refuses connections to them.
+#[test]
+fn a_refusal_that_others_deny_or_cannot_confirm_proves_nothing() {
+    let nobody = PortWitnesses::default();
+    let divided = [(1, 2, 0), (0, 2, 1)].map(|(opened, refused, silent)| PortWitnesses {
+        opened,
+        refused,
+        silent,
+    });
+
+    assert_eq!(nobody.judge_refusal(1), PortState::Silent);
+    assert_eq!(nobody.judge_refusal(0), PortState::Refused);
+    assert!(
+        divided
+            .iter()
+            .all(|witnesses| witnesses.judge_refusal(0) == PortState::Silent)
+    );
+}
