Let evidence that comes late withdraw a wrong verdict on parts of prompts

Cause: a verdict destroyed what spoke against it. The endings that it explained lost their prompts, and what entries told of them later was dropped; what is held back can never be answered whole, so that nothing cleared an innocent.

Change: explained endings keep their prompts, as long as a quarantine names them, and take late ones. Endings of what was withdrawn or cleared are judged again with the next news; those of a quarantine that an operator lifts are dropped. An ending settles 150 ms after its latest prompt, 600 ms after its first at most.

--- a/crates/acacia-wire/src/part_message.rs
+++ b/crates/acacia-wire/src/part_message.rs
@@ -42,6 +42,7 @@
         ending: Some(ending_to_wire(&ended.ending)),
         prompts: ended.prompts.iter().map(prompt_to_wire).collect(),
         is_explained: ended.is_explained,
+        completed_ms: ended.completed_ms,
     }
 }
 
@@ -51,6 +52,7 @@
         ending: ending_from_wire(&ending),
         prompts: all(message.prompts, prompt_from_wire)?,
         is_explained: message.is_explained,
+        completed_ms: message.completed_ms,
     })
 }
 
--- a/crates/acaciabay/src/core/serving/part_table.rs
+++ b/crates/acaciabay/src/core/serving/part_table.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::call_fingerprint::CallFingerprint;
-use super::part_cause::find_cause;
+use super::part_cause::{PartVerdict, find_verdict};
 use super::prompt::{PartId, PromptPart};
 use super::suspect_table::{EndingEvidence, EndpointEnding, QUARANTINE_MS, SETTLING_MS, SUSPICION_MS};
 use crate::core::name::CustomerName;
@@ -23,12 +23,17 @@
 const MAX_QUARANTINE_ENDINGS: usize = 16;
 /// Maximum number of quarantines. Each has cost several endpoints.
 const MAX_QUARANTINES: usize = 64;
-/// Maximum number of prompts of one ending: more than an endpoint runs at once.
-const MAX_PROMPTS: usize = 128;
-/// Maximum number of prompts of one customer at one ending.
-const MAX_PROMPTS_PER_CUSTOMER: usize = 32;
+/// Maximum number of prompts of one ending: more than an endpoint runs and holds in its queue.
+const MAX_PROMPTS: usize = 256;
+/// Maximum number of prompts of one customer at one ending. A customer may have most of the calls at an endpoint, and each that is not
+/// recorded may be the only one with the cause.
+const MAX_PROMPTS_PER_CUSTOMER: usize = 128;
 /// Maximum number of parts in all prompts of the table.
 const MAX_PARTS: usize = 16_384;
+/// Longest time after the commit of an ending for which a verdict waits for more of its prompts, in milliseconds.
+const MAX_SETTLING_MS: u64 = 600;
+/// Number of explained endings at which a part must stand to be watched on. Fewer never make it a cause.
+const WATCHED_ENDINGS: usize = 2;
 
 /// Prompt of a call that was broken when its endpoint ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,15 +50,38 @@
     pub parts: Vec<PartId>,
 }
 
+impl BrokenPrompt {
+    /// Returns true if it has all of these parts.
+    pub(super) fn has_all(&self, parts: &BTreeSet<PartId>) -> bool {
+        parts.iter().all(|part| self.parts.contains(part))
+    }
+}
+
 /// An ending of an endpoint, with the prompts that it broke.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedEndpoint {
     /// The ending as it was first recorded.
     pub ending: EndpointEnding,
-    /// The prompts, in the order in which they were recorded. They are empty once a quarantined group explains the ending.
+    /// The prompts, in the order in which they were recorded. Those of explained endings go first where there are too many.
     pub prompts: Vec<BrokenPrompt>,
     /// True if a quarantined group was in one of the prompts.
     pub is_explained: bool,
+    /// Time of the leader when the latest prompt was committed, in milliseconds since 1970.
+    pub completed_ms: u64,
+}
+
+impl EndedEndpoint {
+    /// Returns the time from which the ending is judged, in milliseconds since 1970. Entries that hear of it from the group tell
+    /// of their calls one after the other.
+    pub(super) fn settled_ms(&self) -> u64 {
+        let completed_ms = self.completed_ms.max(self.ending.recorded_ms);
+        (completed_ms + SETTLING_MS).min(self.ending.recorded_ms + MAX_SETTLING_MS)
+    }
+
+    /// Returns true if one prompt has all of these parts.
+    pub(super) fn has_all(&self, parts: &BTreeSet<PartId>) -> bool {
+        self.prompts.iter().any(|prompt| prompt.has_all(parts))
+    }
 }
 
 /// Parts that end endpoints and that nothing has told apart so far.
@@ -113,7 +141,7 @@
             watched: watched.into_iter().collect(),
             judged_ms,
         };
-        let suspected: BTreeSet<_> = table.suspected().collect();
+        let suspected = table.suspected();
         table.watched.extend(suspected);
         table
     }
@@ -183,27 +211,43 @@
                 },
                 prompts: Vec::new(),
                 is_explained: false,
+                completed_ms: recorded_ms,
             });
             self.endings.len() - 1
         });
         let ended = &mut self.endings[index];
-        if !ended.is_explained && add_prompt(&mut ended.prompts, evidence) {
+        if add_prompt(&mut ended.prompts, evidence) {
+            ended.completed_ms = recorded_ms;
             self.explain(index);
         }
     }
 
-    /// Lets a quarantined group explain an ending, if all of its parts were in one prompt.
+    /// Lets a quarantined group explain an ending that none explains, if all of its parts were in one prompt.
     fn explain(&mut self, index: usize) {
         let ended = &mut self.endings[index];
-        let cause = self.quarantines.iter_mut().find(|quarantine| {
-            let mut prompts = ended.prompts.iter();
-            prompts.any(|prompt| quarantine.parts.iter().all(|part| prompt.parts.contains(part)))
-        });
-        if let Some(quarantine) = cause {
+        if ended.is_explained {
+            return;
+        }
+        let mut quarantines = self.quarantines.iter_mut();
+        if let Some(quarantine) = quarantines.find(|quarantine| ended.has_all(&quarantine.parts)) {
             quarantine.add_ending(&ended.ending);
             quarantine.is_held = true;
             ended.is_explained = true;
-            ended.prompts.clear();
+        }
+    }
+
+    fn explain_all(&mut self) {
+        for index in 0..self.endings.len() {
+            self.explain(index);
+        }
+    }
+
+    /// Opens the endings again that no quarantined group explains any more.
+    fn reopen(&mut self) {
+        for ended in self.endings.iter_mut().filter(|ended| ended.is_explained) {
+            let mut quarantines = self.quarantines.iter();
+            ended.is_explained =
+                ended.prompts.is_empty() || quarantines.any(|quarantine| ended.has_all(&quarantine.parts));
         }
     }
 
@@ -222,16 +266,26 @@
             quarantine.parts.remove(&part);
         }
         self.quarantines.retain(|quarantine| !quarantine.parts.is_empty());
+        self.reopen();
     }
 
-    /// Lifts the quarantines of a part, and forgets what speaks against it.
+    /// Lifts the quarantines of a part, and forgets what speaks against it and the endings that they explain, which the operator
+    /// knows the cause of.
     pub(super) fn lift(&mut self, part: PartId) {
-        self.quarantines.retain(|quarantine| !quarantine.parts.contains(&part));
+        for lifted in self
+            .quarantines
+            .extract_if(.., |quarantine| quarantine.parts.contains(&part))
+        {
+            self.endings.retain(|ended| !ended.has_all(&lifted.parts));
+        }
         self.clear(part);
     }
 
-    /// Judges the evidence that is settled at `now_ms`, and removes what is old or too much.
-    pub(super) fn update(&mut self, now_ms: u64) {
+    /// Judges the evidence that is settled at `now_ms` if there is something new, and removes what is old or too much.
+    ///
+    /// A whole answer alone leads to no verdict: where it clears what was quarantined, the same evidence would blame the next best.
+    pub(super) fn update(&mut self, now_ms: u64, has_evidence: bool) {
+        let is_judged = has_evidence || self.has_settled_since_judged(now_ms);
         self.endings
             .retain(|ended| now_ms.saturating_sub(ended.ending.ended_ms) < SUSPICION_MS);
         for quarantine in &mut self.quarantines {
@@ -239,30 +293,55 @@
                 quarantine.is_held = false;
             }
         }
-        while let Some(cause) = find_cause(&self.endings, &self.quarantines, now_ms) {
-            self.quarantine(cause.parts, cause.route, now_ms);
+        if is_judged {
+            self.judge(now_ms);
         }
         self.limit();
-        self.watched = self.suspected().collect();
+        self.watched = self.suspected();
         self.judged_ms = now_ms;
     }
 
+    /// Quarantines what the evidence proves, and withdraws what it refutes. Each verdict explains endings or replaces a worse one, so
+    /// that there are few; the bound keeps a fault from stopping all replicas.
+    fn judge(&mut self, now_ms: u64) {
+        for _verdict in 0..MAX_QUARANTINES {
+            let Some(verdict) = find_verdict(&self.endings, &self.quarantines, now_ms) else {
+                return;
+            };
+            let cause = match verdict {
+                PartVerdict::Cause(cause) => Some(cause),
+                PartVerdict::Refuted { group, cause } => {
+                    self.quarantines.retain(|quarantine| quarantine.parts != group);
+                    self.reopen();
+                    cause
+                }
+            };
+            if let Some(cause) = cause {
+                self.quarantine(cause.parts, cause.route, now_ms);
+            }
+        }
+    }
+
     /// Returns true if an update without any news changes the table at `now_ms`.
     pub(super) fn is_update_due(&self, now_ms: u64) -> bool {
         self.held().any(|quarantine| quarantine.is_over(now_ms))
-            || (self.has_settled_since_judged(now_ms) && find_cause(&self.endings, &self.quarantines, now_ms).is_some())
+            || (self.has_settled_since_judged(now_ms)
+                && find_verdict(&self.endings, &self.quarantines, now_ms).is_some())
     }
 
     /// Returns true if an ending has settled that had not when the evidence was last judged. Without one, the verdict would be the
     /// same.
     fn has_settled_since_judged(&self, now_ms: u64) -> bool {
-        let open = self.endings.iter().filter(|ended| !ended.is_explained);
-        let mut settled_ms = open.map(|ended| ended.ending.recorded_ms + SETTLING_MS);
+        let mut settled_ms = self.endings.iter().map(EndedEndpoint::settled_ms);
         settled_ms.any(|settled_ms| self.judged_ms < settled_ms && settled_ms <= now_ms)
     }
 
-    /// Quarantines a group of parts in place of the groups that it is a part of.
+    /// Quarantines a group of parts in place of the groups that it is a part of, unless one that is held covers it.
     fn quarantine(&mut self, parts: BTreeSet<PartId>, route: String, now_ms: u64) {
+        if self.held().any(|known| known.parts.is_subset(&parts)) {
+            self.explain_all();
+            return;
+        }
         let replaced = self.quarantines.extract_if(.., |known| parts.is_subset(&known.parts));
         let endings = replaced.flat_map(|known| known.endings).collect();
         if self.quarantines.len() >= MAX_QUARANTINES {
@@ -275,17 +354,29 @@
             quarantined_ms: now_ms,
             is_held: true,
         });
-        for index in 0..self.endings.len() {
-            self.explain(index);
-        }
+        self.explain_all();
     }
 
-    fn suspected(&self) -> impl Iterator<Item = PartId> {
-        let prompts = self.endings.iter().flat_map(|ended| &ended.prompts);
-        let evidence = prompts.flat_map(|prompt| &prompt.parts);
-        evidence
-            .chain(self.quarantines.iter().flat_map(|quarantine| &quarantine.parts))
-            .copied()
+    /// Returns the parts that may become a cause: those of endings that nothing explains, those in quarantine, and those that stand
+    /// at several of the explained endings.
+    fn suspected(&self) -> BTreeSet<PartId> {
+        let mut suspected: BTreeSet<PartId> = BTreeSet::new();
+        let mut explained: BTreeMap<PartId, usize> = BTreeMap::new();
+        for ended in &self.endings {
+            let parts = ended.prompts.iter().flat_map(|prompt| &prompt.parts).copied();
+            if ended.is_explained {
+                let parts: BTreeSet<PartId> = parts.collect();
+                for part in parts {
+                    *explained.entry(part).or_default() += 1;
+                }
+            } else {
+                suspected.extend(parts);
+            }
+        }
+        let often = explained.into_iter().filter(|(_, endings)| *endings >= WATCHED_ENDINGS);
+        suspected.extend(often.map(|(part, _)| part));
+        suspected.extend(self.quarantines.iter().flat_map(|quarantine| &quarantine.parts));
+        suspected
     }
 
     /// Removes the oldest endings, those that are explained first, and the oldest prompts of the customers with the most
@@ -295,6 +386,7 @@
             let explained = self.endings.iter().position(|ended| ended.is_explained);
             self.endings.remove(explained.unwrap_or(0));
         }
+        self.limit_explained();
         let mut counts: BTreeMap<Option<CustomerName>, usize> = BTreeMap::new();
         for prompt in self.endings.iter().flat_map(|ended| &ended.prompts) {
             *counts.entry(prompt.customer.clone()).or_default() += prompt.parts.len();
@@ -307,6 +399,28 @@
         }
     }
 
+    /// Removes the prompts of explained endings that no quarantine names, and of the oldest others while there are too many parts.
+    fn limit_explained(&mut self) {
+        let named = |ended: &EndedEndpoint| {
+            let mut endings = self.quarantines.iter().flat_map(|quarantine| &quarantine.endings);
+            endings.any(|ending| ending.is_same(&ended.ending))
+        };
+        for ended in self.endings.iter_mut().filter(|ended| ended.is_explained) {
+            if !named(ended) {
+                ended.prompts.clear();
+            }
+        }
+        let parts = |ended: &EndedEndpoint| ended.prompts.iter().map(|prompt| prompt.parts.len()).sum::<usize>();
+        let mut surplus = self.endings.iter().map(parts).sum::<usize>().saturating_sub(MAX_PARTS);
+        for ended in self.endings.iter_mut().filter(|ended| ended.is_explained) {
+            if surplus == 0 {
+                return;
+            }
+            surplus = surplus.saturating_sub(parts(ended));
+            ended.prompts.clear();
+        }
+    }
+
     /// Returns the number of parts that were removed with the prompt.
     fn remove_oldest_prompt(&mut self, customer: Option<&CustomerName>) -> usize {
         for ended in &mut self.endings {
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -227,7 +227,7 @@
         for part in &update.lifted_parts {
             self.parts.lift(*part);
         }
-        self.parts.update(update.now_ms);
+        self.parts.update(update.now_ms, !update.evidence.is_empty());
     }
 
     /// Records one piece of evidence. Evidence that is recorded twice counts once.
