Tell all entries of an ending that one of them has found, and go on asking open ports

Cause: each entry found out by itself whether an engine had ended. An open port was asked four times in 0.4 s, a silent one once; after that only a successor's report told, or the break was called innocent after 4 s. Evidence of one ending came in pieces, seconds apart, and a verdict was found without the rest.

Change: the group tells entries which incarnations have ended, for 10 s, with the table of suspect calls; an entry that has lost calls there needs no other proof. Ports that are open or silent are asked every 0.4 s at most as long as the break is examined. Two tests say so otherwise than before: the port of a break is asked at 750 ms, 1,150 ms and so on as well, and the first evidence of an ending changes the version of the table, further calls of it do not.

--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -336,13 +336,18 @@
         // `sighting` takes a lock under which others ask this tracker, so it is not called under the tracker's own.
         let breaks: Vec<BrokenAttempt> = self.state.lock().breaks.breaks().cloned().collect();
         let sightings: Vec<_> = breaks.iter().map(|broken| (broken, sighting(broken))).collect();
+        let mut state = self.state.lock();
+        let TrackerState { view, breaks, .. } = &mut *state;
         let sighting_of = |broken: &BrokenAttempt| {
             let seen = sightings.iter().find(|(seen, _)| *seen == broken);
-            seen.map(|(_, sighting)| *sighting)
+            seen.map(|(_, sighting)| EndpointSighting {
+                has_ended: sighting.has_ended || view.has_ended(&broken.endpoint, broken.incarnation),
+                ..*sighting
+            })
         };
-        let mut state = self.state.lock();
+        let decided = breaks.take_decided(now, sighting_of);
         let mut has_ended = false;
-        for (broken, verdict) in state.breaks.take_decided(now, sighting_of) {
+        for (broken, verdict) in decided {
             self.log_break(now, &broken, verdict);
             if state.ending_trials.remove(&broken.call.fingerprint) {
                 state.view.end_trial(broken.call.fingerprint);
--- a/crates/acacia-wire/src/suspect_message.rs
+++ b/crates/acacia-wire/src/suspect_message.rs
@@ -142,6 +142,7 @@
         key: key_to_wire(table.key.as_ref()),
         calls: calls.collect(),
         parts: Some(part_table_to_wire(&table.parts)),
+        ended: table.ended.iter().map(ending_to_wire).collect(),
     }
 }
 
@@ -154,6 +155,7 @@
     let calls = all(message.calls, call_from_wire)?;
     let mut table = SuspectTable::restore(message.version, key_from_wire(&message.key)?, calls);
     table.parts = part_table_from_wire(message.parts)?;
+    table.ended = message.ended.iter().map(ending_from_wire).collect();
     Ok(table)
 }
 
--- a/crates/acaciabay/src/core/endpoint.rs
+++ b/crates/acaciabay/src/core/endpoint.rs
@@ -124,7 +124,7 @@
         let mut at_address = self.rows.values().filter(|row| row.address == broken.address);
         EndpointSighting {
             has_left,
-            has_successor: at_address.any(|row| row.incarnation > incarnation),
+            has_ended: at_address.any(|row| row.incarnation > incarnation),
             reported_at: row.map(|row| row.heard_at),
             any_reported: self.rows.values().any(|row| row.heard_at > broken.broken_at),
         }
--- a/crates/acaciabay/src/core/serving/broken_attempt.rs
+++ b/crates/acaciabay/src/core/serving/broken_attempt.rs
@@ -85,8 +85,8 @@
 pub struct EndpointSighting {
     /// True if the incarnation has announced that it leaves, or has left.
     pub has_left: bool,
-    /// True if a later incarnation has its name or its address.
-    pub has_successor: bool,
+    /// True if a later incarnation has its name or its address, or the group has recorded that it ended.
+    pub has_ended: bool,
     /// Time of its latest report, if it is known.
     pub reported_at: Option<BootTime>,
     /// True if any endpoint has reported since the break. Otherwise the path of all reports may be cut.
@@ -98,7 +98,7 @@
     if sighting.has_left {
         return BreakVerdict::Innocent;
     }
-    if broken.port == PortState::Refused || sighting.has_successor {
+    if broken.port == PortState::Refused || sighting.has_ended {
         return BreakVerdict::Ended;
     }
     let has_reported = |reported_at| reported_at >= broken.broken_at + REPORT_DELAY;
@@ -118,11 +118,11 @@
 /// Maximum number of breaks that are under examination: more than an entry has calls at a dozen engines.
 const MAX_EXAMINED: usize = 1_024;
 
-/// Time from which on a port that was open is asked again. A process that ends may close it after its connections. The time
-/// doubles with each answer.
-const FIRST_REPEAT: Duration = Duration::from_millis(25);
-/// Number of times that a port is asked.
-const MAX_ASKS: u32 = 4;
+/// Time from which on a port that did not refuse is asked again. A process that ends may close it after its connections. The time
+/// doubles with each answer up to [`MAX_REPEAT`].
+const FIRST_REPEAT: Duration = Duration::from_millis(50);
+/// Longest time between two attempts, as long as the break is examined.
+const MAX_REPEAT: Duration = Duration::from_millis(400);
 
 /// A break with the connection attempts to the endpoint since.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -133,11 +133,19 @@
 }
 
 impl ExaminedBreak {
+    fn repeat(&self) -> Duration {
+        let doublings = self.asks.saturating_sub(1);
+        let repeat = 1_u32
+            .checked_shl(doublings)
+            .and_then(|factor| FIRST_REPEAT.checked_mul(factor));
+        repeat.unwrap_or(MAX_REPEAT).min(MAX_REPEAT)
+    }
+
     fn is_port_due(&self, now: BootTime) -> bool {
         match self.broken.port {
             PortState::Unknown => true,
-            PortState::Open => self.asks < MAX_ASKS && now >= self.asked_at + FIRST_REPEAT * 2_u32.pow(self.asks),
-            PortState::Refused | PortState::Silent => false,
+            PortState::Open | PortState::Silent => now >= self.asked_at + self.repeat(),
+            PortState::Refused => false,
         }
     }
 }
--- a/crates/acaciabay/src/core/serving/endpoint_registry.rs
+++ b/crates/acaciabay/src/core/serving/endpoint_registry.rs
@@ -302,7 +302,7 @@
         let mut at_address = endpoints.filter(|endpoint| endpoint.address == broken.address);
         EndpointSighting {
             has_left,
-            has_successor: at_address.any(|endpoint| endpoint.incarnation > broken.incarnation),
+            has_ended: at_address.any(|endpoint| endpoint.incarnation > broken.incarnation),
             reported_at: row.map(|row| row.reported_at),
             any_reported: self.rows.values().any(|row| row.reported_at > broken.broken_at),
         }
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -30,6 +30,10 @@
 /// Time after the commit of an ending during which other entries may still report the calls that they had at the same endpoint, in
 /// milliseconds. Only then it is known which call explains the ending.
 pub(super) const SETTLING_MS: u64 = 150;
+/// Time for which entries are told that an incarnation has ended, in milliseconds: longer than they examine a break.
+const TOLD_ENDING_MS: u64 = 10_000;
+/// Maximum number of endings that entries are told.
+const MAX_TOLD_ENDINGS: usize = 64;
 /// Maximum number of endings that are kept for a call.
 const MAX_ENDINGS: usize = 16;
 /// Maximum number of calls of one customer in the table: more than the customer has at one endpoint.
@@ -158,6 +162,9 @@
     pub key: Option<FingerprintKey>,
     /// Parts of prompts under which endpoints have ended.
     pub parts: PartTable,
+    /// Incarnations that have ended lately, in the order of their commits. An entry that has lost calls there need not find out by
+    /// itself, so that it tells of its calls as soon as the others.
+    pub ended: Vec<EndpointEnding>,
     calls: BTreeMap<CallFingerprint, SuspectCall>,
 }
 
@@ -188,6 +195,7 @@
             version,
             key,
             parts: PartTable::default(),
+            ended: Vec::new(),
             calls: calls.collect(),
         }
     }
@@ -198,6 +206,7 @@
         let parts_before = self.parts.published();
         let had_key = self.key.is_some();
         self.key = self.key.or(update.key);
+        let has_ended = self.record_ended(update);
         for evidence in &update.evidence {
             self.record(evidence, update.now_ms);
         }
@@ -212,11 +221,34 @@
         self.limit();
         self.apply_parts(update);
         let is_changed = !self.published().eq(&before) || self.parts.published() != parts_before;
-        if had_key != self.key.is_some() || is_changed {
+        if had_key != self.key.is_some() || is_changed || has_ended {
             self.version += 1;
         }
     }
 
+    /// Records which incarnations have ended. Returns true if entries have to be told of another one.
+    fn record_ended(&mut self, update: &SuspectUpdate) -> bool {
+        self.ended
+            .retain(|ended| update.now_ms.saturating_sub(ended.recorded_ms) < TOLD_ENDING_MS);
+        let mut has_ended = false;
+        for ending in update.evidence.iter().map(|evidence| &evidence.ending) {
+            if !self.has_ended(&ending.endpoint, ending.incarnation) && self.ended.len() < MAX_TOLD_ENDINGS {
+                self.ended.push(EndpointEnding {
+                    recorded_ms: update.now_ms,
+                    ..ending.clone()
+                });
+                has_ended = true;
+            }
+        }
+        has_ended
+    }
+
+    /// Returns true if the group has recorded lately that an incarnation ended.
+    pub fn has_ended(&self, endpoint: &EndpointName, incarnation: EndpointIncarnation) -> bool {
+        let mut ended = self.ended.iter();
+        ended.any(|ended| ended.endpoint == *endpoint && ended.incarnation == incarnation)
+    }
+
     fn apply_parts(&mut self, update: &SuspectUpdate) {
         for evidence in &update.evidence {
             self.parts.record(evidence, update.now_ms);
@@ -349,6 +381,7 @@
     pub fn published_table(&self) -> Self {
         Self {
             parts: self.parts.published(),
+            ended: self.ended.clone(),
             ..Self::restore(self.version, self.key, self.published().cloned())
         }
     }
--- a/crates/acaciabay/src/core/serving/suspect_view.rs
+++ b/crates/acaciabay/src/core/serving/suspect_view.rs
@@ -5,11 +5,12 @@
 
 use super::broken_attempt::CallIdentity;
 use super::call_fingerprint::{CallFingerprint, FingerprintKey};
+use super::endpoint_registry::EndpointIncarnation;
 use super::part_table::PartTable;
 use super::prompt::{PartId, PromptPart};
 use super::suspect_table::{EndingEvidence, SuspectCall, SuspectTable};
 use crate::core::clock::BootTime;
-use crate::core::name::CustomerName;
+use crate::core::name::{CustomerName, EndpointName};
 
 /// Maximum number of pieces of evidence that wait to be committed.
 const MAX_UNCOMMITTED: usize = 512;
@@ -139,6 +140,11 @@
         }
     }
 
+    /// Returns true if the group has recorded lately that an incarnation ended.
+    pub fn has_ended(&self, endpoint: &EndpointName, incarnation: EndpointIncarnation) -> bool {
+        self.published.has_ended(endpoint, incarnation)
+    }
+
     /// Returns true if a call whose prompt shares these parts with others is not sent to any endpoint.
     pub fn holds_back(&self, parts: &[PromptPart]) -> bool {
         self.published.parts.holds_back(parts)
--- a/crates/acaciabay/tests/serving/broken_attempts.rs
+++ b/crates/acaciabay/tests/serving/broken_attempts.rs
@@ -164,14 +164,27 @@
     examination.add(broken(PortState::Unknown));
     let mut asked = Vec::new();
 
-    for millis in (1_000..2_000).step_by(10) {
+    for millis in (1_000..3_000).step_by(10) {
         if !examination.due_ports(at(millis)).is_empty() {
             asked.push(millis - 1_000);
             examination.record_port(at(millis), ADDRESS, PortState::Open);
         }
     }
 
-    assert_eq!(asked, [0, 50, 150, 350]);
+    assert_eq!(asked, [0, 50, 150, 350, 750, 1_150, 1_550, 1_950]);
+}
+
+/// Guards against an entry that finds out by itself, seconds after the others, that an endpoint has ended.
+#[test]
+fn an_ending_that_the_group_knows_needs_no_other_proof() {
+    let sighting = EndpointSighting {
+        has_ended: true,
+        ..EndpointSighting::default()
+    };
+
+    for port in [PortState::Open, PortState::Silent, PortState::Unknown] {
+        assert_eq!(examine_break(at(1_100), &broken(port), &sighting), BreakVerdict::Ended);
+    }
 }
 
 #[test]
--- a/crates/acaciabay/tests/serving/suspects.rs
+++ b/crates/acaciabay/tests/serving/suspects.rs
@@ -246,10 +246,16 @@
     let mut table = SuspectTable::default();
 
     commit(&mut table, 10_000, vec![ending(1, 1, 10_000, 80)]);
-    assert_eq!((table.version, table.published().count()), (0, 0));
+    assert_eq!((table.version, table.published().count()), (1, 0));
+    commit(
+        &mut table,
+        10_050,
+        vec![ending(2, 1, 10_000, 80), ending(3, 1, 10_000, 80)],
+    );
+    assert_eq!((table.version, table.published().count()), (1, 0));
     commit(&mut table, 20_000, vec![ending(1, 2, 20_000, 80)]);
 
-    assert_eq!((table.version, table.published().count()), (1, 1));
+    assert_eq!((table.version, table.published().count()), (2, 1));
 }
 
 /// A round of a day: a call that ends each endpoint it runs on, or not, with others on the same endpoints.
@@ -282,3 +288,18 @@
         }
     }
 }
+
+/// Guards against entries that are not told that an endpoint has ended, and against a table that tells it for ever.
+#[test]
+fn entries_are_told_of_an_ending_for_a_while() {
+    let mut table = SuspectTable::default();
+    let evidence = ending(1, 7, 10_000, 80);
+    let (endpoint, incarnation) = (evidence.ending.endpoint.clone(), evidence.ending.incarnation);
+    let before = table.version;
+    commit(&mut table, 10_050, vec![evidence]);
+
+    assert!(table.version > before);
+    assert!(table.published_table().has_ended(&endpoint, incarnation));
+    commit(&mut table, 20_050, Vec::new());
+    assert!(!table.has_ended(&endpoint, incarnation));
+}
