Blame no call for an ending that was before it was sent

Cause: a port that goes on accepting takes new calls, which break when it closes. They counted as under way at the ending, and 600 ms of sound calls are many. Where every engine lingers at once, their first part was at all endings and the true one was not; it was no common part by the rule for busy engines, since only one or two calls of each ending are candidates.

Change: an ending is as early as the earliest of its breaks, and calls sent later are no candidates, for parts and for whole calls. A part that is in nine tenths of all candidates is common, too. Entries look at their breaks as soon as the group tells them of an ending, so that their evidence is there before the verdict.

--- a/crates/acacia-entry/src/suspect_calls.rs
+++ b/crates/acacia-entry/src/suspect_calls.rs
@@ -308,6 +308,8 @@
                 () = stop.cancelled() => return,
                 () = self.break_recorded.notified(), if is_idle => {}
                 () = tokio::time::sleep(EXAMINATION_INTERVAL), if !is_idle => {}
+                // The verdict waits for what this entry tells of an ending that it has just heard of.
+                () = self.news.notified(), if !is_idle => {}
             }
             self.attempt_connections(&port_states).await;
             let now = boot_now();
--- a/crates/acaciabay/src/core/serving/part_cause.rs
+++ b/crates/acaciabay/src/core/serving/part_cause.rs
@@ -19,6 +19,8 @@
 const PROVING_ENDINGS: usize = 5;
 /// Number of prompts at each ending from which a part that most calls have is common.
 const COMMON_PROMPTS: usize = 3;
+/// Share of all prompts at its endings from which on a part is common: numerator and denominator.
+const COMMON_SHARE: (usize, usize) = (9, 10);
 /// Number of endings that follow one another from which a common part is quarantined: to hold it back refuses most calls.
 const COMMON_ENDINGS: usize = 12;
 /// Number of endings under some parts of a quarantined group, without the others, after which it is narrowed.
@@ -74,7 +76,7 @@
         let last = self.prompts.last();
         if last.is_none_or(|(known, _)| !known.ending.is_same(&ended.ending)) {
             self.endings += 1;
-            self.all_prompts += ended.prompts.len();
+            self.all_prompts += ended.candidates().count();
         }
         self.prompts.push((ended, prompt));
     }
@@ -136,7 +138,9 @@
 
     /// Returns true if most of the calls have it, so that it is at every ending whether it is the cause or not.
     fn is_common(&self) -> bool {
-        self.prompts.len() >= COMMON_PROMPTS * self.endings && 2 * self.prompts.len() > self.all_prompts
+        let (prompts, all) = (self.prompts.len(), self.all_prompts);
+        let has_many = prompts >= COMMON_PROMPTS * self.endings && 2 * prompts > all;
+        has_many || (all > self.endings && COMMON_SHARE.1 * prompts >= COMMON_SHARE.0 * all)
     }
 
     fn is_cause(&self, moments: &BTreeSet<u64>, is_quarantined: bool) -> bool {
@@ -177,7 +181,7 @@
 fn gather<'table>(endings: &[&'table EndedEndpoint]) -> PartEvidences<'table> {
     let mut evidence = PartEvidences::new();
     for ended in endings {
-        for prompt in &ended.prompts {
+        for prompt in ended.candidates() {
             for part in &prompt.parts {
                 evidence.entry(*part).or_default().add(ended, prompt);
             }
@@ -263,7 +267,7 @@
 fn evidence_of<'table>(group: &BTreeSet<PartId>, settled: &[&'table EndedEndpoint]) -> PartEvidence<'table> {
     let mut own = PartEvidence::default();
     for ended in settled {
-        let prompts = ended.prompts.iter().filter(|prompt| prompt.has_all(group));
+        let prompts = ended.candidates().filter(|prompt| prompt.has_all(group));
         prompts.for_each(|prompt| own.add(ended, prompt));
     }
     own
--- a/crates/acaciabay/src/core/serving/part_table.rs
+++ b/crates/acaciabay/src/core/serving/part_table.rs
@@ -78,9 +78,17 @@
         (completed_ms + SETTLING_MS).min(self.ending.recorded_ms + MAX_SETTLING_MS)
     }
 
-    /// Returns true if one prompt has all of these parts.
+    /// Returns the prompts that were sent before the endpoint ended. Its port may accept others for a while, whose connections break
+    /// when it closes.
+    pub(super) fn candidates(&self) -> impl Iterator<Item = &BrokenPrompt> {
+        self.prompts
+            .iter()
+            .filter(|prompt| prompt.sent_ms <= self.ending.ended_ms)
+    }
+
+    /// Returns true if one prompt that was sent before has all of these parts.
     pub(super) fn has_all(&self, parts: &BTreeSet<PartId>) -> bool {
-        self.prompts.iter().any(|prompt| prompt.has_all(parts))
+        self.candidates().any(|prompt| prompt.has_all(parts))
     }
 }
 
@@ -216,6 +224,7 @@
             self.endings.len() - 1
         });
         let ended = &mut self.endings[index];
+        ended.ending.ended_ms = ended.ending.ended_ms.min(evidence.ending.ended_ms);
         if add_prompt(&mut ended.prompts, evidence) {
             ended.completed_ms = recorded_ms;
             self.explain(index);
--- a/crates/acaciabay/src/core/serving/suspect_table.rs
+++ b/crates/acaciabay/src/core/serving/suspect_table.rs
@@ -232,7 +232,9 @@
             .retain(|ended| update.now_ms.saturating_sub(ended.recorded_ms) < TOLD_ENDING_MS);
         let mut has_ended = false;
         for ending in update.evidence.iter().map(|evidence| &evidence.ending) {
-            if !self.has_ended(&ending.endpoint, ending.incarnation) && self.ended.len() < MAX_TOLD_ENDINGS {
+            if let Some(known) = self.ended.iter_mut().find(|known| known.is_same(ending)) {
+                known.ended_ms = known.ended_ms.min(ending.ended_ms);
+            } else if self.ended.len() < MAX_TOLD_ENDINGS {
                 self.ended.push(EndpointEnding {
                     recorded_ms: update.now_ms,
                     ..ending.clone()
@@ -262,8 +264,13 @@
         self.parts.update(update.now_ms, !update.evidence.is_empty());
     }
 
-    /// Records one piece of evidence. Evidence that is recorded twice counts once.
+    /// Records one piece of evidence. Evidence that is recorded twice counts once. A call that was sent to a port which accepted it
+    /// after the endpoint had ended has ended nothing.
     pub fn record(&mut self, evidence: &EndingEvidence, recorded_ms: u64) {
+        let known = self.ended.iter().find(|known| known.is_same(&evidence.ending));
+        if known.is_some_and(|known| evidence.ending.sent_ms > known.ended_ms) {
+            return;
+        }
         let call = self
             .calls
             .entry(evidence.call.fingerprint)
--- a/crates/acaciabay/tests/serving/suspect_parts.rs
+++ b/crates/acaciabay/tests/serving/suspect_parts.rs
@@ -361,6 +361,28 @@
     assert_eq!(held_parts(&table.parts), [[FIRST, BAD]]);
 }
 
+/// Guards against the blame of calls that a port accepts after its endpoint has ended, and that break when it closes.
+#[test]
+fn calls_that_were_sent_after_an_ending_are_not_blamed_for_it() {
+    let mut table = SuspectTable::default();
+    for number in 1..=6_u64 {
+        let ended_ms = 10_000 + 1_000 * number;
+        let call = u32::try_from(number).unwrap_or(0) * 10;
+        let later = evidence_of("two", call + 1, number, (ended_ms + 600, 500), &[FIRST, 7]);
+        commit(&mut table, ended_ms + 650, vec![later]);
+        let bad = [FIRST, BAD, 20 + number % 2];
+        commit(&mut table, ended_ms + 700, vec![evidence(call, number, ended_ms, &bad)]);
+    }
+    settle(&mut table, 18_000);
+
+    assert!(holds(&table, &[FIRST, 20, BAD]));
+    assert!(!holds(&table, &[FIRST, 7]));
+    let blamed = table
+        .calls()
+        .filter(|call| call.identity.customer == Some("two".into()));
+    assert!(blamed.flat_map(|call| &call.endings).count() <= 6);
+}
+
 /// Guards against a second verdict on the same endings after an operator has lifted the first.
 #[test]
 fn endings_of_a_lifted_quarantine_blame_no_other_part() {
