--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -21,6 +21,6 @@
 pub use cluster_shape::{ClusterShape, ProgramPaths};
 pub use endless_endpoint::{EndlessBytes, EndlessEndpoint};
 pub use endpoint_path::{CutFace, EndpointPath};
-pub use program::Program;
+pub use program::{Program, unread_bytes};
 pub use relay::Relay;
 pub use wait::wait_until;
--- a/crates/test-support/src/program.rs
+++ b/crates/test-support/src/program.rs
@@ -1,6 +1,7 @@
 //! A running binary.
 
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -213,6 +214,12 @@
         ))
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn descriptors(&self) -> Option<usize> {
+        let folder = PathBuf::from(format!("/proc/{}/fd", self.child.id()));
+        Some(std::fs::read_dir(folder).ok()?.count())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         if let Some(pid) = pid {
@@ -240,3 +247,22 @@
         log.grown.notify_all();
     }
 }
+
+/// Returns the bytes that the kernel holds for connections to this address because nobody has read them.
+pub fn unread_bytes(address: SocketAddr) -> u64 {
+    let SocketAddr::V4(address) = address else { return 0 };
+    let local = format!(
+        "{:08X}:{:04X}",
+        u32::from_le_bytes(address.ip().octets()),
+        address.port()
+    );
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let queues = rows
+        .filter(|row| row.get(1) == Some(&local.as_str()))
+        .filter_map(|row| {
+            let (_unsent, unread) = row.get(4)?.split_once(':')?;
+            u64::from_str_radix(unread, 16).ok()
+        });
+    queues.sum()
+}
