Read request bodies within one account of memory, from which the largest unfinished give way

What callers saw: clients that send bodies of legal size but for the last byte, announced or in chunks, and stay, ended a process: each held its body until the time limit of its route. An entry of 48 MB held 89.5 and 92.3 MB for 64 of them, a core machine 351 MB for 40 (of 192).

Cause: bodies were bounded one by one, and together only where answer_buffer_mb is set, which no deployed settings do; there an announced length took its room before a byte had come, so that clients which announce and send nothing left nobody room.

Change: one account a process and door (request_memory_mb, a quarter of the host's memory by default): callers, the control address, operators, the own interface. A body takes memory as it comes. When it is used up, bodies that have not ended give way, those that have stopped first, then the largest, to one that is smaller; whole ones give way to none; one that is alone is always read. Where answers are buffered, a body counts there once it is whole.

A property test draws what clients do: the account stays in its bound and forgets nothing.

--- a/crates/acacia-control/src/daemon.rs
+++ b/crates/acacia-control/src/daemon.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acacia_runtime::intake_log::watch_intake;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::ControlSettings;
@@ -349,6 +350,12 @@
     tasks.spawn(run_leader_tasks(Arc::clone(control), stop.clone()));
     tasks.spawn(Arc::clone(&control.suspects).run(stop.clone()));
     tasks.spawn(serve_peers(listeners.peers, Arc::clone(control), stop.clone()));
+    tasks.spawn(watch_intake(
+        api.intake(),
+        "operators",
+        control.log.clone(),
+        stop.clone(),
+    ));
     tasks.spawn(serve_http(
         listeners.operators,
         ServerBounds::default(),
--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, ResponseBody, json_response, read_body};
+use acacia_http::{AdmittedBody, BodyIntake, BodyRefusal, ResponseBody, json_response};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
@@ -27,6 +27,8 @@
 use crate::operator_tables::{TableName, read_table, write_table};
 
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Memory for the bodies of all requests together. One that is alone is always read.
+const REQUEST_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Handler of operators' requests.
@@ -34,6 +36,7 @@
 pub(crate) struct OperatorApi {
     control: Arc<Control>,
     token: ContentDigest,
+    intake: Arc<BodyIntake>,
 }
 
 /// A refused request. Operators' tools rely on the HTTP status and the code.
@@ -120,8 +123,17 @@
 }
 
 impl OperatorApi {
-    pub(crate) const fn new(control: Arc<Control>, token: ContentDigest) -> Self {
-        Self { control, token }
+    pub(crate) fn new(control: Arc<Control>, token: ContentDigest) -> Self {
+        Self {
+            control,
+            token,
+            intake: BodyIntake::new(REQUEST_MEMORY_BYTES, boot_now),
+        }
+    }
+
+    /// Returns the account of the operators' request bodies.
+    pub(crate) fn intake(&self) -> Arc<BodyIntake> {
+        Arc::clone(&self.intake)
     }
 
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -137,7 +149,7 @@
 
     async fn try_answer(&self, request: Request<Incoming>) -> OperatorResult {
         self.authorize(&request)?;
-        let request = read_request(request).await?;
+        let request = self.read_request(request).await?;
         let segments: Vec<&str> = request.path.trim_matches('/').split('/').collect();
         if let Some(result) = operate_quarantine(&self.control.suspects, &request.method, &segments).await {
             return result;
@@ -342,24 +354,42 @@
     OperatorRefusal::new(StatusCode::INTERNAL_SERVER_ERROR, "unexpected", message)
 }
 
-async fn read_request(request: Request<Incoming>) -> Result<OperatorRequest, OperatorRefusal> {
-    let (parts, body) = request.into_parts();
-    let body = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT)
-        .await
-        .map_err(|refusal| match refusal {
-            BodyRefusal::TooLarge => {
-                OperatorRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", "body is too large")
+impl OperatorApi {
+    async fn read_request(&self, request: Request<Incoming>) -> Result<OperatorRequest, OperatorRefusal> {
+        let (parts, body) = request.into_parts();
+        let read = self.intake.read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let body = match read {
+            Ok(AdmittedBody::Whole(body)) => body,
+            Ok(AdmittedBody::NoRoom) => {
+                let message = "other requests use the memory for bodies";
+                return Err(OperatorRefusal::new(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no_memory",
+                    message,
+                ));
             }
-            BodyRefusal::TimedOut | BodyRefusal::Broken => OperatorRefusal::new(
-                StatusCode::REQUEST_TIMEOUT,
-                "body_timeout",
-                "body did not arrive in time",
-            ),
-        })?;
-    Ok(OperatorRequest {
-        method: parts.method,
-        path: parts.uri.path().to_owned(),
-        query: parts.uri.query().unwrap_or_default().to_owned(),
-        body,
-    })
+            Err(BodyRefusal::TooLarge) => {
+                let message = "body is too large";
+                return Err(OperatorRefusal::new(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "too_large",
+                    message,
+                ));
+            }
+            Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => {
+                let message = "body did not arrive in time";
+                return Err(OperatorRefusal::new(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "body_timeout",
+                    message,
+                ));
+            }
+        };
+        Ok(OperatorRequest {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            body,
+        })
+    }
 }
--- a/crates/acacia-control/src/serving/shared.rs
+++ b/crates/acacia-control/src/serving/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acacia_http::BodyIntake;
 use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
 use acacia_settings::ServingControlSettings;
@@ -115,6 +116,8 @@
     pub(super) settings: ServingControlSettings,
     pub(super) group: GroupHandle,
     pub(super) suspects: Arc<SuspectRecorder>,
+    /// Bodies of the calls of operators and endpoints.
+    pub(super) intake: Arc<BodyIntake>,
     /// Which versions have begun streams.
     pub(super) origins: ToldOrigins,
     /// By which entries know each other while this replica leads.
@@ -151,6 +154,7 @@
     ) -> Self {
         let suspects = SuspectRecorder::new(group.clone(), log.clone());
         Self {
+            intake: BodyIntake::new(settings.request_memory, boot_now),
             settings,
             group,
             suspects,
--- a/crates/acacia-control/src/serving/start.rs
+++ b/crates/acacia-control/src/serving/start.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acacia_runtime::intake_log::watch_intake;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_settings::ServingControlSettings;
 use acacia_wire::generated::replica::Hello;
@@ -202,6 +203,8 @@
             .run_until_cancelled(cache_shared.cache_recent_configs())
             .await;
     });
+    let intake = Arc::clone(&shared.intake);
+    tasks.spawn(watch_intake(intake, "control", shared.log.clone(), stop.clone()));
     let http_shared = Arc::clone(shared);
     tasks.spawn(serve_http(
         control,
--- a/crates/acacia-entry/src/caller_request.rs
+++ b/crates/acacia-entry/src/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acacia_http::{BodyRefusal, read_body};
+use acacia_http::{AdmittedBody, BodyRefusal};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::trace::{TRACEPARENT, TraceContext};
 use acacia_settings::AdmissionPolicy;
@@ -117,12 +117,12 @@
 /// Reads a caller's body within the entry's limits.
 pub(crate) async fn read_caller_body(entry: &Entry, body: Incoming) -> Result<Bytes, CallerRefusal> {
     let limits = entry.settings.limits;
-    read_body(body, limits.body_bytes, limits.body_timeout)
-        .await
-        .map_err(|refusal| match refusal {
-            BodyRefusal::TooLarge => CallerRefusal::body_too_large(limits.body_bytes),
-            BodyRefusal::TimedOut | BodyRefusal::Broken => CallerRefusal::body_timeout(),
-        })
+    match entry.intake.read(body, limits.body_bytes, limits.body_timeout).await {
+        Ok(AdmittedBody::Whole(body)) => Ok(body),
+        Ok(AdmittedBody::NoRoom) => Err(CallerRefusal::no_memory()),
+        Err(BodyRefusal::TooLarge) => Err(CallerRefusal::body_too_large(limits.body_bytes)),
+        Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => Err(CallerRefusal::body_timeout()),
+    }
 }
 
 /// Returns the trace that a request belongs to, or starts one.
--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
+use acacia_runtime::intake_log::watch_intake;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_runtime::trace::SpanRecorder;
 use acacia_settings::{CallerLimits, EntrySettings};
@@ -107,6 +108,8 @@
     let driving = tokio::spawn(link_driver.run());
     let billing = tokio::spawn(usage_driver.run());
     let keeping = tokio::spawn(keep_lease(Arc::clone(&entry)));
+    let intake = Arc::clone(&entry.intake);
+    let intake = tokio::spawn(watch_intake(intake, "callers", log.clone(), after_callers.clone()));
     let watching = tokio::spawn(watch_lease(Arc::clone(&entry), after_callers.clone()));
     let examining = tokio::spawn(examine_breaks(Arc::clone(&entry), after_callers.clone()));
     let admin = {
@@ -148,7 +151,7 @@
     };
     tokio::join!(serve_http(listeners.callers, bounds, stop, answer), announce);
     after_callers.cancel();
-    for task in [admin, endpoints, watching, examining] {
+    for task in [admin, endpoints, intake, watching, examining] {
         let _panicked = task.await;
     }
     keeping.abort();
--- a/crates/acacia-entry/src/refusal.rs
+++ b/crates/acacia-entry/src/refusal.rs
@@ -60,6 +60,11 @@
         )
     }
 
+    pub(crate) fn no_memory() -> Self {
+        let message = "other requests use this entry's memory for bodies";
+        Self::passing(StatusCode::SERVICE_UNAVAILABLE, "no_memory", message)
+    }
+
     pub(crate) fn unauthenticated() -> Self {
         Self::not_run(
             StatusCode::UNAUTHORIZED,
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, BodyRefusal, ResponseBody, read_admitted_body, read_body};
+use acacia_http::{AdmittedBody, BodyRefusal, ResponseBody};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
@@ -243,15 +243,15 @@
     limit: usize,
     timeout: Duration,
 ) -> Result<AdmittedBody, BodyRefusal> {
-    let Some(buffers) = &shared.answer_buffers else {
-        return Ok(AdmittedBody::Whole(read_body(body, limit, timeout).await?));
+    let read = shared.intake.read(body, limit, timeout).await?;
+    let (Some(buffers), AdmittedBody::Whole(body)) = (&shared.answer_buffers, &read) else {
+        return Ok(read);
     };
     let mut share = buffers.begin_body();
-    let read = read_admitted_body(body, limit, timeout, |bytes| share.grow(bytes)).await?;
-    Ok(match read {
-        AdmittedBody::Whole(body) => AdmittedBody::Whole(share.hold(body)),
-        AdmittedBody::NoRoom => AdmittedBody::NoRoom,
-    })
+    if !share.grow(body.len()) {
+        return Ok(AdmittedBody::NoRoom);
+    }
+    Ok(AdmittedBody::Whole(share.hold(body.clone())))
 }
 
 type RefusedCall = (Option<CallHead>, CallRefusal);
--- a/crates/acacia-entry/src/serving/shared.rs
+++ b/crates/acacia-entry/src/serving/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use acacia_http::{ClientOptions, EndpointClient, WriteGuard};
+use acacia_http::{BodyIntake, ClientOptions, EndpointClient, WriteGuard};
 use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::clock::BootTime;
@@ -219,6 +219,8 @@
     pub(super) large_events: Arc<Semaphore>,
     /// Memory for answers that callers read slowly and for request bodies, if it is bounded.
     pub(super) answer_buffers: Option<Arc<AnswerBuffers>>,
+    /// Bodies of the calls.
+    pub(super) intake: Arc<BodyIntake>,
     state: Mutex<EntryState>,
 }
 
@@ -285,6 +287,7 @@
             answer_buffers: settings
                 .answer_buffer
                 .map(|budget| AnswerBuffers::new(budget, log.clone())),
+            intake: BodyIntake::new(settings.request_memory, boot_now),
             settings,
             codec,
             client: EndpointClient::with_connector(options, Arc::new(PathConnector(Arc::clone(&paths)))),
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -8,6 +8,7 @@
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
+use acacia_runtime::intake_log::watch_intake;
 use acacia_runtime::metrics_page::MetricsPage;
 use acacia_settings::ServingEntrySettings;
 use acaciabay::core::serving::broken_attempt::BrokenAttempt;
@@ -86,6 +87,8 @@
         background.spawn(advance_queues(Arc::clone(&shared), ended.clone()));
     }
     background.spawn(watch_paths(Arc::clone(&shared), ended.clone()));
+    let intake = Arc::clone(&shared.intake);
+    background.spawn(watch_intake(intake, "callers", log.clone(), ended.clone()));
     if let Some(buffers) = &shared.answer_buffers {
         background.spawn(Arc::clone(buffers).scan_until(ended.clone()));
     }
--- a/crates/acacia-entry/src/shared.rs
+++ b/crates/acacia-entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use acacia_http::{ClientOptions, EndpointClient, rest_request};
+use acacia_http::{BodyIntake, ClientOptions, EndpointClient, rest_request};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acacia_runtime::trace::SpanRecorder;
@@ -32,6 +32,9 @@
 const DEPARTURE_HEADER: HeaderName = HeaderName::from_static("server-leaving");
 
 /// The shared state of one entry process.
+/// Memory for the request bodies of all callers together. One that is alone is always read.
+const REQUEST_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) settings: EntrySettings,
@@ -48,6 +51,8 @@
     pub(crate) admission: PoolAdmissions,
     /// Calls under which endpoints have ended.
     pub(crate) suspects: Arc<SuspectTracker>,
+    /// Request bodies of callers.
+    pub(crate) intake: Arc<BodyIntake>,
     incarnation: AtomicU64,
     requests: AtomicU64,
 }
@@ -89,6 +94,7 @@
             retries: Mutex::default(),
             admission: PoolAdmissions::default(),
             suspects,
+            intake: BodyIntake::new(REQUEST_MEMORY_BYTES, boot_now),
             incarnation: AtomicU64::new(0),
             requests: AtomicU64::new(0),
         }
--- a/crates/acacia-http/src/body.rs
+++ b/crates/acacia-http/src/body.rs
@@ -79,59 +79,6 @@
     }
 }
 
-/// Reads a body to its end as [`read_body`] does, if `admit` allows the bytes of memory that it takes: those of a declared length
-/// before any of it is read, and more as they become necessary otherwise. Reads no further once `admit` returns false.
-///
-/// # Errors
-///
-/// Fails as [`read_body`] does.
-pub async fn read_admitted_body(
-    body: Incoming,
-    limit: usize,
-    timeout: Duration,
-    mut admit: impl FnMut(usize) -> bool,
-) -> Result<AdmittedBody, BodyRefusal> {
-    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if declared > limit {
-        return Err(BodyRefusal::TooLarge);
-    }
-    if declared > 0 && !admit(declared) {
-        return Ok(AdmittedBody::NoRoom);
-    }
-    match tokio::time::timeout(timeout, collect_admitted(body, limit, declared, admit)).await {
-        Ok(result) => result,
-        Err(_elapsed) => Err(BodyRefusal::TimedOut),
-    }
-}
-
-async fn collect_admitted(
-    mut body: Incoming,
-    limit: usize,
-    declared: usize,
-    mut admit: impl FnMut(usize) -> bool,
-) -> Result<AdmittedBody, BodyRefusal> {
-    let mut whole = Vec::with_capacity(declared);
-    let mut admitted = declared;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_source| BodyRefusal::Broken)?;
-        let Ok(data) = frame.into_data() else { continue };
-        let needed = whole.len() + data.len();
-        if needed > limit {
-            return Err(BodyRefusal::TooLarge);
-        }
-        if needed > admitted {
-            let capacity = needed.max(2 * admitted).min(limit);
-            if !admit(capacity - admitted) {
-                return Ok(AdmittedBody::NoRoom);
-            }
-            admitted = capacity;
-            whole.reserve_exact(capacity - whole.len());
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(AdmittedBody::Whole(whole.into()))
-}
-
 async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BodyRefusal> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/acacia-runtime/src/event.rs
+++ b/crates/acacia-runtime/src/event.rs
@@ -25,6 +25,8 @@
     CONNECTION_FAILED = "E0110";
     /// A message from another process was malformed and was dropped.
     MESSAGE_REFUSED = "E0111";
+    /// Request bodies were refused because the memory for them is used up.
+    INTAKE_FULL = "E0112";
 
     /// An entry was granted an incarnation.
     ENTRY_JOINED = "E0201";
--- a/crates/acacia-runtime/src/lib.rs
+++ b/crates/acacia-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod clock;
 pub mod event;
+pub mod intake_log;
 pub mod log;
 pub mod metrics_page;
 pub mod program;
--- a/crates/acacia-settings/src/serving_settings.rs
+++ b/crates/acacia-settings/src/serving_settings.rs
@@ -23,6 +23,11 @@
 /// Largest part of the host's memory that one of its bounds may take.
 const MOST_MEMORY_FRACTION: f64 = 0.5;
 
+/// Part of the host's memory for request bodies, if the host's memory is known and nothing else is set.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// Memory for request bodies if the host's memory is not known either, in bytes.
+const DEFAULT_REQUEST_MEMORY: usize = 32 * 1024 * 1024;
+
 /// What a control process is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServingControlSettings {
@@ -56,6 +61,8 @@
     pub allowance_tolerance: Option<WindowBoundSettings>,
     /// Whether all services count as uneven: entries then get slices and speeds of their endpoints.
     pub balanced_load: bool,
+    /// Memory in bytes for request bodies, of all callers of the control address together.
+    pub request_memory: usize,
 }
 
 /// What an entry process is told at its start.
@@ -95,6 +102,8 @@
     /// Memory in bytes for answers that callers read slowly, of all calls together. Without it, an answer is read no faster
     /// than its caller reads.
     pub answer_buffer: Option<usize>,
+    /// Memory in bytes for request bodies, of all callers together.
+    pub request_memory: usize,
     /// Bounds of the calls that wait at this entry until engines are free; without them, calls are sent at once or refused.
     pub waiting_room: Option<WaitingRoomSettings>,
 }
@@ -165,6 +174,7 @@
     let allowance_tolerance = has_tolerance.then(|| read_window_bound(&mut tolerance, findings, MOST_UNITS));
     tolerance.finish(findings);
     let balanced_load = reader.optional("balanced_load", findings, as_flag);
+    let (_host_memory, request_memory) = read_memory(&mut reader, findings);
     reader.finish(findings);
     Some(ServingControlSettings {
         host: host?.to_owned(),
@@ -185,6 +195,7 @@
             None => None,
         },
         balanced_load: balanced_load.unwrap_or(false),
+        request_memory,
     })
 }
 
@@ -207,7 +218,7 @@
     let mut bound = reader.child("send_bound", findings);
     let send_bound = read_window_bound(&mut bound, findings, MOST_SENDS);
     bound.finish(findings);
-    let host_memory = reader.optional("host_memory_mb", findings, as_megabytes(MOST_MEGABYTES));
+    let (host_memory, request_memory) = read_memory(&mut reader, findings);
     let largest = host_memory.map_or(MOST_MEGABYTES, |bytes| bytes as f64 / MEGABYTE * MOST_MEMORY_FRACTION);
     let answer_buffer = reader.optional("answer_buffer_mb", findings, as_megabytes(largest));
     let waiting_room = read_waiting_room(document, &mut reader, findings, largest);
@@ -229,10 +240,20 @@
         endpoint_source,
         endpoint_drain: endpoint_drain.map(Duration::from_millis),
         answer_buffer,
+        request_memory,
         waiting_room,
     })
 }
 
+/// Reads the memory of the host, if it is known, and that for request bodies: a part of it if nothing else is set.
+fn read_memory(reader: &mut ObjectReader<'_>, findings: &mut Findings) -> (Option<usize>, usize) {
+    let host_memory = reader.optional("host_memory_mb", findings, as_megabytes(MOST_MEGABYTES));
+    let largest = host_memory.map_or(MOST_MEGABYTES, |bytes| bytes as f64 / MEGABYTE * MOST_MEMORY_FRACTION);
+    let request_memory = reader.optional("request_memory_mb", findings, as_megabytes(largest));
+    let usual = host_memory.map_or(DEFAULT_REQUEST_MEMORY, |bytes| bytes / REQUEST_MEMORY_DIVISOR);
+    (host_memory, request_memory.unwrap_or(usual))
+}
+
 /// Reads the bounds of the waiting room, if there are any and they are valid.
 fn read_waiting_room(
     document: &Value,
--- a/crates/acaciabay/src/core/mod.rs
+++ b/crates/acaciabay/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_rest;
 pub mod entry_config;
 pub mod fair_queue;
+pub mod intake_room;
 pub mod key;
 pub mod member;
 pub mod name;
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -23,6 +23,7 @@
 mod endpoint_speed;
 mod events;
 mod fixtures;
+mod intake_room;
 mod issued_order;
 mod leases;
 mod limit_replay;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod bad_input;
 mod catalogue;
+mod client_crowds;
 mod command_line;
 mod endless_answers;
 mod endpoint_rests;
