Bound what unfinished heads and unread sockets hold of all clients together

Cause: the HTTP server buffers each head up to its limit, and the kernel grows the receive buffer of each connection to megabytes; nothing counted either.

Change: heads that have not ended are counted together, 4 MiB a door; beyond it, a connection that brings more than 8 KiB of one is closed. The receive buffer of connections to callers, operators and endpoints' reports is 32 KiB, set on the listener.

A client 50 ms away gets about 1 MB a second with 32 KiB.

--- a/crates/acacia-http/src/caller_stream.rs
+++ b/crates/acacia-http/src/caller_stream.rs
@@ -4,12 +4,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::caller_body::FlushSignal;
+use crate::head_account::ConnectionHead;
 use crate::socket::set_reset_on_close;
 
 /// Whether the answer on a connection ends with the connection.
@@ -35,15 +36,22 @@
     unframed: UnframedAnswer,
     /// Told when everything has been written, if a body may wait for that.
     flush: Option<FlushSignal>,
+    head: ConnectionHead,
     resets_on_close: bool,
 }
 
 impl CallerStream {
-    pub(crate) const fn new(inner: TcpStream, unframed: UnframedAnswer, flush: Option<FlushSignal>) -> Self {
+    pub(crate) const fn new(
+        inner: TcpStream,
+        unframed: UnframedAnswer,
+        flush: Option<FlushSignal>,
+        head: ConnectionHead,
+    ) -> Self {
         Self {
             inner,
             unframed,
             flush,
+            head,
             resets_on_close: false,
         }
     }
@@ -63,7 +71,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        if !self.head.record_read(read) {
+            let error = io::Error::new(io::ErrorKind::OutOfMemory, "too many unfinished request heads");
+            return Poll::Ready(Err(error));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +21,7 @@
 use crate::body::ResponseBody;
 use crate::caller_body::{CallerBody, FlushSignal};
 use crate::caller_stream::{CallerStream, UnframedAnswer};
+use crate::head_account::{ConnectionHead, HeadAccount};
 use crate::socket::{limit_unsent, prepare_socket};
 
 /// TCP user timeout: how long the kernel retransmits a response that the client does not acknowledge.
@@ -28,6 +30,13 @@
 /// Delay after a failed `accept`, for example when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bytes of unfinished heads where nothing else is set.
+pub const DEFAULT_UNFINISHED_HEADS: usize = 4 * 1024 * 1024;
+
+/// Bytes that the kernel holds of what a client has sent and nobody has read. It would hold megabytes otherwise, which are memory of
+/// the host as well.
+const RECEIVE_BYTES: usize = 32 * 1024;
+
 /// Limits on the resources that clients may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerBounds {
@@ -41,6 +50,9 @@
     pub unsent_bytes: Option<u32>,
     /// True if a response breaks off only after everything before the break has been written, however slowly its client reads.
     pub flushes_breaks: bool,
+    /// Bytes of large request heads that have not ended, of all connections together. Beyond it, the connections that bring more
+    /// of them are closed.
+    pub unfinished_heads: usize,
 }
 
 impl Default for ServerBounds {
@@ -51,6 +63,7 @@
             connections: 1_024,
             unsent_bytes: None,
             flushes_breaks: false,
+            unfinished_heads: DEFAULT_UNFINISHED_HEADS,
         }
     }
 }
@@ -88,7 +101,10 @@
 ) where
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    // Where the system refuses it, its own size holds. Connections inherit it.
+    let _refused = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BYTES);
     let open = TaskTracker::new();
+    let heads = HeadAccount::default();
     let permits = Arc::new(Semaphore::new(bounds_now().connections));
     loop {
         let permit = tokio::select! {
@@ -104,8 +120,9 @@
             continue;
         };
         let (stop, handle, bounds) = (stop.clone(), handle.clone(), bounds_now());
+        let head = heads.open(bounds.unfinished_heads);
         open.spawn(async move {
-            serve_connection(stream, bounds, stop, handle).await;
+            serve_connection(stream, bounds, head, stop, handle).await;
             drop(permit);
         });
     }
@@ -117,6 +134,7 @@
 async fn serve_connection<F>(
     stream: TcpStream,
     bounds: ServerBounds,
+    head: ConnectionHead,
     stop: CancellationToken,
     handle: impl Fn(Request<Incoming>) -> F,
 ) where
@@ -129,9 +147,11 @@
     let flush = bounds.flushes_breaks.then(FlushSignal::default);
     let service = service_fn(|request| {
         let is_chunkless = request.version() < Version::HTTP_11;
-        let (answer, unframed, flush) = (handle(request), unframed.clone(), flush.clone());
+        head.end();
+        let (answer, unframed, flush, head) = (handle(request), unframed.clone(), flush.clone(), head.clone());
         async move {
             let response = answer.await;
+            head.begin();
             let has_no_chunks = is_chunkless || response.version() < Version::HTTP_11;
             if has_no_chunks && response.body().size_hint().exact().is_none() {
                 unframed.begin();
@@ -145,7 +165,7 @@
         .max_buf_size(bounds.head_bytes)
         .half_close(false)
         .serve_connection(
-            TokioIo::new(CallerStream::new(stream, unframed.clone(), flush.clone())),
+            TokioIo::new(CallerStream::new(stream, unframed.clone(), flush.clone(), head.clone())),
             service,
         );
     let mut connection = pin!(connection);
