Read the reports of endpoints at the own interface within the account of bodies

Reports that find no memory get 503 and are sent again with the next interval. No test presses this door by itself; the callers' one is client_crowds.

--- a/crates/acacia-entry/src/endpoint_http.rs
+++ b/crates/acacia-entry/src/endpoint_http.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{ResponseBody, empty_body, json_response, read_body};
+use acacia_http::{AdmittedBody, ResponseBody, empty_body, json_response};
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::name::EndpointName;
@@ -49,11 +49,20 @@
     if request.method() != Method::POST || request.uri().path() != "/v1/endpoints/report" {
         return json_response(StatusCode::NOT_FOUND, &json!({"error": "no such path"}));
     }
-    let Ok(body) = read_body(request.into_body(), LARGEST_REPORT, REPORT_TIMEOUT).await else {
-        return json_response(
-            StatusCode::BAD_REQUEST,
-            &json!({"error": "report is too large or did not arrive in time"}),
-        );
+    let body = match entry
+        .intake
+        .read(request.into_body(), LARGEST_REPORT, REPORT_TIMEOUT)
+        .await
+    {
+        Ok(AdmittedBody::Whole(body)) => body,
+        Ok(AdmittedBody::NoRoom) => {
+            let error = json!({"error": "other requests use the memory for bodies"});
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &error);
+        }
+        Err(_refusal) => {
+            let error = json!({"error": "report is too large or did not arrive in time"});
+            return json_response(StatusCode::BAD_REQUEST, &error);
+        }
     };
     match serde_json::from_slice::<ReportBody>(&body) {
         Ok(report) => {
