Say with one enum why a body was not read, and bound heads by a constant

Reading within the account of memory gave Result<AdmittedBody, BodyRefusal>, so that five doors matched two nested types; a fourth reason beside too large, late and broken says the same. The field for unfinished heads had one value at all servers; it is a constant of the account. The operators' interface had its refusals twice over and a second impl block. No behaviour changes, no test was touched.

--- a/crates/acacia-control/src/operator_api.rs
+++ b/crates/acacia-control/src/operator_api.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, BodyIntake, BodyRefusal, ResponseBody, json_response};
+use acacia_http::{BodyIntake, BodyRefusal, ResponseBody, json_response};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
@@ -147,6 +147,17 @@
         }
     }
 
+    async fn read_request(&self, request: Request<Incoming>) -> Result<OperatorRequest, OperatorRefusal> {
+        let (parts, body) = request.into_parts();
+        let read = self.intake.read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        Ok(OperatorRequest {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            body: read.map_err(body_refusal)?,
+        })
+    }
+
     async fn try_answer(&self, request: Request<Incoming>) -> OperatorResult {
         self.authorize(&request)?;
         let request = self.read_request(request).await?;
@@ -354,42 +365,19 @@
     OperatorRefusal::new(StatusCode::INTERNAL_SERVER_ERROR, "unexpected", message)
 }
 
-impl OperatorApi {
-    async fn read_request(&self, request: Request<Incoming>) -> Result<OperatorRequest, OperatorRefusal> {
-        let (parts, body) = request.into_parts();
-        let read = self.intake.read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
-        let body = match read {
-            Ok(AdmittedBody::Whole(body)) => body,
-            Ok(AdmittedBody::NoRoom) => {
-                let message = "other requests use the memory for bodies";
-                return Err(OperatorRefusal::new(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "no_memory",
-                    message,
-                ));
-            }
-            Err(BodyRefusal::TooLarge) => {
-                let message = "body is too large";
-                return Err(OperatorRefusal::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "too_large",
-                    message,
-                ));
-            }
-            Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => {
-                let message = "body did not arrive in time";
-                return Err(OperatorRefusal::new(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "body_timeout",
-                    message,
-                ));
-            }
-        };
-        Ok(OperatorRequest {
-            method: parts.method,
-            path: parts.uri.path().to_owned(),
-            query: parts.uri.query().unwrap_or_default().to_owned(),
-            body,
-        })
-    }
+fn body_refusal(refusal: BodyRefusal) -> OperatorRefusal {
+    let (status, code, message) = match refusal {
+        BodyRefusal::NoRoom => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_memory",
+            "other requests use the memory for bodies",
+        ),
+        BodyRefusal::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", "body is too large"),
+        BodyRefusal::TimedOut | BodyRefusal::Broken => (
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            "body did not arrive in time",
+        ),
+    };
+    OperatorRefusal::new(status, code, message)
 }
--- a/crates/acacia-control/src/serving/control_http.rs
+++ b/crates/acacia-control/src/serving/control_http.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, BodyRefusal, ResponseBody, json_response};
+use acacia_http::{BodyRefusal, ResponseBody, json_response};
 use acacia_runtime::event;
 use acaciabay::core::control_state::{CommandOutcome, ControlCommand};
 use acaciabay::core::name::EndpointName;
@@ -26,7 +26,6 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time limit for receiving a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-const NO_ROOM: ControlAnswer = ControlAnswer::Unavailable("no memory for the body");
 
 /// Answers one call.
 pub(super) async fn answer(shared: Arc<ControlShared>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -44,8 +43,7 @@
         });
     }
     let answer = match shared.intake.read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await {
-        Ok(AdmittedBody::NoRoom) => NO_ROOM,
-        Ok(AdmittedBody::Whole(body)) => match shared.codec.read_call(&parts, &body) {
+        Ok(body) => match shared.codec.read_call(&parts, &body) {
             ControlCall::PutConfig => put_config(&shared, body).await,
             ControlCall::ReadConfig => read_config(&shared).await,
             ControlCall::Report { name, endpoint } => handle_report(&shared, &name, endpoint),
@@ -57,6 +55,7 @@
             }
             ControlCall::Unknown => ControlAnswer::NotFound,
         },
+        Err(BodyRefusal::NoRoom) => ControlAnswer::Unavailable("no memory for the body"),
         Err(BodyRefusal::TooLarge) => ControlAnswer::Invalid(format!("body exceeds {MAX_BODY_BYTES} bytes")),
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => {
             ControlAnswer::Invalid("body did not arrive whole".to_owned())
--- a/crates/acacia-entry/src/caller_request.rs
+++ b/crates/acacia-entry/src/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, BodyRefusal};
+use acacia_http::BodyRefusal;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::trace::{TRACEPARENT, TraceContext};
 use acacia_settings::AdmissionPolicy;
@@ -118,8 +118,8 @@
 pub(crate) async fn read_caller_body(entry: &Entry, body: Incoming) -> Result<Bytes, CallerRefusal> {
     let limits = entry.settings.limits;
     match entry.intake.read(body, limits.body_bytes, limits.body_timeout).await {
-        Ok(AdmittedBody::Whole(body)) => Ok(body),
-        Ok(AdmittedBody::NoRoom) => Err(CallerRefusal::no_memory()),
+        Ok(body) => Ok(body),
+        Err(BodyRefusal::NoRoom) => Err(CallerRefusal::no_memory()),
         Err(BodyRefusal::TooLarge) => Err(CallerRefusal::body_too_large(limits.body_bytes)),
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => Err(CallerRefusal::body_timeout()),
     }
--- a/crates/acacia-entry/src/daemon.rs
+++ b/crates/acacia-entry/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{DEFAULT_UNFINISHED_HEADS, ServerBounds, listen, serve_http};
+use acacia_http::{ServerBounds, listen, serve_http};
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::{boot_now, wall_nanos};
 use acacia_runtime::event;
@@ -170,7 +170,6 @@
         connections: limits.connections,
         unsent_bytes: None,
         flushes_breaks: false,
-        unfinished_heads: DEFAULT_UNFINISHED_HEADS,
     }
 }
 
--- a/crates/acacia-entry/src/endpoint_http.rs
+++ b/crates/acacia-entry/src/endpoint_http.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, ResponseBody, empty_body, json_response};
+use acacia_http::{BodyRefusal, ResponseBody, empty_body, json_response};
 use acacia_runtime::clock::boot_now;
 use acaciabay::core::endpoint::{EndpointIncarnation, EndpointRow, EndpointState, EndpointWork};
 use acaciabay::core::name::EndpointName;
@@ -54,12 +54,12 @@
         .read(request.into_body(), LARGEST_REPORT, REPORT_TIMEOUT)
         .await
     {
-        Ok(AdmittedBody::Whole(body)) => body,
-        Ok(AdmittedBody::NoRoom) => {
+        Ok(body) => body,
+        Err(BodyRefusal::NoRoom) => {
             let error = json!({"error": "other requests use the memory for bodies"});
             return json_response(StatusCode::SERVICE_UNAVAILABLE, &error);
         }
-        Err(_refusal) => {
+        Err(BodyRefusal::TooLarge | BodyRefusal::TimedOut | BodyRefusal::Broken) => {
             let error = json!({"error": "report is too large or did not arrive in time"});
             return json_response(StatusCode::BAD_REQUEST, &error);
         }
--- a/crates/acacia-entry/src/service_attempt.rs
+++ b/crates/acacia-entry/src/service_attempt.rs
@@ -161,6 +161,7 @@
         let reason = match refusal {
             BodyRefusal::TooLarge => "answer is too large",
             BodyRefusal::TimedOut => "answer was not whole before the deadline",
+            BodyRefusal::NoRoom => "no memory for the answer",
             BodyRefusal::Broken => {
                 record_break();
                 "connection broke within the answer"
--- a/crates/acacia-entry/src/serving/call.rs
+++ b/crates/acacia-entry/src/serving/call.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{AdmittedBody, BodyRefusal, ResponseBody};
+use acacia_http::{BodyRefusal, ResponseBody};
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
 use acaciabay::core::clock::BootTime;
@@ -242,16 +242,17 @@
     body: Incoming,
     limit: usize,
     timeout: Duration,
-) -> Result<AdmittedBody, BodyRefusal> {
-    let read = shared.intake.read(body, limit, timeout).await?;
-    let (Some(buffers), AdmittedBody::Whole(body)) = (&shared.answer_buffers, &read) else {
-        return Ok(read);
+) -> Result<Bytes, BodyRefusal> {
+    let body = shared.intake.read(body, limit, timeout).await?;
+    let Some(buffers) = &shared.answer_buffers else {
+        return Ok(body);
     };
     let mut share = buffers.begin_body();
-    if !share.grow(body.len()) {
-        return Ok(AdmittedBody::NoRoom);
+    if share.grow(body.len()) {
+        Ok(share.hold(body))
+    } else {
+        Err(BodyRefusal::NoRoom)
     }
-    Ok(AdmittedBody::Whole(share.hold(body.clone())))
 }
 
 type RefusedCall = (Option<CallHead>, CallRefusal);
@@ -296,8 +297,8 @@
         .unwrap_or(admitted.route.timeout)
         .min(admitted.route.timeout);
     let body = match read_request_body(shared, body, bounds.body_bytes, timeout).await {
-        Ok(AdmittedBody::Whole(body)) => body,
-        Ok(AdmittedBody::NoRoom) => return Err((Some(head), not_run("no memory for the body", SHORT_RETRY_DELAY))),
+        Ok(body) => body,
+        Err(BodyRefusal::NoRoom) => return Err((Some(head), not_run("no memory for the body", SHORT_RETRY_DELAY))),
         Err(BodyRefusal::TooLarge) => return Err((Some(head), CallRefusal::BodyTooLarge)),
         Err(BodyRefusal::TimedOut | BodyRefusal::Broken) => return Err((Some(head), CallRefusal::BodyLate)),
     };
--- a/crates/acacia-entry/src/serving/prefill.rs
+++ b/crates/acacia-entry/src/serving/prefill.rs
@@ -219,7 +219,7 @@
             call.record_break(chosen, sent_at);
             return None;
         }
-        Err(BodyRefusal::TooLarge | BodyRefusal::TimedOut) => return None,
+        Err(BodyRefusal::TooLarge | BodyRefusal::TimedOut | BodyRefusal::NoRoom) => return None,
     };
     connection.return_to_pool(call).await;
     let handle = status
--- a/crates/acacia-entry/src/serving/start.rs
+++ b/crates/acacia-entry/src/serving/start.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_http::{DEFAULT_UNFINISHED_HEADS, ServerBounds, listen, serve_http, serve_http_within, text_response};
+use acacia_http::{ServerBounds, listen, serve_http, serve_http_within, text_response};
 use acacia_runtime::admin::serve_admin;
 use acacia_runtime::clock::boot_now;
 use acacia_runtime::event;
@@ -35,7 +35,6 @@
     connections: MAX_CALLER_CONNECTIONS,
     unsent_bytes: None,
     flushes_breaks: false,
-    unfinished_heads: DEFAULT_UNFINISHED_HEADS,
 };
 /// Bytes that the kernel holds of an answer before it can send them, where answers are buffered. Otherwise, the kernel takes
 /// megabytes of each, which are memory of the host as well, and it takes more only after a third of them was read, so that a
@@ -169,7 +168,6 @@
         connections: MAX_CALLER_CONNECTIONS,
         unsent_bytes,
         flushes_breaks: unsent_bytes.is_some(),
-        unfinished_heads: INITIAL_LIMITS.unfinished_heads,
     }
 }
 
--- a/crates/acacia-http/src/body.rs
+++ b/crates/acacia-http/src/body.rs
@@ -23,14 +23,7 @@
     TimedOut,
     /// The connection failed before the end of the body.
     Broken,
-}
-
-/// Body that was read while there was memory for it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AdmittedBody {
-    /// The body has ended.
-    Whole(Bytes),
-    /// There is no memory for the body.
+    /// Other bodies use the memory.
     NoRoom,
 }
 
--- a/crates/acacia-http/src/head_account.rs
+++ b/crates/acacia-http/src/head_account.rs
@@ -8,17 +8,18 @@
 
 /// Size up to which a head is small, in bytes: twice what usual clients send.
 const SMALL_HEAD_BYTES: usize = 8 * 1024;
+/// Bytes of all heads that have begun and not ended from which on connections that bring more of a large one are closed.
+const MAX_HEAD_BYTES: usize = 4 * 1024 * 1024;
 
 /// Heads of all connections of a server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HeadAccount(Arc<AtomicUsize>);
 
 impl HeadAccount {
-    /// Adds a connection, which is closed if it brings more than a small head while the heads of all take `limit` bytes.
-    pub(crate) fn open(&self, limit: usize) -> ConnectionHead {
+    /// Adds a connection.
+    pub(crate) fn open(&self) -> ConnectionHead {
         ConnectionHead(Arc::new(HeadState {
             account: self.clone(),
-            limit,
             bytes: AtomicUsize::new(0),
             is_read: AtomicBool::new(true),
         }))
@@ -32,7 +33,6 @@
 #[derive(Debug)]
 struct HeadState {
     account: HeadAccount,
-    limit: usize,
     bytes: AtomicUsize,
     /// False while a request is answered, whose body does not count here.
     is_read: AtomicBool,
@@ -70,6 +70,6 @@
         }
         let own = self.0.bytes.fetch_add(bytes, Ordering::AcqRel) + bytes;
         let all = self.0.account.0.fetch_add(bytes, Ordering::AcqRel) + bytes;
-        own <= SMALL_HEAD_BYTES || all <= self.0.limit
+        own <= SMALL_HEAD_BYTES || all <= MAX_HEAD_BYTES
     }
 }
--- a/crates/acacia-http/src/intake.rs
+++ b/crates/acacia-http/src/intake.rs
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{AdmittedBody, BodyRefusal};
+use crate::body::BodyRefusal;
 
 #[derive(Debug)]
 struct IntakeState {
@@ -58,20 +58,16 @@
     ///
     /// # Errors
     ///
-    /// Fails as soon as the body is known to be larger than `limit` bytes, or when it takes longer than `timeout`.
-    pub async fn read(
-        self: &Arc<Self>,
-        body: Incoming,
-        limit: usize,
-        timeout: Duration,
-    ) -> Result<AdmittedBody, BodyRefusal> {
+    /// Fails as soon as the body is known to be larger than `limit` bytes, when it takes longer than `timeout`, or when others need the
+    /// memory.
+    pub async fn read(self: &Arc<Self>, body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes, BodyRefusal> {
         if body.size_hint().lower() > limit as u64 {
             return Err(BodyRefusal::TooLarge);
         }
         let share = self.open();
         let read = tokio::time::timeout(timeout, collect(body, limit, share)).await;
         let read = read.unwrap_or(Err(BodyRefusal::TimedOut));
-        if read == Ok(AdmittedBody::NoRoom) {
+        if read == Err(BodyRefusal::NoRoom) {
             self.refused.fetch_add(1, Ordering::Relaxed);
         }
         read
@@ -149,14 +145,14 @@
     }
 }
 
-async fn collect(mut body: Incoming, limit: usize, share: IntakeShare) -> Result<AdmittedBody, BodyRefusal> {
+async fn collect(mut body: Incoming, limit: usize, share: IntakeShare) -> Result<Bytes, BodyRefusal> {
     let declared = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let largest = declared.unwrap_or(limit);
     let mut whole = Vec::new();
     loop {
         let frame = tokio::select! {
             biased;
-            () = share.dropped.cancelled() => return Ok(AdmittedBody::NoRoom),
+            () = share.dropped.cancelled() => return Err(BodyRefusal::NoRoom),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else { break };
@@ -169,7 +165,7 @@
         if needed > whole.capacity() {
             let capacity = needed.max((2 * whole.capacity()).min(largest));
             if !share.grow(capacity - whole.capacity()) {
-                return Ok(AdmittedBody::NoRoom);
+                return Err(BodyRefusal::NoRoom);
             }
             whole.reserve_exact(capacity - whole.len());
         } else {
@@ -177,5 +173,5 @@
         }
         whole.extend_from_slice(&data);
     }
-    Ok(AdmittedBody::Whole(share.hold(whole)))
+    Ok(share.hold(whole))
 }
--- a/crates/acacia-http/src/server.rs
+++ b/crates/acacia-http/src/server.rs
@@ -30,9 +30,6 @@
 /// Delay after a failed `accept`, for example when the process has no file descriptors left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Bytes of unfinished heads where nothing else is set.
-pub const DEFAULT_UNFINISHED_HEADS: usize = 4 * 1024 * 1024;
-
 /// Bytes that the kernel holds of what a client has sent and nobody has read. It would hold megabytes otherwise, which are memory of
 /// the host as well.
 const RECEIVE_BYTES: usize = 32 * 1024;
@@ -50,9 +47,6 @@
     pub unsent_bytes: Option<u32>,
     /// True if a response breaks off only after everything before the break has been written, however slowly its client reads.
     pub flushes_breaks: bool,
-    /// Bytes of large request heads that have not ended, of all connections together. Beyond it, the connections that bring more
-    /// of them are closed.
-    pub unfinished_heads: usize,
 }
 
 impl Default for ServerBounds {
@@ -63,7 +57,6 @@
             connections: 1_024,
             unsent_bytes: None,
             flushes_breaks: false,
-            unfinished_heads: DEFAULT_UNFINISHED_HEADS,
         }
     }
 }
@@ -120,7 +113,7 @@
             continue;
         };
         let (stop, handle, bounds) = (stop.clone(), handle.clone(), bounds_now());
-        let head = heads.open(bounds.unfinished_heads);
+        let head = heads.open();
         open.spawn(async move {
             serve_connection(stream, bounds, head, stop, handle).await;
             drop(permit);
