--- a/crates/acaciabay/tests/serving/broken_attempts.rs
+++ b/crates/acaciabay/tests/serving/broken_attempts.rs
@@ -187,6 +187,18 @@
     }
 }
 
+/// Guards against an entry that never learns that a port has closed, because its first attempt had no answer.
+#[test]
+fn a_port_that_was_silent_is_asked_again() {
+    let mut examination = BreakExamination::default();
+    examination.add(broken(PortState::Unknown));
+
+    examination.record_port(at(1_000), ADDRESS, PortState::Silent);
+
+    assert!(examination.due_ports(at(1_040)).is_empty());
+    assert_eq!(examination.due_ports(at(1_050)).len(), 1);
+}
+
 #[test]
 fn a_port_that_refuses_when_asked_again_shows_that_the_endpoint_ended() {
     let registry = registry_with(&[(at(500), "e", reported(1, 1, EndpointPhase::Ready))]);
--- a/crates/acaciabay/tests/serving/main.rs
+++ b/crates/acaciabay/tests/serving/main.rs
@@ -34,6 +34,7 @@
 mod load_slices;
 mod members;
 mod origin_search;
+mod part_refutation;
 mod part_schedules;
 mod pending_renewals;
 mod placement;
--- a/crates/acaciabay/tests/serving/suspect_parts.rs
+++ b/crates/acaciabay/tests/serving/suspect_parts.rs
@@ -9,12 +9,12 @@
 use crate::fixtures::{at, fixed_cases};
 use crate::suspects::{commit, ending_of, settle};
 
-const FIRST: u64 = 1;
-const BAD: u64 = 99;
+pub(crate) const FIRST: u64 = 1;
+pub(crate) const BAD: u64 = 99;
 /// Time between two endings under a bad part, in milliseconds.
-const GAP_MS: u64 = 200;
+pub(crate) const GAP_MS: u64 = 200;
 
-fn evidence_of(
+pub(crate) fn evidence_of(
     customer: &str,
     call: u32,
     engine: u64,
@@ -27,7 +27,7 @@
     }
 }
 
-fn evidence(call: u32, engine: u64, ended_ms: u64, parts: &[u64]) -> EndingEvidence {
+pub(crate) fn evidence(call: u32, engine: u64, ended_ms: u64, parts: &[u64]) -> EndingEvidence {
     evidence_of("one", call, engine, (ended_ms, 80), parts)
 }
 
@@ -52,7 +52,7 @@
     evidence
 }
 
-fn after_bad_endings(count: u64) -> SuspectTable {
+pub(crate) fn after_bad_endings(count: u64) -> SuspectTable {
     let mut table = SuspectTable::default();
     for number in 1..=count {
         commit(&mut table, 10_000 + GAP_MS * number, bad_ending(number));
@@ -77,11 +77,11 @@
     parts.collect()
 }
 
-fn holds(table: &SuspectTable, parts: &[u64]) -> bool {
+pub(crate) fn holds(table: &SuspectTable, parts: &[u64]) -> bool {
     table.parts.holds_back(&prompt(parts))
 }
 
-fn held_parts(table: &PartTable) -> Vec<Vec<u64>> {
+pub(crate) fn held_parts(table: &PartTable) -> Vec<Vec<u64>> {
     let held = table.quarantines().iter().filter(|quarantine| quarantine.is_held);
     held.map(|quarantine| quarantine.parts.iter().map(|part| part.0).collect())
         .collect()
@@ -274,133 +274,6 @@
     assert!(held_parts(&table.parts).is_empty());
 }
 
-/// Returns endings at all of which an innocent part was, and of which the entry with the bad one has told of `told`.
-fn half_told_endings(told: u64) -> SuspectTable {
-    let mut table = SuspectTable::default();
-    for number in 1..=4 {
-        let ended_ms = 10_000 + GAP_MS * number;
-        let call = u32::try_from(number).unwrap_or(0) * 10;
-        let mut known = vec![evidence(call, number, ended_ms, &[FIRST, 7])];
-        if number <= told {
-            known.push(evidence(call + 1, number, ended_ms, &[FIRST, BAD]));
-        }
-        commit(&mut table, ended_ms, known);
-    }
-    settle(&mut table, 10_800);
-    table
-}
-
-/// Guards against sound calls that are refused for an hour, and endpoints that go on ending, since evidence came after the verdict.
-#[test]
-fn evidence_that_comes_late_withdraws_a_wrong_verdict() {
-    let mut table = half_told_endings(2);
-    assert_eq!(held_parts(&table.parts), [[FIRST, 7]]);
-
-    for number in 3..=4 {
-        let ended_ms = 10_000 + GAP_MS * number;
-        let call = u32::try_from(number).unwrap_or(0) * 10 + 1;
-        let late = evidence(call, number, ended_ms, &[FIRST, BAD]);
-        commit(&mut table, 13_000, vec![late]);
-    }
-    for number in 5..=6 {
-        let ended_ms = 13_000 + GAP_MS * number;
-        let call = u32::try_from(number).unwrap_or(0) * 10;
-        commit(
-            &mut table,
-            ended_ms,
-            vec![evidence(call, number, ended_ms, &[FIRST, BAD])],
-        );
-    }
-    settle(&mut table, 15_000);
-
-    assert_eq!(held_parts(&table.parts), [[FIRST, BAD]]);
-}
-
-/// Guards against the blame of calls that were sent again after each ending, and met the next ones by chance.
-#[test]
-fn two_calls_at_four_endings_prove_nothing() {
-    let mut table = SuspectTable::default();
-    for number in 1..=4_u64 {
-        let ended_ms = 10_000 + GAP_MS * number;
-        let call = u32::try_from(number).unwrap_or(0) / 3;
-        commit(
-            &mut table,
-            ended_ms,
-            vec![evidence(call, number, ended_ms, &[FIRST, 7])],
-        );
-    }
-    settle(&mut table, 11_000);
-
-    assert!(held_parts(&table.parts).is_empty());
-}
-
-/// Guards against the refusal of nearly all calls because their first part was under way at two endings without the cause.
-#[test]
-fn a_group_is_not_narrowed_to_a_part_of_most_calls() {
-    let mut table = SuspectTable::default();
-    for number in 1..=4 {
-        let ended_ms = 10_000 + GAP_MS * number;
-        let call = u32::try_from(number).unwrap_or(0) * 10;
-        commit(
-            &mut table,
-            ended_ms,
-            vec![evidence(call, number, ended_ms, &[FIRST, BAD])],
-        );
-    }
-    settle(&mut table, 10_800);
-    for number in 5..=7_u32 {
-        let ended_ms = 12_000 + GAP_MS * u64::from(number);
-        let calls = (0..4).map(|call| {
-            let parts = [FIRST, 20 + u64::from(call)];
-            evidence(number * 10 + call, number.into(), ended_ms, &parts)
-        });
-        commit(&mut table, ended_ms, calls.collect());
-    }
-    settle(&mut table, 14_000);
-
-    assert_eq!(held_parts(&table.parts), [[FIRST, BAD]]);
-}
-
-/// Guards against the blame of calls that a port accepts after its endpoint has ended, and that break when it closes.
-#[test]
-fn calls_that_were_sent_after_an_ending_are_not_blamed_for_it() {
-    let mut table = SuspectTable::default();
-    for number in 1..=6_u64 {
-        let ended_ms = 10_000 + 1_000 * number;
-        let call = u32::try_from(number).unwrap_or(0) * 10;
-        let later = evidence_of("two", call + 1, number, (ended_ms + 600, 500), &[FIRST, 7]);
-        commit(&mut table, ended_ms + 650, vec![later]);
-        let bad = [FIRST, BAD, 20 + number % 2];
-        commit(&mut table, ended_ms + 700, vec![evidence(call, number, ended_ms, &bad)]);
-    }
-    settle(&mut table, 18_000);
-
-    assert!(holds(&table, &[FIRST, 20, BAD]));
-    assert!(!holds(&table, &[FIRST, 7]));
-    let blamed = table
-        .calls()
-        .filter(|call| call.identity.customer == Some("two".into()));
-    assert!(blamed.flat_map(|call| &call.endings).count() <= 6);
-}
-
-/// Guards against a second verdict on the same endings after an operator has lifted the first.
-#[test]
-fn endings_of_a_lifted_quarantine_blame_no_other_part() {
-    let mut table = after_bad_endings(5);
-    assert!(holds(&table, &[FIRST, 20, BAD]));
-
-    table.apply(&SuspectUpdate {
-        now_ms: 13_000,
-        lifted_parts: vec![PartId(BAD)],
-        ..SuspectUpdate::default()
-    });
-    let last = 13_000 + GAP_MS;
-    commit(&mut table, last, vec![evidence(900, 900, last, &[FIRST, 22])]);
-    settle(&mut table, last);
-
-    assert!(held_parts(&table.parts).is_empty());
-}
-
 /// Guards against a quarantine that never ends, although the endpoints have been mended, and one that begins from nothing then.
 #[test]
 fn quarantine_of_a_part_lapses_and_returns_with_one_ending() {
